--- /dev/null
+++ b/crates/entryd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon on each entry host.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generation, experiments and reports.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, failure detection and contact state of entry hosts.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! Idempotency keys and duplicate suppression.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients for the platform's table service and object store.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Endpoint choice, concurrency slots, queues, traffic moves and look-up tables.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for endpoints, each with a fault table.
--- /dev/null
+++ b/crates/types/src/id.rs
@@ -0,0 +1,214 @@
+//! Identifiers. Names are short lower-case labels; numbers are opaque counters.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use derive_more::Display;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+const NAME_MAX_CHARS: usize = 48;
+
+fn check_name(what: &'static str, text: &str) -> Result<(), ParseError> {
+    let fail = |reason| Err(ParseError::new(what, text, reason));
+    if text.is_empty() {
+        return fail("it is empty");
+    }
+    if text.len() > NAME_MAX_CHARS {
+        return fail("it is longer than 48 characters");
+    }
+    let plain = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.';
+    if !text.bytes().all(plain) {
+        return fail("only a-z, 0-9, '-' and '.' are allowed");
+    }
+    if !text.as_bytes()[0].is_ascii_alphanumeric() {
+        return fail("it must start with a letter or digit");
+    }
+    Ok(())
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                check_name($what, text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseError;
+
+            fn try_from(text: String) -> Result<Self, ParseError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name!(
+    /// The name of an entry host, stable over restarts.
+    HostId,
+    "host name"
+);
+name!(
+    /// The name of an availability zone.
+    ZoneId,
+    "zone name"
+);
+name!(
+    /// The name of a region, which holds one or more zones.
+    RegionId,
+    "region name"
+);
+name!(
+    /// The name of a team.
+    TeamId,
+    "team name"
+);
+name!(
+    /// The name of a service that endpoints offer.
+    ServiceId,
+    "service name"
+);
+name!(
+    /// The name of an endpoint.
+    EndpointId,
+    "endpoint name"
+);
+name!(
+    /// The name of a site that client blocks map to.
+    SiteId,
+    "site name"
+);
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Display, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The number that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                text.parse()
+                    .map(Self)
+                    .map_err(|_| ParseError::new($what, text, "a whole number was expected"))
+            }
+        }
+    };
+}
+
+number!(
+    /// The version of the whole configuration, raised by every committed change.
+    Epoch,
+    "config epoch"
+);
+number!(
+    /// One life of a host process. A later life has a higher number.
+    Incarnation,
+    "incarnation"
+);
+
+/// A random 128-bit identifier of one attempt at an operation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+#[display("{_0:032x}")]
+pub struct AttemptId(pub u128);
+
+impl AttemptId {
+    /// Draws a new identifier.
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(rng.random())
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let fail = || ParseError::new("attempt id", text, "32 hexadecimal digits were expected");
+        if text.len() != 32 {
+            return Err(fail());
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_| fail())
+    }
+}
+
+/// The SHA-256 digest of a team's key. The key itself is never kept.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct KeyDigest(pub [u8; 32]);
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({}…)", hex::encode(&self.0[..4]))
+    }
+}
+
+impl FromStr for KeyDigest {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let mut digest = [0; 32];
+        hex::decode_to_slice(text, &mut digest).map_err(|_| {
+            ParseError::new("key digest", text, "64 hexadecimal digits were expected")
+        })?;
+        Ok(Self(digest))
+    }
+}
+
+impl TryFrom<String> for KeyDigest {
+    type Error = ParseError;
+
+    fn try_from(text: String) -> Result<Self, ParseError> {
+        text.parse()
+    }
+}
+
+impl From<KeyDigest> for String {
+    fn from(digest: KeyDigest) -> String {
+        digest.to_string()
+    }
+}
--- /dev/null
+++ b/crates/types/src/verdict.rs
@@ -0,0 +1,139 @@
+//! What a failed request may have done.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::ParseError;
+
+/// Whether a request that got no whole answer may have run.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Verdict {
+    /// The request has not run anywhere and never will; it may be sent again.
+    #[display("not-run: {reason}")]
+    NotRun {
+        /// Why it was refused.
+        reason: Reason,
+        /// When a new attempt can hope for success; `None` where time alone will not help.
+        retry: Option<Duration>,
+    },
+    /// Part of the request may have reached an endpoint.
+    #[display("may-have-run: {cause}")]
+    MayHaveRun {
+        /// What cut the request short.
+        cause: Cause,
+    },
+}
+
+impl Verdict {
+    /// A refusal before dispatch.
+    pub fn not_run(reason: Reason, retry: impl Into<Option<Duration>>) -> Self {
+        Self::NotRun {
+            reason,
+            retry: retry.into(),
+        }
+    }
+
+    /// A failure after the first byte may have left.
+    pub fn may_have_run(cause: Cause) -> Self {
+        Self::MayHaveRun { cause }
+    }
+
+    /// Whether the request is proved not to have run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::NotRun { .. })
+    }
+}
+
+macro_rules! labels {
+    ($(#[$doc:meta])* $name:ident, $what:literal { $($(#[$vdoc:meta])* $variant:ident => $label:literal,)* }) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+        )]
+        #[serde(rename_all = "kebab-case")]
+        pub enum $name {
+            $($(#[$vdoc])* #[display($label)] $variant,)*
+        }
+
+        impl $name {
+            /// Every value, in a fixed order.
+            pub const ALL: &[Self] = &[$(Self::$variant,)*];
+
+            /// The value as it stands in headers, metrics and messages.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $label,)*
+                }
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(text: &str) -> Result<Self, ParseError> {
+                Self::ALL
+                    .iter()
+                    .copied()
+                    .find(|v| v.as_str() == text)
+                    .ok_or_else(|| ParseError::new($what, text, "it is not a known value"))
+            }
+        }
+    };
+}
+
+labels!(
+    /// Why a request was refused before it ran.
+    Reason, "refusal reason" {
+        /// The request is malformed or over a size limit.
+        BadRequest => "bad-request",
+        /// The key is missing, unknown or withdrawn.
+        Unauthorized => "unauthorized",
+        /// The team has no entitlement to the service or to any region that could serve it.
+        Forbidden => "forbidden",
+        /// No such service is configured.
+        UnknownService => "unknown-service",
+        /// The team's rate and burst are used up.
+        OverRate => "over-rate",
+        /// No slot could be had before the deadline.
+        Overloaded => "overloaded",
+        /// No healthy endpoint can be reached.
+        NoEndpoint => "no-endpoint",
+        /// A cap on moved traffic or inter-region bytes is reached.
+        Capped => "capped",
+        /// The deadline passed before dispatch.
+        DeadlinePassed => "deadline-passed",
+        /// The host is stopping or not yet ready.
+        Unavailable => "unavailable",
+        /// The host is cut off and the team's setting is to refuse.
+        CutOff => "cut-off",
+        /// The idempotency key has expired or is malformed.
+        KeyExpired => "key-expired",
+        /// The idempotency key cannot be claimed now.
+        ClaimFailed => "claim-failed",
+        /// The endpoint said that it has not run the request.
+        EndpointRefused => "endpoint-refused",
+        /// The connection to the endpoint or host could not be made.
+        ConnectFailed => "connect-failed",
+    }
+);
+
+labels!(
+    /// What cut a request short after it may have run.
+    Cause, "failure cause" {
+        /// The connection broke after the first byte was sent.
+        Broken => "broken",
+        /// The deadline passed while the request was running.
+        Timeout => "timeout",
+        /// The answer was cut short or malformed.
+        BadAnswer => "bad-answer",
+        /// The host that issued the idempotency key is gone.
+        IssuerGone => "issuer-gone",
+        /// The relaying host was lost.
+        RelayLost => "relay-lost",
+        /// An earlier attempt under the same idempotency key has an unknown outcome.
+        Unknown => "unknown",
+    }
+);
