--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -223,6 +223,18 @@
         Some(lent)
     }
 
+    /// Whether more is lent from a shard than its part holds.
+    pub(crate) fn is_overlent(&self, shard: &ShardId) -> bool {
+        let Some(part) = self.parts.iter().find(|p| is_shard(&p.source, shard)) else {
+            return false;
+        };
+        let lent = self.lent.iter().filter(|l| is_shard(&l.source, shard));
+        let (rate, cap) = lent.fold((0, 0), |(r, c), l| {
+            (r + l.rate.micros(), c + l.cap.micros())
+        });
+        rate > part.rate.micros() || cap > part.cap.micros()
+    }
+
     /// What a source still holds after what is lent from it.
     pub(crate) fn free(&self, source: &Source) -> (Rate, Tokens) {
         let Some(part) = self.parts.iter().find(|p| p.source == *source) else {
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -6,7 +6,7 @@
 use wagtail_types::{AttemptId, Epoch, HostId};
 
 use crate::drift::Drift;
-use crate::message::{Member, Row, TeamTokens};
+use crate::message::{Member, Row, TeamSpread, TeamTokens};
 use crate::quota::{ReadOutcome, WriteOutcome};
 use crate::settings::{Mutant, Settings};
 
@@ -23,6 +23,10 @@
     pub(crate) drift: Drift,
     pub(crate) epoch: Epoch,
     pub(crate) confirmed: Epoch,
+    /// The epoch that the shard's parts of all teams, loans included, have reached.
+    pub(crate) reached: Epoch,
+    /// Earlier spreads that may still be in use.
+    pub(crate) spreads: &'a [TeamSpread],
     /// The other hosts of the zone.
     pub(crate) members: &'a [Member],
     /// How long this host waits before it claims, so that hosts of a zone do not race.
@@ -57,8 +61,17 @@
 #[derive(Debug)]
 pub(crate) enum Out {
     Read,
-    Write { expected: Option<u64>, row: Row },
-    Hold { to: HostId, version: u64, id: u64 },
+    Write {
+        expected: Option<u64>,
+        row: Row,
+    },
+    Hold {
+        to: HostId,
+        version: u64,
+        id: u64,
+    },
+    /// The shard was taken over, and this is the row that its last holder left.
+    Took(Row),
     Gained(Start),
     Lost,
     Released,
@@ -279,11 +292,18 @@
             return;
         }
         let mine = self.tries.drain(..).find(|t| t.row.attempt == row.attempt);
-        self.seen = Some(Seen {
+        let was_mine = self.is_mine(cx);
+        let last = self.seen.replace(Seen {
             version: Some(version),
             row: Some(row),
             first: now,
         });
+        if let Some(last) = last
+            .and_then(|s| s.row)
+            .filter(|_| mine.is_some() && !was_mine)
+        {
+            out.push(Out::Took(last));
+        }
         match mine {
             Some(Try {
                 aim: Aim::Release, ..
@@ -406,7 +426,7 @@
             cx.settings.outage_term.max(cx.term())
         };
         if cx.settings.has(Mutant::IgnoreMargin) {
-            return cx.drift.shrink(wait);
+            return wait;
         }
         cx.drift.stretch(wait)
     }
@@ -417,16 +437,28 @@
     }
 
     fn new_row(&self, cx: &Context<'_>, aim: &Aim, attempt: AttemptId) -> Row {
-        let floor = self.row().map_or(Epoch(0), |(_, row)| row.epoch);
-        let confirmed = self.row().map_or(Epoch(0), |(_, row)| row.confirmed);
+        let last = self.row().map(|(_, row)| row);
+        let floor = last.map_or(Epoch(0), |row| row.epoch);
+        let confirmed = cx.confirmed.max(last.map_or(Epoch(0), |row| row.confirmed));
+        let mut spreads = cx.spreads.to_vec();
+        let older = last
+            .filter(|row| confirmed < row.epoch)
+            .map(|row| &row.spreads);
+        for past in older.into_iter().flatten() {
+            if !spreads.contains(past) {
+                spreads.push(past.clone());
+            }
+        }
         let release = matches!(aim, Aim::Release);
+        let tokens = self.leaving.clone().filter(|_| release);
         Row {
             holder: (!release).then(|| cx.me()),
-            epoch: cx.epoch.max(floor),
-            confirmed: cx.confirmed.max(confirmed),
+            epoch: cx.reached.max(floor),
+            confirmed,
             members: cx.members.to_vec(),
             attempt,
-            tokens: self.leaving.clone().filter(|_| release).unwrap_or_default(),
+            tokens: tokens.unwrap_or_default(),
+            spreads,
         }
     }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -56,7 +56,9 @@
 mod settings;
 mod shard;
 
-pub use crate::message::{Hint, LoanId, Member, Message, Row, ShardNote, TeamHint, TeamTokens};
+pub use crate::message::{
+    Hint, LoanId, Member, Message, Row, ShardNote, TeamHint, TeamSpread, TeamTokens,
+};
 pub use crate::quota::{
     Admission, Counters, Effect, Input, PeerInfo, Quota, ReadOutcome, Resolution, TeamLimit,
     TeamView, Ticket, WriteOutcome,
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -139,6 +139,19 @@
     pub attempt: AttemptId,
     /// Tokens left by a holder that released the shard.
     pub tokens: Vec<TeamTokens>,
+    /// Earlier spreads of teams that some host may still use; empty but for a while after a change.
+    pub spreads: Vec<TeamSpread>,
+}
+
+/// From an epoch on, a team was carried by so many shards.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamSpread {
+    /// The team.
+    pub team: TeamId,
+    /// The epoch.
+    pub since: Epoch,
+    /// The number of shards.
+    pub count: u32,
 }
 
 /// One life of a host.
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -267,6 +267,8 @@
     drift: Drift,
     rng: SmallRng,
     epoch: Epoch,
+    /// The first epoch that this life of the host has known.
+    first: Epoch,
     confirmed: Epoch,
     map: ShardMap,
     teams: BTreeMap<TeamId, Team>,
@@ -291,6 +293,7 @@
             next_id: rand::Rng::random(&mut rng),
             rng,
             epoch: Epoch(0),
+            first: Epoch(0),
             confirmed: Epoch(0),
             map: ShardMap::default(),
             teams: BTreeMap::new(),
--- a/crates/quota/src/quota/lend.rs
+++ b/crates/quota/src/quota/lend.rs
@@ -154,7 +154,7 @@
     /// How long a loan from a source may last on the borrower's clock.
     fn life(&self, now: Instant, id: &TeamId, source: &Source) -> Duration {
         if self.settings.has(Mutant::LoanOutlivesLease) {
-            return self.settings.loan_term * 2;
+            return self.settings.loan_term * 4;
         }
         let end = match source {
             Source::Shard(shard) => self.leases.get(shard).and_then(Lease::until),
--- a/crates/quota/src/quota/shards.rs
+++ b/crates/quota/src/quota/shards.rs
@@ -41,6 +41,9 @@
         if self.map != map {
             self.set_map(map);
         }
+        if self.first == Epoch(0) {
+            self.first = epoch;
+        }
         let mut limits: BTreeMap<TeamId, TeamLimit> = teams
             .into_iter()
             .map(|limit| (limit.team.clone(), limit))
@@ -249,6 +252,13 @@
             .any(|team| team.bucket.lent().iter().any(|l| on(&l.source)))
     }
 
+    /// Whether more is lent from a shard than its present parts hold.
+    fn is_overlent(&self, shard: &ShardId) -> bool {
+        self.teams
+            .values()
+            .any(|team| team.bucket.is_overlent(shard))
+    }
+
     fn release_shard(&mut self, shard: &ShardId) {
         let mut left = Vec::new();
         for (id, team) in &mut self.teams {
@@ -274,6 +284,12 @@
     ) {
         let members = self.members();
         let patience = self.patience(shard, &members);
+        let spreads = self.past_spreads();
+        let reached = if self.is_overlent(shard) {
+            Epoch(0)
+        } else {
+            self.epoch
+        };
         let Some(lease) = self.leases.get_mut(shard) else {
             return;
         };
@@ -282,6 +298,8 @@
             drift: self.drift,
             epoch: self.epoch,
             confirmed: self.confirmed,
+            reached,
+            spreads: &spreads,
             members: &members,
             patience,
         };
@@ -307,6 +325,7 @@
         let rank = |host: &HostId| score(host.as_str(), shard.zone.as_str(), shard.index.into());
         let mine = rank(&self.settings.me);
         let ahead = members.iter().filter(|m| rank(&m.host) > mine).count();
+        let ahead = ahead + self.held().filter(|held| *held != shard).count();
         PATIENCE * u32::try_from(ahead).unwrap_or(u32::MAX)
     }
 
@@ -322,6 +341,14 @@
                 });
             }
             Out::Hold { to, version, id } => self.send(to, Message::Hold { shard, version, id }),
+            Out::Took(row) => {
+                self.raise_confirmed(now, row.confirmed);
+                self.recall(&row);
+                let ids: Vec<TeamId> = self.teams.keys().cloned().collect();
+                for id in ids {
+                    self.resize(now, &id);
+                }
+            }
             Out::Gained(start) => self.gain(now, &shard, &start),
             Out::Lost => self.lose(now, &shard),
             Out::Released => {
@@ -338,15 +365,10 @@
     }
 
     fn gain(&mut self, now: Instant, shard: &ShardId, start: &Start) {
-        if let Some(row) = self.leases.get(shard).and_then(Lease::row) {
-            let confirmed = row.1.confirmed;
-            self.raise_confirmed(now, confirmed);
-        }
         for team in self.teams.values_mut() {
             team.bucket.advance(now);
-            let before = team.bucket.cap();
             team.resize(shard);
-            let room = team.bucket.cap().saturating_sub(before);
+            let (_, room) = team.bucket.free(&Source::Shard(shard.clone()));
             team.bucket.credit(start.tokens(&team.limit.team, room));
         }
         self.note_own(shard);
--- a/crates/quota/src/quota/spread.rs
+++ b/crates/quota/src/quota/spread.rs
@@ -8,6 +8,7 @@
 
 use super::{Quota, Team};
 use crate::lease::Lease;
+use crate::message::{Row, TeamSpread};
 use crate::settings::Mutant;
 use crate::shard::ShardId;
 
@@ -49,6 +50,14 @@
         }
     }
 
+    /// Takes over an earlier spread that another host may still use.
+    pub(super) fn recall(&mut self, past: Spread) {
+        let at = self.spreads.partition_point(|s| s.since < past.since);
+        if self.spreads.get(at).is_none_or(|s| s.since != past.since) {
+            self.spreads.insert(at, past);
+        }
+    }
+
     /// Drops spreads that no host uses any more; true where any was dropped.
     pub(super) fn retire(&mut self, confirmed: Epoch) -> bool {
         let current = self
@@ -93,6 +102,48 @@
         }
     }
 
+    /// The spreads that a later holder of a shard could not know of.
+    pub(super) fn past_spreads(&self) -> Vec<TeamSpread> {
+        let mut past = Vec::new();
+        for (id, team) in self.teams.iter().filter(|(_, t)| t.spreads.len() > 1) {
+            past.extend(team.spreads.iter().map(|s| TeamSpread {
+                team: id.clone(),
+                since: s.since,
+                count: u32::try_from(s.count).unwrap_or(u32::MAX),
+            }));
+        }
+        past
+    }
+
+    /// Takes over what the last holder of a shard knew of earlier spreads.
+    ///
+    /// A host that started after the row's epoch does not know what a limit changed since then
+    /// was before, so it assumes that the team was elsewhere.
+    pub(super) fn recall(&mut self, row: &Row) {
+        if self.is_hasty() {
+            return;
+        }
+        let newcomer = self.first > row.epoch;
+        let confirmed = self.confirmed;
+        for (id, team) in &mut self.teams {
+            for past in row.spreads.iter().filter(|s| s.team == *id) {
+                let count = usize::try_from(past.count).unwrap_or(usize::MAX);
+                team.recall(Spread {
+                    since: past.since,
+                    count,
+                });
+            }
+            let since = team.limit.since;
+            if newcomer && since > row.epoch && since > confirmed {
+                team.recall(Spread {
+                    since: row.epoch,
+                    count: 0,
+                });
+            }
+            team.retire(confirmed);
+        }
+    }
+
     pub(super) fn is_hasty(&self) -> bool {
         self.settings.has(Mutant::HastySpread)
     }
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -91,7 +91,7 @@
 )]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mutant {
-    /// A claimant waits for the bare term, or less, in place of the term plus the drift margin.
+    /// A claimant waits for the bare term in place of the term plus the drift margin.
     IgnoreMargin,
     /// Tokens accrue by the local clock with no allowance for its drift.
     IgnoreDrift,
