--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -177,6 +177,15 @@
         true
     }
 
+    /// A borrowed part without rate whose room the level no longer needs.
+    pub(crate) fn spent_loan(&self) -> Option<Source> {
+        let spent = |p: &&Part| {
+            let rest = self.cap.saturating_sub(p.cap);
+            p.until.is_some() && p.rate == Rate::ZERO && self.level() <= rest
+        };
+        self.parts.iter().find(spent).map(|p| p.source.clone())
+    }
+
     /// Ends a borrowed part early and returns the tokens that no longer have room.
     ///
     /// A part that something is lent from cannot end early.
--- a/crates/quota/src/hints.rs
+++ b/crates/quota/src/hints.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use wagtail_types::{HostId, Tokens};
+use wagtail_types::{HostId, Rate, Tokens};
 
 use crate::message::Hint;
 
@@ -30,6 +30,12 @@
         Some(hint.level.saturating_add(grown).min(hint.cap))
     }
 
+    /// The rate that a host last had to spare; the most where it was never heard of.
+    pub(crate) fn spare(&self, host: &HostId) -> Rate {
+        let unknown = Rate::from_micros(u64::MAX);
+        self.seen.get(host).map_or(unknown, |(hint, _)| hint.spare)
+    }
+
     pub(crate) fn hosts(&self) -> impl Iterator<Item = &HostId> {
         self.seen.keys()
     }
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -235,6 +235,7 @@
     /// Asks under way.
     asking: usize,
     next_ask: Instant,
+    next_rate_ask: Instant,
 }
 
 #[derive(Debug)]
--- a/crates/quota/src/quota/lend.rs
+++ b/crates/quota/src/quota/lend.rs
@@ -46,9 +46,9 @@
         let Some(team) = self.teams.get_mut(id) else {
             return;
         };
-        if terms.life.is_zero() {
+        if terms.life.is_zero() && wish.need >= LEAST_TOKENS {
             team.owed.insert(from.clone());
-        } else {
+        } else if !terms.life.is_zero() {
             self.counters.loans += 1;
         }
         let message = Message::Loan {
--- a/crates/quota/src/quota/seek.rs
+++ b/crates/quota/src/quota/seek.rs
@@ -1,5 +1,6 @@
 //! Asking other hosts for tokens and rate.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use wagtail_types::{HostId, Rate, TeamId, Tokens};
@@ -18,6 +19,8 @@
 const FANOUT_AHEAD: usize = 2;
 /// The pause between asks ahead of demand.
 const AHEAD_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between asks for rate alone.
+const RATE_PAUSE: Duration = Duration::from_secs(1);
 /// The rate that a host asks for, over its demand.
 const WANTED_DEMAND: f64 = 1.1;
 /// A borrowed rate is given back when the rest is this much over the demand.
@@ -79,14 +82,19 @@
             return;
         }
         let wanted = team.ahead(now, self.settings.prefetch_horizon);
-        let low = team.bucket.level() < wanted;
-        let slow = team.wanted_rate(now) > Rate::ZERO;
-        if !low && !slow {
+        let slow = team.wanted_rate(now) > Rate::ZERO && now >= team.next_rate_ask;
+        if team.bucket.level() >= wanted && !slow {
             return;
         }
         team.next_ask = now + AHEAD_PAUSE;
+        if slow {
+            team.next_rate_ask = now + RATE_PAUSE;
+        }
         let need = (wanted + wanted).saturating_sub(team.bucket.level());
-        let found = self.candidates(now, id, need);
+        let mut found = self.candidates(now, id, need);
+        if slow && let Some(team) = self.teams.get(id) {
+            found.sort_by_key(|(host, _)| Reverse(team.hints.spare(host)));
+        }
         for (host, estimate) in found.into_iter().take(FANOUT_AHEAD) {
             self.ask(now, id, host, need, estimate.min(need), None);
         }
@@ -174,6 +182,15 @@
         }
     }
 
+    /// Frees the room of loans of tokens that are spent, as it is missing at their lenders.
+    pub(super) fn settle(&mut self, id: &TeamId) {
+        while let Some(source) = self.teams.get(id).and_then(|team| team.bucket.spent_loan()) {
+            if !self.give_back(id, &source) {
+                return;
+            }
+        }
+    }
+
     /// Returns everything borrowed.
     pub(super) fn return_all(&mut self) {
         let ids: Vec<TeamId> = self.teams.keys().cloned().collect();
@@ -240,21 +257,17 @@
         })
     }
 
-    fn give_back(&mut self, id: &TeamId, source: &Source) {
+    fn give_back(&mut self, id: &TeamId, source: &Source) -> bool {
         let Source::Loan { from, loan } = source else {
-            return;
+            return false;
         };
-        let Some(team) = self.teams.get_mut(id) else {
-            return;
+        let team = self.teams.get_mut(id);
+        let Some(tokens) = team.and_then(|team| team.bucket.give_back(source)) else {
+            return false;
         };
-        if let Some(tokens) = team.bucket.give_back(source) {
-            let message = Message::Return {
-                loan: *loan,
-                team: id.clone(),
-                tokens,
-            };
-            self.send(from.clone(), message);
-        }
+        let (loan, team) = (*loan, id.clone());
+        self.send(from.clone(), Message::Return { loan, team, tokens });
+        true
     }
 
     fn ask_more(&mut self, now: Instant, id: &TeamId, from: &HostId, loan: LoanId) {
@@ -345,7 +358,7 @@
             let guess = || team.limit.burst.part(1, team.shards().len() as u64);
             let estimate = team.hints.estimate(host, now).unwrap_or_else(guess);
             if estimate >= LEAST_ESTIMATE {
-                let order = (estimate < need, peer.distance, std::cmp::Reverse(estimate));
+                let order = (estimate < need, peer.distance, Reverse(estimate));
                 found.push((order, host.clone(), estimate));
             }
         }
--- a/crates/quota/src/quota/shards.rs
+++ b/crates/quota/src/quota/shards.rs
@@ -104,6 +104,7 @@
             owed: std::collections::BTreeSet::new(),
             asking: 0,
             next_ask: now,
+            next_rate_ask: now,
             limit,
         }
     }
--- a/crates/quota/tests/fuzz.rs
+++ b/crates/quota/tests/fuzz.rs
@@ -90,6 +90,7 @@
     All,
     Links,
     Leases,
+    Lenders,
     Releases,
     Changes,
 }
@@ -105,6 +106,7 @@
         delay,
     });
     let isolate = host().prop_map(|host| Op::Isolate { host });
+    let skew = (500..2500u64).prop_map(|ms| Op::Run { ms, greed: 1 });
     let unplug = host().prop_map(|host| Op::Unplug { host });
     let hand_over = (host(), 0..1000u32).prop_map(|(host, lost)| Op::HandOver { host, lost });
     let boot = host().prop_map(|host| Op::Boot { host });
@@ -120,6 +122,7 @@
         Focus::Leases => {
             prop_oneof![2 => run, 2 => unplug, 2 => isolate, 1 => Just(Op::Heal), 1 => nap].boxed()
         }
+        Focus::Lenders => prop_oneof![3 => skew, 1 => isolate, 1 => Just(Op::Heal)].boxed(),
         Focus::Releases => prop_oneof![1 => run, 2 => hand_over, 1 => boot].boxed(),
         Focus::Changes => prop_oneof![2 => run, 1 => change, 4 => configure].boxed(),
     }
@@ -356,6 +359,6 @@
     finds_unknown_taken_as_failure: UnknownIsFailure in Releases,
     finds_broken_promise: BreakPromise in Leases,
     finds_double_return: ReturnTwice in All,
-    finds_loan_outliving_lease: LoanOutlivesLease in Leases,
+    finds_loan_outliving_lease: LoanOutlivesLease in Lenders,
     finds_hasty_spread: HastySpread in Changes,
 }
