--- a/crates/quota/src/quota/lend.rs
+++ b/crates/quota/src/quota/lend.rs
@@ -13,8 +13,6 @@
 
 /// Less than this is not worth a message.
 const LEAST_TOKENS: Tokens = Tokens::from_micros(50_000);
-/// A loan of rate brings at least this much room, and leaves as much.
-const LEAST_ROOM: Tokens = Tokens::whole(5);
 /// The rate that a host keeps for itself, over its demand.
 const KEPT_DEMAND: f64 = 1.02;
 /// The demand that a host keeps tokens for.
@@ -154,7 +152,7 @@
     /// How long a loan from a source may last on the borrower's clock.
     fn life(&self, now: Instant, id: &TeamId, source: &Source) -> Duration {
         if self.settings.has(Mutant::LoanOutlivesLease) {
-            return self.settings.loan_term * 4;
+            return self.settings.loan_term;
         }
         let end = match source {
             Source::Shard(shard) => self.leases.get(shard).and_then(Lease::until),
@@ -205,7 +203,12 @@
     ) -> Option<Terms> {
         let bucket = &self.bucket;
         let (free_rate, free_cap) = bucket.free(source);
-        let kept = self.kept(now);
+        let urgent = wish.hint.level < Tokens::ONE;
+        let kept = if urgent {
+            self.kept(now)
+        } else {
+            self.ahead(now, settings.prefetch_horizon)
+        };
         let tokens = bucket
             .level()
             .saturating_sub(kept)
@@ -214,7 +217,13 @@
         let rate = wish.rate.min(self.spare(now, KEPT_DEMAND)).min(free_rate);
         let cap = free_cap.part(rate.micros(), free_rate.micros());
         let left = bucket.cap().saturating_sub(cap);
-        let roomy = cap >= LEAST_ROOM && (left >= LEAST_ROOM || left == Tokens::ZERO);
+        let outlives = settings.has(Mutant::LoanOutlivesLease);
+        let lasting_life = if outlives {
+            life * 4
+        } else {
+            life.min(settings.loan_term)
+        };
+        let roomy = cap >= settings.min_loan && (left >= settings.min_loan || left == Tokens::ZERO);
         let lasting = matches!(source, Source::Shard(_)) && life >= settings.loan_term / 2;
         if roomy && lasting && rate > Rate::ZERO {
             let share = bucket.level().part(cap.micros(), bucket.cap().micros());
@@ -228,7 +237,7 @@
                 rate,
                 cap,
                 tokens,
-                life: life.min(settings.loan_term),
+                life: lasting_life,
             });
         }
         let life = life.min(settings.gather_timeout);
--- a/crates/quota/src/quota/seek.rs
+++ b/crates/quota/src/quota/seek.rs
@@ -18,10 +18,10 @@
 /// At most so many hosts are asked ahead of demand.
 const FANOUT_AHEAD: usize = 2;
 /// The pause between asks ahead of demand.
-const AHEAD_PAUSE: Duration = Duration::from_millis(50);
+const AHEAD_PAUSE: Duration = Duration::from_millis(20);
 /// Hosts keep ready at most this part of the time in which the burst fills.
 const AHEAD_PARTS: u32 = 10;
-/// With less demand than this in that time, no token is kept ready.
+/// With demand for this much in the coming moments, a whole token is kept ready.
 const LEAST_AHEAD: Tokens = Tokens::from_micros(250_000);
 /// The pause between asks for rate alone.
 const RATE_PAUSE: Duration = Duration::from_secs(1);
@@ -79,22 +79,25 @@
 
     /// Asks ahead of demand where tokens or rate run short.
     pub(super) fn prefetch(&mut self, now: Instant, id: &TeamId) {
+        let coming = self.coming(id);
         let Some(team) = self.teams.get_mut(id) else {
             return;
         };
-        if now < team.next_ask || team.asking > 0 {
+        if now < team.next_ask {
             return;
         }
         let wanted = team.ahead(now, self.settings.prefetch_horizon);
         let slow = team.wanted_rate(now) > Rate::ZERO && now >= team.next_rate_ask;
-        if team.bucket.level() >= wanted && !slow {
+        if team.bucket.level().saturating_add(coming) >= wanted && !slow {
             return;
         }
         team.next_ask = now + AHEAD_PAUSE;
         if slow {
             team.next_rate_ask = now + RATE_PAUSE;
         }
-        let need = (wanted + wanted).saturating_sub(team.bucket.level());
+        let need = (wanted + wanted)
+            .saturating_sub(team.bucket.level())
+            .saturating_sub(coming);
         let mut found = self.candidates(now, id, need);
         if slow && let Some(team) = self.teams.get(id) {
             found.sort_by_key(|(host, _)| Reverse(team.hints.spare(host)));
@@ -147,7 +150,8 @@
 
     /// Drops asks that had no answer in time.
     pub(super) fn step_asks(&mut self, now: Instant) {
-        let timeout = self.settings.gather_timeout;
+        let late = self.settings.has(Mutant::LateCredit);
+        let timeout = self.settings.gather_timeout * if late { 4 } else { 1 };
         let over = self
             .asks
             .iter()
@@ -412,10 +416,11 @@
         self.bucket.borrow(part, offer.tokens.min(offer.cap));
     }
 
-    /// Whole tokens for the demand of the coming moments.
+    /// Tokens for the demand of the coming moments, a whole one at least where that is likely used.
     ///
-    /// What all hosts keep ready together must be small against the burst.
-    fn ahead(&self, now: Instant, horizon: Duration) -> Tokens {
+    /// What all hosts keep ready together must be small against the burst, and nothing is kept away
+    /// from the only holder for less than a request.
+    pub(super) fn ahead(&self, now: Instant, horizon: Duration) -> Tokens {
         let full = self
             .limit
             .rate
@@ -423,8 +428,11 @@
             .unwrap_or_default();
         let horizon = horizon.min(full / AHEAD_PARTS);
         let ahead = rate_of(self.bucket.demand.at(now)).over(horizon);
-        if ahead < Tokens::ONE {
+        let alone = self.shards().len() == 1 && ahead < Tokens::ONE;
+        if alone {
             Tokens::ZERO
+        } else if ahead >= LEAST_AHEAD {
+            ahead.max(Tokens::ONE)
         } else {
             ahead
         }
--- a/crates/quota/src/settings.rs
+++ b/crates/quota/src/settings.rs
@@ -13,6 +13,7 @@
 const LOAN_TERM: Duration = Duration::from_secs(3);
 const PREFETCH_HORIZON: Duration = Duration::from_millis(100);
 const GOSSIP_PERIOD: Duration = Duration::from_millis(500);
+const MIN_LOAN: Tokens = Tokens::whole(5);
 const MIN_PART: Tokens = Tokens::whole(8);
 
 /// Settings of one host's quota machine; [`Settings::new`] fills in the defaults.
@@ -40,6 +41,8 @@
     pub gossip_period: Duration,
     /// The least burst that one shard of a team should hold.
     pub min_part: Tokens,
+    /// The least burst that a loan of rate brings, and leaves to its lender.
+    pub min_loan: Tokens,
     /// A fault built in on purpose, to show that the tests find it.
     #[cfg(feature = "mutants")]
     pub mutant: Option<Mutant>,
@@ -60,6 +63,7 @@
             prefetch_horizon: PREFETCH_HORIZON,
             gossip_period: GOSSIP_PERIOD,
             min_part: MIN_PART,
+            min_loan: MIN_LOAN,
             #[cfg(feature = "mutants")]
             mutant: None,
         }
