--- a/crates/quota/examples/compare.rs
+++ b/crates/quota/examples/compare.rs
@@ -134,27 +134,40 @@
     list
 }
 
-fn at_fault(world: &mut World, fault: Fault) {
-    match fault {
-        Fault::None => {}
-        Fault::Stop => world.release(2),
-        Fault::Crash => world.crash(2),
-        Fault::ZoneLost => {
-            world.crash(2);
-            world.crash(3);
+/// Brings a fault to the first holder of the measured team, and returns the hosts that are gone.
+fn at_fault(world: &mut World, fault: Fault) -> Vec<usize> {
+    let team = world.teams[0].clone();
+    let holder = world.hosts[0]
+        .quota
+        .as_ref()
+        .and_then(|q| q.holders(&team).first().cloned());
+    let victim = world
+        .hosts
+        .iter()
+        .position(|h| Some(&h.id) == holder.as_ref())
+        .unwrap_or(0);
+    let zone = ZONES[victim];
+    let gone: Vec<usize> = match fault {
+        Fault::None => Vec::new(),
+        Fault::Stop | Fault::Crash => vec![victim],
+        Fault::ZoneLost => (0..ZONES.len()).filter(|h| ZONES[*h] == zone).collect(),
+    };
+    for host in &gone {
+        match fault {
+            Fault::Stop => world.release(*host),
+            _ => world.crash(*host),
         }
     }
     for host in 0..ZONES.len() {
         world.tell_peers(host);
     }
+    gone
 }
 
-fn is_gone(fault: Fault, host: usize) -> bool {
-    match fault {
-        Fault::None => false,
-        Fault::Stop | Fault::Crash => host == 2,
-        Fault::ZoneLost => host == 2 || host == 3,
-    }
+/// The host that gets a call when its own is gone.
+fn living(host: usize, gone: &[usize]) -> usize {
+    let mut others = (host..host + ZONES.len()).map(|h| h % ZONES.len());
+    others.find(|h| !gone.contains(h)).unwrap_or(host)
 }
 
 fn measure(case: Case, seed: u64, out: &mut Figures) {
@@ -176,6 +189,7 @@
     let mut admitted = BTreeSet::new();
     let fault_at = WARM_UP + MEASURED / 4;
     let (mut begun, mut faulty) = (false, false);
+    let mut gone = Vec::new();
     for call in &calls {
         world.run(call.at);
         if !begun && call.at >= WARM_UP {
@@ -184,10 +198,9 @@
         }
         if !faulty && call.at >= fault_at {
             faulty = true;
-            at_fault(&mut world, case.fault);
+            gone = at_fault(&mut world, case.fault);
         }
-        let moved = faulty && is_gone(case.fault, call.host);
-        let host = if moved { call.host + 2 } else { call.host };
+        let host = living(call.host, &gone);
         world.admit(host, call.team, PATIENCE);
         if call.team == 0 {
             let fair = central.admit(call.at);
