Take over the shards of a lost zone after the outage term

Cause: a team whose small burst lies in a lost zone got nothing for good. Conclusion: the loss is bounded by the outage term; it is still total for a small team meanwhile.

--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -16,6 +16,7 @@
 use crate::shard::{ShardId, ShardMap};
 
 mod admit;
+mod adopt;
 mod gossip;
 mod lend;
 mod seek;
@@ -345,7 +346,7 @@
         self.step_asks(now);
         self.step_teams(now);
         self.step_gossip(now);
-        self.step_release();
+        self.step_release(now);
     }
 
     /// When [`Quota::tick`] is next needed.
--- a/crates/quota/src/quota/lend.rs
+++ b/crates/quota/src/quota/lend.rs
@@ -155,6 +155,7 @@
             return self.settings.loan_term;
         }
         let end = match source {
+            Source::Shard(shard) if self.is_found(shard) => None,
             Source::Shard(shard) => self.leases.get(shard).and_then(Lease::until),
             Source::Loan { .. } => self.teams.get(id).and_then(|team| {
                 let part = team.bucket.parts().iter().find(|p| p.source == *source)?;
--- a/crates/quota/src/quota/shards.rs
+++ b/crates/quota/src/quota/shards.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, Rate, TeamId, Tokens};
+use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, Rate, TeamId, Tokens, ZoneId};
 
 use super::spread::Spread;
 use super::{Effect, Phase, Quota, ReadOutcome, Team, TeamLimit, WriteOutcome};
@@ -143,10 +143,12 @@
         if self.epoch == Epoch(0) {
             return;
         }
+        self.watch_lost();
         let shards: Vec<ShardId> = self.leases.keys().cloned().collect();
         for shard in shards {
             self.step_lease(now, &shard);
         }
+        self.give_up_found(now);
         self.confirm(now);
     }
 
@@ -155,7 +157,7 @@
             return;
         };
         let active = lease.until().is_some() || lease.is_leaving();
-        if active || self.phase == Phase::Serving {
+        if active || self.is_ours(shard) {
             self.with_lease(now, shard, |lease, cx, rng, out| {
                 lease.step(now, cx, rng, out);
             });
@@ -225,14 +227,14 @@
     }
 
     /// Gives up what no loan rests on any more, and reports once nothing is left.
-    pub(super) fn step_release(&mut self) {
+    pub(super) fn step_release(&mut self, now: Instant) {
         if self.phase != Phase::Leaving {
             return;
         }
         let held: Vec<ShardId> = self.held().cloned().collect();
         for shard in held {
             if !self.leases[&shard].is_leaving() && !self.has_lent(&shard) {
-                self.release_shard(&shard);
+                self.release_shard(now, &shard);
             }
         }
         let done = self
@@ -246,7 +248,7 @@
         }
     }
 
-    fn has_lent(&self, shard: &ShardId) -> bool {
+    pub(super) fn has_lent(&self, shard: &ShardId) -> bool {
         let on = |source: &Source| matches!(source, Source::Shard(s) if s == shard);
         self.teams
             .values()
@@ -260,9 +262,10 @@
             .any(|team| team.bucket.is_overlent(shard))
     }
 
-    fn release_shard(&mut self, shard: &ShardId) {
+    pub(super) fn release_shard(&mut self, now: Instant, shard: &ShardId) {
         let mut left = Vec::new();
         for (id, team) in &mut self.teams {
+            team.bucket.advance(now);
             let tokens = team.bucket.drop_shard(shard);
             if tokens > Tokens::ZERO {
                 left.push(TeamTokens {
@@ -283,7 +286,7 @@
         shard: &ShardId,
         call: impl FnOnce(&mut Lease, &Context<'_>, &mut rand::rngs::SmallRng, &mut Vec<Out>),
     ) {
-        let members = self.members();
+        let members = self.members(&shard.zone);
         let patience = self.patience(shard, &members);
         let spreads = self.past_spreads();
         let reached = if self.is_overlent(shard) {
@@ -311,8 +314,7 @@
         }
     }
 
-    fn members(&self) -> Vec<Member> {
-        let zone = &self.settings.zone;
+    fn members(&self, zone: &ZoneId) -> Vec<Member> {
         let peers = self.peers.iter().filter(|(_, peer)| peer.zone == *zone);
         peers
             .map(|(host, peer)| Member {
@@ -327,7 +329,13 @@
         let mine = rank(&self.settings.me);
         let ahead = members.iter().filter(|m| rank(&m.host) > mine).count();
         let ahead = ahead + self.held().filter(|held| *held != shard).count();
-        PATIENCE * u32::try_from(ahead).unwrap_or(u32::MAX)
+        let foreign = shard.zone != self.settings.zone;
+        let wait = if foreign {
+            self.settings.lease_term
+        } else {
+            Duration::ZERO
+        };
+        wait + PATIENCE * u32::try_from(ahead).unwrap_or(u32::MAX)
     }
 
     fn apply(&mut self, now: Instant, shard: &ShardId, out: Out) {
@@ -353,7 +361,7 @@
             Out::Gained(start) => self.gain(now, &shard, &start),
             Out::Lost => self.lose(now, &shard),
             Out::Released => {
-                for member in self.members() {
+                for member in self.members(&shard.zone) {
                     self.send(
                         member.host,
                         Message::Released {
--- a/crates/quota/tests/fuzz.rs
+++ b/crates/quota/tests/fuzz.rs
@@ -240,7 +240,10 @@
             Op::Run { ms, greed } => self.spend(ms, greed)?,
             Op::Quiet { ms } => world.run(world.now + ms * MS),
             Op::Pause { host, ms } => world.hosts[host].paused = world.now + ms * MS,
-            Op::Crash { host } => world.crash(host),
+            Op::Crash { host } => {
+                world.crash(host);
+                (0..HOSTS).for_each(|h| world.tell_peers(h));
+            }
             Op::Boot { host } => world.boot(host),
             Op::Release { host } => world.release(host),
             Op::Group { host, group } => world.hosts[host].group = group,
