Add config records, the view, platform traits, HTTP client and platform stand-in

Cause: the daemon, the load tool and the operators' tool need the records and the platform's interface before they can be built side by side.

Change: records of ten kinds, team in schemas 1 and 2, checked by TryFrom with category and field path; an immutable view by epoch that sets records with dangling references aside; the Table, Objects and Hosts traits with an in-memory and an HTTP implementation; wagtail-standin platform with a fault table, as a command and in-process.

--- /dev/null
+++ b/crates/config/src/error.rs
@@ -0,0 +1,72 @@
+//! What is wrong with a record, and where.
+
+use derive_more::{Display, Error};
+
+use crate::RecordKey;
+
+/// The kind of fault in a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Category {
+    /// The text is not JSON or not a record.
+    #[display("malformed")]
+    Malformed,
+    /// The record's name is not allowed.
+    #[display("bad name")]
+    Name,
+    /// A field is unknown, missing or of the wrong type.
+    #[display("bad field")]
+    Field,
+    /// A value is out of its range.
+    #[display("bad value")]
+    Value,
+    /// Another record that is referred to does not exist.
+    #[display("dangling reference")]
+    Reference,
+    /// Two records claim the same thing.
+    #[display("duplicate")]
+    Duplicate,
+    /// The schema version or kind is not known to this build.
+    #[display("unknown schema")]
+    Unknown,
+}
+
+/// The record and the field in it that a fault is about.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{record}{}{field}", if field.is_empty() { "" } else { " " })]
+pub struct Position {
+    /// The record.
+    pub record: RecordKey,
+    /// The path of the field, empty for the whole record.
+    pub field: String,
+}
+
+/// A fault in a record.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+#[display("{at}: {category}: {reason}")]
+pub struct ConfigError {
+    /// The kind of fault.
+    pub category: Category,
+    /// Where it is.
+    pub at: Position,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl ConfigError {
+    pub(crate) fn new(
+        category: Category,
+        record: &RecordKey,
+        field: impl Into<String>,
+        reason: &(impl ToString + ?Sized),
+    ) -> Self {
+        let at = Position {
+            record: record.clone(),
+            field: field.into(),
+        };
+        Self {
+            category,
+            at,
+            reason: reason.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/record/place.rs
@@ -0,0 +1,162 @@
+//! Regions, zones, entry hosts and sites.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::Value;
+use wagtail_types::{ByteRate, HostId, RegionId, Share, SiteId, ZoneId};
+
+use super::Source;
+use crate::ConfigError;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+const MAX_DELAY: Duration = Duration::from_secs(10);
+const DEFAULT_LINK: ByteRate = ByteRate(500_000_000);
+
+/// A region and its one-way delays.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Region {
+    /// The name.
+    pub id: RegionId,
+    /// The one-way delay to other regions, and between the zones of this one under its own name.
+    pub delays: BTreeMap<RegionId, Duration>,
+    /// What its links to other regions carry each way, shared by all traffic.
+    pub link: ByteRate,
+    /// The largest share of its traffic that may spill to any one region where no record says so.
+    pub spill: Share,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Zone {
+    /// The name.
+    pub id: ZoneId,
+    /// The region that it is in.
+    pub region: RegionId,
+}
+
+/// An entry host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Host {
+    /// The name.
+    pub id: HostId,
+    /// The zone that it stands in.
+    pub zone: ZoneId,
+    /// Where callers and operators reach it.
+    pub api: SocketAddr,
+    /// Where other hosts reach it.
+    pub peer: SocketAddr,
+}
+
+/// A site and the zones that serve it best.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Site {
+    /// The name.
+    pub id: SiteId,
+    /// The zones, best first.
+    pub zones: Vec<ZoneId>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RegionBody {
+    #[serde(default)]
+    delay_ms: BTreeMap<RegionId, f64>,
+    #[serde(default = "default_link")]
+    link: ByteRate,
+    #[serde(default = "default_spill")]
+    spill: Share,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZoneBody {
+    region: RegionId,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HostBody {
+    zone: ZoneId,
+    api: SocketAddr,
+    peer: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SiteBody {
+    zones: Vec<ZoneId>,
+}
+
+fn default_link() -> ByteRate {
+    DEFAULT_LINK
+}
+
+fn default_spill() -> Share {
+    Share::ALL
+}
+
+pub(super) fn region(source: &Source<'_>, body: &Value) -> Result<Region, ConfigError> {
+    let raw: RegionBody = source.read(body)?;
+    let mut delays = BTreeMap::new();
+    for (to, millis) in raw.delay_ms {
+        let field = format!("delay_ms.{to}");
+        let delay = Duration::try_from_secs_f64(millis / MILLIS_PER_SECOND)
+            .map_err(|e| source.value(&field, &e))?;
+        source.require(delay <= MAX_DELAY, &field, "it is longer than 10 s")?;
+        delays.insert(to, delay);
+    }
+    Ok(Region {
+        id: source.id()?,
+        delays,
+        link: raw.link,
+        spill: raw.spill,
+    })
+}
+
+pub(super) fn zone(source: &Source<'_>, body: &Value) -> Result<Zone, ConfigError> {
+    let raw: ZoneBody = source.read(body)?;
+    Ok(Zone {
+        id: source.id()?,
+        region: raw.region,
+    })
+}
+
+pub(super) fn host(source: &Source<'_>, body: &Value) -> Result<Host, ConfigError> {
+    let raw: HostBody = source.read(body)?;
+    for (field, addr) in [("api", raw.api), ("peer", raw.peer)] {
+        source.require(addr.port() != 0, field, "the port must not be 0")?;
+    }
+    source.require(
+        raw.api != raw.peer,
+        "peer",
+        "it must differ from the api address",
+    )?;
+    Ok(Host {
+        id: source.id()?,
+        zone: raw.zone,
+        api: raw.api,
+        peer: raw.peer,
+    })
+}
+
+pub(super) fn site(source: &Source<'_>, body: &Value) -> Result<Site, ConfigError> {
+    let raw: SiteBody = source.read(body)?;
+    source.require(
+        !raw.zones.is_empty(),
+        "zones",
+        "at least one zone is needed",
+    )?;
+    let distinct: BTreeSet<_> = raw.zones.iter().collect();
+    source.require(
+        distinct.len() == raw.zones.len(),
+        "zones",
+        "a zone is listed twice",
+    )?;
+    Ok(Site {
+        id: source.id()?,
+        zones: raw.zones,
+    })
+}
--- /dev/null
+++ b/crates/config/src/record/shift.rs
@@ -0,0 +1,124 @@
+//! Planned moves of traffic and drains.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde_json::Value;
+use wagtail_types::{EndpointId, RecordId, RegionId, ServiceId, Share, ZoneId};
+
+use super::Source;
+use crate::ConfigError;
+
+const MAX_RAMP_S: u64 = 604_800;
+
+/// A planned move of part of a service's traffic from one region to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Move {
+    /// The name.
+    pub id: RecordId,
+    /// The service.
+    pub service: ServiceId,
+    /// The region that the traffic comes from.
+    pub from: RegionId,
+    /// The region that serves it instead.
+    pub to: RegionId,
+    /// The share of the region's traffic to move in the end.
+    pub share: Share,
+    /// The largest share that may be moved to the destination at any time, whatever the cause.
+    pub cap: Share,
+    /// How long the share takes from nothing to its target.
+    pub ramp: Duration,
+}
+
+/// What is drained.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum DrainTarget {
+    /// One endpoint.
+    #[display("endpoint {_0}")]
+    Endpoint(EndpointId),
+    /// Every endpoint of a zone.
+    #[display("zone {_0}")]
+    Zone(ZoneId),
+    /// Every endpoint of a region.
+    #[display("region {_0}")]
+    Region(RegionId),
+}
+
+/// A drain: its target gets no new work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Drain {
+    /// The name.
+    pub id: RecordId,
+    /// What is drained.
+    pub target: DrainTarget,
+    /// The largest share of the target's traffic that may be moved to any one region.
+    pub cap: Share,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MoveBody {
+    service: ServiceId,
+    from: RegionId,
+    to: RegionId,
+    share: Share,
+    cap: Share,
+    ramp_s: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct DrainBody {
+    endpoint: Option<EndpointId>,
+    zone: Option<ZoneId>,
+    region: Option<RegionId>,
+    #[serde(default = "all")]
+    cap: Share,
+}
+
+fn all() -> Share {
+    Share::ALL
+}
+
+pub(super) fn planned(source: &Source<'_>, body: &Value) -> Result<Move, ConfigError> {
+    let raw: MoveBody = source.read(body)?;
+    source.require(
+        raw.from != raw.to,
+        "to",
+        "it must differ from the region moved from",
+    )?;
+    source.require(raw.share <= raw.cap, "share", "it is more than the cap")?;
+    source.require(
+        raw.ramp_s <= MAX_RAMP_S,
+        "ramp_s",
+        "it must be at most 604800",
+    )?;
+    Ok(Move {
+        id: source.id()?,
+        service: raw.service,
+        from: raw.from,
+        to: raw.to,
+        share: raw.share,
+        cap: raw.cap,
+        ramp: Duration::from_secs(raw.ramp_s),
+    })
+}
+
+pub(super) fn drain(source: &Source<'_>, body: &Value) -> Result<Drain, ConfigError> {
+    let raw: DrainBody = source.read(body)?;
+    let target = match (raw.endpoint, raw.zone, raw.region) {
+        (Some(id), None, None) => DrainTarget::Endpoint(id),
+        (None, Some(id), None) => DrainTarget::Zone(id),
+        (None, None, Some(id)) => DrainTarget::Region(id),
+        _ => {
+            let reason = "exactly one of endpoint, zone and region is needed";
+            return Err(source.value("endpoint", reason));
+        }
+    };
+    Ok(Drain {
+        id: source.id()?,
+        target,
+        cap: raw.cap,
+    })
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,157 @@
+//! The platform over HTTP.
+
+mod pool;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::http::{Method, Request, StatusCode, header};
+use bytes::Bytes;
+use http_body_util::Full;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{
+    BoxFuture, Failure, Hosts, Listed, Objects, Page, PlatformError, Receipt, Row, RowKey, Scan,
+    Table, Txn,
+};
+use pool::Pool;
+
+/// Settings of an [`HttpClient`].
+#[derive(Debug, Clone)]
+pub struct HttpSettings {
+    /// Where the platform listens.
+    pub addr: SocketAddr,
+    /// How long a connection may take to be made.
+    pub connect: Duration,
+    /// How long a call may take, the connection included.
+    pub call: Duration,
+    /// The most idle connections kept.
+    pub idle: usize,
+    /// The largest answer read, in bytes.
+    pub answer: usize,
+}
+
+impl HttpSettings {
+    /// The usual settings for a platform at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            connect: Duration::from_millis(500),
+            call: Duration::from_secs(2),
+            idle: 4,
+            answer: 64 * 1024 * 1024,
+        }
+    }
+}
+
+/// A client of the platform over HTTP/1.1 with a small pool of connections.
+#[derive(Debug)]
+pub struct HttpClient {
+    pool: Pool,
+}
+
+impl HttpClient {
+    /// A client; connections are made when they are needed.
+    pub fn new(settings: HttpSettings) -> Self {
+        Self {
+            pool: Pool::new(settings),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.pool.addr().to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(PlatformError::not_applied)?;
+        self.pool.call(request).await
+    }
+
+    async fn json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, PlatformError> {
+        let body = serde_json::to_vec(body).map_err(PlatformError::not_applied)?;
+        let (status, answer) = self.call(Method::POST, path, body.into()).await?;
+        parse(status, &answer)
+    }
+}
+
+/// Reads an answer; one that cannot be read tells nothing about the call.
+fn parse<T: DeserializeOwned>(status: StatusCode, answer: &[u8]) -> Result<T, PlatformError> {
+    if status == StatusCode::OK {
+        return serde_json::from_slice(answer).map_err(PlatformError::unknown);
+    }
+    Err(failure(status, answer))
+}
+
+fn failure(status: StatusCode, answer: &[u8]) -> PlatformError {
+    match serde_json::from_slice::<Failure>(answer) {
+        Ok(failure) => failure.into(),
+        Err(_) if status.is_client_error() => PlatformError::not_applied(status),
+        Err(_) => PlatformError::unknown(status),
+    }
+}
+
+/// A read changes nothing, so an unknown outcome is a plain failure.
+fn of_read<T>(result: Result<T, PlatformError>) -> Result<T, PlatformError> {
+    result.map_err(|error| match error {
+        PlatformError::Unknown { reason } => PlatformError::Unavailable { reason },
+        other => other,
+    })
+}
+
+impl Table for HttpClient {
+    fn read<'a>(&'a self, key: &'a RowKey) -> BoxFuture<'a, Option<Row>> {
+        Box::pin(async move { of_read(self.json("/table/read", key).await) })
+    }
+
+    fn scan<'a>(&'a self, scan: &'a Scan) -> BoxFuture<'a, Page> {
+        Box::pin(async move { of_read(self.json("/table/scan", scan).await) })
+    }
+
+    fn transact<'a>(&'a self, txn: &'a Txn) -> BoxFuture<'a, Receipt> {
+        Box::pin(self.json("/table/transact", txn))
+    }
+}
+
+impl Objects for HttpClient {
+    fn put<'a>(&'a self, name: &'a str, bytes: Bytes) -> BoxFuture<'a, ()> {
+        Box::pin(async move {
+            let path = format!("/objects/{name}");
+            match self.call(Method::PUT, &path, bytes).await? {
+                (StatusCode::OK, _) => Ok(()),
+                (status, answer) => Err(failure(status, &answer)),
+            }
+        })
+    }
+
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Option<Bytes>> {
+        Box::pin(async move {
+            let path = format!("/objects/{name}");
+            match of_read(self.call(Method::GET, &path, Bytes::new()).await)? {
+                (StatusCode::OK, bytes) => Ok(Some(bytes)),
+                (StatusCode::NOT_FOUND, _) => Ok(None),
+                (status, answer) => of_read(Err(failure(status, &answer))),
+            }
+        })
+    }
+}
+
+impl Hosts for HttpClient {
+    fn list(&self) -> BoxFuture<'_, Vec<Listed>> {
+        Box::pin(async move {
+            let (status, answer) = of_read(self.call(Method::GET, "/hosts", Bytes::new()).await)?;
+            of_read(parse(status, &answer))
+        })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,37 @@
 //! Clients for the platform's table service and object store.
+//!
+//! [`Table`], [`Objects`] and [`Hosts`] are the platform as the rest of the system sees it;
+//! [`HttpClient`] reaches it over HTTP and [`Memory`] stands in for it inside a process.
+//!
+//! # Example
+//!
+//! ```
+//! use wagtail_platform::{Memory, RowKey, Table, Txn, Write};
+//! use wagtail_types::AttemptId;
+//!
+//! # let rt = tokio::runtime::Builder::new_current_thread().build()?;
+//! # rt.block_on(async {
+//! let table = Memory::default();
+//! let key = RowKey::new("lease", "shard-1");
+//! let txn = Txn::new(AttemptId(7)).check(key.clone(), None).write(Write::put(key.clone(), "held"));
+//!
+//! table.transact(&txn).await?;
+//! assert_eq!(table.read(&key).await?.expect("written").attempt, AttemptId(7));
+//! # Ok::<(), wagtail_platform::PlatformError>(())
+//! # })?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod error;
+mod http;
+mod memory;
+mod row;
+mod service;
+mod wire;
+
+pub use error::PlatformError;
+pub use http::{HttpClient, HttpSettings};
+pub use memory::Memory;
+pub use row::{Check, Page, Place, Receipt, Row, RowKey, Scan, Txn, Write};
+pub use service::{BoxFuture, Hosts, Listed, ListedState, Objects, Platform, Table};
+pub use wire::{FailKind, Failure};
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,39 @@
+//! Stand-ins as processes of their own.
+
+use std::process::ExitCode;
+
+use wagtail_standin::platform;
+
+const USAGE_STATUS: u8 = 2;
+const HELP: &str = "\
+Stand-ins for the services round wagtailthread, for tests on loopback.
+
+Usage: wagtail-standin <COMMAND> [OPTIONS]
+
+Commands:
+  platform  Table service, object store and host list
+
+Options of a command: wagtail-standin <COMMAND> --help
+";
+
+fn main() -> ExitCode {
+    let mut args = lexopt::Parser::from_env();
+    match args.next() {
+        Ok(Some(lexopt::Arg::Value(name))) => match name.to_str() {
+            Some("platform") => platform::main(args),
+            _ => usage(&format!("{} is not a command", name.display())),
+        },
+        Ok(Some(lexopt::Arg::Long("help") | lexopt::Arg::Short('h'))) => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Ok(Some(other)) => usage(&other.unexpected().to_string()),
+        Ok(None) => usage("a command is needed"),
+        Err(error) => usage(&error.to_string()),
+    }
+}
+
+fn usage(reason: &str) -> ExitCode {
+    eprintln!("wagtail-standin: {reason}; see --help");
+    ExitCode::from(USAGE_STATUS)
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,135 @@
+//! A stand-in for the platform: table service, object store and lagging host list over HTTP.
+//!
+//! Faults are set with flags, through [`Running::faults`] or by `PUT /faults`.
+
+mod args;
+mod faults;
+mod gate;
+mod hosts;
+mod routes;
+mod serve;
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use wagtail_platform::{Listed, Memory};
+
+pub use faults::{Counters, FaultTable, Faults};
+
+use args::{Args, Parsed};
+use gate::Gate;
+use hosts::HostList;
+
+const USAGE_STATUS: u8 = 2;
+
+/// What the request handlers share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    memory: Arc<Memory>,
+    hosts: HostList,
+    gate: Gate,
+}
+
+/// A running stand-in. It stops when this is dropped.
+#[derive(Debug)]
+pub struct Running {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Its fault table.
+    pub faults: FaultTable,
+    /// What it holds.
+    pub memory: Arc<Memory>,
+    shared: Arc<Shared>,
+    stop: watch::Sender<bool>,
+}
+
+impl Running {
+    /// Puts a machine on the host list.
+    pub fn set_host(&self, host: Listed) {
+        self.shared.hosts.set(host);
+    }
+
+    /// Takes a machine off the host list.
+    pub fn remove_host(&self, name: &str) {
+        self.shared.hosts.remove(name.to_owned());
+    }
+
+    /// Stops it and cuts its connections.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+}
+
+/// Starts a stand-in on `addr`; port 0 takes any free port.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub async fn start(addr: SocketAddr) -> io::Result<Running> {
+    start_with(addr, Faults::default()).await
+}
+
+/// Starts a stand-in with faults in force from the first call.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub async fn start_with(addr: SocketAddr, faults: Faults) -> io::Result<Running> {
+    let listener = TcpListener::bind(addr).await?;
+    let addr = listener.local_addr()?;
+    let memory = Arc::new(Memory::default());
+    let faults = FaultTable::new(faults, memory.clone());
+    let shared = Arc::new(Shared {
+        memory: memory.clone(),
+        hosts: HostList::default(),
+        gate: Gate::new(faults.clone()),
+    });
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(serve::run(listener, shared.clone(), stopped));
+    Ok(Running {
+        addr,
+        faults,
+        memory,
+        shared,
+        stop,
+    })
+}
+
+/// The `platform` command.
+pub fn main(parser: lexopt::Parser) -> ExitCode {
+    let args = match args::parse(parser) {
+        Ok(Parsed::Run(args)) => args,
+        Ok(Parsed::Help) => {
+            print!("{}", args::HELP);
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("wagtail-standin platform: {error}; see --help");
+            return ExitCode::from(USAGE_STATUS);
+        }
+    };
+    match run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("wagtail-standin platform: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: Args) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let running = start_with(args.listen, args.faults).await?;
+        println!("listening on {}", running.addr);
+        tokio::signal::ctrl_c().await?;
+        running.stop();
+        Ok(())
+    })
+}
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -104,6 +104,11 @@
     SiteId,
     "site name"
 );
+name!(
+    /// The name of a steering record that names nothing else.
+    RecordId,
+    "record name"
+);
 
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $what:literal) => {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,8 +24,8 @@
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use error::ParseError;
 pub use id::{
-    AttemptId, EndpointId, Epoch, HostId, Incarnation, KeyDigest, RegionId, ServiceId, SiteId,
-    TeamId, ZoneId,
+    AttemptId, EndpointId, Epoch, HostId, Incarnation, KeyDigest, RecordId, RegionId, ServiceId,
+    SiteId, TeamId, ZoneId,
 };
 pub use rate::{Rate, Tokens};
 pub use size::{ByteRate, Bytes, Share};
