Add the machine that adopts config epochs, and acceptance of changes

Cause: hosts must adopt whole epochs in order under stale reads, repeated and reordered messages, lost peers and platform outages.

Arrays are no longer taken as record bodies.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -28,6 +28,7 @@
 mod row;
 mod snapshot;
 mod status;
+mod sync;
 mod view;
 
 pub use accept::{Acceptance, Confirmation, acceptance};
@@ -42,4 +43,7 @@
 pub use row::{Cursor, Page, Row};
 pub use snapshot::Snapshot;
 pub use status::{HostStatus, MemberState, MemberStatus, Mode};
+#[doc(hidden)]
+pub use sync::Mutant;
+pub use sync::{ConfigSync, Message, SyncEffect, SyncInput, SyncSettings};
 pub use view::View;
--- a/crates/config/src/record.rs
+++ b/crates/config/src/record.rs
@@ -120,6 +120,10 @@
 impl Source<'_> {
     /// Reads the body; an unknown, missing or mistyped field is an error that names it.
     fn read<T: DeserializeOwned>(&self, body: &Value) -> Result<T, ConfigError> {
+        if !body.is_object() {
+            let reason = "an object was expected";
+            return Err(ConfigError::new(Category::Field, self.key, "body", reason));
+        }
         serde_path_to_error::deserialize(body).map_err(|e| {
             let path = e.path().to_string();
             let field = if path == "." {
--- a/crates/config/src/row.rs
+++ b/crates/config/src/row.rs
@@ -97,6 +97,8 @@
     pub since: Epoch,
     /// The epoch of the configuration that was read.
     pub head: Epoch,
+    /// The epoch up to which the source has forgotten withdrawn records.
+    pub floor: Epoch,
     /// The rows.
     pub rows: Vec<Row>,
     /// Whether rows are left after these.
--- a/crates/config/src/snapshot.rs
+++ b/crates/config/src/snapshot.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// The view that it holds.
+    pub fn into_view(self) -> View {
+        View::whole(self.epoch, self.epoch, self.rows)
+    }
+
     /// The object's bytes and the reference that the head keeps of them.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/config/src/sync/settings.rs
@@ -0,0 +1,39 @@
+//! Settings of the machine that adopts epochs.
+
+use std::time::Duration;
+
+/// Settings of a [`ConfigSync`](crate::ConfigSync).
+#[derive(Debug, Clone)]
+pub struct SyncSettings {
+    /// The shortest time between two polls of the table.
+    pub poll: Duration,
+    /// How often the hosts of the fleet together may poll, a second.
+    pub polls: u32,
+    /// How long a read may go unanswered before it is given up.
+    pub answer: Duration,
+    /// How long a host without configuration waits for further peers before it pulls.
+    pub grace: Duration,
+    /// How many peers a new host asks.
+    pub asked: usize,
+    /// How many peers a host tells of a new epoch.
+    pub fanout: usize,
+    /// The most rows in a page.
+    pub page: usize,
+    /// The most bytes of bodies that are pushed; larger deltas are pulled.
+    pub push_bytes: usize,
+}
+
+impl Default for SyncSettings {
+    fn default() -> Self {
+        Self {
+            poll: Duration::from_secs(1),
+            polls: 200,
+            answer: Duration::from_secs(3),
+            grace: Duration::from_millis(250),
+            asked: 3,
+            fanout: 3,
+            page: 256,
+            push_bytes: 32 * 1024,
+        }
+    }
+}
--- a/crates/config/src/view.rs
+++ b/crates/config/src/view.rs
@@ -40,6 +40,16 @@
         Self::default()
     }
 
+    /// A view of nothing but `rows`, from a source that does not remember what was withdrawn up to
+    /// the epoch `floor`.
+    pub fn whole(epoch: Epoch, floor: Epoch, rows: impl IntoIterator<Item = Row>) -> Self {
+        let base = Self {
+            floor,
+            ..Self::default()
+        };
+        base.apply(epoch, rows)
+    }
+
     /// The view at `epoch`, with `rows` put over this one. A row that is older than the one
     /// held is left out.
     #[must_use]
@@ -125,17 +135,17 @@
         let since = if since < self.floor { Epoch(0) } else { since };
         let after = after.cloned().unwrap_or_else(|| Cursor::after(since));
         let from = (after.epoch, Arc::new(first_key()));
-        let whole = since == Epoch(0);
         let mut rows = self
             .changes
             .range((Bound::Included(from), Bound::Unbounded))
             .map(|(_, row)| row)
-            .filter(|row| after.is_before(row) && !(whole && row.body.is_none()));
+            .filter(|row| after.is_before(row));
         let list: Vec<Row> = rows.by_ref().take(limit).map(|r| (**r).clone()).collect();
         let more = rows.next().is_some();
         Page {
             since,
             head: self.epoch,
+            floor: self.floor,
             rows: list,
             more,
         }
--- /dev/null
+++ b/crates/config/tests/sync.rs
@@ -0,0 +1,174 @@
+//! The sync machine against an oracle: every adopted view is the whole configuration of its epoch,
+//! epochs only rise within a life, and connected hosts converge.
+
+#[path = "sync/world.rs"]
+mod world;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
+use std::time::Instant;
+use wagtail_config::{
+    ConfigSync, Mutant, Page, Raw, Row, Snapshot, SyncEffect, SyncInput, SyncSettings,
+};
+use wagtail_types::Epoch;
+use world::{Op, World};
+
+const MAX_OPS: usize = 120;
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let op = prop_oneof![
+        3 => prop::collection::vec((0u8..6, prop::option::of(1u8..100)), 1..5).prop_map(Op::Commit),
+        4 => (1u64..2_000).prop_map(Op::Advance),
+        8 => (any::<prop::sample::Index>(), 0usize..4).prop_map(|(pick, lag)| Op::Answer { pick, lag }),
+        1 => any::<prop::sample::Index>().prop_map(Op::Fail),
+        8 => (any::<prop::sample::Index>(), prop::bool::weighted(0.2))
+            .prop_map(|(pick, again)| Op::Deliver { pick, again }),
+        1 => any::<prop::sample::Index>().prop_map(Op::Lose),
+        1 => (0usize..world::HOSTS).prop_map(Op::Restart),
+        1 => Just(Op::Snapshot),
+    ];
+    prop::collection::vec(op, 1..MAX_OPS)
+}
+
+fn run(mutant: Mutant, ops: Vec<Op>) -> Result<(), TestCaseError> {
+    let mut world = World::new(mutant);
+    for op in ops {
+        world.apply(op)?;
+    }
+    world.converge()
+}
+
+fn config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+#[test]
+fn adopts_whole_epochs_in_order_and_converges() {
+    let result = TestRunner::new(config()).run(&ops(), |ops| run(Mutant::None, ops));
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+#[test]
+fn the_oracle_finds_each_mutant() {
+    const MUTANTS: [Mutant; 5] = [
+        Mutant::AdoptsLower,
+        Mutant::AdoptsPartial,
+        Mutant::IgnoresGaps,
+        Mutant::JoinsTorn,
+        Mutant::ForgetsFloor,
+    ];
+    for mutant in MUTANTS {
+        let config = Config {
+            cases: 50_000,
+            max_shrink_iters: 0,
+            ..config()
+        };
+        let result = TestRunner::new(config).run(&ops(), |ops| run(mutant, ops));
+        assert!(
+            matches!(result, Err(TestError::Fail(..))),
+            "{mutant:?} was not found"
+        );
+    }
+}
+
+fn region(name: &str, epoch: u64) -> Row {
+    let body = serde_json::json!({});
+    let raw = Raw {
+        kind: "region".into(),
+        name: name.into(),
+        schema: 1,
+        body,
+    };
+    Row::put(&raw, Epoch(epoch)).unwrap()
+}
+
+/// Drives a new machine up to the scan that follows its snapshot of epoch 3.
+fn after_snapshot(sync: &mut ConfigSync, now: Instant) -> u64 {
+    sync.tick(now);
+    let mut last = 0;
+    let snapshot = Snapshot {
+        epoch: Epoch(3),
+        rows: vec![region("a", 3)],
+    };
+    let (_, refer) = snapshot.encode();
+    while let Some(effect) = sync.poll_effect() {
+        match effect {
+            SyncEffect::Scan {
+                request, limit: 0, ..
+            } => {
+                let page = Page {
+                    since: Epoch(0),
+                    head: Epoch(3),
+                    floor: Epoch(0),
+                    rows: vec![],
+                    more: true,
+                };
+                let snapshot = Some(refer.clone());
+                sync.handle(
+                    now,
+                    SyncInput::Scanned {
+                        request,
+                        page,
+                        snapshot,
+                    },
+                );
+            }
+            SyncEffect::Fetch { request, .. } => {
+                sync.handle(
+                    now,
+                    SyncInput::Fetched {
+                        request,
+                        snapshot: snapshot.clone(),
+                    },
+                );
+            }
+            SyncEffect::Scan { request, .. } => last = request,
+            other => panic!("{other:?}"),
+        }
+    }
+    last
+}
+
+#[test]
+fn a_scan_older_than_the_snapshot_is_dropped() {
+    for (head, adopted) in [(2, 0), (3, 3)] {
+        let now = Instant::now();
+        let mut sync = ConfigSync::new(SyncSettings::default(), 1, now);
+        let request = after_snapshot(&mut sync, now);
+        let page = Page {
+            since: Epoch(3),
+            head: Epoch(head),
+            floor: Epoch(0),
+            rows: vec![],
+            more: false,
+        };
+        sync.handle(
+            now,
+            SyncInput::Scanned {
+                request,
+                page,
+                snapshot: None,
+            },
+        );
+        assert_eq!(sync.view().epoch(), Epoch(adopted), "head {head}");
+    }
+}
+
+#[test]
+fn a_view_from_a_snapshot_gives_whole_pages_to_those_behind_it() {
+    let snapshot = Snapshot {
+        epoch: Epoch(7),
+        rows: vec![region("a", 2)],
+    };
+    let view = snapshot.into_view().apply(Epoch(8), [region("b", 8)]);
+    let page = view.page(Epoch(3), None, 10);
+    assert_eq!((page.since, page.rows.len()), (Epoch(0), 2));
+    let page = view.page(Epoch(7), None, 10);
+    assert_eq!((page.since, page.rows.len()), (Epoch(7), 1));
+}
