--- /dev/null
+++ b/crates/entryd/src/server.rs
@@ -0,0 +1,120 @@
+//! Accepts HTTP connections within limits and ends them gracefully.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Router;
+use axum::extract::ConnectInfo;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio_util::task::TaskTracker;
+use tower::ServiceExt;
+
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// The least read buffer that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// Bounds on what connections can make the process hold.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limits {
+    /// Connections at one time; more wait in the listen queue.
+    pub(crate) connections: usize,
+    /// Bytes of a request head.
+    pub(crate) header: usize,
+}
+
+/// A running HTTP server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    addr: SocketAddr,
+    stop: watch::Sender<bool>,
+    tasks: TaskTracker,
+}
+
+impl Server {
+    /// Serves `router` on a bound listener until [`Server::stop`].
+    pub(crate) fn start(listener: TcpListener, router: Router, limits: Limits) -> std::io::Result<Self> {
+        let addr = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let tasks = TaskTracker::new();
+        let acceptor = Acceptor { router, limits, stopped, tasks: tasks.clone() };
+        tasks.spawn(acceptor.run(listener));
+        Ok(Self { addr, stop, tasks })
+    }
+
+    /// The address that callers connect to.
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Takes no further connection, lets running requests end, closes idle connections.
+    pub(crate) async fn stop(&self) {
+        self.stop.send_replace(true);
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+}
+
+struct Acceptor {
+    router: Router,
+    limits: Limits,
+    stopped: watch::Receiver<bool>,
+    tasks: TaskTracker,
+}
+
+impl Acceptor {
+    async fn run(mut self, listener: TcpListener) {
+        let slots = Arc::new(Semaphore::new(self.limits.connections));
+        loop {
+            let Ok(slot) = slots.clone().acquire_owned().await else { return };
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = self.stopped.wait_for(|stopped| *stopped) => return,
+            };
+            let Ok((stream, from)) = accepted else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            };
+            let serving = self.serve(stream, from);
+            self.tasks.spawn(async move {
+                serving.await;
+                drop(slot);
+            });
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, from: SocketAddr) -> impl Future<Output = ()> + use<> {
+        let router = self.router.clone();
+        let mut stopped = self.stopped.clone();
+        let buffer = self.limits.header.max(MIN_BUFFER_BYTES);
+        async move {
+            if stream.set_nodelay(true).is_err() {
+                return;
+            }
+            let service = router.map_request(move |mut request: http::Request<_>| {
+                request.extensions_mut().insert(ConnectInfo(from));
+                request
+            });
+            let conn = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEADER_READ_TIMEOUT)
+                .max_buf_size(buffer)
+                .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+            tokio::pin!(conn);
+            let ended = tokio::select! {
+                ended = conn.as_mut() => Some(ended),
+                _ = stopped.wait_for(|stopped| *stopped) => None,
+            };
+            if ended.is_none() {
+                conn.as_mut().graceful_shutdown();
+                // A caller that breaks its own connection has been answered as far as it goes.
+                let _ = conn.await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/upstream.rs
@@ -0,0 +1,206 @@
+//! HTTP connections to endpoints.
+//!
+//! A connection carries one request at a time. It goes back to the idle list only after a whole
+//! answer, so one on which a request timed out or broke is never used again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use axum::BoxError;
+use axum::body::Body;
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep, sleep_until, timeout, timeout_at};
+use wagtail_types::{Cause, Reason, Verdict};
+
+type Sender = SendRequest<Body>;
+type Idle = Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>;
+
+const RETRY_AFTER_CONNECT: Duration = Duration::from_millis(500);
+
+/// Idle connections to every endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct Upstreams {
+    idle: Idle,
+    connect: Duration,
+}
+
+impl Upstreams {
+    /// No connections yet; `connect` bounds the making of one.
+    pub(crate) fn new(connect: Duration) -> Self {
+        Self { idle: Idle::default(), connect }
+    }
+
+    /// Sends a request and returns the answer's head, with its body still to come.
+    ///
+    /// # Errors
+    ///
+    /// `not-run` where no connection could be made; else `may-have-run`.
+    pub(crate) async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<Body>,
+        left: Duration,
+    ) -> Result<Response<Body>, Verdict> {
+        let until = Instant::now() + left;
+        timeout_at(until, self.exchange(addr, request, until))
+            .await
+            .unwrap_or(Err(Verdict::may_have_run(Cause::Timeout)))
+    }
+
+    /// Drops idle connections to endpoints that `keep` turns down.
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        lock(&self.idle).retain(|addr, _| keep(addr));
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        mut request: Request<Body>,
+        until: Instant,
+    ) -> Result<Response<Body>, Verdict> {
+        loop {
+            let (mut sender, reused) = self.checkout(addr).await?;
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.wrap(addr, sender, response, until)),
+                Err(mut err) => match err.take_message() {
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(connect_failed()),
+                    None => return Err(Verdict::may_have_run(cause(err.error()))),
+                },
+            }
+        }
+    }
+
+    async fn checkout(&self, addr: SocketAddr) -> Result<(Sender, bool), Verdict> {
+        while let Some(mut sender) = self.take_idle(addr) {
+            if sender.ready().await.is_ok() {
+                return Ok((sender, true));
+            }
+        }
+        let made = timeout(self.connect, connect(addr)).await;
+        match made {
+            Ok(Ok(sender)) => Ok((sender, false)),
+            Ok(Err(_)) | Err(_) => Err(connect_failed()),
+        }
+    }
+
+    fn take_idle(&self, addr: SocketAddr) -> Option<Sender> {
+        let mut idle = lock(&self.idle);
+        let list = idle.get_mut(&addr)?;
+        while let Some(sender) = list.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn wrap(
+        &self,
+        addr: SocketAddr,
+        sender: Sender,
+        response: Response<Incoming>,
+        until: Instant,
+    ) -> Response<Body> {
+        let back = Return { addr, sender, idle: self.idle.clone() };
+        let late = Box::pin(sleep_until(until));
+        response.map(|body| Body::new(Answer { body, late, back: Some(back) }))
+    }
+}
+
+fn lock(idle: &Idle) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Sender>>> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn connect_failed() -> Verdict {
+    Verdict::not_run(Reason::ConnectFailed, RETRY_AFTER_CONNECT)
+}
+
+fn cause(err: &hyper::Error) -> Cause {
+    if err.is_parse() || err.is_incomplete_message() { Cause::BadAnswer } else { Cause::Broken }
+}
+
+async fn connect(addr: SocketAddr) -> Result<Sender, BoxError> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let (sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(async move {
+        // The sender's side reports the error to the request that it belongs to.
+        let _ = conn.await;
+    });
+    Ok(sender)
+}
+
+#[derive(Debug)]
+struct Return {
+    addr: SocketAddr,
+    sender: Sender,
+    idle: Idle,
+}
+
+/// An answer's body; gives its connection back after the last byte.
+#[derive(Debug)]
+struct Answer {
+    body: Incoming,
+    late: Pin<Box<Sleep>>,
+    back: Option<Return>,
+}
+
+impl Answer {
+    fn finish(&mut self) {
+        if let Some(Return { addr, sender, idle }) = self.back.take()
+            && !sender.is_closed()
+        {
+            lock(&idle).entry(addr).or_default().push(sender);
+        }
+    }
+}
+
+impl hyper::body::Body for Answer {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.late.as_mut().poll(cx).is_ready() {
+            self.back = None;
+            return Poll::Ready(Some(Err("the deadline passed within the answer".into())));
+        }
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx)).map(|f| f.map_err(Into::into));
+        match &frame {
+            None => self.finish(),
+            Some(Err(_)) => self.back = None,
+            Some(Ok(_)) if self.body.is_end_stream() => self.finish(),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        // An empty body may never be polled, yet it is whole.
+        if self.body.is_end_stream() {
+            self.finish();
+        }
+    }
+}
