--- /dev/null
+++ b/crates/route/src/blocks.rs
@@ -0,0 +1,220 @@
+//! Longest-prefix table from client addresses to sites.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use ipnet::IpNet;
+
+/// The index of a site, as the caller numbers them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SiteKey(pub u16);
+
+/// A longest-prefix table over IPv4 and IPv6 blocks.
+///
+/// The blocks come in named parts that are replaced one at a time. Where two parts hold the
+/// same block, the part with the higher name has it.
+///
+/// ```
+/// use wagtail_route::{Blocks, SiteKey};
+///
+/// let mut blocks = Blocks::default();
+/// let nets = [("10.0.0.0/8", 1), ("10.1.0.0/16", 2)];
+/// let nets = nets.map(|(net, site)| (net.parse().unwrap(), SiteKey(site)));
+/// blocks.replace("west", &nets);
+///
+/// assert_eq!(blocks.site("10.2.0.1".parse().unwrap()), Some(SiteKey(1)));
+/// assert_eq!(blocks.site("10.1.0.1".parse().unwrap()), Some(SiteKey(2)));
+/// assert_eq!(blocks.site("11.0.0.1".parse().unwrap()), None);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Blocks {
+    parts: BTreeMap<String, Part>,
+    v4: Ranges<u32>,
+    v6: Ranges<u128>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Part {
+    v4: Box<[Block<u32>]>,
+    v6: Box<[Block<u128>]>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Block<A> {
+    first: A,
+    last: A,
+    site: SiteKey,
+}
+
+impl Blocks {
+    /// Replaces one part; an empty list removes it.
+    pub fn replace(&mut self, part: &str, nets: &[(IpNet, SiteKey)]) {
+        self.parts.remove(part);
+        if !nets.is_empty() {
+            self.parts.insert(part.to_owned(), Part::new(nets));
+        }
+        self.v4 = Ranges::new(self.parts.values().flat_map(|p| p.v4.iter().copied()));
+        self.v6 = Ranges::new(self.parts.values().flat_map(|p| p.v6.iter().copied()));
+    }
+
+    /// The site of the longest block that holds `addr`.
+    pub fn site(&self, addr: IpAddr) -> Option<SiteKey> {
+        match addr.to_canonical() {
+            IpAddr::V4(addr) => self.v4.find(addr.to_bits()),
+            IpAddr::V6(addr) => self.v6.find(addr.to_bits()),
+        }
+    }
+
+    /// Blocks in all parts.
+    pub fn len(&self) -> usize {
+        self.parts.values().map(|p| p.v4.len() + p.v6.len()).sum()
+    }
+
+    /// Whether there is no block.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+
+    /// Bytes that the table holds on the heap.
+    pub fn heap_bytes(&self) -> usize {
+        let parts = self.parts.values();
+        let raw = parts.map(|p| size_of_val(&*p.v4) + size_of_val(&*p.v6));
+        raw.sum::<usize>() + self.v4.heap_bytes() + self.v6.heap_bytes()
+    }
+}
+
+impl Part {
+    fn new(nets: &[(IpNet, SiteKey)]) -> Self {
+        let (mut v4, mut v6) = (Vec::new(), Vec::new());
+        for &(net, site) in nets {
+            match net {
+                IpNet::V4(net) => {
+                    let (first, last) = (net.network().to_bits(), net.broadcast().to_bits());
+                    v4.push(Block { first, last, site });
+                }
+                IpNet::V6(net) => {
+                    let (first, last) = (net.network().to_bits(), net.broadcast().to_bits());
+                    v6.push(Block { first, last, site });
+                }
+            }
+        }
+        Self {
+            v4: v4.into(),
+            v6: v6.into(),
+        }
+    }
+}
+
+trait Addr: Copy + Ord {
+    fn next(self) -> Option<Self>;
+    fn top(self) -> usize;
+}
+
+impl Addr for u32 {
+    fn next(self) -> Option<Self> {
+        self.checked_add(1)
+    }
+
+    fn top(self) -> usize {
+        (self >> 16) as usize
+    }
+}
+
+impl Addr for u128 {
+    fn next(self) -> Option<Self> {
+        self.checked_add(1)
+    }
+
+    fn top(self) -> usize {
+        (self >> 112) as usize
+    }
+}
+
+/// Disjoint ranges: each runs from its start to the next one.
+#[derive(Debug, Clone, Default)]
+struct Ranges<A> {
+    starts: Box<[A]>,
+    sites: Box<[Option<SiteKey>]>,
+    index: Box<[u32]>,
+}
+
+impl<A: Addr> Ranges<A> {
+    const TOPS: usize = 1 << 16;
+
+    fn new(blocks: impl Iterator<Item = Block<A>>) -> Self {
+        let mut blocks: Vec<_> = blocks.collect();
+        if blocks.is_empty() {
+            return Self {
+                starts: Box::default(),
+                sites: Box::default(),
+                index: Box::default(),
+            };
+        }
+        blocks.sort_by(|a, b| a.first.cmp(&b.first).then(b.last.cmp(&a.last)));
+        let (starts, sites) = flatten(&blocks);
+        let index = (0..=Self::TOPS)
+            .map(|top| starts.partition_point(|start| start.top() < top))
+            .map(|at| u32::try_from(at).unwrap_or(u32::MAX))
+            .collect();
+        Self {
+            starts: starts.into(),
+            sites: sites.into(),
+            index,
+        }
+    }
+
+    fn find(&self, addr: A) -> Option<SiteKey> {
+        let top = addr.top();
+        let low = *self.index.get(top)? as usize;
+        let high = *self.index.get(top + 1)? as usize;
+        let within = self.starts[low..high].partition_point(|start| *start <= addr);
+        self.sites[(low + within).checked_sub(1)?]
+    }
+
+    fn heap_bytes(&self) -> usize {
+        size_of_val(&*self.starts) + size_of_val(&*self.sites) + size_of_val(&*self.index)
+    }
+}
+
+/// Turns nested blocks, sorted by start and outer ones first, into disjoint ranges.
+fn flatten<A: Addr>(blocks: &[Block<A>]) -> (Vec<A>, Vec<Option<SiteKey>>) {
+    let mut out = Flat {
+        starts: Vec::with_capacity(blocks.len()),
+        sites: Vec::with_capacity(blocks.len()),
+    };
+    let mut open: Vec<Block<A>> = Vec::new();
+    for &block in blocks {
+        close(&mut open, &mut out, |outer| outer.last < block.first);
+        out.push(block.first, Some(block.site));
+        open.push(block);
+    }
+    close(&mut open, &mut out, |_| true);
+    (out.starts, out.sites)
+}
+
+fn close<A: Addr>(open: &mut Vec<Block<A>>, out: &mut Flat<A>, ended: impl Fn(&Block<A>) -> bool) {
+    while let Some(block) = open.pop_if(|block| ended(block)) {
+        if let Some(next) = block.last.next() {
+            out.push(next, open.last().map(|outer| outer.site));
+        }
+    }
+}
+
+struct Flat<A> {
+    starts: Vec<A>,
+    sites: Vec<Option<SiteKey>>,
+}
+
+impl<A: Addr> Flat<A> {
+    fn push(&mut self, start: A, site: Option<SiteKey>) {
+        if self.starts.last() == Some(&start) {
+            self.starts.pop();
+            self.sites.pop();
+        }
+        if self.sites.last().is_some_and(|last| *last == site) {
+            return;
+        }
+        self.starts.push(start);
+        self.sites.push(site);
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,36 @@
 //! Endpoint choice, concurrency slots, queues, traffic moves and look-up tables.
+//!
+//! Every decision is a state machine without I/O: inputs are typed messages and a reading of
+//! the clock, outputs are typed placements and effects.
+//!
+//! - [`Blocks`] maps client addresses to sites by longest prefix.
+//! - [`Directory`] answers look-ups with an ordered list of entry hosts.
+//! - [`Router`] places requests on endpoints, in queues or on other hosts.
+
+mod blocks;
+mod key;
+mod lookup;
+mod message;
+mod owner;
+mod pool;
+mod rendezvous;
+mod router;
+mod settings;
+mod spill;
+mod topology;
+
+pub use blocks::{Blocks, SiteKey};
+pub use key::{EndpointKey, ServiceKey, TeamKey, Ticket};
+pub use lookup::{Directory, HostRow, SiteRow};
+pub use message::{
+    Advert, Effect, Headroom, Health, Input, Lease, Origin, Outcome, Pass, Placement, Relayed,
+    Report, Request,
+};
+pub use router::Router;
+pub use settings::{
+    BudgetSettings, OwnerSettings, PoolSettings, QueueSettings, Settings, SpillSettings,
+};
+pub use topology::{
+    Cap, CapSpec, Delay, Drain, EndpointSpec, HostState, HostView, MoveSpec, ServiceSpec, TeamSpec,
+    Topology, ZoneSpec,
+};
--- /dev/null
+++ b/crates/route/src/lookup.rs
@@ -0,0 +1,208 @@
+//! Look-up answers: which entry hosts a caller should use, in order.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+
+use wagtail_types::{HostId, Share, TeamId, ZoneId};
+
+use crate::blocks::SiteKey;
+use crate::rendezvous::{name_hash, weighted};
+use crate::topology::HostState;
+
+const BUCKETS: usize = 256;
+const PER_ZONE: usize = 4;
+const LEVELS: u32 = 4;
+/// Zones within which a holder of the team's quota shards goes first.
+const LEAN_ZONES: usize = 2;
+
+/// An entry host, as look-ups see it.
+#[derive(Debug, Clone)]
+pub struct HostRow {
+    /// Its name.
+    pub id: HostId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Whether it takes part.
+    pub state: HostState,
+    /// The share of its capacity that is free.
+    pub free: Share,
+    /// Teams whose quota shards it holds.
+    pub teams: Vec<TeamId>,
+}
+
+/// A site with its zones, nearest first.
+#[derive(Debug, Clone)]
+pub struct SiteRow {
+    /// The zones that serve the site, in order.
+    pub zones: Vec<ZoneId>,
+}
+
+/// Immutable plan of look-up answers, rebuilt when hosts or sites change.
+///
+/// Callers are spread by the block that they call from, so that answers stay the same while
+/// hosts do, and only the callers of a host that leaves are moved. Rebuilding costs time in
+/// proportion to the hosts; an answer costs the same whatever their number.
+///
+/// ```
+/// use wagtail_route::{Directory, HostRow, HostState, SiteKey, SiteRow};
+/// use wagtail_types::Share;
+///
+/// let row = |id: &str, state| HostRow {
+///     id: id.parse().unwrap(),
+///     zone: "gulf-a".parse().unwrap(),
+///     state,
+///     free: Share::ALL,
+///     teams: Vec::new(),
+/// };
+/// let hosts = [row("one", HostState::Serving), row("two", HostState::Leaving)];
+/// let site = SiteRow { zones: vec!["gulf-a".parse().unwrap()] };
+/// let directory = Directory::new(&hosts, &[site]);
+///
+/// let caller = "192.0.2.7".parse().unwrap();
+/// let answer: Vec<_> = directory.answer(Some(SiteKey(0)), caller, None).collect();
+/// assert_eq!(answer, [&hosts[0].id]);
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    hosts: Vec<(HostId, ZoneIndex)>,
+    zones: Vec<ZonePlan>,
+    sites: Vec<Vec<ZoneIndex>>,
+    any: Vec<ZoneIndex>,
+    holders: HashMap<TeamId, Vec<HostIndex>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct ZoneIndex(u16);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct HostIndex(u16);
+
+type Row = [Option<HostIndex>; PER_ZONE];
+
+#[derive(Debug, Clone)]
+struct ZonePlan {
+    buckets: Box<[Row]>,
+}
+
+struct Candidate {
+    index: HostIndex,
+    hash: u64,
+    weight: f64,
+}
+
+impl Directory {
+    /// Builds the plan. Sites are numbered as in [`Blocks`](crate::Blocks).
+    pub fn new(hosts: &[HostRow], sites: &[SiteRow]) -> Self {
+        let mut plan = Self::default();
+        let mut index = HashMap::new();
+        let mut candidates: Vec<Vec<Candidate>> = Vec::new();
+        for host in hosts.iter().filter(|h| h.state == HostState::Serving) {
+            let zone = *index.entry(&host.zone).or_insert_with(|| {
+                candidates.push(Vec::new());
+                ZoneIndex(small(candidates.len() - 1))
+            });
+            let at = plan.push(host, zone);
+            candidates[usize::from(zone.0)].push(at);
+        }
+        plan.zones = candidates.iter().map(|c| ZonePlan::new(c)).collect();
+        plan.any = (0..candidates.len()).map(|z| ZoneIndex(small(z))).collect();
+        let zones = |site: &SiteRow| {
+            site.zones
+                .iter()
+                .filter_map(|z| index.get(z))
+                .copied()
+                .collect()
+        };
+        plan.sites = sites.iter().map(zones).collect();
+        plan
+    }
+
+    /// The hosts that a caller should use, best first.
+    ///
+    /// A caller of no known site, or of one whose zones are all without a host, gets hosts of
+    /// every zone.
+    pub fn answer(
+        &self,
+        site: Option<SiteKey>,
+        caller: IpAddr,
+        team: Option<&TeamId>,
+    ) -> impl Iterator<Item = &HostId> {
+        let bucket = bucket(caller);
+        let zones = site
+            .and_then(|site| self.sites.get(usize::from(site.0)))
+            .filter(|zones| !zones.is_empty())
+            .unwrap_or(&self.any);
+        let first = team.and_then(|team| self.lean(team, zones, bucket));
+        let row = move |zone: &ZoneIndex| self.zones[usize::from(zone.0)].buckets[bucket];
+        let rest = zones.iter().flat_map(row).flatten();
+        let rest = rest.filter(move |host| first != Some(*host));
+        let order = first.into_iter().chain(rest);
+        order.map(|host| &self.hosts[usize::from(host.0)].0)
+    }
+
+    fn push(&mut self, host: &HostRow, zone: ZoneIndex) -> Candidate {
+        let index = HostIndex(small(self.hosts.len()));
+        self.hosts.push((host.id.clone(), zone));
+        for team in &host.teams {
+            self.holders.entry(team.clone()).or_default().push(index);
+        }
+        Candidate {
+            index,
+            hash: name_hash(host.id.as_str()),
+            weight: weight(host.free),
+        }
+    }
+
+    fn lean(&self, team: &TeamId, zones: &[ZoneIndex], bucket: usize) -> Option<HostIndex> {
+        let holders = self.holders.get(team)?;
+        zones.iter().take(LEAN_ZONES).find_map(|zone| {
+            let near = || {
+                holders
+                    .iter()
+                    .filter(|h| self.hosts[usize::from(h.0)].1 == *zone)
+            };
+            let count = near().count();
+            near().nth(bucket.checked_rem(count)?).copied()
+        })
+    }
+}
+
+impl ZonePlan {
+    fn new(hosts: &[Candidate]) -> Self {
+        Self {
+            buckets: (0..BUCKETS as u64).map(|b| row(b, hosts)).collect(),
+        }
+    }
+}
+
+fn row(bucket: u64, hosts: &[Candidate]) -> Row {
+    let mut best: [(f64, Option<HostIndex>); PER_ZONE] = [(f64::NEG_INFINITY, None); PER_ZONE];
+    for host in hosts {
+        let score = weighted(bucket, host.hash, host.weight);
+        if let Some(at) = best.iter().position(|(other, _)| score > *other) {
+            best[at..].rotate_right(1);
+            best[at] = (score, Some(host.index));
+        }
+    }
+    best.map(|(_, host)| host)
+}
+
+/// Free capacity in coarse levels, so that small changes move no caller.
+fn weight(free: Share) -> f64 {
+    f64::from(1 + free.ppm() * LEVELS / Share::ALL.ppm())
+}
+
+fn bucket(caller: IpAddr) -> usize {
+    const V4_BLOCK_BITS: u32 = 24;
+    const V6_BLOCK_BITS: u32 = 48;
+    let block = match caller.to_canonical() {
+        IpAddr::V4(addr) => u64::from(addr.to_bits() >> (32 - V4_BLOCK_BITS)),
+        IpAddr::V6(addr) => (addr.to_bits() >> (128 - V6_BLOCK_BITS)) as u64 | 1 << 63,
+    };
+    let hash = crate::rendezvous::score(block, 0);
+    (hash >> 32) as usize % BUCKETS
+}
+
+fn small(index: usize) -> u16 {
+    u16::try_from(index).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/route/src/owner.rs
@@ -0,0 +1,156 @@
+//! Which host may use which slot of an endpoint.
+//!
+//! The slots of a zone's endpoints are split among the serving hosts of that zone by rendezvous
+//! hashing on (endpoint, slot). A host that loses a slot stops using it at once; a host that
+//! gains one waits until the loser must have seen the change and its last request has ended.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use wagtail_types::{EndpointId, HostId, RegionId, ZoneId};
+
+use crate::rendezvous::{name_hash, part_hash, score};
+use crate::topology::{HostState, HostView};
+
+/// A slot that this host holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Slot {
+    pub(crate) index: u32,
+    pub(crate) from: Instant,
+}
+
+/// The hosts that share the slots of each zone, as this host sees them.
+#[derive(Debug, Clone)]
+pub(crate) struct Owner {
+    me: u64,
+    region: RegionId,
+    detection: Duration,
+    zones: HashMap<ZoneId, Members>,
+    serving: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Members {
+    region: RegionId,
+    hosts: Vec<u64>,
+    changed: Instant,
+}
+
+impl Owner {
+    pub(crate) fn new(host: &HostId, region: RegionId, detection: Duration) -> Self {
+        Self {
+            me: name_hash(host.as_str()),
+            region,
+            detection,
+            zones: HashMap::new(),
+            serving: false,
+        }
+    }
+
+    /// Whether this host is in its own view as serving.
+    pub(crate) fn is_serving(&self) -> bool {
+        self.serving
+    }
+
+    /// Takes in the configured zones.
+    pub(crate) fn set_zones(&mut self, now: Instant, zones: &[(ZoneId, RegionId)]) {
+        self.zones
+            .retain(|id, m| zones.iter().any(|(z, r)| z == id && *r == m.region));
+        for (zone, region) in zones {
+            self.zones.entry(zone.clone()).or_insert_with(|| Members {
+                region: region.clone(),
+                hosts: Vec::new(),
+                changed: now,
+            });
+        }
+    }
+
+    /// Takes in the hosts as membership now sees them.
+    pub(crate) fn set_hosts(&mut self, now: Instant, hosts: &[HostView]) {
+        let serving = |h: &&HostView| h.state == HostState::Serving;
+        let live: Vec<_> = hosts
+            .iter()
+            .filter(serving)
+            .map(|h| (&h.zone, name_hash(h.id.as_str())))
+            .collect();
+        self.serving = live.iter().any(|(_, host)| *host == self.me);
+        let region_of: HashMap<_, _> = self
+            .zones
+            .iter()
+            .map(|(zone, m)| (zone.clone(), m.region.clone()))
+            .collect();
+        for (zone, members) in &mut self.zones {
+            let of = |near: &dyn Fn(&ZoneId) -> bool| -> Vec<u64> {
+                let mut list: Vec<_> = live
+                    .iter()
+                    .filter(|(z, _)| near(z))
+                    .map(|(_, host)| *host)
+                    .collect();
+                list.sort_unstable();
+                list.dedup();
+                list
+            };
+            let mut list = of(&|z| z == zone);
+            if list.is_empty() {
+                list = of(&|z| region_of.get(z) == Some(&members.region));
+            }
+            if list != members.hosts {
+                members.hosts = list;
+                members.changed = now;
+            }
+        }
+    }
+
+    /// Forgets since when slots were held, as after a pause.
+    pub(crate) fn reset(&mut self, now: Instant) {
+        for members in self.zones.values_mut() {
+            members.changed = now;
+        }
+    }
+
+    /// The slots of an endpoint that this host holds. Of those in `held`, the ones that it
+    /// still holds keep their time.
+    pub(crate) fn slots(
+        &self,
+        now: Instant,
+        endpoint: &Place<'_>,
+        held: Option<&[Slot]>,
+    ) -> Vec<Slot> {
+        let Some(members) = self.zones.get(endpoint.zone) else {
+            return Vec::new();
+        };
+        if !self.serving || members.region != self.region {
+            return Vec::new();
+        }
+        let wait = self.detection + endpoint.longest;
+        let since = |index| match held {
+            None => members.changed + wait,
+            Some(held) => held
+                .iter()
+                .find(|slot| slot.index == index)
+                .map_or(now + wait, |slot| slot.from),
+        };
+        (0..endpoint.slots)
+            .filter(|index| self.holds(members, endpoint.id, *index))
+            .map(|index| Slot {
+                index,
+                from: since(index),
+            })
+            .collect()
+    }
+
+    fn holds(&self, members: &Members, endpoint: &EndpointId, index: u32) -> bool {
+        let item = part_hash(endpoint.as_str(), index);
+        let best = members.hosts.iter().max_by_key(|h| (score(item, **h), **h));
+        best == Some(&self.me)
+    }
+}
+
+/// What the split of an endpoint's slots rests on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place<'a> {
+    pub(crate) id: &'a EndpointId,
+    pub(crate) zone: &'a ZoneId,
+    pub(crate) slots: u32,
+    pub(crate) longest: Duration,
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,287 @@
+//! The endpoints of one service: choice, ejection and drain.
+
+mod endpoint;
+mod review;
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use wagtail_types::EndpointId;
+
+use crate::key::{EndpointKey, LeaseKey, ServiceKey};
+use crate::message::{Effect, Health, Lease, Outcome, Report};
+use crate::owner::Owner;
+use crate::pool::endpoint::{Endpoint, Life, Load, Order};
+use crate::settings::PoolSettings;
+use crate::topology::EndpointSpec;
+
+/// Endpoints with a free slot that are compared for one request.
+const COMPARED: usize = 16;
+
+#[derive(Debug)]
+pub(crate) struct Pool {
+    settings: PoolSettings,
+    key: ServiceKey,
+    longest: Duration,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    order: Vec<EndpointKey>,
+    leases: SlotMap<LeaseKey, Running>,
+    median: f64,
+    mean: f64,
+    reviewed: Instant,
+    seen: bool,
+}
+
+#[derive(Debug)]
+struct Running {
+    slot: u32,
+    since: Instant,
+}
+
+impl Pool {
+    pub(crate) fn new(settings: PoolSettings, key: ServiceKey, now: Instant) -> Self {
+        Self {
+            settings,
+            key,
+            longest: Duration::ZERO,
+            endpoints: SlotMap::with_key(),
+            order: Vec::new(),
+            leases: SlotMap::with_key(),
+            median: 0.0,
+            mean: 0.0,
+            reviewed: now,
+            seen: false,
+        }
+    }
+
+    /// Takes in the configured endpoints; those that are gone finish what they run.
+    pub(crate) fn set_endpoints<'a>(
+        &mut self,
+        now: Instant,
+        longest: Duration,
+        specs: impl Iterator<Item = &'a EndpointSpec> + Clone,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.longest = longest;
+        for (_, endpoint) in &mut self.endpoints {
+            if !specs.clone().any(|spec| spec.id == endpoint.id) {
+                endpoint.withdraw(now, effects);
+            }
+        }
+        for spec in specs {
+            if let Some(endpoint) = self.find_mut(&spec.id) {
+                endpoint.configure(now, spec);
+            } else {
+                let cold = self.seen.then_some(now);
+                self.endpoints.insert(Endpoint::new(spec, cold));
+            }
+        }
+        self.seen = true;
+        self.endpoints.retain(|_, e| !e.is_gone());
+        let endpoints = &self.endpoints;
+        self.order.retain(|key| endpoints.contains_key(*key));
+    }
+
+    /// Takes in the endpoints that an operator drains.
+    pub(crate) fn set_drains(
+        &mut self,
+        now: Instant,
+        drained: impl Fn(&EndpointId) -> bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        for (_, endpoint) in &mut self.endpoints {
+            endpoint.drain(now, drained(&endpoint.id), effects);
+        }
+    }
+
+    /// Works out anew which slots this host holds.
+    pub(crate) fn split(&mut self, now: Instant, owner: &Owner, fresh: bool) {
+        for (_, endpoint) in &mut self.endpoints {
+            let held = endpoint.mine();
+            let known = (!fresh && endpoint.split).then_some(held.as_slice());
+            let slots = owner.slots(now, &endpoint.place(self.longest), known);
+            endpoint.hold(&slots);
+            endpoint.split = true;
+        }
+        let mine = self.endpoints.iter().filter(|(_, e)| e.owned() > 0);
+        self.order = mine.map(|(key, _)| key).collect();
+        self.cap_ejected(now);
+    }
+
+    /// Takes the best free slot.
+    pub(crate) fn pick(&mut self, now: Instant, rng: &mut SmallRng) -> Option<Lease> {
+        let key = self.best(now, rng)?;
+        let endpoint = self.endpoints.get_mut(key)?;
+        let slot = endpoint.take(now)?;
+        let since = now;
+        Some(Lease {
+            endpoint: endpoint.id.clone(),
+            service: self.key,
+            target: key,
+            key: self.leases.insert(Running { slot, since }),
+        })
+    }
+
+    fn best(&self, now: Instant, rng: &mut SmallRng) -> Option<EndpointKey> {
+        let count = self.order.len();
+        let start = rng.random_range(0..count.max(1));
+        let keys = self.order.iter().cycle().skip(start).take(count);
+        let open = keys.filter(|key| self.endpoints[**key].free(now, &self.settings) > 0);
+        let cost = |key: &EndpointKey| self.endpoints[*key].cost(now, &self.settings, self.median);
+        open.take(COMPARED)
+            .map(|key| (cost(key), *key))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, key)| key)
+    }
+
+    /// Gives a slot back.
+    pub(crate) fn finish(
+        &mut self,
+        now: Instant,
+        lease: &Lease,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(running) = self.leases.remove(lease.key) else {
+            return;
+        };
+        let Some(endpoint) = self.endpoints.get_mut(lease.target) else {
+            return;
+        };
+        endpoint.give_back(running.slot);
+        let took = now.saturating_duration_since(running.since);
+        match outcome {
+            Outcome::Answered => {
+                endpoint.answered(took);
+                self.mean = if self.mean > 0.0 {
+                    self.mean + (took.as_secs_f64() - self.mean) * 0.05
+                } else {
+                    took.as_secs_f64()
+                };
+            }
+            Outcome::Refused => endpoint.refused(),
+            Outcome::Failed => endpoint.failures += 1,
+            Outcome::Cancelled => {}
+        }
+        self.after(now, lease.target, outcome, effects);
+    }
+
+    fn after(
+        &mut self,
+        now: Instant,
+        key: EndpointKey,
+        outcome: Outcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        let endpoint = &mut self.endpoints[key];
+        endpoint.settle(now, effects);
+        match (endpoint.life, outcome) {
+            (Life::Probing, Outcome::Answered) => {
+                endpoint.renew(now);
+                effects.push(Effect::Restored(endpoint.id.clone()));
+            }
+            (Life::Probing, Outcome::Failed) => self.eject(now, key, effects),
+            (Life::Open, Outcome::Failed) if endpoint.failures >= self.settings.failures => {
+                self.eject(now, key, effects);
+            }
+            _ => {}
+        }
+        if self.endpoints[key].is_gone() {
+            self.endpoints.remove(key);
+            self.order.retain(|other| *other != key);
+        }
+    }
+
+    /// Takes in an endpoint's report on itself; false where the endpoint is not known.
+    pub(crate) fn report(
+        &mut self,
+        now: Instant,
+        report: &Report,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(key) = self.find(&report.endpoint) else {
+            return false;
+        };
+        let endpoint = &mut self.endpoints[key];
+        if report.life < endpoint.number {
+            return true;
+        }
+        let restarted = report.life > endpoint.number && endpoint.number > 0;
+        if restarted && report.health == Health::Serving && endpoint.order == Order::Serve {
+            endpoint.renew(now);
+        }
+        endpoint.number = report.life;
+        let at = now.checked_sub(report.age).unwrap_or(now);
+        if endpoint.report.is_none_or(|known| known.at < at) {
+            let share = report.load.as_f64();
+            let sick = report.health == Health::Sick;
+            endpoint.report = Some(Load { share, sick, at });
+        }
+        match report.health {
+            Health::Leaving => endpoint.leave(now, effects),
+            Health::Sick => self.eject(now, key, effects),
+            Health::Serving => {}
+        }
+        true
+    }
+
+    /// Stops new work at an endpoint; false where it is not known.
+    pub(crate) fn leaving(
+        &mut self,
+        now: Instant,
+        id: &EndpointId,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(endpoint) = self.find_mut(id) else {
+            return false;
+        };
+        endpoint.leave(now, effects);
+        true
+    }
+
+    /// Slots that may be used, that are free, and that stand on ejected endpoints.
+    pub(crate) fn counts(&self, now: Instant) -> Counts {
+        let mut counts = Counts::default();
+        for key in &self.order {
+            let endpoint = &self.endpoints[*key];
+            counts.slots += endpoint.usable(now);
+            counts.free += endpoint.free(now, &self.settings);
+            if endpoint.is_ejected() {
+                counts.ejected += endpoint.owned();
+            }
+        }
+        counts
+    }
+
+    /// This host's part of the connections that an endpoint allows.
+    pub(crate) fn connections(&self, id: &EndpointId) -> Option<u32> {
+        let endpoint = &self.endpoints[self.find(id)?];
+        let part = u64::from(endpoint.connections) * u64::from(endpoint.owned());
+        let part = part.checked_div(u64::from(endpoint.slots)).unwrap_or(0);
+        u32::try_from(part).ok()
+    }
+
+    fn find(&self, id: &EndpointId) -> Option<EndpointKey> {
+        self.endpoints
+            .iter()
+            .find(|(_, e)| e.id == *id)
+            .map(|(key, _)| key)
+    }
+
+    fn find_mut(&mut self, id: &EndpointId) -> Option<&mut Endpoint> {
+        self.endpoints
+            .iter_mut()
+            .find(|(_, e)| e.id == *id)
+            .map(|(_, e)| e)
+    }
+}
+
+/// Slots of a service on this host.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Counts {
+    pub(crate) slots: u32,
+    pub(crate) free: u32,
+    pub(crate) ejected: u32,
+}
--- /dev/null
+++ b/crates/route/src/pool/endpoint.rs
@@ -0,0 +1,345 @@
+//! One endpoint as this host sees it.
+
+use std::time::{Duration, Instant};
+
+use wagtail_types::{EndpointId, ZoneId};
+
+use crate::message::Effect;
+use crate::owner::{Place, Slot};
+use crate::settings::PoolSettings;
+use crate::topology::EndpointSpec;
+
+/// Weight of the newest answer in the mean latency.
+const LATENCY_GAIN: f64 = 0.2;
+/// What remains of the allowed concurrency after a refusal.
+const REFUSAL_CUT: f64 = 0.7;
+/// The least trust in an endpoint's reports.
+const TRUST_MIN: f64 = 0.05;
+
+#[derive(Debug)]
+pub(crate) struct Endpoint {
+    pub(crate) id: EndpointId,
+    pub(crate) zone: ZoneId,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) held: Vec<Held>,
+    pub(crate) running: u32,
+    pub(crate) life: Life,
+    pub(crate) latency: f64,
+    pub(crate) samples: u32,
+    pub(crate) failures: u32,
+    pub(crate) ejections: u32,
+    pub(crate) trust: f64,
+    pub(crate) report: Option<Load>,
+    pub(crate) number: u64,
+    pub(crate) split: bool,
+    pub(crate) order: Order,
+    limit: f64,
+    warm: Option<Instant>,
+}
+
+/// A slot that is held or still busy.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Held {
+    pub(crate) slot: Slot,
+    pub(crate) mine: bool,
+    pub(crate) busy: bool,
+}
+
+/// Whether an endpoint gets work.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Life {
+    Open,
+    Ejected { until: Instant },
+    Probing,
+    Leaving { since: Instant, drained: bool },
+}
+
+/// What the configuration says of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Order {
+    Serve,
+    Drain,
+    Withdrawn,
+}
+
+/// The load that an endpoint reported.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    pub(crate) share: f64,
+    pub(crate) sick: bool,
+    pub(crate) at: Instant,
+}
+
+impl Endpoint {
+    pub(crate) fn new(spec: &EndpointSpec, cold: Option<Instant>) -> Self {
+        Self {
+            id: spec.id.clone(),
+            zone: spec.zone.clone(),
+            slots: usable_slots(spec),
+            connections: spec.connections,
+            held: Vec::new(),
+            running: 0,
+            life: Life::Open,
+            latency: 0.0,
+            samples: 0,
+            failures: 0,
+            ejections: 0,
+            trust: 1.0,
+            report: None,
+            number: 0,
+            split: false,
+            order: Order::Serve,
+            limit: f64::INFINITY,
+            warm: cold,
+        }
+    }
+
+    pub(crate) fn place(&self, longest: Duration) -> Place<'_> {
+        Place {
+            id: &self.id,
+            zone: &self.zone,
+            slots: self.slots,
+            longest,
+        }
+    }
+
+    /// The slots that are held, with the time of each.
+    pub(crate) fn mine(&self) -> Vec<Slot> {
+        let mine = self.held.iter().filter(|held| held.mine);
+        mine.map(|held| held.slot).collect()
+    }
+
+    /// Replaces the held slots; a lost one stays listed until its request ends.
+    pub(crate) fn hold(&mut self, slots: &[Slot]) {
+        self.held.retain_mut(|held| {
+            held.mine = false;
+            held.busy
+        });
+        for &slot in slots {
+            match self.held.iter_mut().find(|h| h.slot.index == slot.index) {
+                Some(held) => (held.slot, held.mine) = (slot, true),
+                None => self.held.push(Held {
+                    slot,
+                    mine: true,
+                    busy: false,
+                }),
+            }
+        }
+    }
+
+    /// Slots that are held, whether or not they may be used yet.
+    pub(crate) fn owned(&self) -> u32 {
+        count(self.held.iter().filter(|held| held.mine))
+    }
+
+    /// Slots that may be used now, busy or not.
+    pub(crate) fn usable(&self, now: Instant) -> u32 {
+        count(self.held.iter().filter(|h| h.mine && h.slot.from <= now))
+    }
+
+    /// Slots on which a request may start now.
+    pub(crate) fn free(&self, now: Instant, settings: &PoolSettings) -> u32 {
+        let idle = count(self.held.iter().filter(|h| h.idle(now)));
+        idle.min(self.allowed(now, settings).saturating_sub(self.running))
+    }
+
+    fn allowed(&self, now: Instant, settings: &PoolSettings) -> u32 {
+        match self.life {
+            Life::Ejected { .. } | Life::Leaving { .. } => 0,
+            Life::Probing => 1,
+            Life::Open => self.ramp(now, settings).min(floor(self.limit)),
+        }
+    }
+
+    fn ramp(&self, now: Instant, settings: &PoolSettings) -> u32 {
+        let Some(since) = self.warm else {
+            return u32::MAX;
+        };
+        let gone = now.saturating_duration_since(since).as_secs_f64();
+        let part = gone / settings.ramp.as_secs_f64().max(f64::MIN_POSITIVE);
+        if part >= 1.0 {
+            return u32::MAX;
+        }
+        floor(f64::from(self.owned()) * part).max(1)
+    }
+
+    /// The cost of sending one more request here; the lowest is chosen.
+    pub(crate) fn cost(&self, now: Instant, settings: &PoolSettings, median: f64) -> f64 {
+        let usable = f64::from(self.usable(now).max(1));
+        let own = f64::from(self.running + 1) / usable;
+        let told = self.report.map_or(0.0, |load| {
+            load.share * self.trust * fade(load.at, now, settings.report_half)
+        });
+        let slow = if median > 0.0 && self.samples > 0 {
+            (self.latency / median).clamp(0.5, 8.0)
+        } else {
+            1.0
+        };
+        own * (1.0 + told) * slow
+    }
+
+    pub(crate) fn take(&mut self, now: Instant) -> Option<u32> {
+        let held = self.held.iter_mut().find(|held| held.idle(now))?;
+        held.busy = true;
+        self.running += 1;
+        Some(held.slot.index)
+    }
+
+    pub(crate) fn give_back(&mut self, index: u32) {
+        self.running = self.running.saturating_sub(1);
+        self.held.retain_mut(|held| {
+            if held.slot.index == index {
+                held.busy = false;
+            }
+            held.mine || held.busy
+        });
+    }
+
+    pub(crate) fn answered(&mut self, took: Duration) {
+        self.failures = 0;
+        let took = took.as_secs_f64();
+        let gain = if self.samples == 0 { 1.0 } else { LATENCY_GAIN };
+        self.latency += (took - self.latency) * gain;
+        self.samples = self.samples.saturating_add(1);
+        if self.limit.is_finite() {
+            self.limit += 1.0 / self.limit.max(1.0);
+            if self.limit > f64::from(self.slots) {
+                self.limit = f64::INFINITY;
+            }
+        }
+    }
+
+    pub(crate) fn refused(&mut self) {
+        let base = self.limit.min(f64::from(self.running + 1));
+        self.limit = (base * REFUSAL_CUT).max(1.0);
+    }
+
+    /// Compares what the reports say with the latency of the answers.
+    pub(crate) fn judge_reports(&mut self, median: f64) {
+        const BUSY: f64 = 0.8;
+        const SLOW: f64 = 1.5;
+        let Some(load) = self.report else {
+            return;
+        };
+        let misleads = load.share < BUSY && self.latency > SLOW * median;
+        self.trust = if misleads {
+            (self.trust / 2.0).max(TRUST_MIN)
+        } else {
+            (self.trust + 0.05).min(1.0)
+        };
+    }
+
+    /// Starts over, as after a restart or an ejection.
+    pub(crate) fn renew(&mut self, now: Instant) {
+        self.life = Life::Open;
+        self.warm = Some(now);
+        self.limit = f64::INFINITY;
+        self.failures = 0;
+        self.samples = 0;
+        self.latency = 0.0;
+    }
+
+    /// Whether the endpoint gets no or only trial requests.
+    pub(crate) fn is_ejected(&self) -> bool {
+        matches!(self.life, Life::Ejected { .. } | Life::Probing)
+    }
+
+    /// Whether the endpoint is no longer configured and runs nothing.
+    pub(crate) fn is_gone(&self) -> bool {
+        self.order == Order::Withdrawn && self.running == 0
+    }
+
+    /// Stops new work.
+    pub(crate) fn leave(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if !matches!(self.life, Life::Leaving { .. }) {
+            self.life = Life::Leaving {
+                since: now,
+                drained: false,
+            };
+            effects.push(Effect::Leaving(self.id.clone()));
+        }
+        self.settle(now, effects);
+    }
+
+    /// Takes in the configuration of the endpoint.
+    pub(crate) fn configure(&mut self, now: Instant, spec: &EndpointSpec) {
+        self.slots = usable_slots(spec);
+        self.connections = spec.connections;
+        if self.order == Order::Withdrawn {
+            self.order = Order::Serve;
+            self.renew(now);
+        }
+    }
+
+    /// Finishes what runs, since the endpoint is no longer configured.
+    pub(crate) fn withdraw(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.order = Order::Withdrawn;
+        self.leave(now, effects);
+    }
+
+    /// Starts or ends a drain that an operator ordered.
+    pub(crate) fn drain(&mut self, now: Instant, drain: bool, effects: &mut Vec<Effect>) {
+        match (self.order, drain) {
+            (Order::Serve, true) => {
+                self.order = Order::Drain;
+                self.leave(now, effects);
+            }
+            (Order::Drain, false) => {
+                self.order = Order::Serve;
+                self.renew(now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Reports the end of a drain once nothing runs.
+    pub(crate) fn settle(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if let Life::Leaving { since, drained } = &mut self.life
+            && !*drained
+            && self.running == 0
+        {
+            *drained = true;
+            effects.push(Effect::Drained {
+                endpoint: self.id.clone(),
+                after: now.saturating_duration_since(*since),
+            });
+        }
+    }
+
+    /// Whether its last report said that it cannot serve, and is not yet too old to count.
+    pub(crate) fn is_sick(&self, now: Instant, keep: Duration) -> bool {
+        let fresh = |load: Load| now.saturating_duration_since(load.at) < keep;
+        self.report.is_some_and(|load| load.sick && fresh(load))
+    }
+}
+
+impl Held {
+    fn idle(&self, now: Instant) -> bool {
+        self.mine && !self.busy && self.slot.from <= now
+    }
+}
+
+/// The slots of an endpoint; each needs a connection.
+pub(crate) fn usable_slots(spec: &EndpointSpec) -> u32 {
+    spec.slots.min(spec.connections)
+}
+
+fn count<T>(items: impl Iterator<Item = T>) -> u32 {
+    u32::try_from(items.count()).unwrap_or(u32::MAX)
+}
+
+fn floor(value: f64) -> u32 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the cast saturates"
+    )]
+    let whole = value as u32;
+    whole
+}
+
+fn fade(at: Instant, now: Instant, half: Duration) -> f64 {
+    let age = now.saturating_duration_since(at).as_secs_f64();
+    (-age / half.as_secs_f64().max(f64::MIN_POSITIVE)).exp2()
+}
--- /dev/null
+++ b/crates/route/src/pool/review.rs
@@ -0,0 +1,114 @@
+//! Ejection of sick or slow endpoints, within a set share of the slots.
+
+use std::time::Instant;
+
+use crate::key::EndpointKey;
+use crate::message::Effect;
+use crate::pool::Pool;
+use crate::pool::endpoint::{Endpoint, Life};
+
+/// The most doublings of an ejection's length.
+const DOUBLINGS: u32 = 6;
+
+impl Pool {
+    /// Judges latency and reports, and puts ejected endpoints on probation.
+    pub(crate) fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        for (_, endpoint) in &mut self.endpoints {
+            if let Life::Ejected { until } = endpoint.life
+                && until <= now
+                && !endpoint.is_sick(now, self.settings.eject)
+            {
+                endpoint.life = Life::Probing;
+            }
+        }
+        if now.saturating_duration_since(self.reviewed) >= self.settings.review {
+            self.reviewed = now;
+            self.review(now, effects);
+        }
+    }
+
+    fn review(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let judged = |e: &Endpoint, min| e.samples >= min && e.life == Life::Open;
+        let min = self.settings.samples;
+        let mut known: Vec<_> = self
+            .endpoints
+            .values()
+            .filter(|e| judged(e, min))
+            .map(|e| e.latency)
+            .collect();
+        known.sort_by(f64::total_cmp);
+        self.median = known
+            .get(known.len().saturating_sub(1) / 2)
+            .copied()
+            .unwrap_or(0.0);
+        if known.len() < 2 {
+            return;
+        }
+        let mut slow = Vec::new();
+        for (key, endpoint) in &mut self.endpoints {
+            if judged(endpoint, min) {
+                endpoint.judge_reports(self.median);
+                if endpoint.latency > self.settings.outlier * self.median {
+                    slow.push(key);
+                }
+            }
+        }
+        for key in slow {
+            self.eject(now, key, effects);
+        }
+    }
+
+    /// Ejects an endpoint where the set share allows it.
+    pub(crate) fn eject(&mut self, now: Instant, key: EndpointKey, effects: &mut Vec<Effect>) {
+        let room = self.ejectable();
+        let settings = &self.settings;
+        let endpoint = &mut self.endpoints[key];
+        let counted = endpoint.is_ejected();
+        if matches!(endpoint.life, Life::Leaving { .. } | Life::Ejected { .. })
+            || (!counted && endpoint.owned() > room)
+        {
+            return;
+        }
+        let doubled = settings.eject * (1 << endpoint.ejections.min(DOUBLINGS));
+        endpoint.ejections += 1;
+        endpoint.life = Life::Ejected {
+            until: now + doubled.min(settings.eject_max),
+        };
+        if !counted {
+            effects.push(Effect::Ejected(endpoint.id.clone()));
+        }
+    }
+
+    /// Puts the first ejected endpoints back while more than the set share is ejected, as after
+    /// a change of the slots that this host holds.
+    pub(crate) fn cap_ejected(&mut self, now: Instant) {
+        while self.ejected() > self.allowance() {
+            let first = self
+                .endpoints
+                .values_mut()
+                .filter(|e| e.is_ejected())
+                .min_by_key(|e| match e.life {
+                    Life::Ejected { until } => until,
+                    _ => now,
+                });
+            let Some(endpoint) = first else {
+                return;
+            };
+            endpoint.renew(now);
+        }
+    }
+
+    fn ejectable(&self) -> u32 {
+        self.allowance().saturating_sub(self.ejected())
+    }
+
+    fn allowance(&self) -> u32 {
+        let owned = self.endpoints.values().map(Endpoint::owned).sum::<u32>();
+        u32::try_from(self.settings.ejected.of(u64::from(owned))).unwrap_or(u32::MAX)
+    }
+
+    fn ejected(&self) -> u32 {
+        let ejected = self.endpoints.values().filter(|e| e.is_ejected());
+        ejected.map(Endpoint::owned).sum()
+    }
+}
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,197 @@
+//! The router: one host's decisions on where requests run.
+
+mod input;
+mod place;
+mod status;
+
+use std::collections::{HashMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use wagtail_types::{EndpointId, RegionId, ServiceId, TeamId};
+
+use crate::key::{ServiceKey, TeamKey};
+use crate::message::{Effect, Lease, Outcome, Pass, Relayed};
+use crate::owner::Owner;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::spill::Spill;
+use crate::topology::HostView;
+
+/// One host's decisions on where requests run.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use wagtail_route::*;
+///
+/// let mut now = Instant::now();
+/// let settings = Settings::new("one".parse()?, "gulf-a".parse()?, "gulf".parse()?);
+/// let mut router = Router::new(settings, 7, now);
+/// router.handle(now, Input::Topology(Topology {
+///     zones: vec![ZoneSpec { id: "gulf-a".parse()?, region: "gulf".parse()? }],
+///     services: vec![ServiceSpec {
+///         id: "roster".parse()?,
+///         longest: Duration::from_secs(1),
+///     }],
+///     endpoints: vec![EndpointSpec {
+///         id: "roster-1".parse()?,
+///         service: "roster".parse()?,
+///         zone: "gulf-a".parse()?,
+///         slots: 3,
+///         connections: 400,
+///     }],
+///     ..Topology::default()
+/// }));
+/// router.handle(now, Input::Hosts(vec![HostView {
+///     id: "one".parse()?,
+///     zone: "gulf-a".parse()?,
+///     state: HostState::Serving,
+/// }]));
+///
+/// // A host that has just joined waits before it uses the slots that it holds.
+/// let request = Request {
+///     service: router.service(&"roster".parse()?).unwrap(),
+///     team: None,
+///     weight: 1,
+///     deadline: now + Duration::from_secs(10),
+///     idempotent: true,
+///     origin: Origin::Local,
+///     attempt: 0,
+///     tried: &[],
+/// };
+/// assert!(matches!(router.place(now, &request), Placement::Refuse(_)));
+/// for _ in 0..20 {
+///     now += Duration::from_millis(200);
+///     router.tick(now);
+/// }
+/// let Placement::Dispatch(lease) = router.place(now, &request) else { panic!() };
+/// assert_eq!(lease.endpoint.as_str(), "roster-1");
+/// router.finish(now, lease, Outcome::Answered);
+/// # Ok::<(), wagtail_types::ParseError>(())
+/// ```
+#[derive(Debug)]
+pub struct Router {
+    settings: Settings,
+    rng: SmallRng,
+    owner: Owner,
+    spill: Spill,
+    services: SlotMap<ServiceKey, Service>,
+    service_keys: HashMap<ServiceId, ServiceKey>,
+    teams: SlotMap<TeamKey, Team>,
+    team_keys: HashMap<TeamId, TeamKey>,
+    hosts: Vec<HostView>,
+    effects: VecDeque<Effect>,
+    scratch: Vec<Effect>,
+    called: Instant,
+}
+
+#[derive(Debug)]
+struct Service {
+    id: ServiceId,
+    pool: Pool,
+}
+
+#[derive(Debug)]
+struct Team {
+    id: TeamId,
+    regions: Option<Vec<RegionId>>,
+}
+
+impl Router {
+    /// A router that knows neither configuration nor hosts yet.
+    pub fn new(settings: Settings, seed: u64, now: Instant) -> Self {
+        let (zone, region) = (settings.zone.clone(), settings.region.clone());
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            owner: Owner::new(&settings.host, region.clone(), settings.owner.detection),
+            spill: Spill::new(settings.spill.clone(), zone, region),
+            services: SlotMap::with_key(),
+            service_keys: HashMap::new(),
+            teams: SlotMap::with_key(),
+            team_keys: HashMap::new(),
+            hosts: Vec::new(),
+            effects: VecDeque::new(),
+            scratch: Vec::new(),
+            called: now,
+            settings,
+        }
+    }
+
+    /// The key of a configured service; it stays valid until the service is withdrawn.
+    pub fn service(&self, id: &ServiceId) -> Option<ServiceKey> {
+        self.service_keys.get(id).copied()
+    }
+
+    /// The key of a configured team; it stays valid until the team is withdrawn.
+    pub fn team(&self, id: &TeamId) -> Option<TeamKey> {
+        self.team_keys.get(id).copied()
+    }
+
+    /// Ends a request at an endpoint.
+    #[expect(clippy::needless_pass_by_value, reason = "a lease ends once")]
+    pub fn finish(&mut self, now: Instant, lease: Lease, outcome: Outcome) {
+        self.wake(now);
+        let Some(service) = self.services.get_mut(lease.service) else {
+            return;
+        };
+        service.pool.finish(now, &lease, outcome, &mut self.scratch);
+        self.publish();
+    }
+
+    /// Ends a relay.
+    #[expect(clippy::needless_pass_by_value, reason = "a pass ends once")]
+    pub fn relayed(&mut self, now: Instant, pass: Pass, outcome: Relayed) {
+        self.wake(now);
+        let refused = outcome != Relayed::Taken;
+        self.spill.finish(&pass, refused);
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant) {
+        self.wake(now);
+        for service in self.services.values_mut() {
+            service.pool.tick(now, &mut self.scratch);
+        }
+        self.publish();
+    }
+
+    /// When `tick` is to be called at the latest.
+    pub fn next_wake(&self) -> Option<Instant> {
+        const TICKS_PER_PAUSE: u32 = 4;
+        let step = self.settings.owner.pause / TICKS_PER_PAUSE;
+        Some(self.called + step.min(self.settings.pool.review))
+    }
+
+    /// The next thing that the daemon is to do.
+    pub fn poll_effect(&mut self) -> Option<Effect> {
+        self.effects.pop_front()
+    }
+
+    /// This host's part of the connections that an endpoint allows.
+    pub fn connections(&self, service: ServiceKey, endpoint: &EndpointId) -> Option<u32> {
+        self.services.get(service)?.pool.connections(endpoint)
+    }
+
+    /// After a pause others may have taken this host's slots, so it starts over.
+    fn wake(&mut self, now: Instant) {
+        let gap = now.saturating_duration_since(self.called);
+        self.called = self.called.max(now);
+        if gap > self.settings.owner.pause {
+            self.owner.reset(now);
+            for service in self.services.values_mut() {
+                service.pool.split(now, &self.owner, true);
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        self.effects.extend(self.scratch.drain(..));
+    }
+
+    /// The longest time that a slot's new holder waits.
+    pub fn hand_over(&self, longest: Duration) -> Duration {
+        self.settings.owner.detection + longest
+    }
+}
--- /dev/null
+++ b/crates/route/src/spill.rs
@@ -0,0 +1,238 @@
+//! Choice of another host when this one has no free slot.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use slotmap::SlotMap;
+use wagtail_types::{HostId, RegionId, ServiceId, ZoneId};
+
+use crate::key::PassKey;
+use crate::message::{Advert, Pass};
+use crate::settings::SpillSettings;
+use crate::topology::{Delay, HostState, HostView};
+
+/// Other hosts with the free slots that they offer, nearest first.
+#[derive(Debug)]
+pub(crate) struct Spill {
+    settings: SpillSettings,
+    zone: ZoneId,
+    region: RegionId,
+    regions: HashMap<ZoneId, RegionId>,
+    delays: HashMap<RegionId, Duration>,
+    peers: Vec<Peer>,
+    passes: SlotMap<PassKey, Sent>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Peer {
+    pub(crate) host: HostId,
+    pub(crate) zone: ZoneId,
+    pub(crate) region: RegionId,
+    delay: Duration,
+    free: Vec<(ServiceId, u32)>,
+    at: Option<Instant>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Sent {
+    host: HostId,
+    service: ServiceId,
+}
+
+/// Hosts that one request may be relayed to.
+pub(crate) struct Wanted<'a> {
+    pub(crate) service: &'a ServiceId,
+    pub(crate) tried: &'a [ZoneId],
+}
+
+impl Spill {
+    pub(crate) fn new(settings: SpillSettings, zone: ZoneId, region: RegionId) -> Self {
+        Self {
+            settings,
+            zone,
+            region,
+            regions: HashMap::new(),
+            delays: HashMap::new(),
+            peers: Vec::new(),
+            passes: SlotMap::with_key(),
+        }
+    }
+
+    pub(crate) fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
+        self.regions.get(zone)
+    }
+
+    pub(crate) fn set_zones(&mut self, zones: &[(ZoneId, RegionId)], delays: &[Delay]) {
+        self.regions = zones.iter().cloned().collect();
+        self.delays.clear();
+        for delay in delays {
+            if delay.from == self.region {
+                self.delays.insert(delay.to.clone(), delay.time);
+            } else if delay.to == self.region {
+                self.delays.insert(delay.from.clone(), delay.time);
+            }
+        }
+    }
+
+    /// Takes in the hosts; what those that stay have offered is kept.
+    pub(crate) fn set_hosts(&mut self, me: &HostId, hosts: &[HostView]) {
+        let mut known: HashMap<_, _> = self
+            .peers
+            .drain(..)
+            .map(|peer| (peer.host, (peer.free, peer.at)))
+            .collect();
+        for host in hosts
+            .iter()
+            .filter(|h| h.state == HostState::Serving && h.id != *me)
+        {
+            let Some(region) = self.regions.get(&host.zone).cloned() else {
+                continue;
+            };
+            let (free, at) = known.remove(&host.id).unwrap_or_default();
+            self.peers.push(Peer {
+                host: host.id.clone(),
+                delay: self.delay(&host.zone, &region),
+                zone: host.zone.clone(),
+                region,
+                free,
+                at,
+            });
+        }
+        self.peers
+            .sort_by(|a, b| (a.delay, &a.host).cmp(&(b.delay, &b.host)));
+    }
+
+    fn delay(&self, zone: &ZoneId, region: &RegionId) -> Duration {
+        if *zone == self.zone {
+            Duration::ZERO
+        } else if *region == self.region {
+            self.settings.zone_delay
+        } else {
+            let far = self.settings.far_delay;
+            self.delays.get(region).copied().unwrap_or(far)
+        }
+    }
+
+    /// Takes in an offer; one older than the last is dropped.
+    pub(crate) fn advert(&mut self, now: Instant, advert: Advert) {
+        let at = now.checked_sub(advert.age).unwrap_or(now);
+        let peer = self.peers.iter_mut().find(|peer| peer.host == advert.host);
+        if let Some(peer) = peer
+            && peer.at.is_none_or(|known| known <= at)
+        {
+            peer.at = Some(at);
+            peer.free = advert.free;
+        }
+    }
+
+    /// The hosts at one delay from here that offer slots, nearest first.
+    pub(crate) fn choose(
+        &mut self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+        rng: &mut SmallRng,
+        mut may: impl FnMut(&RegionId) -> bool,
+    ) -> Option<Pass> {
+        let mut from = 0;
+        while from < self.peers.len() {
+            let delay = self.peers[from].delay;
+            let len = self.peers[from..]
+                .iter()
+                .take_while(|p| p.delay == delay)
+                .count();
+            let tier = from..from + len;
+            from += len;
+            if let Some(at) = self.draw(now, wanted, rng, tier)
+                && may(&self.peers[at].region)
+            {
+                return Some(self.send(at, wanted));
+            }
+        }
+        None
+    }
+
+    fn draw(
+        &self,
+        now: Instant,
+        wanted: &Wanted<'_>,
+        rng: &mut SmallRng,
+        tier: std::ops::Range<usize>,
+    ) -> Option<usize> {
+        let offer = |at: &usize| self.offer(now, wanted, &self.peers[*at]);
+        let total: u32 = tier.clone().map(|at| offer(&at)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut left = rng.random_range(0..total);
+        tier.into_iter().find(|at| {
+            let free = offer(at);
+            let found = left < free;
+            left = left.saturating_sub(free);
+            found
+        })
+    }
+
+    fn offer(&self, now: Instant, wanted: &Wanted<'_>, peer: &Peer) -> u32 {
+        let fresh = |at| now.saturating_duration_since(at) < self.settings.advert_ttl;
+        if !peer.at.is_some_and(fresh) || wanted.tried.contains(&peer.zone) {
+            return 0;
+        }
+        peer.offer(wanted.service)
+    }
+
+    fn send(&mut self, at: usize, wanted: &Wanted<'_>) -> Pass {
+        let peer = &mut self.peers[at];
+        peer.take(wanted.service);
+        let sent = Sent {
+            host: peer.host.clone(),
+            service: wanted.service.clone(),
+        };
+        Pass {
+            zone: peer.zone.clone(),
+            host: peer.host.clone(),
+            key: self.passes.insert(sent),
+        }
+    }
+
+    /// Ends a relay. A host that had no slot offers none until its next advert.
+    pub(crate) fn finish(&mut self, pass: &Pass, refused: bool) -> Option<Sent> {
+        let sent = self.passes.remove(pass.key)?;
+        if refused && let Some(peer) = self.peers.iter_mut().find(|p| p.host == sent.host) {
+            peer.free.retain(|(service, _)| *service != sent.service);
+        }
+        Some(sent)
+    }
+
+    /// Free slots that hosts of this region and of others offer.
+    pub(crate) fn offered(&self, now: Instant, service: &ServiceId) -> (u32, u32) {
+        let (mut near, mut far) = (0, 0);
+        let wanted = Wanted {
+            service,
+            tried: &[],
+        };
+        for peer in &self.peers {
+            let free = self.offer(now, &wanted, peer);
+            if peer.region == self.region {
+                near += free;
+            } else {
+                far += free;
+            }
+        }
+        (near, far)
+    }
+}
+
+impl Peer {
+    fn offer(&self, service: &ServiceId) -> u32 {
+        let entry = self.free.iter().find(|(id, _)| id == service);
+        entry.map_or(0, |(_, free)| *free)
+    }
+
+    fn take(&mut self, service: &ServiceId) {
+        if let Some((_, free)) = self.free.iter_mut().find(|(id, _)| id == service) {
+            *free = free.saturating_sub(1);
+        }
+    }
+}
