Add duplicate suppression: issued and chosen idempotency keys

Cause: a request with a key must run at most once over the fleet. Change: wagtail-once with begin, finish, issue, claims and relayed attempts as one machine without I/O. Conclusion: the interface is in place for the entry host.

--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,56 @@
 //! Idempotency keys and duplicate suppression.
+//!
+//! [`Once`] decides, for one host, whether a request with an idempotency key may run here now, must
+//! wait for an attempt that is running, gets the answer that is kept, or goes to the host that may
+//! run it. It does no I/O: claims on the table service leave as [`Effect`]s and come back as
+//! [`Input`]s.
+//!
+//! # Example
+//!
+//! ```
+//! use std::time::Instant;
+//! use wagtail_once::{Answer, Begin, Fingerprint, Key, Once, Outcome, Request, Settings};
+//! use wagtail_types::Incarnation;
+//!
+//! let now = Instant::now();
+//! let mut once = Once::new(Settings::default(), "h1".parse()?, Incarnation(1), 7, now);
+//! let key = once.issue(now, 1).remove(0);
+//! let request = Request {
+//!     team: "lead".parse()?,
+//!     service: "submit".parse()?,
+//!     key: Key::Issued(key),
+//!     print: Fingerprint::of("POST", "/dossier", b"update"),
+//!     repeat: false,
+//! };
+//! let Begin::Run(permit) = once.begin(now, &request) else {
+//!     panic!("a fresh key runs");
+//! };
+//! once.finish(now, permit, Outcome::Answer(Answer::new(200, vec![], "done")));
+//! let Begin::Replay(answer) = once.begin(now, &request) else {
+//!     panic!("a duplicate gets the kept answer");
+//! };
+//! assert_eq!(answer.status, 200);
+//! # Ok::<(), wagtail_types::ParseError>(())
+//! ```
+
+mod claim;
+mod entry;
+mod issue;
+mod key;
+mod once;
+mod permit;
+mod print;
+mod relay;
+mod request;
+mod settings;
+
+pub use claim::{ClaimResult, ClaimRow};
+pub use key::{ChosenKey, IssuedKey, Key};
+pub use once::{Effect, Input, Once};
+pub use permit::Permit;
+pub use print::Fingerprint;
+pub use relay::{Relays, Reply};
+pub use request::{Answer, Begin, Outcome, Request, Resolution, Ticket};
+#[cfg(feature = "mutants")]
+pub use settings::Mutant;
+pub use settings::Settings;
