Add the endpoint stand-in

Cause: tests and experiments need endpoints that can shed, drain, start cold, misreport and break their answers in every way the callers must survive.

--- /dev/null
+++ b/crates/standin/src/endpoint/work.rs
@@ -0,0 +1,377 @@
+//! What happens to one request.
+
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited, StreamBody, combinators::UnsyncBoxBody};
+use hyper::body::{Frame, Incoming};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{Semaphore, watch};
+use wagtail_types::Reason;
+
+use super::faults::{Fault, Faults};
+use super::load::Load;
+use super::log::{Entry, Log, Outcome};
+use super::settings::Settings;
+use super::{answer, header};
+
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Shared by all connections of one endpoint. Each lock is taken alone.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: Settings,
+    pub(crate) log: Log,
+    pub(crate) faults: watch::Sender<Faults>,
+    pub(crate) peak: AtomicUsize,
+    pub(crate) peak_connections: AtomicUsize,
+    started: Instant,
+    slots: Semaphore,
+    running: AtomicUsize,
+    load: Mutex<Load>,
+    rng: Mutex<SmallRng>,
+    last: Mutex<Option<(String, Bytes)>>,
+}
+
+/// A request between its arrival and its end.
+struct Guard {
+    state: Arc<State>,
+    index: Option<usize>,
+    outcome: Outcome,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let ended = self.state.started.elapsed();
+        lock(&self.state.load).leave(Instant::now());
+        self.state.log.update(self.index, |entry| {
+            entry.ended = Some(ended);
+            entry.outcome = self.outcome;
+        });
+    }
+}
+
+impl State {
+    pub(crate) fn new(settings: Settings) -> Self {
+        Self {
+            log: Log::new(settings.log_limit),
+            faults: watch::Sender::new(Faults::default()),
+            peak: AtomicUsize::new(0),
+            peak_connections: AtomicUsize::new(0),
+            started: Instant::now(),
+            slots: Semaphore::new(settings.slots),
+            running: AtomicUsize::new(0),
+            load: Mutex::default(),
+            rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
+            last: Mutex::default(),
+            settings,
+        }
+    }
+
+    /// Answers a request; `None` closes the connection.
+    pub(crate) async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Option<Response<Body>> {
+        match request.uri().path() {
+            "/.health" => Some(self.health()),
+            "/.faults" => Some(self.change_faults(request).await),
+            "/.log" => Some(self.show_log()),
+            _ => self.serve(request).await,
+        }
+    }
+
+    fn health(&self) -> Response<Body> {
+        let faults = self.faults.borrow().clone();
+        let status = if faults.sick {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        };
+        let state = if faults.leaving { "leaving" } else { "serving" };
+        let load = self.report(&faults);
+        let body = serde_json::json!({ "state": state, "load": load });
+        self.reply(status, body.to_string())
+    }
+
+    async fn change_faults(&self, request: Request<Incoming>) -> Response<Body> {
+        if request.method() == Method::GET {
+            let text = serde_json::to_string(&*self.faults.borrow()).unwrap_or_default();
+            return self.reply(StatusCode::OK, text);
+        }
+        if request.method() != Method::PUT {
+            return self.reply(StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT are known");
+        }
+        let Ok(body) = self.collect(request.into_body()).await else {
+            return self.reply(
+                StatusCode::BAD_REQUEST,
+                "the body is too large or was cut short",
+            );
+        };
+        match serde_json::from_slice(&body) {
+            Ok(faults) => {
+                self.faults.send_replace(faults);
+                self.reply(StatusCode::NO_CONTENT, "")
+            }
+            Err(error) => self.reply(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    fn show_log(&self) -> Response<Body> {
+        let entries = self.log.entries();
+        self.reply(
+            StatusCode::OK,
+            serde_json::to_string(&entries).unwrap_or_default(),
+        )
+    }
+
+    async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let deadline = deadline(request.headers());
+        let fault = self.draw_fault(request.uri().path());
+        let limit = self.settings.slots + self.settings.backlog;
+        let entry = self.entry(&request);
+        let id = entry.id.clone().unwrap_or_default();
+        let index = self.log.push(entry);
+        if fault == Some(Fault::Refuse) || !lock(&self.load).enter(limit, Instant::now()) {
+            return Some(self.refuse(index, Reason::EndpointRefused));
+        }
+        let mut guard = Guard {
+            state: self.clone(),
+            index,
+            outcome: Outcome::Cancelled,
+        };
+        if deadline.is_some_and(|d| d <= Instant::now()) {
+            guard.outcome = Outcome::Refused;
+            return Some(self.not_run(Reason::DeadlinePassed));
+        }
+        let Ok(body) = self.collect(request.into_body()).await else {
+            guard.outcome = Outcome::Refused;
+            return Some(self.not_run(Reason::BadRequest));
+        };
+        let digest = answer::digest(&body);
+        self.log
+            .update(index, |entry| entry.digest.clone_from(&digest));
+        let _slot = self.slots.acquire().await.ok()?;
+        if fault == Some(Fault::CloseBefore) {
+            guard.outcome = Outcome::Refused;
+            return None;
+        }
+        self.log.update(index, |entry| entry.ran = true);
+        if !self.run(deadline).await {
+            guard.outcome = Outcome::DeadlinePassed;
+            return Some(self.may_have_run());
+        }
+        guard.outcome = Outcome::Done;
+        let body = answer::body(&id, &digest, self.settings.answer_bytes);
+        self.finish(guard, fault, id, body).await
+    }
+
+    /// Holds the slot for the service time; false where the deadline came first.
+    async fn run(&self, deadline: Option<Instant>) -> bool {
+        let count = self.running.fetch_add(1, Ordering::Relaxed) + 1;
+        self.peak.fetch_max(count, Ordering::Relaxed);
+        let _running = Running(&self.running);
+        let mut faults = self.faults.subscribe();
+        let work = async {
+            let _ = faults.wait_for(|f| !f.hold).await;
+            let time = self.draw_time();
+            if !time.is_zero() {
+                tokio::time::sleep(time).await;
+            }
+        };
+        if let Some(at) = deadline {
+            return tokio::time::timeout_at(at.into(), work).await.is_ok();
+        }
+        work.await;
+        true
+    }
+
+    async fn finish(
+        &self,
+        mut guard: Guard,
+        fault: Option<Fault>,
+        id: String,
+        body: Bytes,
+    ) -> Option<Response<Body>> {
+        let last = lock(&self.last).replace((id.clone(), body.clone()));
+        let (mut id, mut body) = (id, body);
+        match fault {
+            Some(Fault::Late { ms }) => {
+                guard.outcome = Outcome::Unread;
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                guard.outcome = Outcome::Done;
+            }
+            Some(Fault::FailAfterRun) => {
+                return Some(self.reply(StatusCode::INTERNAL_SERVER_ERROR, "failed after it ran"));
+            }
+            Some(Fault::CloseAfter) => return None,
+            Some(Fault::Crossed) => {
+                let other = || ("another".to_owned(), answer::body("another", "", 32));
+                (id, body) = last.filter(|(other, _)| *other != id).unwrap_or_else(other);
+            }
+            _ => {}
+        }
+        let mut response = self.reply(StatusCode::OK, "");
+        let headers = response.headers_mut();
+        set(headers, header::REQUEST_ID, &id);
+        set(headers, header::DIGEST, &answer::digest(&body));
+        *response.body_mut() = match fault {
+            Some(Fault::CutLength) => {
+                set(headers, "content-length", &body.len().to_string());
+                cut(&body)
+            }
+            Some(Fault::CutChunked) => cut(&body),
+            _ => full(body),
+        };
+        Some(response)
+    }
+
+    fn refuse(&self, index: Option<usize>, reason: Reason) -> Response<Body> {
+        let ended = self.started.elapsed();
+        self.log.update(index, |entry| {
+            entry.ended = Some(ended);
+            entry.outcome = Outcome::Refused;
+        });
+        self.not_run(reason)
+    }
+
+    fn not_run(&self, reason: Reason) -> Response<Body> {
+        let mut response = self.reply(StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
+        set(response.headers_mut(), header::VERDICT, "not-run");
+        response
+    }
+
+    fn may_have_run(&self) -> Response<Body> {
+        let mut response = self.reply(StatusCode::GATEWAY_TIMEOUT, "the deadline passed");
+        set(response.headers_mut(), header::VERDICT, "may-have-run");
+        response
+    }
+
+    fn reply(&self, status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+        let mut response = Response::new(full(body.into()));
+        *response.status_mut() = status;
+        let faults = self.faults.borrow().clone();
+        let headers = response.headers_mut();
+        if faults.leaving {
+            set(headers, header::LEAVING, "1");
+        }
+        if let Some(load) = self.report(&faults) {
+            set(headers, header::LOAD, &load);
+        }
+        response
+    }
+
+    fn report(&self, faults: &Faults) -> Option<String> {
+        let inflight = lock(&self.load).reported(faults.report, Instant::now())?;
+        Some(format!("{inflight}/{}", self.settings.slots))
+    }
+
+    fn draw_fault(&self, path: &str) -> Option<Fault> {
+        let faults = self.faults.borrow();
+        let mut rng = lock(&self.rng);
+        let fits = |prefix: &Option<String>| prefix.as_ref().is_none_or(|p| path.starts_with(p));
+        let mut rules = faults.rules.iter().filter(|r| fits(&r.path));
+        let hit = rules.find(|r| rng.random_range(0..100) < r.percent);
+        hit.map(|r| r.fault)
+    }
+
+    fn draw_time(&self) -> Duration {
+        let settings = &self.settings;
+        let slow = match self.faults.borrow().slow_percent {
+            0 => 1.0,
+            percent => f64::from(percent) / 100.0,
+        };
+        let age = self.started.elapsed();
+        let cold = if age < settings.cold {
+            let left = 1.0 - age.as_secs_f64() / settings.cold.as_secs_f64();
+            1.0 + (settings.cold_factor - 1.0).max(0.0) * left
+        } else {
+            1.0
+        };
+        let spread = (settings.sigma * normal(&mut *lock(&self.rng))).exp();
+        settings.median.mul_f64(slow * cold * spread)
+    }
+
+    async fn collect(&self, body: Incoming) -> Result<Bytes, ()> {
+        let limited = Limited::new(body, self.settings.body_limit);
+        let whole = limited.collect().await.map_err(|_| ())?;
+        Ok(whole.to_bytes())
+    }
+
+    fn entry(&self, request: &Request<Incoming>) -> Entry {
+        let text = |name: &str| {
+            let value = request.headers().get(name)?;
+            Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
+        };
+        let mut headers = Vec::new();
+        for (name, value) in request.headers() {
+            headers.extend_from_slice(name.as_str().as_bytes());
+            headers.extend_from_slice(b": ");
+            headers.extend_from_slice(value.as_bytes());
+            headers.push(b'\n');
+        }
+        Entry {
+            method: request.method().to_string(),
+            path: request.uri().to_string(),
+            team: text(header::TEAM),
+            id: text(header::REQUEST_ID),
+            digest: String::new(),
+            headers,
+            started: self.started.elapsed(),
+            ended: None,
+            ran: false,
+            outcome: Outcome::Running,
+        }
+    }
+}
+
+struct Running<'a>(&'a AtomicUsize);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn deadline(headers: &HeaderMap) -> Option<Instant> {
+    let ms = headers.get(header::DEADLINE)?.to_str().ok()?.parse().ok()?;
+    Instant::now().checked_add(Duration::from_millis(ms))
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        headers.insert(name, value);
+    }
+}
+
+fn full(body: Bytes) -> Body {
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn cut(body: &Bytes) -> Body {
+    let half = body.slice(..body.len() / 2);
+    let first = stream::iter([Ok(Frame::data(half))]);
+    let second = stream::once(async {
+        // The pause lets the connection flush the first half.
+        tokio::task::yield_now().await;
+        Err(io::Error::other("cut by the fault table"))
+    });
+    StreamBody::new(first.chain(second)).boxed_unsync()
+}
+
+fn normal(rng: &mut impl Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - rng.random::<f64>()).ln()).sqrt();
+    radius * (std::f64::consts::TAU * rng.random::<f64>()).cos()
+}
