--- /dev/null
+++ b/crates/entryd/src/drive/dedupe.rs
@@ -0,0 +1,54 @@
+//! Effects of duplicate suppression.
+
+use std::sync::Arc;
+
+use wagtail_once::{Effect, Input};
+
+use crate::host::Host;
+use crate::rows;
+
+/// Carries out the effects of duplicate suppression.
+pub(crate) fn deduping(host: &Arc<Host>) {
+    let mut rest = Vec::new();
+    let mut lost = Vec::new();
+    let mut deduping = host.deduping.lock();
+    while let Some(effect) = deduping.machine.poll_effect() {
+        match effect {
+            // A permit that comes back is dropped after the lock is released.
+            Effect::Resolve { ticket, to } => lost.extend(deduping.resolve(&ticket, to).err()),
+            other => rest.push(other),
+        }
+    }
+    drop(deduping);
+    drop(lost);
+    for effect in rest {
+        perform(host, effect);
+    }
+    host.deduping.notify();
+}
+
+fn perform(host: &Arc<Host>, effect: Effect) {
+    let host = host.clone();
+    match effect {
+        Effect::Claim { claim, row } => {
+            tokio::spawn(async move {
+                let result = rows::write_claim(&*host.platform, claim, &row).await;
+                handle(&host, Input::Claimed { claim, result });
+            });
+        }
+        Effect::ReadClaim { claim, row } => {
+            tokio::spawn(async move {
+                let result = rows::read_claim(&*host.platform, claim, &row).await;
+                handle(&host, Input::Claimed { claim, result });
+            });
+        }
+        Effect::Resolve { .. } => {}
+    }
+}
+
+/// Hands an input to duplicate suppression.
+pub(crate) fn handle(host: &Arc<Host>, input: Input) {
+    let now = host.now();
+    host.deduping.lock().machine.handle(now, input);
+    deduping(host);
+}
--- /dev/null
+++ b/crates/entryd/src/drive/limit.rs
@@ -0,0 +1,64 @@
+//! Effects of admission.
+
+use std::sync::Arc;
+
+use slog::info;
+use wagtail_peer::Control;
+use wagtail_quota::{Effect, Input, ReadOutcome, ShardId, WriteOutcome};
+
+use super::route::send;
+use crate::host::Host;
+use crate::rows;
+
+/// Carries out the effects of admission.
+pub(crate) fn limiting(host: &Arc<Host>) {
+    let mut rest = Vec::new();
+    let mut limiting = host.limiting.lock();
+    while let Some(effect) = limiting.machine.poll_effect() {
+        match effect {
+            Effect::Resolve { ticket, resolution } => {
+                // A token for a request that has gone away is lost, never spent twice.
+                let _ = limiting.resolve(&ticket, resolution);
+            }
+            other => rest.push(other),
+        }
+    }
+    drop(limiting);
+    for effect in rest {
+        perform(host, effect);
+    }
+    host.limiting.notify();
+}
+
+fn perform(host: &Arc<Host>, effect: Effect) {
+    match effect {
+        Effect::Send { to, message } => send(host, &to, Control::Quota(message)),
+        Effect::Read { shard } => {
+            let host = host.clone();
+            tokio::spawn(async move {
+                let outcome = rows::read_lease(&*host.platform, &shard).await;
+                handle(&host, Input::Row { shard, outcome });
+            });
+        }
+        Effect::Write { shard, expected, row } => {
+            let host = host.clone();
+            tokio::spawn(async move {
+                let attempt = row.attempt;
+                let outcome = rows::write_lease(&*host.platform, &shard, expected, &row).await;
+                handle(&host, Input::WriteDone { shard, attempt, outcome });
+            });
+        }
+        Effect::Released => {
+            info!(host.log, "quota shards released");
+            host.released.notify_one();
+        }
+        Effect::Resolve { .. } => {}
+    }
+}
+
+/// Hands an input to admission.
+pub(crate) fn handle(host: &Arc<Host>, input: Input) {
+    let now = host.now();
+    host.limiting.lock().machine.handle(now, input);
+    limiting(host);
+}
--- /dev/null
+++ b/crates/entryd/src/drive/route.rs
@@ -0,0 +1,76 @@
+//! Effects of endpoint choice.
+
+use std::sync::Arc;
+
+use slog::info;
+use wagtail_peer::Control;
+use wagtail_route::{Effect, Outcome, Ticket};
+
+use crate::host::{Host, Start};
+
+/// Carries out the effects of endpoint choice.
+pub(crate) fn routing(host: &Arc<Host>) {
+    let mut rest = Vec::new();
+    let mut routing = host.routing.lock();
+    while let Some(effect) = routing.machine.poll_effect() {
+        match effect {
+            Effect::Start { ticket, lease } => resolve(host, &mut routing, ticket, Ok(lease)),
+            Effect::Refuse { ticket, verdict } => resolve(host, &mut routing, ticket, Err(verdict)),
+            other => rest.push(other),
+        }
+    }
+    drop(routing);
+    for effect in rest {
+        tell(host, effect);
+    }
+    host.routing.notify();
+}
+
+type Inner = crate::waiting::Inner<wagtail_route::Router, Ticket, Start>;
+
+fn resolve(host: &Host, routing: &mut Inner, ticket: Ticket, start: Start) {
+    // A request that has gone away gives its slot to the next one.
+    if let Err(Ok(lease)) = routing.resolve(&ticket, start) {
+        routing.machine.finish(host.now(), lease, Outcome::Cancelled);
+    }
+}
+
+fn tell(host: &Host, effect: Effect) {
+    match effect {
+        Effect::Leaving(endpoint) => {
+            info!(host.log, "endpoint leaving"; "endpoint" => %endpoint);
+            for peer in zone_peers(host) {
+                send(host, &peer, Control::Leaving(endpoint.clone()));
+            }
+        }
+        Effect::Drained { endpoint, after } => {
+            info!(host.log, "endpoint drained"; "endpoint" => %endpoint, "after_ms" => after.as_millis());
+            host.metrics.count("endpoint.drained");
+        }
+        Effect::Ejected(endpoint) => {
+            info!(host.log, "endpoint ejected"; "endpoint" => %endpoint);
+            host.metrics.count("endpoint.ejected");
+        }
+        Effect::Restored(endpoint) => {
+            info!(host.log, "endpoint restored"; "endpoint" => %endpoint);
+        }
+        Effect::Start { .. } | Effect::Refuse { .. } => {}
+    }
+}
+
+/// The other hosts of this host's zone.
+fn zone_peers(host: &Host) -> Vec<wagtail_types::HostId> {
+    let view = host.view.load();
+    view.hosts()
+        .values()
+        .filter(|h| h.zone == host.settings.zone && h.id != host.settings.host)
+        .map(|h| h.id.clone())
+        .collect()
+}
+
+/// Sends a control message, best effort.
+pub(crate) fn send(host: &Host, to: &wagtail_types::HostId, message: Control) {
+    if let Some(peer) = host.peer() {
+        peer.send(to, message);
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/host.rs
@@ -0,0 +1,119 @@
+//! What the parts of one entry host share.
+//!
+//! Lock order: at most one machine is locked at a time, and no lock is held over an `await`.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use slog::Logger;
+use wagtail_config::View;
+use wagtail_member::{Member, Mode};
+use wagtail_once::Once;
+use wagtail_peer::Peer;
+use wagtail_platform::Platform;
+use wagtail_quota::Quota;
+use wagtail_route::{Directory, Router};
+use wagtail_types::{AttemptId, Clock, Incarnation};
+
+use crate::lifecycle::Watch;
+use crate::metrics::Metrics;
+use crate::plan::Sites;
+use crate::settings::Settings;
+use crate::stats::Stats;
+use crate::upstream::Upstreams;
+use crate::waiting::Waiting;
+
+/// Endpoint choice with the requests that wait in its queues.
+pub(crate) type Routing = Waiting<Router, wagtail_route::Ticket, Start>;
+/// Admission with the requests that wait for tokens.
+pub(crate) type Limiting = Waiting<Quota, wagtail_quota::Ticket, wagtail_quota::Resolution>;
+/// Duplicate suppression with the requests that wait for a first attempt.
+pub(crate) type Deduping = Waiting<Once, wagtail_once::Ticket, wagtail_once::Resolution>;
+/// Membership; nothing waits for it.
+pub(crate) type Membership = Waiting<Member, (), ()>;
+/// Adoption of configurations; nothing waits for it.
+pub(crate) type Syncing = Waiting<wagtail_config::Sync, (), ()>;
+
+/// How a queued request goes on.
+pub(crate) type Start = Result<wagtail_route::Lease, wagtail_types::Verdict>;
+
+/// Everything that the host's tasks share.
+pub(crate) struct Host {
+    /// The checked settings.
+    pub(crate) settings: Settings,
+    /// This life of the host.
+    pub(crate) incarnation: Incarnation,
+    /// The time.
+    pub(crate) clock: Arc<dyn Clock>,
+    /// Log lines, for changes of state.
+    pub(crate) log: Logger,
+    /// Counters and gauges.
+    pub(crate) metrics: Metrics,
+    /// Latency and refusals per team and service.
+    pub(crate) stats: Stats,
+    /// The life cycle.
+    pub(crate) watch: Watch,
+    /// The configuration in force.
+    pub(crate) view: ArcSwap<View>,
+    /// Client blocks and sites of that configuration.
+    pub(crate) sites: ArcSwap<Sites>,
+    /// Look-up answers.
+    pub(crate) directory: ArcSwap<Directory>,
+    /// Contact to the platform.
+    pub(crate) mode: ArcSwap<Mode>,
+    /// Endpoint choice.
+    pub(crate) routing: Routing,
+    /// Admission.
+    pub(crate) limiting: Limiting,
+    /// Duplicate suppression.
+    pub(crate) deduping: Deduping,
+    /// Membership.
+    pub(crate) membership: Membership,
+    /// Adoption of configurations.
+    pub(crate) syncing: Syncing,
+    /// Connections to endpoints.
+    pub(crate) upstreams: Upstreams,
+    /// Connections to other hosts.
+    pub(crate) peer: std::sync::OnceLock<Peer>,
+    /// The platform.
+    pub(crate) platform: Arc<dyn Platform>,
+    /// Numbers attempts; the upper half is drawn at start.
+    pub(crate) attempts: AtomicU64,
+    /// The upper half of attempt numbers.
+    pub(crate) salt: u64,
+}
+
+impl Host {
+    /// The present instant.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// A new attempt id, unique over hosts and lives.
+    pub(crate) fn attempt(&self) -> AttemptId {
+        let low = self.attempts.fetch_add(1, Ordering::Relaxed);
+        AttemptId(u128::from(self.salt) << 64 | u128::from(low))
+    }
+
+    /// How long this host has been cut off, where it is.
+    pub(crate) fn cut_off(&self, now: Instant) -> Option<Duration> {
+        match **self.mode.load() {
+            Mode::CutOff { since } => Some(now.saturating_duration_since(since)),
+            Mode::Current | Mode::PlatformOut => None,
+        }
+    }
+
+    /// The connections to other hosts; `None` before they are up.
+    pub(crate) fn peer(&self) -> Option<&Peer> {
+        self.peer.get()
+    }
+}
+
+/// A seeded source of random numbers; a seed of 0 draws one.
+pub(crate) fn rng(seed: u64) -> StdRng {
+    if seed == 0 { StdRng::from_os_rng() } else { StdRng::seed_from_u64(seed) }
+}
--- /dev/null
+++ b/crates/entryd/src/plan.rs
@@ -0,0 +1,198 @@
+//! What the host works with at one config epoch, built once per change.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wagtail_config::{DrainTarget, Scope, View};
+use wagtail_quota::{ShardMap, TeamLimit};
+use wagtail_route::{
+    Blocks, Cap, CapSpec, Delay, Drain, EndpointSpec, MoveSpec, ServiceSpec, SiteKey, SiteRow,
+    TeamSpec, Topology, ZoneSpec,
+};
+use wagtail_types::{Epoch, Share, SiteId};
+
+/// The client blocks and sites of a view.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sites {
+    /// From address to site.
+    pub(crate) blocks: Blocks,
+    /// Site names by key.
+    pub(crate) names: Vec<SiteId>,
+    /// Zone order by key.
+    pub(crate) rows: Vec<SiteRow>,
+}
+
+impl Sites {
+    /// Builds the tables; parts that are the same as in `last` are taken from there.
+    pub(crate) fn build(view: &View, last: Option<(&View, &Self)>) -> Self {
+        let names: Vec<SiteId> = view.sites().keys().cloned().collect();
+        let rows = view.sites().values().map(|s| SiteRow { zones: s.zones.clone() }).collect();
+        let kept = last.filter(|(_, sites)| sites.names == names);
+        let mut blocks = kept.map(|(_, sites)| sites.blocks.clone()).unwrap_or_default();
+        if let Some((old, _)) = kept {
+            for gone in old.blocks().keys().filter(|part| !view.blocks().contains_key(*part)) {
+                blocks.replace(gone.as_str(), &[]);
+            }
+        }
+        for (part, record) in view.blocks() {
+            let same = kept
+                .and_then(|(old, _)| old.blocks().get(part))
+                .is_some_and(|old| Arc::ptr_eq(old, record));
+            if !same {
+                let nets: Vec<_> = record
+                    .list
+                    .iter()
+                    .filter_map(|b| Some((b.net, site_key(&names, &b.site)?)))
+                    .collect();
+                blocks.replace(part.as_str(), &nets);
+            }
+        }
+        Self { blocks, names, rows }
+    }
+}
+
+fn site_key(names: &[SiteId], site: &SiteId) -> Option<SiteKey> {
+    let at = names.binary_search(site).ok()?;
+    u16::try_from(at).ok().map(SiteKey)
+}
+
+/// What routing needs to know of a view.
+pub(crate) fn topology(view: &View) -> Topology {
+    Topology {
+        zones: zones(view),
+        delays: delays(view),
+        services: services(view),
+        endpoints: endpoints(view),
+        teams: teams(view),
+        moves: moves(view),
+        drains: drains(view),
+        caps: caps(view),
+    }
+}
+
+fn zones(view: &View) -> Vec<ZoneSpec> {
+    let spec = |z: &Arc<wagtail_config::Zone>| ZoneSpec { id: z.id.clone(), region: z.region.clone() };
+    view.zones().values().map(spec).collect()
+}
+
+fn delays(view: &View) -> Vec<Delay> {
+    view.regions()
+        .values()
+        .flat_map(|region| {
+            region.delays.iter().map(|(to, time)| Delay {
+                from: region.id.clone(),
+                to: to.clone(),
+                time: *time,
+            })
+        })
+        .collect()
+}
+
+fn services(view: &View) -> Vec<ServiceSpec> {
+    let spec = |s: &Arc<wagtail_config::Service>| ServiceSpec { id: s.id.clone(), longest: s.deadline };
+    view.services().values().map(spec).collect()
+}
+
+fn endpoints(view: &View) -> Vec<EndpointSpec> {
+    view.endpoints()
+        .values()
+        .map(|e| EndpointSpec {
+            id: e.id.clone(),
+            service: e.service.clone(),
+            zone: e.zone.clone(),
+            slots: e.slots,
+            connections: e.connections,
+        })
+        .collect()
+}
+
+fn teams(view: &View) -> Vec<TeamSpec> {
+    const EQUAL_WEIGHT: u32 = 1;
+    view.teams()
+        .values()
+        .map(|t| TeamSpec {
+            id: t.id.clone(),
+            weight: EQUAL_WEIGHT,
+            regions: match &t.regions {
+                Scope::All => None,
+                Scope::Only(list) => Some(list.iter().cloned().collect()),
+            },
+        })
+        .collect()
+}
+
+fn moves(view: &View) -> Vec<MoveSpec> {
+    view.moves()
+        .values()
+        .map(|m| MoveSpec {
+            from: m.from.clone(),
+            to: m.to.clone(),
+            share: m.share,
+            service: Some(m.service.clone()),
+        })
+        .collect()
+}
+
+fn drains(view: &View) -> Vec<Drain> {
+    view.drains()
+        .values()
+        .map(|d| match &d.target {
+            DrainTarget::Endpoint(id) => Drain::Endpoint(id.clone()),
+            DrainTarget::Zone(id) => Drain::Zone(id.clone()),
+            DrainTarget::Region(id) => Drain::Region(id.clone()),
+        })
+        .collect()
+}
+
+/// Caps of moves, drains and regions, the strictest of which holds for a pair of regions.
+fn caps(view: &View) -> Vec<CapSpec> {
+    let moves = view.moves().values().map(|m| CapSpec {
+        from: Some(m.from.clone()),
+        to: Some(m.to.clone()),
+        cap: Cap { level: m.cap, start: Share::NONE, rise: rise(m.share, m.ramp) },
+    });
+    let drains = view.drains().values().map(|d| {
+        let from = match &d.target {
+            DrainTarget::Endpoint(id) => {
+                view.endpoints().get(id).and_then(|e| view.region_of(&e.zone)).cloned()
+            }
+            DrainTarget::Zone(id) => view.region_of(id).cloned(),
+            DrainTarget::Region(id) => Some(id.clone()),
+        };
+        CapSpec { from, to: None, cap: Cap { level: d.cap, ..Cap::default() } }
+    });
+    let spills = view.regions().values().map(|r| CapSpec {
+        from: Some(r.id.clone()),
+        to: None,
+        cap: Cap { level: r.spill, ..Cap::default() },
+    });
+    moves.chain(drains).chain(spills).collect()
+}
+
+/// The growth per second that brings `share` in `ramp`.
+fn rise(share: Share, ramp: Duration) -> Share {
+    let millis = u64::try_from(ramp.as_millis()).unwrap_or(u64::MAX).max(1);
+    let ppm = u64::from(share.ppm()).saturating_mul(1_000) / millis;
+    u32::try_from(ppm).ok().and_then(Share::from_ppm).unwrap_or(Share::ALL)
+}
+
+/// The limits of every team, and the shards that they are cut into.
+pub(crate) fn limits(view: &View) -> (Vec<TeamLimit>, ShardMap) {
+    let limit = |t: &Arc<wagtail_config::Team>| TeamLimit {
+        team: t.id.clone(),
+        rate: t.rate,
+        burst: t.burst,
+        since: since(view, t),
+    };
+    let shards = view.zones().keys().map(|zone| (zone.clone(), SHARDS_PER_ZONE)).collect();
+    (view.teams().values().map(limit).collect(), ShardMap::new(shards))
+}
+
+const SHARDS_PER_ZONE: u16 = 1;
+
+fn since(view: &View, team: &wagtail_config::Team) -> Epoch {
+    wagtail_config::RecordKey::new("team", team.id.as_str())
+        .ok()
+        .and_then(|key| view.row(&key).map(|row| row.epoch))
+        .unwrap_or_else(|| view.epoch())
+}
--- /dev/null
+++ b/crates/entryd/src/rows.rs
@@ -0,0 +1,160 @@
+//! Rows of leases and claims in the platform's table.
+
+use serde::{Deserialize, Serialize};
+use wagtail_once::{ClaimResult, ClaimRow};
+use wagtail_platform::{Platform, PlatformError, RowKey, Txn, Write};
+use wagtail_quota::{Member, ReadOutcome, Row, ShardId, TeamTokens, WriteOutcome};
+use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, TeamId, Tokens};
+
+const LEASES: &str = "lease";
+const CLAIMS: &str = "claim";
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Holder {
+    host: HostId,
+    incarnation: Incarnation,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Lease {
+    holder: Option<Holder>,
+    epoch: Epoch,
+    confirmed: Epoch,
+    members: Vec<Holder>,
+    attempt: String,
+    tokens: Vec<(TeamId, u64)>,
+}
+
+impl From<&Member> for Holder {
+    fn from(member: &Member) -> Self {
+        Self { host: member.host.clone(), incarnation: member.incarnation }
+    }
+}
+
+impl From<Holder> for Member {
+    fn from(holder: Holder) -> Self {
+        Self { host: holder.host, incarnation: holder.incarnation }
+    }
+}
+
+impl From<&Row> for Lease {
+    fn from(row: &Row) -> Self {
+        Self {
+            holder: row.holder.as_ref().map(Holder::from),
+            epoch: row.epoch,
+            confirmed: row.confirmed,
+            members: row.members.iter().map(Holder::from).collect(),
+            attempt: row.attempt.to_string(),
+            tokens: row.tokens.iter().map(|t| (t.team.clone(), t.tokens.micros())).collect(),
+        }
+    }
+}
+
+impl TryFrom<Lease> for Row {
+    type Error = wagtail_types::ParseError;
+
+    fn try_from(lease: Lease) -> Result<Self, Self::Error> {
+        let tokens = |(team, micros)| TeamTokens { team, tokens: Tokens::from_micros(micros) };
+        Ok(Self {
+            holder: lease.holder.map(Member::from),
+            epoch: lease.epoch,
+            confirmed: lease.confirmed,
+            members: lease.members.into_iter().map(Member::from).collect(),
+            attempt: lease.attempt.parse()?,
+            tokens: lease.tokens.into_iter().map(tokens).collect(),
+        })
+    }
+}
+
+fn lease_key(shard: &ShardId) -> RowKey {
+    RowKey::new(LEASES, &shard.to_string())
+}
+
+/// Reads the row of a shard's lease.
+pub(crate) async fn read_lease(platform: &dyn Platform, shard: &ShardId) -> ReadOutcome {
+    match platform.read(&lease_key(shard)).await {
+        Ok(None) => ReadOutcome::Absent,
+        Ok(Some(row)) => parse_lease(&row.value).map_or(ReadOutcome::Failed, |lease| {
+            ReadOutcome::Found { version: row.version, row: lease }
+        }),
+        Err(_) => ReadOutcome::Failed,
+    }
+}
+
+fn parse_lease(text: &str) -> Option<Row> {
+    serde_json::from_str::<Lease>(text).ok()?.try_into().ok()
+}
+
+/// Writes the row of a shard's lease over the expected version.
+pub(crate) async fn write_lease(
+    platform: &dyn Platform,
+    shard: &ShardId,
+    expected: Option<u64>,
+    row: &Row,
+) -> WriteOutcome {
+    let Ok(text) = serde_json::to_string(&Lease::from(row)) else { return WriteOutcome::Unknown };
+    let key = lease_key(shard);
+    let txn = Txn::new(row.attempt).check(key.clone(), expected).write(Write::put(key, &text));
+    match platform.transact(&txn).await {
+        Ok(receipt) => WriteOutcome::Applied { version: receipt.version },
+        Err(PlatformError::Conflict { .. }) => WriteOutcome::Conflict,
+        // What did not reach the table is read back like a lost answer.
+        Err(_) => WriteOutcome::Unknown,
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Claim {
+    host: HostId,
+    incarnation: Incarnation,
+    claim: String,
+    lasts_secs: u64,
+}
+
+fn claim_key(row: &ClaimRow) -> RowKey {
+    RowKey::new(CLAIMS, &format!("{}/{}/{}", row.team, row.service, row.key))
+}
+
+/// Inserts the row of a claim unless there is one.
+pub(crate) async fn write_claim(
+    platform: &dyn Platform,
+    claim: AttemptId,
+    row: &ClaimRow,
+) -> ClaimResult {
+    let value = Claim {
+        host: row.host.clone(),
+        incarnation: row.incarnation,
+        claim: claim.to_string(),
+        lasts_secs: row.lasts.as_secs(),
+    };
+    let Ok(text) = serde_json::to_string(&value) else { return ClaimResult::Unavailable };
+    let key = claim_key(row);
+    let txn = Txn::new(claim).check(key.clone(), None).write(Write::put(key, &text));
+    match platform.transact(&txn).await {
+        Ok(_) => ClaimResult::Applied,
+        Err(PlatformError::Conflict { .. }) => read_claim(platform, claim, row).await,
+        Err(PlatformError::Unknown { .. }) => ClaimResult::Unknown,
+        Err(PlatformError::Unavailable { .. } | PlatformError::NotApplied { .. }) => {
+            ClaimResult::Unavailable
+        }
+    }
+}
+
+/// Reads the row of a claim, to learn whose it is.
+pub(crate) async fn read_claim(
+    platform: &dyn Platform,
+    claim: AttemptId,
+    row: &ClaimRow,
+) -> ClaimResult {
+    match platform.read(&claim_key(row)).await {
+        Ok(None) => ClaimResult::Absent,
+        Ok(Some(found)) if found.attempt == claim => ClaimResult::Applied,
+        Ok(Some(found)) => match serde_json::from_str::<Claim>(&found.value) {
+            Ok(held) => {
+                ClaimResult::AlreadyHeldBy { host: held.host, incarnation: held.incarnation }
+            }
+            Err(_) => ClaimResult::Unknown,
+        },
+        Err(_) => ClaimResult::Unknown,
+    }
+}
--- a/crates/entryd/src/upstream.rs
+++ b/crates/entryd/src/upstream.rs
@@ -51,27 +51,14 @@
         left: Duration,
     ) -> Result<Response<Body>, Verdict> {
         let until = Instant::now() + left;
-        timeout_at(until, self.exchange(addr, request, until))
-            .await
-            .unwrap_or(Err(Verdict::may_have_run(Cause::Timeout)))
-    }
-
-    /// Drops idle connections to endpoints that `keep` turns down.
-    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        lock(&self.idle).retain(|addr, _| keep(addr));
-    }
-
-    async fn exchange(
-        &self,
-        addr: SocketAddr,
-        mut request: Request<Body>,
-        until: Instant,
-    ) -> Result<Response<Body>, Verdict> {
+        let mut request = request;
         loop {
-            let (mut sender, reused) = self.checkout(addr).await?;
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.wrap(addr, sender, response, until)),
-                Err(mut err) => match err.take_message() {
+            let checkout = timeout_at(until, self.checkout(addr)).await;
+            let (mut sender, reused) = checkout.unwrap_or(Err(too_late()))?;
+            match timeout_at(until, sender.try_send_request(request)).await {
+                Err(_) => return Err(Verdict::may_have_run(Cause::Timeout)),
+                Ok(Ok(response)) => return Ok(self.wrap(addr, sender, response, until)),
+                Ok(Err(mut err)) => match err.take_message() {
                     Some(unsent) if reused => request = unsent,
                     Some(_) => return Err(connect_failed()),
                     None => return Err(Verdict::may_have_run(cause(err.error()))),
@@ -80,6 +67,11 @@
         }
     }
 
+    /// Drops idle connections to endpoints that `keep` turns down.
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        lock(&self.idle).retain(|addr, _| keep(addr));
+    }
+
     async fn checkout(&self, addr: SocketAddr) -> Result<(Sender, bool), Verdict> {
         while let Some(mut sender) = self.take_idle(addr) {
             if sender.ready().await.is_ok() {
@@ -121,6 +113,10 @@
     idle.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn too_late() -> Verdict {
+    Verdict::not_run(Reason::DeadlinePassed, None)
+}
+
 fn connect_failed() -> Verdict {
     Verdict::not_run(Reason::ConnectFailed, RETRY_AFTER_CONNECT)
 }
