--- a/crates/entryd/src/main.rs
+++ b/crates/entryd/src/main.rs
@@ -8,7 +8,8 @@
 const EXIT_USAGE: u8 = 2;
 
 fn main() -> ExitCode {
-    let vars = std::env::vars_os().filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)));
+    let vars = std::env::vars_os()
+        .filter_map(|(k, v)| Some((k.into_string().ok()?, v.into_string().ok()?)));
     match from_env(std::env::args_os().skip(1), vars) {
         Ok(Action::Help) => print(&help()),
         Ok(Action::Check(_)) => print("settings are valid\n"),
