--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -6,16 +6,19 @@
 mod member;
 mod route;
 
-pub(crate) use config::syncing;
-pub(crate) use dedupe::deduping;
-pub(crate) use limit::limiting;
-pub(crate) use member::membership;
+pub(crate) use config::{handle as sync_input, syncing};
+pub(crate) use dedupe::{deduping, handle as dedupe_input};
+pub(crate) use limit::{handle as limit_input, limiting};
+pub(crate) use member::{handle as member_input, membership, spread};
 pub(crate) use route::routing;
 
 use std::hash::Hash;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use wagtail_peer::Control;
+use wagtail_types::HostId;
+
 use crate::host::Host;
 use crate::waiting::Waiting;
 
@@ -44,3 +47,30 @@
         }
     }
 }
+
+/// Hands a message of another host to its machine.
+pub(crate) fn control(host: &Arc<Host>, from: &HostId, message: Control) {
+    let from = from.clone();
+    match message {
+        Control::Member(message) => {
+            member_input(host, wagtail_member::Input::Received { from, message });
+        }
+        Control::Quota(message) => {
+            limit_input(host, wagtail_quota::Input::Received { from, message });
+        }
+        Control::Config(message) => {
+            sync_input(host, wagtail_config::SyncInput::Message { from, message });
+        }
+        Control::Advert(mut advert) => {
+            advert.host = from;
+            let input = wagtail_route::Input::Advert(advert);
+            host.routing.lock().machine.handle(host.now(), input);
+            routing(host);
+        }
+        Control::Leaving(endpoint) => {
+            let input = wagtail_route::Input::Leaving(endpoint);
+            host.routing.lock().machine.handle(host.now(), input);
+            routing(host);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/drive/member.rs
@@ -0,0 +1,139 @@
+//! Effects of membership.
+
+use std::sync::Arc;
+
+use slog::{info, warn};
+use wagtail_member::{Effect, HostView, Input, MemberChange, State};
+use wagtail_peer::Control;
+use wagtail_quota::PeerInfo;
+use wagtail_route::{HostRow, HostState};
+use wagtail_types::{Incarnation, Share};
+
+use super::route::send;
+use crate::host::Host;
+
+/// Carries out the effects of membership.
+pub(crate) fn membership(host: &Arc<Host>) {
+    let mut effects = Vec::new();
+    let mut membership = host.membership.lock();
+    while let Some(effect) = membership.machine.poll_effect() {
+        effects.push(effect);
+    }
+    drop(membership);
+    let changed = effects.iter().any(|e| matches!(e, Effect::Changed(_)));
+    for effect in effects {
+        perform(host, effect);
+    }
+    if changed {
+        spread(host);
+    }
+    host.membership.notify();
+}
+
+fn perform(host: &Arc<Host>, effect: Effect) {
+    match effect {
+        Effect::Send { to, message } => send(host, &to, Control::Member(message)),
+        Effect::Changed(change) => note(host, change),
+        Effect::ModeChanged(mode) => {
+            info!(host.log, "contact changed"; "mode" => %mode);
+            host.metrics.count("contact.changed");
+            host.mode.store(Arc::new(mode));
+        }
+        Effect::Paused { gap } => {
+            warn!(host.log, "the process did not run"; "gap_ms" => gap.as_millis());
+            host.metrics.count("paused");
+        }
+        Effect::Replaced { incarnation } => {
+            warn!(host.log, "a later life of this host is there"; "incarnation" => %incarnation);
+            host.replaced.notify_one();
+        }
+    }
+}
+
+fn note(host: &Arc<Host>, change: MemberChange) {
+    let label = |state: Option<State>| state.map_or("unlisted".to_owned(), |s| s.to_string());
+    info!(host.log, "host changed"; "of" => %change.host, "zone" => %change.zone,
+        "from" => label(change.from), "to" => label(change.to));
+    let gone = matches!(change.to, None | Some(State::Dead | State::Unknown));
+    let incarnation = (!gone).then_some(change.incarnation);
+    super::dedupe_input(host, wagtail_once::Input::Host { host: change.host, incarnation });
+}
+
+/// Tells the other machines which hosts there are.
+pub(crate) fn spread(host: &Arc<Host>) {
+    let views: Vec<HostView> = host.membership.lock().machine.members().cloned().collect();
+    let now = host.now();
+    let hosts = views.iter().map(|v| wagtail_route::HostView {
+        id: v.info.host.clone(),
+        zone: v.info.zone.clone(),
+        state: state(host, v),
+    });
+    let hosts = wagtail_route::Input::Hosts(hosts.collect());
+    host.routing.lock().machine.handle(now, hosts);
+    super::routing(host);
+    super::limit_input(host, wagtail_quota::Input::Peers(peers(host, &views)));
+    let live = views.iter().filter(|v| is_other(host, v) && v.is_live());
+    let live = live.map(|v| v.info.host.clone()).collect();
+    super::sync_input(host, wagtail_config::SyncInput::Peers(live));
+    rebuild(host, &views);
+}
+
+fn is_other(host: &Host, view: &HostView) -> bool {
+    view.info.host != host.settings.host
+}
+
+fn state(host: &Host, view: &HostView) -> HostState {
+    if !is_other(host, view) {
+        return match host.watch.phase() {
+            crate::lifecycle::Phase::Serving => HostState::Serving,
+            _ => HostState::Leaving,
+        };
+    }
+    match view.state {
+        State::Alive | State::Suspect => HostState::Serving,
+        State::Leaving => HostState::Leaving,
+        State::Unknown | State::Dead => HostState::Dead,
+    }
+}
+
+fn peers(host: &Host, views: &[HostView]) -> Vec<PeerInfo> {
+    const ZONE_DELAY: std::time::Duration = std::time::Duration::from_millis(1);
+    let view = host.view.load();
+    let own = view.regions().get(&host.settings.region);
+    let distance = |v: &HostView| {
+        own.and_then(|r| r.delays.get(&v.info.region)).copied().unwrap_or(ZONE_DELAY)
+    };
+    views
+        .iter()
+        .filter(|v| is_other(host, v) && v.is_live() && v.incarnation != Incarnation(0))
+        .map(|v| PeerInfo {
+            host: v.info.host.clone(),
+            incarnation: v.incarnation,
+            zone: v.info.zone.clone(),
+            distance: distance(v),
+        })
+        .collect()
+}
+
+/// Builds the look-up answers anew.
+fn rebuild(host: &Host, views: &[HostView]) {
+    let rows: Vec<HostRow> = views
+        .iter()
+        .map(|v| HostRow {
+            id: v.info.host.clone(),
+            zone: v.info.zone.clone(),
+            state: state(host, v),
+            free: Share::ALL,
+            teams: Vec::new(),
+        })
+        .collect();
+    let sites = host.sites.load();
+    host.directory.store(Arc::new(wagtail_route::Directory::new(&rows, &sites.rows)));
+}
+
+/// Hands an input to membership.
+pub(crate) fn handle(host: &Arc<Host>, input: Input) {
+    let now = host.now();
+    host.membership.lock().machine.handle(now, input);
+    membership(host);
+}
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -10,7 +10,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::Logger;
-use wagtail_config::View;
+use tokio::sync::Notify;
+use wagtail_config::{ConfigSync, View};
 use wagtail_member::{Member, Mode};
 use wagtail_once::Once;
 use wagtail_peer::Peer;
@@ -36,7 +37,7 @@
 /// Membership; nothing waits for it.
 pub(crate) type Membership = Waiting<Member, (), ()>;
 /// Adoption of configurations; nothing waits for it.
-pub(crate) type Syncing = Waiting<wagtail_config::Sync, (), ()>;
+pub(crate) type Syncing = Waiting<ConfigSync, (), ()>;
 
 /// How a queued request goes on.
 pub(crate) type Start = Result<wagtail_route::Lease, wagtail_types::Verdict>;
@@ -81,6 +82,10 @@
     pub(crate) peer: std::sync::OnceLock<Peer>,
     /// The platform.
     pub(crate) platform: Arc<dyn Platform>,
+    /// Signals that every quota shard is handed back.
+    pub(crate) released: Notify,
+    /// Signals that a later life of this host is there.
+    pub(crate) replaced: Notify,
     /// Numbers attempts; the upper half is drawn at start.
     pub(crate) attempts: AtomicU64,
     /// The upper half of attempt numbers.
--- a/crates/entryd/src/intake.rs
+++ b/crates/entryd/src/intake.rs
@@ -14,11 +14,15 @@
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("x-wagtail-deadline-ms");
 /// Header that tells an endpoint the team.
 pub(crate) const TEAM: HeaderName = HeaderName::from_static("x-wagtail-team");
-/// Header that identifies one attempt towards an endpoint and back.
-pub(crate) const REQUEST: HeaderName = HeaderName::from_static("x-wagtail-request");
+/// Header that identifies a request towards an endpoint, which carries it back.
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("x-request-id");
 /// Header with the idempotency key.
 pub(crate) const IDEMPOTENCY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Header by which a caller says that no earlier attempt under its idempotency key was made.
+pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("x-wagtail-attempt");
+
+const FIRST_ATTEMPT: &str = "first";
 const OWN_PREFIX: &str = "x-wagtail-";
 const SERVICE_PREFIX: &str = "/svc/";
 const KEY_MIN_BYTES: usize = 8;
@@ -53,6 +57,8 @@
     pub(crate) deadline: Option<Duration>,
     /// The idempotency key.
     pub(crate) idempotency: Option<String>,
+    /// Whether an earlier attempt under that key may exist.
+    pub(crate) repeat: bool,
 }
 
 impl TryFrom<Parts> for Intake {
@@ -67,12 +73,13 @@
         let key = take_key(&mut headers)?;
         let deadline = take_deadline(&mut headers)?;
         let idempotency = take_idempotency(&mut headers)?;
+        let repeat = headers.get(&ATTEMPT).is_none_or(|v| v != FIRST_ATTEMPT);
         strip(&mut headers);
         if let Some(key) = &key {
             check_nowhere_else(key.as_bytes(), &path, &headers, idempotency.as_deref())?;
         }
         let digest = key.map(|k| digest(k.as_bytes()));
-        Ok(Self { service, method, path, headers, digest, deadline, idempotency })
+        Ok(Self { service, method, path, headers, digest, deadline, idempotency, repeat })
     }
 }
 
--- a/crates/entryd/src/job.rs
+++ b/crates/entryd/src/job.rs
@@ -63,7 +63,9 @@
                 headers.insert(name, value);
             }
         };
-        set(intake::REQUEST, &attempt.to_string());
+        if !self.headers.contains_key(intake::REQUEST) {
+            set(intake::REQUEST, &attempt.to_string());
+        }
         set(intake::DEADLINE, &self.left(now).as_millis().to_string());
         if let Some(team) = &self.team {
             set(intake::TEAM, team.id.as_str());
--- /dev/null
+++ b/crates/entryd/src/keyed.rs
@@ -0,0 +1,252 @@
+//! Requests with idempotency keys.
+//!
+//! The attempt runs in a task of its own, so that a caller who goes away does not cut off a
+//! request whose duplicates wait for its answer.
+
+use std::sync::Arc;
+
+use axum::body::Body;
+use bytes::Bytes;
+use http::header::{HeaderName, HeaderValue};
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use wagtail_once::{Answer, Begin, Fingerprint, Key, Outcome, Permit, Request, Resolution, Ticket};
+use wagtail_peer::Step;
+use wagtail_types::{AttemptId, Cause, HostId, Reason, TeamId, Verdict};
+
+use crate::drive;
+use crate::host::Host;
+use crate::job::{Job, Payload, join};
+use crate::request;
+use crate::run;
+use crate::tracked::{End, track};
+
+/// The team name under which keys of open routes count.
+pub(crate) const OPEN_TEAM: &str = "open";
+
+/// Runs a caller's request under its idempotency key.
+pub(crate) async fn begin(
+    host: &Arc<Host>,
+    job: Job,
+    key: &str,
+    repeat: bool,
+) -> Result<Response<Body>, Verdict> {
+    let request = to_request(&job, key, fingerprint(&job), repeat)?;
+    let decide = |host: &Host| {
+        let mut deduping = host.deduping.lock();
+        let begin = deduping.machine.begin(host.now(), &request);
+        wait_if_asked(&mut deduping, begin)
+    };
+    let begun = decide(host);
+    drive::deduping(host);
+    follow(host, job, key, &request, begun).await
+}
+
+/// Runs a request that another host has relayed under a key of this host.
+pub(crate) async fn receive(
+    host: &Arc<Host>,
+    job: Job,
+    attempt: AttemptId,
+    key: &str,
+    print: u128,
+) -> Result<Response<Body>, Verdict> {
+    let request = to_request(&job, key, Fingerprint(print), true)?;
+    let begun = {
+        let mut deduping = host.deduping.lock();
+        let begin = deduping.machine.receive(host.now(), attempt, &request);
+        wait_if_asked(&mut deduping, begin)
+    };
+    drive::deduping(host);
+    follow(host, job, key, &request, begun).await
+}
+
+fn to_request(job: &Job, key: &str, print: Fingerprint, repeat: bool) -> Result<Request, Verdict> {
+    let bad = |_| Verdict::not_run(Reason::BadRequest, None);
+    let open = || OPEN_TEAM.parse::<TeamId>().map_err(bad);
+    Ok(Request {
+        team: job.team.as_ref().map_or_else(open, |t| Ok(t.id.clone()))?,
+        service: job.service.id.clone(),
+        key: key.parse::<Key>().map_err(bad)?,
+        print,
+        repeat,
+    })
+}
+
+fn fingerprint(job: &Job) -> Fingerprint {
+    let body = match &job.payload {
+        Payload::Whole(bytes) => bytes.as_ref(),
+        Payload::Stream(_) | Payload::Sent => &[],
+    };
+    Fingerprint::of(job.method.as_str(), &job.path, body)
+}
+
+/// A decision, with the channel that a waiting request listens to.
+enum Begun {
+    Now(Box<Resolution>),
+    Later(Waiter),
+}
+
+struct Waiter {
+    ticket: Ticket,
+    receiver: tokio::sync::oneshot::Receiver<Resolution>,
+}
+
+type Inner = crate::waiting::Inner<wagtail_once::Once, Ticket, Resolution>;
+
+fn wait_if_asked(deduping: &mut Inner, begin: Begin) -> Begun {
+    let now = |resolution| Begun::Now(Box::new(resolution));
+    match begin {
+        Begin::Run(permit) => now(Resolution::Run(permit)),
+        Begin::Replay(answer) => now(Resolution::Answer(answer)),
+        Begin::Relay { host } => now(Resolution::Relay { host }),
+        Begin::Refuse(verdict) => now(Resolution::Refuse(verdict)),
+        Begin::Wait(ticket) | Begin::Claiming(ticket) => {
+            Begun::Later(Waiter { ticket, receiver: deduping.wait(ticket) })
+        }
+    }
+}
+
+async fn follow(
+    host: &Arc<Host>,
+    job: Job,
+    key: &str,
+    request: &Request,
+    begun: Begun,
+) -> Result<Response<Body>, Verdict> {
+    let resolution = match begun {
+        Begun::Now(resolution) => *resolution,
+        Begun::Later(waiter) => wait(host, &job, waiter).await?,
+    };
+    match resolution {
+        Resolution::Run(permit) => run_apart(host, job, permit).await,
+        Resolution::Answer(answer) => Ok(replay(answer)),
+        Resolution::Refuse(verdict) => Err(verdict),
+        Resolution::Relay { host: to } => relay(host, job, key, request.print, &to).await,
+    }
+}
+
+/// Takes a ticket back when its request goes away.
+struct Cancel<'a> {
+    host: &'a Arc<Host>,
+    ticket: Ticket,
+    armed: bool,
+}
+
+impl Drop for Cancel<'_> {
+    fn drop(&mut self) {
+        if self.armed {
+            self.host.deduping.lock().forget(&self.ticket);
+            drive::dedupe_input(self.host, wagtail_once::Input::Cancelled { ticket: self.ticket });
+        }
+    }
+}
+
+async fn wait(host: &Arc<Host>, job: &Job, waiter: Waiter) -> Result<Resolution, Verdict> {
+    let mut cancel = Cancel { host, ticket: waiter.ticket, armed: true };
+    let left = job.left(host.now());
+    let waited = tokio::time::timeout(left, waiter.receiver).await;
+    cancel.armed = waited.is_err();
+    match waited {
+        Ok(Ok(resolution)) => Ok(resolution),
+        // The first attempt is still under way.
+        Ok(Err(_)) | Err(_) => Err(Verdict::may_have_run(Cause::Timeout)),
+    }
+}
+
+async fn relay(
+    host: &Arc<Host>,
+    mut job: Job,
+    key: &str,
+    print: Fingerprint,
+    to: &HostId,
+) -> Result<Response<Body>, Verdict> {
+    let head = run::head(host, &job, Step::Issuer, Some((key.to_owned(), print.0)));
+    run::forward(host, &mut job, to, head).await
+}
+
+/// Runs the attempt to its end, whether or not its caller stays.
+async fn run_apart(host: &Arc<Host>, job: Job, permit: Permit) -> Result<Response<Body>, Verdict> {
+    let host = host.clone();
+    let task = tokio::spawn(async move { attempt(&host, job, permit).await });
+    task.await.unwrap_or(Err(Verdict::may_have_run(Cause::Unknown)))
+}
+
+async fn attempt(host: &Arc<Host>, mut job: Job, permit: Permit) -> Result<Response<Body>, Verdict> {
+    let result = match request::admit(host, &job).await {
+        Ok(()) => run::run(host, &mut job).await,
+        Err(verdict) => Err(verdict),
+    };
+    match result {
+        Ok(response) => keep(host, response, permit).await,
+        Err(verdict) => {
+            let outcome = match &verdict {
+                Verdict::MayHaveRun { cause } => Outcome::Unknown(*cause),
+                Verdict::NotRun { .. } => Outcome::NotRun(verdict.clone()),
+            };
+            finish(host, permit, outcome);
+            Err(verdict)
+        }
+    }
+}
+
+fn finish(host: &Arc<Host>, permit: Permit, outcome: Outcome) {
+    host.deduping.lock().machine.finish(host.now(), permit, outcome);
+    drive::deduping(host);
+}
+
+/// Reads an answer whole and keeps it; a long one is passed on as it comes and not kept.
+async fn keep(
+    host: &Arc<Host>,
+    response: Response<Body>,
+    permit: Permit,
+) -> Result<Response<Body>, Verdict> {
+    let limit = host.settings.limits.buffer.as_usize();
+    let (parts, mut body) = response.into_parts();
+    let mut held = bytes::BytesMut::new();
+    while held.len() <= limit {
+        match body.frame().await {
+            None => {
+                let bytes = held.freeze();
+                let headers = parts
+                    .headers
+                    .iter()
+                    .map(|(n, v)| (n.as_str().to_owned(), Bytes::copy_from_slice(v.as_bytes())))
+                    .collect();
+                let answer = Answer::new(parts.status.as_u16(), headers, bytes.clone());
+                finish(host, permit, Outcome::Answer(answer));
+                return Ok(Response::from_parts(parts, Body::from(bytes)));
+            }
+            Some(Err(_)) => {
+                finish(host, permit, Outcome::Unknown(Cause::BadAnswer));
+                return Err(Verdict::may_have_run(Cause::BadAnswer));
+            }
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    held.extend_from_slice(data);
+                }
+            }
+        }
+    }
+    let host = host.clone();
+    let body = track(join(held.freeze(), body), move |end| {
+        let outcome = match end {
+            End::Whole => Outcome::Unkept,
+            End::Broken | End::Dropped => Outcome::Unknown(Cause::BadAnswer),
+        };
+        finish(&host, permit, outcome);
+    });
+    Ok(Response::from_parts(parts, body))
+}
+
+fn replay(answer: Answer) -> Response<Body> {
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in answer.headers {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_maybe_shared(value))
+        {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/entryd/src/relay.rs
@@ -0,0 +1,129 @@
+//! Requests and messages from other hosts.
+
+use std::sync::{Arc, Weak};
+
+use axum::body::Body;
+use http::Response;
+use http_body_util::BodyExt;
+use wagtail_once::{Begin, Outcome, Permit};
+use wagtail_peer::{Aborted, BoxFuture, Control, Handler, RelayAnswer, RelayHead, Step};
+use wagtail_route::Origin;
+use wagtail_types::{Cause, HostId, Incarnation, Reason, Verdict};
+
+use crate::drive;
+use crate::host::Host;
+use crate::job::{Job, Payload};
+use crate::keyed;
+use crate::run;
+
+/// Hands what other hosts send to this one.
+#[derive(Clone)]
+pub(crate) struct Inbox(pub(crate) Weak<Host>);
+
+impl Handler for Inbox {
+    fn control(&self, from: &HostId, _: Incarnation, message: Control) {
+        if let Some(host) = self.0.upgrade() {
+            drive::control(&host, from, message);
+        }
+    }
+
+    fn relay(
+        &self,
+        from: HostId,
+        head: RelayHead,
+        body: wagtail_peer::Body,
+    ) -> BoxFuture<Result<RelayAnswer, Verdict>> {
+        let host = self.0.upgrade();
+        Box::pin(async move {
+            let host = host.ok_or(Verdict::not_run(Reason::Unavailable, None))?;
+            let _running = host
+                .watch
+                .enter(host.settings.limits.requests)
+                .ok_or(Verdict::not_run(Reason::Overloaded, None))?;
+            take(&host, from, head, body).await.map(to_answer)
+        })
+    }
+}
+
+async fn take(
+    host: &Arc<Host>,
+    from: HostId,
+    head: RelayHead,
+    body: wagtail_peer::Body,
+) -> Result<Response<Body>, Verdict> {
+    let named = run::named(&host.view.load(), &head)?;
+    let limit = host.settings.limits.buffer.as_usize();
+    let payload = Payload::read(Body::new(body.map_err(axum::Error::new)), limit).await?;
+    let deadline = head.deadline.unwrap_or(host.settings.times.deadline);
+    let mut job = Job {
+        service: named.service,
+        team: named.team,
+        method: head.method,
+        path: head.path,
+        headers: head.headers,
+        deadline: host.now() + deadline.min(host.settings.times.longest),
+        origin: match head.step {
+            Step::Owner => Origin::Relayed,
+            Step::Issuer => Origin::Local,
+        },
+        relayer: Some(from),
+        tried: head.tried,
+        payload,
+    };
+    match (head.step, head.key, head.print) {
+        (Step::Owner, _, _) => once(host, &mut job, head.attempt).await,
+        (Step::Issuer, Some(key), Some(print)) => {
+            keyed::receive(host, job, head.attempt, &key, print).await
+        }
+        (Step::Issuer, _, _) => Err(Verdict::not_run(Reason::BadRequest, None)),
+    }
+}
+
+/// Runs a relayed request once, however often its message comes.
+async fn once(
+    host: &Arc<Host>,
+    job: &mut Job,
+    attempt: wagtail_types::AttemptId,
+) -> Result<Response<Body>, Verdict> {
+    let begin = host.deduping.lock().machine.receive_bare(host.now(), attempt);
+    drive::deduping(host);
+    match begin {
+        Begin::Run(permit) => {
+            let result = run::run(host, job).await;
+            finish(host, permit, &result);
+            result
+        }
+        Begin::Refuse(verdict) => Err(verdict),
+        Begin::Wait(_) | Begin::Claiming(_) | Begin::Replay(_) | Begin::Relay { .. } => {
+            Err(Verdict::may_have_run(Cause::Unknown))
+        }
+    }
+}
+
+fn finish(host: &Arc<Host>, permit: Permit, result: &Result<Response<Body>, Verdict>) {
+    let outcome = match result {
+        Ok(_) => Outcome::Unkept,
+        Err(Verdict::MayHaveRun { cause }) => Outcome::Unknown(*cause),
+        Err(verdict) => Outcome::NotRun(verdict.clone()),
+    };
+    host.deduping.lock().machine.finish(host.now(), permit, outcome);
+    drive::deduping(host);
+}
+
+/// A body on its way to another host.
+pub(crate) fn to_peer(body: Body) -> wagtail_peer::Body {
+    body.map_err(|_| Aborted).boxed_unsync()
+}
+
+/// An answer that another host has passed on.
+pub(crate) fn from_peer(answer: RelayAnswer) -> Response<Body> {
+    let mut response = Response::new(Body::new(answer.body.map_err(axum::Error::new)));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+fn to_answer(response: Response<Body>) -> RelayAnswer {
+    let (parts, body) = response.into_parts();
+    RelayAnswer { status: parts.status, headers: parts.headers, body: to_peer(body) }
+}
--- /dev/null
+++ b/crates/entryd/src/reports.rs
@@ -0,0 +1,102 @@
+//! What endpoints say of themselves: in answers, and when asked for their health.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::body::Body;
+use http::header::{HeaderMap, HeaderName};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use serde::Deserialize;
+use wagtail_config::Endpoint;
+use wagtail_route::{Health, Input, Report};
+use wagtail_types::{EndpointId, Share};
+
+use crate::drive;
+use crate::host::Host;
+
+const LEAVING: HeaderName = HeaderName::from_static("x-wagtail-leaving");
+const LOAD: HeaderName = HeaderName::from_static("x-wagtail-load");
+const HEALTH_PATH: &str = "/.health";
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+const HEALTH_PERIOD: Duration = Duration::from_secs(1);
+const HEALTH_MAX_BYTES: usize = 4_096;
+
+/// Takes in what an answer's headers say.
+pub(crate) fn passive(host: &Arc<Host>, endpoint: &EndpointId, headers: &HeaderMap) {
+    let leaving = headers.contains_key(LEAVING);
+    let load = headers.get(LOAD).and_then(|v| parse_load(v.to_str().ok()?));
+    if leaving || load.is_some() {
+        let health = if leaving { Health::Leaving } else { Health::Serving };
+        take(host, endpoint, health, load);
+    }
+}
+
+/// Asks the endpoints of this zone for their health, for ever.
+pub(crate) async fn poll(host: Arc<Host>) {
+    let mut period = tokio::time::interval(HEALTH_PERIOD);
+    loop {
+        period.tick().await;
+        let view = host.view.load_full();
+        for endpoint in view.endpoints().values().filter(|e| e.zone == host.settings.zone) {
+            tokio::spawn(ask(host.clone(), endpoint.clone()));
+        }
+    }
+}
+
+async fn ask(host: Arc<Host>, endpoint: Arc<Endpoint>) {
+    let mut request = Request::new(Body::empty());
+    *request.uri_mut() = http::Uri::from_static(HEALTH_PATH);
+    let answer = host.upstreams.send(endpoint.addr, request, HEALTH_TIMEOUT).await;
+    let (health, load) = match answer {
+        Ok(response) => read(response).await,
+        Err(_) => (Health::Sick, None),
+    };
+    take(&host, &endpoint.id, health, load);
+}
+
+#[derive(Debug, Deserialize)]
+struct Status {
+    state: String,
+    load: Option<String>,
+}
+
+async fn read(response: Response<Body>) -> (Health, Option<Share>) {
+    if !response.status().is_success() {
+        return (Health::Sick, None);
+    }
+    let body = Limited::new(response.into_body(), HEALTH_MAX_BYTES).collect().await;
+    let status = body.ok().and_then(|b| serde_json::from_slice::<Status>(&b.to_bytes()).ok());
+    match status {
+        None => (Health::Sick, None),
+        Some(status) => {
+            let leaving = status.state == "leaving";
+            let health = if leaving { Health::Leaving } else { Health::Serving };
+            (health, status.load.as_deref().and_then(parse_load))
+        }
+    }
+}
+
+fn take(host: &Arc<Host>, endpoint: &EndpointId, health: Health, load: Option<Share>) {
+    let now = host.now();
+    let input = match (health, load) {
+        (Health::Leaving, _) => Input::Leaving(endpoint.clone()),
+        (health, load) => Input::Report(Report {
+            endpoint: endpoint.clone(),
+            health,
+            load: load.unwrap_or_default(),
+            life: 0,
+            age: Duration::ZERO,
+        }),
+    };
+    host.routing.lock().machine.handle(now, input);
+    drive::routing(host);
+}
+
+/// Reads `in flight/slots`.
+fn parse_load(text: &str) -> Option<Share> {
+    let (used, slots) = text.split_once('/')?;
+    let (used, slots): (u64, u64) = (used.parse().ok()?, slots.parse().ok()?);
+    let ppm = used.checked_mul(1_000_000)?.checked_div(slots)?;
+    Share::from_ppm(u32::try_from(ppm.min(1_000_000)).ok()?)
+}
--- /dev/null
+++ b/crates/entryd/src/request.rs
@@ -0,0 +1,221 @@
+//! A caller's request from its head to its answer.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use axum::body::Body;
+use axum::extract::State;
+use http::{Request, Response};
+use wagtail_config::{CutOff, Service, Team, View};
+use wagtail_quota::{Admission, Resolution};
+use wagtail_route::Origin;
+use wagtail_types::{KeyDigest, Reason, ServiceId, TeamId, Verdict};
+
+use crate::answer;
+use crate::drive;
+use crate::host::Host;
+use crate::intake::Intake;
+use crate::job::{Job, Payload};
+use crate::keyed::{self, OPEN_TEAM};
+use crate::lifecycle::Running;
+use crate::run;
+use crate::stats::Series;
+use crate::tracked::{End, track};
+
+const RETRY_CUT_OFF: std::time::Duration = std::time::Duration::from_secs(1);
+const RETRY_BUSY: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// A refusal with a text for the caller.
+struct Refusal {
+    verdict: Verdict,
+    detail: Option<&'static str>,
+}
+
+impl From<Verdict> for Refusal {
+    fn from(verdict: Verdict) -> Self {
+        Self { verdict, detail: None }
+    }
+}
+
+/// Serves one request of a caller.
+pub(crate) async fn serve(State(host): State<Arc<Host>>, request: Request<Body>) -> Response<Body> {
+    let start = host.now();
+    let Some(running) = host.watch.enter(host.settings.limits.requests) else {
+        return refuse(&host, &Verdict::not_run(Reason::Overloaded, RETRY_BUSY).into());
+    };
+    let (parts, body) = request.into_parts();
+    let length = hyper::body::Body::size_hint(&body);
+    if length.lower() > host.settings.limits.body.0 {
+        return refuse(&host, &too_long());
+    }
+    let intake = match Intake::try_from(parts) {
+        Ok(intake) => intake,
+        Err(detail) => return refuse(&host, &bad(detail)),
+    };
+    let series = series(&host, &intake);
+    let result = admit_and_run(&host, intake, body).await;
+    conclude(&host, series, start, running, result)
+}
+
+fn bad(detail: &'static str) -> Refusal {
+    Refusal { verdict: Verdict::not_run(Reason::BadRequest, None), detail: Some(detail) }
+}
+
+fn too_long() -> Refusal {
+    bad("the body is longer than this host takes")
+}
+
+/// Answers a request that no series is known for.
+fn refuse(host: &Host, refusal: &Refusal) -> Response<Body> {
+    host.metrics.count("requests.malformed");
+    answer::from_verdict(&refusal.verdict, refusal.detail)
+}
+
+/// The series of a request whose service is configured; others are not counted one by one.
+fn series(host: &Host, intake: &Intake) -> Option<Series> {
+    let view = host.view.load();
+    let service = view.services().get(&intake.service)?;
+    let team = intake.digest.as_ref().and_then(|d| view.team_of(d));
+    let team = match team {
+        Some(team) => team.id.clone(),
+        None => OPEN_TEAM.parse().ok()?,
+    };
+    Some(Series { team, service: service.id.clone() })
+}
+
+async fn admit_and_run(
+    host: &Arc<Host>,
+    intake: Intake,
+    body: Body,
+) -> Result<Response<Body>, Refusal> {
+    let view = host.view.load_full();
+    let (service, team) = entitle(host, &view, &intake.service, intake.digest.as_ref())?;
+    let given = intake.deadline.unwrap_or(service.deadline).min(host.settings.times.longest);
+    let limits = &host.settings.limits;
+    let body = Body::new(http_body_util::Limited::new(body, limits.body.as_usize()));
+    let deadline = host.now() + given;
+    let payload = tokio::time::timeout(given, Payload::read(body, limits.buffer.as_usize()));
+    let payload = payload.await.map_err(|_| Verdict::not_run(Reason::DeadlinePassed, None))??;
+    let mut job = Job {
+        service,
+        team,
+        method: intake.method,
+        path: intake.path,
+        headers: intake.headers,
+        deadline,
+        origin: Origin::Local,
+        relayer: None,
+        tried: Vec::new(),
+        payload,
+    };
+    match intake.idempotency {
+        Some(key) => Ok(keyed::begin(host, job, &key, intake.repeat).await?),
+        None => {
+            admit(host, &job).await?;
+            Ok(run::run(host, &mut job).await?)
+        }
+    }
+}
+
+/// Finds the records that a request may use.
+fn entitle(
+    host: &Host,
+    view: &View,
+    service: &ServiceId,
+    digest: Option<&KeyDigest>,
+) -> Result<(Arc<Service>, Option<Arc<Team>>), Verdict> {
+    let refuse = |reason| Verdict::not_run(reason, None);
+    if view.epoch().0 == 0 {
+        return Err(Verdict::not_run(Reason::Unavailable, RETRY_CUT_OFF));
+    }
+    let team = digest.map(|d| view.team_of(d).cloned());
+    let Some(service) = view.services().get(service).cloned() else {
+        return Err(refuse(Reason::UnknownService));
+    };
+    match team {
+        None if service.open => Ok((service, None)),
+        None | Some(None) => Err(refuse(Reason::Unauthorized)),
+        Some(Some(team)) => {
+            if !team.services.contains(&service.id) && !service.open {
+                return Err(refuse(Reason::Forbidden));
+            }
+            let stale = host.cut_off(host.now()).is_some_and(|t| t > host.settings.times.staleness);
+            if stale && team.cutoff == CutOff::Refuse && !service.open {
+                return Err(Verdict::not_run(Reason::CutOff, RETRY_CUT_OFF));
+            }
+            Ok((service, Some(team)))
+        }
+    }
+}
+
+/// Spends a token of the team, waiting for other hosts where they have one.
+pub(crate) async fn admit(host: &Arc<Host>, job: &Job) -> Result<(), Verdict> {
+    let Some(team) = &job.team else { return Ok(()) };
+    let now = host.now();
+    let (admission, receiver) = {
+        let mut limiting = host.limiting.lock();
+        let admission = limiting.machine.admit(now, &team.id, job.deadline);
+        let receiver = match admission {
+            Admission::Waiting(ticket) => Some(limiting.wait(ticket)),
+            Admission::Granted | Admission::Refused { .. } => None,
+        };
+        (admission, receiver)
+    };
+    drive::limiting(host);
+    let over = |retry| Verdict::not_run(Reason::OverRate, retry);
+    match (admission, receiver) {
+        (Admission::Granted, _) => Ok(()),
+        (Admission::Refused { retry }, _) => Err(over(Some(retry))),
+        (Admission::Waiting(_), None) => Err(over(None)),
+        (Admission::Waiting(_), Some(receiver)) => match receiver.await {
+            Ok(Resolution::Granted) => Ok(()),
+            Ok(Resolution::Refused { retry }) => Err(over(Some(retry))),
+            Err(_) => Err(Verdict::not_run(Reason::Unavailable, None)),
+        },
+    }
+}
+
+/// Counts a request once its answer has ended.
+fn conclude(
+    host: &Arc<Host>,
+    series: Option<Series>,
+    start: Instant,
+    running: Running,
+    result: Result<Response<Body>, Refusal>,
+) -> Response<Body> {
+    match result {
+        Err(refusal) => {
+            record(host, series.as_ref(), start, Some(&refusal.verdict));
+            answer::from_verdict(&refusal.verdict, refusal.detail)
+        }
+        Ok(response) => {
+            let host = host.clone();
+            response.map(|body| {
+                track(body, move |end| {
+                    let cut = Verdict::may_have_run(wagtail_types::Cause::BadAnswer);
+                    let failure = (end == End::Broken).then_some(&cut);
+                    record(&host, series.as_ref(), start, failure);
+                    drop(running);
+                })
+            })
+        }
+    }
+}
+
+fn record(host: &Host, series: Option<&Series>, start: Instant, failure: Option<&Verdict>) {
+    let now = host.now();
+    match series {
+        Some(series) => {
+            let taken = now.saturating_duration_since(start);
+            host.stats.record(now, series, taken, failure);
+            host.metrics.request(&series.team, &series.service, failure);
+        }
+        None => host.metrics.count("requests.unknown_service"),
+    }
+}
+
+/// The team that a key belongs to now.
+pub(crate) fn team_of(host: &Host, digest: Option<&KeyDigest>) -> Option<TeamId> {
+    let view = host.view.load();
+    view.team_of(digest?).map(|t| t.id.clone())
+}
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use axum::body::Body;
-use http::{HeaderMap, Response};
+use http::{HeaderMap, HeaderValue, Response};
 use wagtail_config::View;
 use wagtail_peer::{RelayHead, Step};
 use wagtail_route::{Lease, Outcome, Pass, Placement, Relayed, Request, Ticket};
-use wagtail_types::{AttemptId, Cause, EndpointId, Reason, Verdict};
+use wagtail_types::{Cause, EndpointId, Reason, Verdict};
 
 use crate::answer::{NOT_RUN, VERDICT};
 use crate::drive;
@@ -212,9 +212,10 @@
     let now = host.now();
     let attempt = host.attempt();
     let request = job.request(attempt, now);
+    let id = request.headers().get(intake::REQUEST).cloned();
     let sent = host.upstreams.send(endpoint.addr, request, job.left(now)).await;
     match sent {
-        Ok(response) => judge(host, &endpoint.id, job, slot, attempt, response),
+        Ok(response) => judge(host, &endpoint.id, job, slot, id.as_ref(), response),
         Err(verdict) => {
             slot.finish(Outcome::Failed);
             Err(Failure::of_attempt(verdict, job))
@@ -228,11 +229,11 @@
     endpoint: &EndpointId,
     job: &Job,
     slot: Slot,
-    attempt: AttemptId,
+    id: Option<&HeaderValue>,
     mut response: Response<Body>,
 ) -> Result<Response<Body>, Failure> {
     reports::passive(host, endpoint, response.headers());
-    if is_crossed(response.headers(), attempt) {
+    if is_crossed(response.headers(), id) {
         slot.finish(Outcome::Failed);
         return Err(Failure::of_attempt(Verdict::may_have_run(Cause::BadAnswer), job));
     }
@@ -253,9 +254,8 @@
 }
 
 /// Whether the answer names another request.
-fn is_crossed(headers: &HeaderMap, attempt: AttemptId) -> bool {
-    let want = attempt.to_string();
-    headers.get(intake::REQUEST).is_some_and(|id| id.as_bytes() != want.as_bytes())
+fn is_crossed(headers: &HeaderMap, id: Option<&HeaderValue>) -> bool {
+    headers.get(intake::REQUEST).is_some_and(|echo| Some(echo) != id)
 }
 
 async fn relay(host: &Arc<Host>, job: &mut Job, mut passing: Passing) -> Result<Response<Body>, Failure> {
