Add the host-to-host protocol: transport, authentication, relays

Cause: zones own their endpoints, so entry hosts must relay requests to one another and exchange control messages. Change: wagtail-peer runs capnp-rpc on its own thread. Connections start with a challenge and response over the fleet secret; control messages and relays have connections of their own. Bodies stream both ways by pulled chunks; a body cut short arrives as aborted. A call that was not sent is not-run, one lost after it was sent may-have-run relay-lost.

--- /dev/null
+++ b/crates/peer/src/peer.rs
@@ -0,0 +1,164 @@
+//! The public face of the protocol.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::runtime::{Builder, Handle};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::task::LocalSet;
+use wagtail_types::{Cause, HostId, Reason, Verdict};
+
+use crate::body::Body;
+use crate::codec;
+use crate::counts::{Counters, Counts};
+use crate::message::{Control, Handler, RelayAnswer, RelayHead};
+use crate::relay::Job;
+use crate::settings::Settings;
+use crate::worker::{Addresses, Command, Shared, Worker};
+
+const COMMANDS: usize = 4096;
+
+/// This host's end of the protocol. Its connections close when it is dropped.
+#[derive(Debug)]
+pub struct Peer {
+    addr: SocketAddr,
+    head_limit: usize,
+    commands: mpsc::Sender<Command>,
+    addresses: watch::Sender<Addresses>,
+    relays: Arc<Semaphore>,
+    stop: watch::Sender<bool>,
+    stopped: watch::Receiver<()>,
+    counters: Arc<Counters>,
+}
+
+impl Peer {
+    /// Starts listening on a thread of its own. The work of `handler` runs on `runtime`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound or the thread cannot start.
+    pub fn start(
+        settings: Settings,
+        handler: Arc<dyn Handler>,
+        runtime: Handle,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen)?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let (commands, received) = mpsc::channel(COMMANDS);
+        let (addresses, known) = watch::channel(Addresses::default());
+        let (stop, stopping) = watch::channel(false);
+        let (running, stopped) = watch::channel(());
+        let counters = Arc::new(Counters::default());
+        let peer = Self {
+            addr,
+            head_limit: settings.limits.head.as_usize(),
+            commands,
+            addresses,
+            relays: Arc::new(Semaphore::new(settings.limits.relays)),
+            stop,
+            stopped,
+            counters: counters.clone(),
+        };
+        let own = Builder::new_current_thread().enable_all().build()?;
+        let work = move || {
+            let _running = running;
+            let local = LocalSet::new();
+            local.block_on(&own, async move {
+                let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+                    return;
+                };
+                let shared = share(settings, counters, handler, runtime);
+                let worker = Worker::new(Rc::new(shared));
+                worker.run(listener, received, known, stopping).await;
+            });
+        };
+        thread::Builder::new().name("peer".to_owned()).spawn(work)?;
+        Ok(peer)
+    }
+
+    /// Where this host listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Replaces the addresses of the other hosts. Connections to a host that has moved or is no
+    /// longer known close once the relays on them have ended.
+    pub fn set_addresses(&self, addresses: HashMap<HostId, SocketAddr>) {
+        self.addresses.send_replace(Arc::new(addresses));
+    }
+
+    /// Sends a message if it can be sent soon; otherwise it is dropped and counted.
+    pub fn send(&self, to: &HostId, message: Control) {
+        let to = to.clone();
+        if self
+            .commands
+            .try_send(Command::Send { to, message })
+            .is_err()
+        {
+            self.counters.messages_dropped.up();
+        }
+    }
+
+    /// Has another host run a request. Dropping the future cancels the request there.
+    ///
+    /// # Errors
+    ///
+    /// The other host's verdict; `not-run` where the call was not sent; otherwise `may-have-run`.
+    pub async fn relay(
+        &self,
+        to: &HostId,
+        head: RelayHead,
+        body: Body,
+    ) -> Result<RelayAnswer, Verdict> {
+        if codec::relay::head_bytes(&head) > self.head_limit {
+            return Err(Verdict::not_run(Reason::BadRequest, None));
+        }
+        let Ok(_permit) = self.relays.try_acquire() else {
+            self.counters.relays_refused.up();
+            return Err(Verdict::not_run(Reason::Overloaded, None));
+        };
+        let (reply, outcome) = oneshot::channel();
+        let to = to.clone();
+        let job = Box::new(Job { head, body, reply });
+        let sent = self.commands.try_send(Command::Relay { to, job });
+        sent.map_err(|_| Verdict::not_run(Reason::Unavailable, None))?;
+        let lost = || Err(Verdict::may_have_run(Cause::RelayLost));
+        outcome.await.unwrap_or_else(|_| lost())
+    }
+
+    /// What has been counted since the start.
+    pub fn counts(&self) -> Counts {
+        self.counters.read()
+    }
+
+    /// Closes every connection and ends the thread. What is still in flight is lost, so the
+    /// relays should have ended before.
+    pub async fn stop(&self) {
+        self.stop.send_replace(true);
+        let mut stopped = self.stopped.clone();
+        while stopped.changed().await.is_ok() {}
+    }
+}
+
+fn share(
+    settings: Settings,
+    counters: Arc<Counters>,
+    handler: Arc<dyn Handler>,
+    runtime: Handle,
+) -> Shared {
+    Shared {
+        relays: Arc::new(Semaphore::new(settings.limits.relays)),
+        rng: StdRng::seed_from_u64(settings.seed).into(),
+        settings,
+        counters,
+        handler,
+        runtime,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/relay.rs
@@ -0,0 +1,104 @@
+//! Relays on their way to another host.
+
+use std::any::Any;
+use std::rc::Rc;
+
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+use wagtail_types::{Cause, Reason, Verdict};
+
+use crate::body::{self, Body, Pieces, Source};
+use crate::client::Connection;
+use crate::codec;
+use crate::message::{RelayAnswer, RelayHead};
+use crate::peer_capnp::peer::relay_results;
+use crate::worker::{Remote, Shared};
+
+/// A relay and where its outcome goes.
+pub(crate) struct Job {
+    pub(crate) head: RelayHead,
+    pub(crate) body: Body,
+    pub(crate) reply: oneshot::Sender<Result<RelayAnswer, Verdict>>,
+}
+
+/// Runs a relay; it is cancelled when nobody waits for its outcome any more.
+pub(crate) async fn run(shared: Rc<Shared>, remote: Rc<Remote>, job: Job) {
+    let Job {
+        head,
+        body,
+        mut reply,
+    } = job;
+    let outcome = tokio::select! {
+        outcome = relay(&shared, &remote, &head, body) => outcome,
+        () = reply.closed() => return,
+    };
+    if outcome.as_ref().is_err_and(|v| !v.is_not_run()) {
+        shared.counters.relays_lost.up();
+    }
+    let _ = reply.send(outcome);
+}
+
+async fn relay(
+    shared: &Rc<Shared>,
+    remote: &Rc<Remote>,
+    head: &RelayHead,
+    body: Body,
+) -> Result<RelayAnswer, Verdict> {
+    let connection = remote.relay.get(shared, remote).await;
+    let connection = connection.map_err(|_| Verdict::not_run(Reason::ConnectFailed, None))?;
+    let mut pieces = Pieces::new(body);
+    let first = pieces.first().await;
+
+    let mut request = connection.client.relay_request();
+    let mut params = request.get();
+    codec::relay::write_head(params.reborrow().init_head(), head);
+    first.write(params.reborrow().init_body());
+    if !first.is_last() {
+        params.set_more(Source::client(pieces));
+    }
+    shared.counters.relays_out.up();
+    let answer = request.send().promise;
+    let lost = || Verdict::may_have_run(Cause::RelayLost);
+    let response = tokio::select! {
+        response = answer => response.map_err(|_| lost())?,
+        () = connection.closed().wait() => return Err(lost()),
+        () = watch(shared, &connection) => return Err(lost()),
+    };
+    let results = response.get().map_err(|_| lost())?;
+    read_answer(results, connection).unwrap_or_else(|_| {
+        shared.counters.malformed.up();
+        Err(Verdict::may_have_run(Cause::BadAnswer))
+    })
+}
+
+/// Ends when the other side no longer answers at all, and closes the connection.
+async fn watch(shared: &Shared, connection: &Connection) {
+    let stall = shared.settings.limits.stall;
+    loop {
+        sleep(stall / 2).await;
+        let check = connection.client.control_request().send().promise;
+        if !matches!(timeout(stall, check).await, Ok(Ok(_))) {
+            connection.close();
+            return;
+        }
+    }
+}
+
+fn read_answer(
+    results: relay_results::Reader<'_>,
+    connection: Rc<Connection>,
+) -> Result<Result<RelayAnswer, Verdict>, codec::Malformed> {
+    let (status, headers) = match codec::relay::read_outcome(results.get_outcome()?)? {
+        Ok(answer) => answer,
+        Err(verdict) => return Ok(Err(verdict)),
+    };
+    let first = body::Piece::read(results.get_body()?)?;
+    let more = results.has_more().then(|| results.get_more()).transpose()?;
+    let closed = connection.closed();
+    let hold: Rc<dyn Any> = connection;
+    Ok(Ok(RelayAnswer {
+        status,
+        headers,
+        body: body::receive(first, more, closed, hold),
+    }))
+}
--- /dev/null
+++ b/crates/peer/src/worker.rs
@@ -0,0 +1,157 @@
+//! The thread that owns every connection.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use rand::rngs::StdRng;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::time::{MissedTickBehavior, interval};
+use wagtail_types::{HostId, Reason, Verdict};
+
+use crate::accept::accept_all;
+use crate::control;
+use crate::counts::Counters;
+use crate::handshake::{Identity, Purpose};
+use crate::lane::Lane;
+use crate::message::{Control, Handler};
+use crate::relay;
+use crate::settings::{Line, Settings};
+
+/// Addresses of the other hosts.
+pub(crate) type Addresses = Arc<HashMap<HostId, SocketAddr>>;
+
+/// What the other threads ask of the peer's thread.
+pub(crate) enum Command {
+    Send { to: HostId, message: Control },
+    Relay { to: HostId, job: Box<relay::Job> },
+}
+
+/// What every task on the thread uses.
+pub(crate) struct Shared {
+    pub(crate) settings: Settings,
+    pub(crate) counters: Arc<Counters>,
+    pub(crate) handler: Arc<dyn Handler>,
+    pub(crate) runtime: Handle,
+    pub(crate) relays: Arc<Semaphore>,
+    pub(crate) rng: RefCell<StdRng>,
+}
+
+impl Shared {
+    pub(crate) fn identity(&self) -> Identity {
+        Identity {
+            host: self.settings.me.clone(),
+            incarnation: self.settings.incarnation,
+        }
+    }
+
+    pub(crate) fn line(&self, to: &HostId) -> Option<Line> {
+        self.settings.lines.as_ref().map(|lines| lines.state(to))
+    }
+}
+
+/// Another host and the connections to it.
+pub(crate) struct Remote {
+    pub(crate) host: HostId,
+    pub(crate) addr: Cell<Option<SocketAddr>>,
+    pub(crate) control: Lane,
+    pub(crate) relay: Lane,
+}
+
+/// Owns the connections to all other hosts.
+pub(crate) struct Worker {
+    shared: Rc<Shared>,
+    remotes: HashMap<HostId, (Rc<Remote>, mpsc::Sender<Control>)>,
+}
+
+impl Worker {
+    pub(crate) fn new(shared: Rc<Shared>) -> Self {
+        Self {
+            shared,
+            remotes: HashMap::new(),
+        }
+    }
+
+    /// Serves until told to stop.
+    pub(crate) async fn run(
+        mut self,
+        listener: TcpListener,
+        mut commands: mpsc::Receiver<Command>,
+        mut addresses: watch::Receiver<Addresses>,
+        mut stop: watch::Receiver<bool>,
+    ) {
+        let accepting = tokio::task::spawn_local(accept_all(self.shared.clone(), listener));
+        let mut check = interval(self.shared.settings.limits.idle / 2);
+        check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = stop.wait_for(|stop| *stop) => break,
+                Ok(()) = addresses.changed() => {
+                    let known = addresses.borrow_and_update().clone();
+                    self.move_to(&known);
+                }
+                Some(command) = commands.recv() => self.handle(command),
+                _ = check.tick() => self.close_idle(),
+            }
+        }
+        accepting.abort();
+    }
+
+    fn handle(&mut self, command: Command) {
+        match command {
+            Command::Send { to, message } => {
+                let queue = self.remotes.get(&to).map(|(_, queue)| queue);
+                if queue.is_none_or(|q| q.try_send(message).is_err()) {
+                    self.shared.counters.messages_dropped.up();
+                }
+            }
+            Command::Relay { to, job } => {
+                let Some((remote, _)) = self.remotes.get(&to) else {
+                    let unknown = Verdict::not_run(Reason::ConnectFailed, None);
+                    let _ = job.reply.send(Err(unknown));
+                    return;
+                };
+                tokio::task::spawn_local(relay::run(self.shared.clone(), remote.clone(), *job));
+            }
+        }
+    }
+
+    fn move_to(&mut self, known: &HashMap<HostId, SocketAddr>) {
+        self.remotes.retain(|host, _| known.contains_key(host));
+        for (host, addr) in known {
+            let shared = &self.shared;
+            let (remote, _) = self
+                .remotes
+                .entry(host.clone())
+                .or_insert_with(|| add(shared, host));
+            if remote.addr.replace(Some(*addr)) != Some(*addr) {
+                remote.control.close();
+                remote.relay.close();
+            }
+        }
+    }
+
+    fn close_idle(&self) {
+        for (remote, _) in self.remotes.values() {
+            remote.control.close_idle(&self.shared);
+            remote.relay.close_idle(&self.shared);
+        }
+    }
+}
+
+fn add(shared: &Rc<Shared>, host: &HostId) -> (Rc<Remote>, mpsc::Sender<Control>) {
+    let remote = Rc::new(Remote {
+        host: host.clone(),
+        addr: Cell::new(None),
+        control: Lane::new(Purpose::Control, shared),
+        relay: Lane::new(Purpose::Relay, shared),
+    });
+    let (queue, queued) = mpsc::channel(shared.settings.limits.queue);
+    tokio::task::spawn_local(control::send_all(shared.clone(), remote.clone(), queued));
+    (remote, queue)
+}
--- /dev/null
+++ b/crates/peer/tests/contract/control.rs
@@ -0,0 +1,222 @@
+//! Control messages, authentication and bad input.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wagtail_peer::{Control, Counts, Limits, Line, Lines, Peer, Settings, empty_body};
+use wagtail_types::{Incarnation, Reason, Verdict};
+
+use crate::fleet::{Fake, Fleet, SECRET, head, host, peer, settings};
+
+fn leaving(name: &str) -> Control {
+    Control::Leaving(name.parse().expect("endpoint name"))
+}
+
+/// Waits until a count is reached, as it is raised on another thread.
+async fn until(peer: &Peer, reached: impl Fn(Counts) -> bool) {
+    while !reached(peer.counts()) {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn messages_arrive_in_order_with_their_sender() {
+    let fleet = Fleet::start(Fake::echo(), Limits::default());
+    let sent: Vec<_> = (0..100).map(|n| leaving(&format!("e{n}"))).collect();
+    for message in &sent {
+        fleet.entry.send(&host("owner"), message.clone());
+    }
+    let received = fleet.fake.controls(sent.len()).await;
+    for ((from, incarnation, message), sent) in received.iter().zip(&sent) {
+        assert_eq!((from, incarnation), (&host("entry"), &Incarnation(7)));
+        assert_eq!(message, sent);
+    }
+    let counts = fleet.entry.counts();
+    assert_eq!((counts.messages_out, counts.messages_dropped), (100, 0));
+    assert!(counts.control_out > 0 && counts.relay_out == 0);
+}
+
+#[tokio::test]
+async fn messages_that_cannot_be_sent_are_dropped_and_counted() {
+    let limits = Limits {
+        queue: 4,
+        ..Limits::default()
+    };
+    let fleet = Fleet::start(Fake::echo(), limits);
+    fleet.entry.send(&host("nobody"), leaving("e1"));
+    until(&fleet.entry, |c| c.messages_dropped == 1).await;
+
+    fleet.owner.stop().await;
+    for _ in 0..100 {
+        fleet.entry.send(&host("owner"), leaving("e1"));
+    }
+    until(&fleet.entry, |c| c.messages_dropped == 101).await;
+    assert_eq!(fleet.entry.counts().messages_out, 0);
+}
+
+#[tokio::test]
+async fn a_host_that_comes_back_elsewhere_is_found_again() {
+    let fleet = Fleet::start(Fake::echo(), Limits::default());
+    assert!(fleet.relay(head(), empty_body()).await.is_ok());
+    fleet.owner.stop().await;
+    let fake = Arc::new(Fake::echo());
+    let again = peer("owner", SECRET, Limits::default(), fake.clone());
+    let moved = HashMap::from([(host("owner"), again.addr())]);
+    fleet.entry.set_addresses(moved);
+    while fleet.relay(head(), empty_body()).await.is_err() {}
+    assert_eq!(fake.heads().len(), 1);
+}
+
+#[tokio::test]
+async fn a_wrong_secret_is_refused_on_both_sides() {
+    let entry = peer("entry", SECRET, Limits::default(), Arc::new(Fake::echo()));
+    let fake = Arc::new(Fake::echo());
+    let stranger = peer(
+        "owner",
+        "another secret of a fleet",
+        Limits::default(),
+        fake.clone(),
+    );
+    entry.set_addresses(HashMap::from([(host("owner"), stranger.addr())]));
+    let outcome = entry.relay(&host("owner"), head(), empty_body()).await;
+    let refused = Verdict::not_run(Reason::ConnectFailed, None);
+    assert_eq!(outcome.map(|_| ()), Err(refused));
+    assert_eq!(entry.counts().auth_failures, 1);
+    assert!(fake.heads().is_empty());
+}
+
+#[tokio::test]
+async fn another_host_at_the_address_is_refused() {
+    let fleet = Fleet::start(Fake::echo(), Limits::default());
+    let wrong = HashMap::from([(host("third"), fleet.owner.addr())]);
+    fleet.entry.set_addresses(wrong);
+    let outcome = fleet
+        .entry
+        .relay(&host("third"), head(), empty_body())
+        .await;
+    let refused = Verdict::not_run(Reason::ConnectFailed, None);
+    assert_eq!(outcome.map(|_| ()), Err(refused));
+    assert_eq!(fleet.entry.counts().wrong_hosts, 1);
+}
+
+#[tokio::test]
+async fn bytes_that_are_not_the_protocol_close_the_connection() {
+    let mut hello = b"wtp1\0".to_vec();
+    hello.extend([0; 40]);
+    let with_name = |name: &[u8]| {
+        let length = u8::try_from(name.len()).expect("short");
+        [hello.as_slice(), &[length], name].concat()
+    };
+    let cases = [
+        (
+            "magic",
+            b"GET / HTTP/1.1\r\nhost: owner.of.the.zone.example\r\n\r\n".to_vec(),
+        ),
+        ("purpose", [b"wtp1\x09".as_slice(), &[0; 41]].concat()),
+        ("name length", [hello.as_slice(), &[255]].concat()),
+        ("name", with_name(b"NOT A NAME")),
+        ("empty name", with_name(b"")),
+    ];
+    for (what, bytes) in cases {
+        let fleet = Fleet::start(Fake::echo(), Limits::default());
+        let mut stream = TcpStream::connect(fleet.owner.addr()).expect("connects");
+        stream.write_all(&bytes).expect("sends");
+        until(&fleet.owner, |c| c.malformed == 1).await;
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest);
+        assert!(rest.is_empty(), "{what}: nothing is answered");
+        assert!(fleet.relay(head(), empty_body()).await.is_ok(), "{what}");
+    }
+}
+
+#[tokio::test]
+async fn a_wrong_proof_closes_the_connection() {
+    let fleet = Fleet::start(Fake::echo(), Limits::default());
+    let mut stream = TcpStream::connect(fleet.owner.addr()).expect("connects");
+    let hello = [b"wtp1\0".as_slice(), &[0; 40], &[5], b"entry"].concat();
+    stream
+        .write_all(&[hello.as_slice(), &[0; 32]].concat())
+        .expect("sends");
+    until(&fleet.owner, |c| c.auth_failures == 1).await;
+    assert_eq!(fleet.owner.counts().malformed, 0);
+}
+
+#[tokio::test]
+async fn a_message_over_the_limit_closes_the_connection_and_is_counted() {
+    let small = Limits {
+        message: wagtail_types::Bytes(4096),
+        ..Limits::default()
+    };
+    let fake = Arc::new(Fake::echo());
+    let owner = peer("owner", SECRET, small, fake.clone());
+    let entry = peer("entry", SECRET, Limits::default(), Arc::new(Fake::echo()));
+    entry.set_addresses(HashMap::from([(host("owner"), owner.addr())]));
+    let mut large = head();
+    large.path = format!("/{}", "p".repeat(20_000));
+    let outcome = entry.relay(&host("owner"), large, empty_body()).await;
+    assert!(outcome.is_err_and(|v| !v.is_not_run()));
+    until(&owner, |c| c.malformed == 1).await;
+    assert!(fake.heads().is_empty());
+    assert!(
+        entry
+            .relay(&host("owner"), head(), empty_body())
+            .await
+            .is_ok()
+    );
+}
+
+#[tokio::test]
+async fn too_many_connections_are_refused_and_counted() {
+    let none = Limits {
+        connections: 0,
+        ..Limits::default()
+    };
+    let fleet = Fleet::start(Fake::echo(), none);
+    let outcome = fleet.relay(head(), empty_body()).await;
+    let refused = Verdict::not_run(Reason::ConnectFailed, None);
+    assert_eq!(outcome.map(|_| ()), Err(refused));
+    assert_eq!(fleet.owner.counts().connections_refused, 1);
+}
+
+#[tokio::test]
+async fn a_line_that_is_down_is_not_run_and_one_that_stalls_is_lost() {
+    let quick = Limits {
+        connect: Duration::from_millis(50),
+        stall: Duration::from_millis(50),
+        ..Limits::default()
+    };
+    let (down, state) = tokio::sync::watch::channel(Line::Down);
+    let lines = Lines::new(move |_| *state.borrow());
+    let fake = Arc::new(Fake::new(|_, _| std::future::pending()));
+    let owner = peer("owner", SECRET, quick.clone(), fake.clone());
+    let entry = Settings {
+        lines: Some(lines),
+        ..settings("entry", SECRET, quick)
+    };
+    let runtime = tokio::runtime::Handle::current();
+    let entry = Peer::start(entry, Arc::new(Fake::echo()), runtime).expect("starts");
+    entry.set_addresses(HashMap::from([(host("owner"), owner.addr())]));
+    let to = host("owner");
+    let relay = || entry.relay(&to, head(), empty_body());
+    assert!(relay().await.is_err_and(|v| v.is_not_run()));
+
+    down.send_replace(Line::Up(Duration::from_micros(10)));
+    let cut = async {
+        fake.started(1).await;
+        down.send_replace(Line::Down);
+    };
+    let until_sent = async {
+        loop {
+            match relay().await {
+                Err(Verdict::NotRun { .. }) => {}
+                other => return other.map(|_| ()),
+            }
+        }
+    };
+    let (outcome, ()) = tokio::join!(until_sent, cut);
+    let lost = Verdict::may_have_run(wagtail_types::Cause::RelayLost);
+    assert_eq!(outcome, Err(lost));
+}
--- /dev/null
+++ b/crates/peer/tests/contract/fleet.rs
@@ -0,0 +1,209 @@
+//! Two peers on loopback, the second with a handler that tests choose.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+use http_body_util::BodyExt;
+use tokio::runtime::Handle;
+use tokio::sync::{Notify, watch};
+use wagtail_peer::{
+    Aborted, Body, BoxFuture, Control, Handler, Limits, Peer, RelayAnswer, RelayHead, Settings,
+    Step, full_body,
+};
+use wagtail_types::{AttemptId, Cause, HostId, Incarnation, Verdict};
+
+pub(crate) const SECRET: &str = "a secret of the fleet";
+
+type Work = dyn Fn(RelayHead, Body) -> BoxFuture<Result<RelayAnswer, Verdict>> + Send + Sync;
+
+/// A handler that notes what it is given.
+pub(crate) struct Fake {
+    work: Box<Work>,
+    heads: Mutex<Vec<RelayHead>>,
+    started: watch::Sender<usize>,
+    dropped: watch::Sender<usize>,
+    controls: watch::Sender<Vec<(HostId, Incarnation, Control)>>,
+}
+
+impl Fake {
+    pub(crate) fn new<F, W>(work: W) -> Self
+    where
+        W: Fn(RelayHead, Body) -> F + Send + Sync + 'static,
+        F: Future<Output = Result<RelayAnswer, Verdict>> + Send + 'static,
+    {
+        Self {
+            work: Box::new(move |head, body| Box::pin(work(head, body))),
+            heads: Mutex::default(),
+            started: watch::Sender::default(),
+            dropped: watch::Sender::default(),
+            controls: watch::Sender::default(),
+        }
+    }
+
+    /// Answers with the request's body.
+    pub(crate) fn echo() -> Self {
+        Self::new(|_, body| async {
+            Ok(RelayAnswer {
+                status: StatusCode::OK,
+                headers: HeaderMap::new(),
+                body,
+            })
+        })
+    }
+
+    pub(crate) fn heads(&self) -> Vec<RelayHead> {
+        self.heads.lock().expect("heads").clone()
+    }
+
+    pub(crate) async fn started(&self, count: usize) {
+        let mut started = self.started.subscribe();
+        started.wait_for(|n| *n >= count).await.expect("started");
+    }
+
+    pub(crate) async fn dropped(&self, count: usize) {
+        let mut dropped = self.dropped.subscribe();
+        dropped.wait_for(|n| *n >= count).await.expect("dropped");
+    }
+
+    pub(crate) async fn controls(&self, count: usize) -> Vec<(HostId, Incarnation, Control)> {
+        let mut controls = self.controls.subscribe();
+        let enough = controls.wait_for(|list| list.len() >= count).await;
+        enough.expect("controls").clone()
+    }
+}
+
+struct Dropped(watch::Sender<usize>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        self.0.send_modify(|n| *n += 1);
+    }
+}
+
+impl Handler for Fake {
+    fn control(&self, from: &HostId, incarnation: Incarnation, message: Control) {
+        let entry = (from.clone(), incarnation, message);
+        self.controls.send_modify(|list| list.push(entry));
+    }
+
+    fn relay(
+        &self,
+        _: HostId,
+        head: RelayHead,
+        body: Body,
+    ) -> BoxFuture<Result<RelayAnswer, Verdict>> {
+        self.heads.lock().expect("heads").push(head.clone());
+        self.started.send_modify(|n| *n += 1);
+        let dropped = Dropped(self.dropped.clone());
+        let work = (self.work)(head, body);
+        Box::pin(async move {
+            let _dropped = dropped;
+            work.await
+        })
+    }
+}
+
+/// Tells when its last user is gone.
+#[derive(Clone, Default)]
+pub(crate) struct Bell {
+    gone: Arc<Notify>,
+    ring: bool,
+}
+
+impl Bell {
+    pub(crate) fn handle(&self) -> Arc<Notify> {
+        self.gone.clone()
+    }
+
+    /// A copy that rings when it is dropped.
+    pub(crate) fn armed(&self) -> Self {
+        Self {
+            gone: self.gone.clone(),
+            ring: true,
+        }
+    }
+}
+
+impl Drop for Bell {
+    fn drop(&mut self) {
+        if self.ring {
+            self.gone.notify_one();
+        }
+    }
+}
+
+/// An entry host and an owner.
+pub(crate) struct Fleet {
+    pub(crate) entry: Peer,
+    pub(crate) owner: Peer,
+    pub(crate) fake: Arc<Fake>,
+}
+
+impl Fleet {
+    pub(crate) fn start(fake: Fake, limits: Limits) -> Self {
+        let fake = Arc::new(fake);
+        let entry = peer("entry", SECRET, limits.clone(), Arc::new(Fake::echo()));
+        let owner = peer("owner", SECRET, limits, fake.clone());
+        entry.set_addresses(HashMap::from([(host("owner"), owner.addr())]));
+        Self { entry, owner, fake }
+    }
+
+    pub(crate) async fn relay(&self, head: RelayHead, body: Body) -> Result<RelayAnswer, Verdict> {
+        self.entry.relay(&host("owner"), head, body).await
+    }
+}
+
+pub(crate) fn host(name: &str) -> HostId {
+    name.parse().expect("host name")
+}
+
+pub(crate) fn settings(name: &str, secret: &str, limits: Limits) -> Settings {
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let secret = secret.parse().expect("secret");
+    Settings {
+        limits,
+        ..Settings::new(host(name), Incarnation(7), listen, secret)
+    }
+}
+
+pub(crate) fn peer(name: &str, secret: &str, limits: Limits, handler: Arc<Fake>) -> Peer {
+    let settings = settings(name, secret, limits);
+    Peer::start(settings, handler, Handle::current()).expect("starts")
+}
+
+pub(crate) fn head() -> RelayHead {
+    RelayHead {
+        attempt: AttemptId(42),
+        step: Step::Owner,
+        method: Method::POST,
+        path: "/dossier?part=2".to_owned(),
+        headers: HeaderMap::new(),
+        service: "submit".parse().expect("service"),
+        team: Some("lead".parse().expect("team")),
+        deadline: None,
+        idempotent: false,
+        key: Some("wt1-key".to_owned()),
+        print: Some(u128::MAX - 3),
+        tried: vec!["cymru-1".parse().expect("zone")],
+    }
+}
+
+/// The whole body of an answer.
+pub(crate) async fn body_of(answer: RelayAnswer) -> Result<Bytes, Aborted> {
+    Ok(answer.body.collect().await?.to_bytes())
+}
+
+/// An answer with the request's whole body.
+pub(crate) async fn text(body: Body) -> Result<RelayAnswer, Verdict> {
+    let cut = |_| Verdict::may_have_run(Cause::BadAnswer);
+    let body = body.collect().await.map_err(cut)?.to_bytes();
+    Ok(RelayAnswer {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: full_body(body),
+    })
+}
--- /dev/null
+++ b/crates/peer/tests/contract/main.rs
@@ -0,0 +1,5 @@
+//! Contract tests of the host-to-host protocol on real sockets.
+
+mod control;
+mod fleet;
+mod relay;
