--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -6,11 +6,11 @@
 mod member;
 mod route;
 
-pub(crate) use config::{handle as sync_input, syncing};
+pub(crate) use config::{addresses, handle as sync_input, syncing};
 pub(crate) use dedupe::{deduping, handle as dedupe_input};
 pub(crate) use limit::{handle as limit_input, limiting};
 pub(crate) use member::{handle as member_input, membership, spread};
-pub(crate) use route::routing;
+pub(crate) use route::{routing, send};
 
 use std::hash::Hash;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/entryd/src/drive/config.rs
@@ -0,0 +1,117 @@
+//! Effects of config adoption.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slog::info;
+use wagtail_config::{SyncEffect, SyncInput, View};
+use wagtail_member::HostInfo;
+use wagtail_peer::Control;
+
+use super::route::send;
+use crate::host::Host;
+use crate::plan::{self, Sites};
+use crate::records;
+
+/// Carries out the effects of config adoption.
+pub(crate) fn syncing(host: &Arc<Host>) {
+    let mut effects = Vec::new();
+    let mut syncing = host.syncing.lock();
+    while let Some(effect) = syncing.machine.poll_effect() {
+        effects.push(effect);
+    }
+    drop(syncing);
+    for effect in effects {
+        perform(host, effect);
+    }
+    host.syncing.notify();
+}
+
+fn perform(host: &Arc<Host>, effect: SyncEffect) {
+    match effect {
+        SyncEffect::Scan { request, since, after, limit } => {
+            let host = host.clone();
+            tokio::spawn(async move {
+                let scanned = records::scan(&*host.platform, since, after, limit).await;
+                let input = match scanned {
+                    Some((page, snapshot)) => SyncInput::Scanned { request, page, snapshot },
+                    None => SyncInput::Failed { request },
+                };
+                handle(&host, input);
+            });
+        }
+        SyncEffect::Fetch { request, snapshot } => {
+            let host = host.clone();
+            tokio::spawn(async move {
+                let input = match records::fetch(&*host.platform, &snapshot).await {
+                    Some(snapshot) => SyncInput::Fetched { request, snapshot },
+                    None => SyncInput::Failed { request },
+                };
+                handle(&host, input);
+            });
+        }
+        SyncEffect::Send { to, message } => send(host, &to, Control::Config(message)),
+        SyncEffect::Contact { asked, epoch } => {
+            let contact = wagtail_member::Input::TableContact { at: asked, head: epoch };
+            super::member_input(host, contact);
+        }
+        SyncEffect::Adopted(view) => adopt(host, view),
+    }
+}
+
+/// Puts a view in force on this host.
+fn adopt(host: &Arc<Host>, view: Arc<View>) {
+    let old = host.view.load_full();
+    if view.epoch() <= old.epoch() {
+        return;
+    }
+    info!(host.log, "config adopted"; "epoch" => %view.epoch(), "issues" => view.issues().len());
+    host.metrics.gauge("config.epoch", view.epoch().0);
+    let sites = Sites::build(&view, Some((&old, &host.sites.load())));
+    host.sites.store(Arc::new(sites));
+    // From here on every request is judged by the new records.
+    host.view.store(view.clone());
+    let topology = wagtail_route::Input::Topology(plan::topology(&view));
+    host.routing.lock().machine.handle(host.now(), topology);
+    super::routing(host);
+    let (teams, shards) = plan::limits(&view);
+    let epoch = view.epoch();
+    super::limit_input(host, wagtail_quota::Input::Config { epoch, teams, shards });
+    if let Some(peer) = host.peer() {
+        peer.set_addresses(addresses(host, &view));
+    }
+    super::member_input(host, wagtail_member::Input::Hosts(infos(&view)));
+    super::member_input(host, wagtail_member::Input::Adopted(epoch));
+    super::spread(host);
+    host.upstreams.retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
+    host.adopted.notify_one();
+}
+
+/// Addresses of the other hosts: of the records, and of the seeds that no record names.
+pub(crate) fn addresses(
+    host: &Host,
+    view: &View,
+) -> HashMap<wagtail_types::HostId, std::net::SocketAddr> {
+    let seeds = host.settings.seeds.iter().map(|s| (s.host.clone(), s.addr));
+    let records = view.hosts().values().map(|h| (h.id.clone(), h.peer));
+    let mut all: HashMap<_, _> = seeds.chain(records).collect();
+    all.remove(&host.settings.host);
+    all
+}
+
+fn infos(view: &View) -> Vec<HostInfo> {
+    view.hosts()
+        .values()
+        .filter_map(|h| {
+            let region = view.region_of(&h.zone)?.clone();
+            Some(HostInfo::new(h.id.clone(), h.zone.clone(), region))
+        })
+        .collect()
+}
+
+/// Hands an input to config adoption.
+pub(crate) fn handle(host: &Arc<Host>, input: SyncInput) {
+    let now = host.now();
+    host.syncing.lock().machine.handle(now, input);
+    syncing(host);
+}
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -82,6 +82,8 @@
     pub(crate) peer: std::sync::OnceLock<Peer>,
     /// The platform.
     pub(crate) platform: Arc<dyn Platform>,
+    /// Signals that a configuration is in force.
+    pub(crate) adopted: Notify,
     /// Signals that every quota shard is handed back.
     pub(crate) released: Notify,
     /// Signals that a later life of this host is there.
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -1,1 +1,36 @@
 //! The daemon on each entry host.
+//!
+//! [`start`] runs one entry host in this process: it answers look-ups, carries requests to
+//! endpoints and keeps the fleet's promises together with the other hosts.
+
+mod answer;
+mod api;
+mod drive;
+mod host;
+mod intake;
+mod job;
+mod keyed;
+mod lifecycle;
+mod logs;
+mod metrics;
+mod plan;
+mod records;
+mod relay;
+mod reports;
+mod request;
+mod rows;
+mod run;
+mod server;
+mod settings;
+mod start;
+mod stats;
+mod tasks;
+mod tracked;
+mod upstream;
+mod waiting;
+
+pub use api::{Keys, Lookup, LookupHost};
+pub use lifecycle::Phase;
+pub use settings::{Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help};
+pub use start::{Options, RunError, Running, run, start};
+pub use stats::{Summary, Trend};
--- a/crates/entryd/src/server.rs
+++ b/crates/entryd/src/server.rs
@@ -11,6 +11,7 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tower::ServiceExt;
 
@@ -33,6 +34,7 @@
 pub(crate) struct Server {
     addr: SocketAddr,
     stop: watch::Sender<bool>,
+    cut: CancellationToken,
     tasks: TaskTracker,
 }
 
@@ -42,9 +44,11 @@
         let addr = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let tasks = TaskTracker::new();
-        let acceptor = Acceptor { router, limits, stopped, tasks: tasks.clone() };
+        let cut = CancellationToken::new();
+        let acceptor =
+            Acceptor { router, limits, stopped, cut: cut.clone(), tasks: tasks.clone() };
         tasks.spawn(acceptor.run(listener));
-        Ok(Self { addr, stop, tasks })
+        Ok(Self { addr, stop, cut, tasks })
     }
 
     /// The address that callers connect to.
@@ -60,10 +64,19 @@
     }
 }
 
+impl Server {
+    /// Ends every connection at once.
+    pub(crate) fn abort(&self) {
+        self.cut.cancel();
+        self.stop.send_replace(true);
+    }
+}
+
 struct Acceptor {
     router: Router,
     limits: Limits,
     stopped: watch::Receiver<bool>,
+    cut: CancellationToken,
     tasks: TaskTracker,
 }
 
@@ -81,8 +94,9 @@
                 continue;
             };
             let serving = self.serve(stream, from);
+            let cut = self.cut.clone();
             self.tasks.spawn(async move {
-                serving.await;
+                cut.run_until_cancelled(serving).await;
                 drop(slot);
             });
         }
--- a/crates/entryd/src/settings.rs
+++ b/crates/entryd/src/settings.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use wagtail_types::{Bytes, HostId, RegionId, ZoneId};
+use wagtail_types::{Bytes, HostId, ParseError, RegionId, ZoneId};
 
 const ENV_PREFIX: &str = "WAGTAIL_";
 const SECRET_MIN_BYTES: usize = 16;
@@ -39,6 +39,7 @@
     spec("ops-listen", "IP:PORT", Some("127.0.0.1:0"), "address for operators"),
     spec("peer-listen", "IP:PORT", Some("127.0.0.1:0"), "address for other entry hosts"),
     spec("platform", "IP:PORT", None, "address of the table service and object store"),
+    spec("seeds", "LIST", Some(""), "NAME@IP:PORT,... of hosts to ask while the platform is out"),
     spec("fleet-secret", "TEXT", None, "secret shared by all entry hosts; prefer the variable"),
     spec("fleet-size", "COUNT", Some("11"), "number of entry hosts that share the platform"),
     spec("statsd", "IP:PORT", Some(""), "where counters and gauges go by UDP; empty for none"),
@@ -109,7 +110,7 @@
 
 /// The secret that entry hosts share. Never shown.
 #[derive(Clone)]
-pub struct Secret(pub(crate) Vec<u8>);
+pub struct Secret(pub(crate) String);
 
 impl std::fmt::Debug for Secret {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -117,6 +118,25 @@
     }
 }
 
+/// A host to ask while the platform is out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seed {
+    /// Its name.
+    pub host: HostId,
+    /// Where other hosts reach it.
+    pub addr: SocketAddr,
+}
+
+impl FromStr for Seed {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let fail = || ParseError::new("seed", text, "a form like NAME@IP:PORT was expected");
+        let (host, addr) = text.split_once('@').ok_or_else(fail)?;
+        Ok(Self { host: host.parse()?, addr: addr.parse().map_err(|_| fail())? })
+    }
+}
+
 /// Sizes and counts that bound what callers can make the host hold.
 #[derive(Debug, Clone)]
 pub struct Limits {
@@ -176,6 +196,8 @@
     pub peer: SocketAddr,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Hosts to ask while the platform is out.
+    pub seeds: Vec<Seed>,
     /// Secret shared by all entry hosts.
     pub secret: Secret,
     /// Number of entry hosts.
@@ -309,6 +331,7 @@
             ops: raw.get("ops-listen")?,
             peer: raw.get("peer-listen")?,
             platform: raw.get("platform")?,
+            seeds: seeds(&raw)?,
             secret: secret(&raw)?,
             fleet: raw.get("fleet-size")?,
             statsd: statsd(&raw)?,
@@ -345,7 +368,12 @@
     if text.len() < SECRET_MIN_BYTES {
         return Err(SettingsError::value("fleet-secret", "it must have at least 16 bytes"));
     }
-    Ok(Secret(text.as_bytes().to_vec()))
+    Ok(Secret(text.to_owned()))
+}
+
+fn seeds(raw: &Raw) -> Result<Vec<Seed>, SettingsError> {
+    let list = raw.text("seeds")?.split(',').filter(|s| !s.is_empty());
+    list.map(|s| s.trim().parse().map_err(|e| SettingsError::value("seeds", e))).collect()
 }
 
 fn statsd(raw: &Raw) -> Result<Option<SocketAddr>, SettingsError> {
--- /dev/null
+++ b/crates/entryd/src/start.rs
@@ -0,0 +1,333 @@
+//! Starting and stopping one entry host.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, UNIX_EPOCH};
+
+use derive_more::{Display, Error, From};
+use rand::Rng;
+use slog::{Logger, info, o, warn};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use wagtail_config::{ConfigSync, SyncInput, SyncSettings, View};
+use wagtail_member::{HostInfo, Member};
+use wagtail_once::Once;
+use wagtail_peer::{FleetSecret, Lines, Peer};
+use wagtail_platform::{HttpClient, HttpSettings, Platform};
+use wagtail_quota::Quota;
+use wagtail_route::{Directory, Router};
+use wagtail_types::{Clock, Incarnation, SystemClock};
+
+use crate::api;
+use crate::drive;
+use crate::host::{Host, rng};
+use crate::lifecycle::{Serving, Starting};
+use crate::metrics::Metrics;
+use crate::plan::Sites;
+use crate::relay::Inbox;
+use crate::server::{self, Server};
+use crate::settings::Settings;
+use crate::stats::Stats;
+use crate::tasks;
+use crate::upstream::Upstreams;
+use crate::waiting::Waiting;
+
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What an embedder may put in place of the defaults.
+#[derive(Clone)]
+pub struct Options {
+    /// Where log lines go.
+    pub log: Logger,
+    /// The time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform; by default the one at the address in the settings.
+    pub platform: Option<Arc<dyn Platform>>,
+    /// How the lines to other hosts behave, for experiments.
+    pub lines: Option<Lines>,
+}
+
+impl Options {
+    /// The operating system's clock and the platform of the settings.
+    pub fn new(log: Logger) -> Self {
+        Self { log, clock: Arc::new(SystemClock), platform: None, lines: None }
+    }
+}
+
+/// Why a host could not start, or did not stop cleanly.
+#[derive(Debug, Display, Error, From)]
+pub enum RunError {
+    /// A socket or thread could not be had.
+    #[display("{_0}")]
+    Io(std::io::Error),
+    /// Requests were still running when the time for the stop was over.
+    #[display("{requests} requests were cut off by the stop")]
+    #[from(ignore)]
+    Cut {
+        /// How many.
+        requests: usize,
+    },
+}
+
+/// A running entry host.
+pub struct Running {
+    host: Arc<Host>,
+    serving: Serving,
+    callers: Server,
+    operators: Server,
+    tasks: tokio::task::JoinSet<()>,
+}
+
+/// Starts a host; it serves once it has a configuration.
+///
+/// # Errors
+///
+/// Fails where an address cannot be bound or a thread cannot start.
+pub async fn start(settings: Settings, options: Options) -> Result<Running, RunError> {
+    let callers = TcpListener::bind(settings.listen).await?;
+    let operators = TcpListener::bind(settings.ops).await?;
+    let starting = Starting::new();
+    let host = Arc::new(build(settings, &options, &starting)?);
+    let peer = start_peer(&host, options.lines)?;
+    peer.set_addresses(drive::addresses(&host, &host.view.load()));
+    let _ = host.peer.set(peer);
+    let limits = server::Limits {
+        connections: host.settings.limits.connections,
+        header: host.settings.limits.header.as_usize(),
+    };
+    let callers = Server::start(callers, api::callers(host.clone()), limits)?;
+    let operators = Server::start(operators, api::operators(host.clone()), limits)?;
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks::spawn(&host, &mut tasks);
+    let seeds = host.settings.seeds.iter().map(|s| s.host.clone()).collect();
+    drive::sync_input(&host, SyncInput::Peers(seeds));
+    info!(host.log, "started"; "listen" => %callers.addr(), "ops" => %operators.addr(),
+        "incarnation" => %host.incarnation);
+    host.adopted.notified().await;
+    let serving = starting.serve();
+    drive::spread(&host);
+    info!(host.log, "serving"; "epoch" => %host.view.load().epoch());
+    Ok(Running { host, serving, callers, operators, tasks })
+}
+
+fn build(settings: Settings, options: &Options, starting: &Starting) -> Result<Host, RunError> {
+    let clock = options.clock.clone();
+    let now = clock.now();
+    let mut random = rng(settings.seed);
+    let incarnation = incarnation(&*clock);
+    let platform = options.platform.clone().unwrap_or_else(|| {
+        Arc::new(HttpClient::new(HttpSettings::new(settings.platform)))
+    });
+    let log = options.log.new(o!("host" => settings.host.to_string()));
+    let metrics = Metrics::new(settings.statsd, &settings.host, &settings.zone)?;
+    Ok(Host {
+        incarnation,
+        log,
+        metrics,
+        stats: Stats::new(now),
+        watch: starting.watch(),
+        view: View::empty().into_swap(),
+        sites: Sites::default().into_swap(),
+        directory: Directory::default().into_swap(),
+        mode: wagtail_member::Mode::CutOff { since: now }.into_swap(),
+        routing: Waiting::new(Router::new(route_settings(&settings), random.random(), now)),
+        limiting: Waiting::new(Quota::new(quota_settings(&settings, incarnation), random.random(), now)),
+        deduping: Waiting::new(Once::new(
+            once_settings(&settings),
+            settings.host.clone(),
+            incarnation,
+            random.random(),
+            now,
+        )),
+        membership: Waiting::new(Member::new(
+            member_settings(&settings, incarnation),
+            random.random(),
+            now,
+        )),
+        syncing: Waiting::new(ConfigSync::new(sync_settings(&settings), random.random(), now)),
+        upstreams: Upstreams::new(settings.times.connect),
+        peer: OnceLock::new(),
+        platform,
+        adopted: Notify::new(),
+        released: Notify::new(),
+        replaced: Notify::new(),
+        attempts: AtomicU64::new(0),
+        salt: random.random(),
+        settings,
+        clock,
+    })
+}
+
+trait IntoSwap: Sized {
+    fn into_swap(self) -> arc_swap::ArcSwap<Self> {
+        arc_swap::ArcSwap::from_pointee(self)
+    }
+}
+
+impl<T> IntoSwap for T {}
+
+/// A number that rises from one life to the next, by the wall clock.
+fn incarnation(clock: &dyn Clock) -> Incarnation {
+    let since = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn route_settings(settings: &Settings) -> wagtail_route::Settings {
+    wagtail_route::Settings::new(
+        settings.host.clone(),
+        settings.zone.clone(),
+        settings.region.clone(),
+    )
+}
+
+fn quota_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_quota::Settings {
+    let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    wagtail_quota::Settings {
+        lease_term: settings.times.lease,
+        ..wagtail_quota::Settings::new(host, zone, incarnation)
+    }
+}
+
+fn once_settings(settings: &Settings) -> wagtail_once::Settings {
+    wagtail_once::Settings {
+        keep: settings.times.outcomes,
+        key_life: settings.times.outcomes,
+        memory: settings.limits.outcomes,
+        answer_max: settings.limits.buffer,
+        ..wagtail_once::Settings::default()
+    }
+}
+
+fn member_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_member::Settings {
+    let own = HostInfo::new(settings.host.clone(), settings.zone.clone(), settings.region.clone());
+    wagtail_member::Settings {
+        poll_interval: settings.times.poll,
+        ..wagtail_member::Settings::new(own, incarnation)
+    }
+}
+
+fn sync_settings(settings: &Settings) -> SyncSettings {
+    SyncSettings { poll: settings.times.poll, ..SyncSettings::default() }
+}
+
+fn start_peer(host: &Arc<Host>, lines: Option<Lines>) -> Result<Peer, RunError> {
+    let settings = &host.settings;
+    let secret: FleetSecret =
+        settings.secret.0.parse().map_err(|e| std::io::Error::other(format!("{e}")))?;
+    let settings = wagtail_peer::Settings {
+        lines,
+        ..wagtail_peer::Settings::new(
+            settings.host.clone(),
+            host.incarnation,
+            settings.peer,
+            secret,
+        )
+    };
+    let inbox = Arc::new(Inbox(Arc::downgrade(host)));
+    Ok(Peer::start(settings, inbox)?)
+}
+
+impl Running {
+    /// The address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.callers.addr()
+    }
+
+    /// The address for operators.
+    pub fn ops_addr(&self) -> SocketAddr {
+        self.operators.addr()
+    }
+
+    /// Waits until a later life of this host is there.
+    pub async fn replaced(&self) {
+        self.host.replaced.notified().await;
+    }
+
+    /// Leaves the look-ups, finishes what runs, hands back the quota shards and ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails where requests still ran when the time for the stop was over.
+    pub async fn stop(self) -> Result<(), RunError> {
+        let Self { host, serving, callers, operators, tasks } = self;
+        let leaving = serving.leave();
+        info!(host.log, "leaving"; "running" => host.watch.running());
+        drive::member_input(&host, wagtail_member::Input::Leave);
+        drive::spread(&host);
+        let times = &host.settings.times;
+        let drained = leaving.drain(times.lookup, times.stop).await;
+        release(&host).await;
+        let ended = tokio::time::timeout(RELEASE_TIMEOUT, async {
+            callers.stop().await;
+            operators.stop().await;
+        });
+        let ended = ended.await.is_ok();
+        drop(tasks);
+        if let Some(peer) = host.peer() {
+            peer.stop().await;
+        }
+        match drained {
+            Ok(_) => {
+                info!(host.log, "stopped"; "connections_ended" => ended);
+                Ok(())
+            }
+            Err(requests) => {
+                warn!(host.log, "stopped with requests cut off"; "requests" => requests);
+                Err(RunError::Cut { requests })
+            }
+        }
+    }
+
+    /// Ends at once, as if the process were killed.
+    pub async fn kill(self) {
+        let Self { host, callers, operators, tasks, .. } = self;
+        drop(tasks);
+        callers.abort();
+        operators.abort();
+        if let Some(peer) = host.peer() {
+            peer.stop().await;
+        }
+    }
+}
+
+async fn release(host: &Arc<Host>) {
+    let now = host.now();
+    host.limiting.lock().machine.release(now);
+    drive::limiting(host);
+    if tokio::time::timeout(RELEASE_TIMEOUT, host.released.notified()).await.is_err() {
+        warn!(host.log, "quota shards could not be handed back");
+    }
+}
+
+/// Runs a host until it is told to stop.
+///
+/// # Errors
+///
+/// As [`start`] and [`Running::stop`].
+pub fn run(settings: Settings) -> Result<(), RunError> {
+    let log = crate::logs::to_stderr(settings.logs);
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let running = tokio::select! {
+            running = start(settings, Options::new(log)) => running?,
+            stop = stop_signal() => return Ok(stop?),
+        };
+        tokio::select! {
+            stop = stop_signal() => stop?,
+            () = running.replaced() => {}
+        }
+        running.stop().await
+    })
+}
+
+async fn stop_signal() -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/entryd/src/tasks.rs
@@ -0,0 +1,120 @@
+//! The host's background tasks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use tokio::task::JoinSet;
+use wagtail_peer::Control;
+use wagtail_platform::ListedState;
+use wagtail_types::HostId;
+
+use crate::drive;
+use crate::host::{Host, rng};
+use crate::reports;
+
+const ADVERT_PERIOD: Duration = Duration::from_millis(250);
+const LIST_PERIOD: Duration = Duration::from_secs(2);
+const GAUGE_PERIOD: Duration = Duration::from_secs(5);
+/// Adverts sent each period; a larger fleet gets them from a random part of its hosts.
+const ADVERT_FANOUT: usize = 12;
+
+/// Starts every task of the host.
+pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = wagtail_route::Router::next_wake;
+        drive::timer(&timers, |h| &h.routing, next, |h, now| {
+            h.routing.lock().machine.tick(now);
+            drive::routing(h);
+        })
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = wagtail_quota::Quota::next_wake;
+        drive::timer(&timers, |h| &h.limiting, next, |h, now| {
+            h.limiting.lock().machine.tick(now);
+            drive::limiting(h);
+        })
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = wagtail_once::Once::next_wake;
+        drive::timer(&timers, |h| &h.deduping, next, |h, now| {
+            h.deduping.lock().machine.tick(now);
+            drive::deduping(h);
+        })
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = wagtail_member::Member::next_wake;
+        drive::timer(&timers, |h| &h.membership, next, |h, now| {
+            h.membership.lock().machine.tick(now);
+            drive::membership(h);
+        })
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = wagtail_config::ConfigSync::next_wake;
+        drive::timer(&timers, |h| &h.syncing, next, |h, now| {
+            h.syncing.lock().machine.tick(now);
+            drive::syncing(h);
+        })
+        .await;
+    });
+    tasks.spawn(reports::poll(host.clone()));
+    tasks.spawn(advertise(host.clone()));
+    tasks.spawn(read_list(host.clone()));
+    tasks.spawn(gauges(host.clone()));
+}
+
+/// Tells other hosts of the free slots here.
+async fn advertise(host: Arc<Host>) {
+    let mut random = rng(host.settings.seed);
+    let mut period = tokio::time::interval(ADVERT_PERIOD);
+    loop {
+        period.tick().await;
+        let advert = host.routing.lock().machine.advert(host.now());
+        let others: Vec<HostId> = {
+            let membership = host.membership.lock();
+            let others = membership.machine.members().filter(|m| m.is_live());
+            others.map(|m| m.info.host.clone()).filter(|h| *h != host.settings.host).collect()
+        };
+        for to in others.choose_multiple(&mut random, ADVERT_FANOUT) {
+            drive::send(&host, to, Control::Advert(advert.clone()));
+        }
+    }
+}
+
+/// Reads the platform's list of hosts and endpoints.
+async fn read_list(host: Arc<Host>) {
+    let mut period = tokio::time::interval(LIST_PERIOD);
+    loop {
+        period.tick().await;
+        let Ok(list) = host.platform.list().await else { continue };
+        for listed in list.iter().filter(|l| l.state == ListedState::Leaving) {
+            if let Ok(endpoint) = listed.name.parse() {
+                let input = wagtail_route::Input::Leaving(endpoint);
+                host.routing.lock().machine.handle(host.now(), input);
+            }
+        }
+        drive::routing(&host);
+    }
+}
+
+async fn gauges(host: Arc<Host>) {
+    let mut period = tokio::time::interval(GAUGE_PERIOD);
+    loop {
+        period.tick().await;
+        let headroom = host.routing.lock().machine.headroom(host.now());
+        for row in headroom {
+            host.metrics.gauge(&format!("headroom.{}", row.service), u64::from(row.free));
+            host.metrics.gauge(&format!("queued.{}", row.service), u64::from(row.queued));
+        }
+        host.metrics.gauge("running", host.watch.running() as u64);
+    }
+}
