--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,11 +8,16 @@
 //! - [`Router`] places requests on endpoints, in queues or on other hosts.
 
 mod blocks;
+mod budget;
 mod key;
 mod lookup;
 mod message;
+mod moves;
+mod mutant;
 mod owner;
+mod plan;
 mod pool;
+mod queue;
 mod rendezvous;
 mod router;
 mod settings;
@@ -26,6 +31,8 @@
     Advert, Effect, Headroom, Health, Input, Lease, Origin, Outcome, Pass, Placement, Relayed,
     Report, Request,
 };
+#[cfg(feature = "mutants")]
+pub use mutant::Mutant;
 pub use router::Router;
 pub use settings::{
     BudgetSettings, OwnerSettings, PoolSettings, QueueSettings, Settings, SpillSettings,
--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -108,6 +108,8 @@
 pub struct Lease {
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// When the request must have ended; the split of slots rests on it.
+    pub until: Instant,
     pub(crate) service: ServiceKey,
     pub(crate) target: EndpointKey,
     pub(crate) key: LeaseKey,
@@ -121,6 +123,8 @@
     pub zone: ZoneId,
     /// The host.
     pub host: HostId,
+    /// Whether the host is in another region, so that its bytes count.
+    pub far: bool,
     pub(crate) key: PassKey,
 }
 
--- /dev/null
+++ b/crates/route/src/moves.rs
@@ -0,0 +1,153 @@
+//! How much of this region's traffic goes to other regions, and how fast that grows.
+//!
+//! Every host applies each cap to the traffic of its own callers, so the caps hold for their
+//! sum without a message. All causes draw on one credit per destination: planned moves, drains
+//! and spill after a failure together stay under the cap.
+
+use std::time::{Duration, Instant};
+
+use wagtail_types::{ByteRate, RegionId};
+
+use crate::mutant::{Fault, Mutant};
+use crate::topology::Cap;
+
+/// How long after the last wish a cap still rises.
+const HOLD: Duration = Duration::from_secs(2);
+/// Shifts that may be saved up.
+const CREDIT_MAX: f64 = 1.0;
+
+/// The cap on traffic to one region.
+#[derive(Debug, Clone)]
+pub(crate) struct Gate {
+    pub(crate) region: RegionId,
+    cap: Cap,
+    open: f64,
+    at: Instant,
+    wanted: Option<Instant>,
+    credit: f64,
+    fault: Fault,
+}
+
+impl Gate {
+    pub(crate) fn new(region: RegionId, cap: Cap, now: Instant, fault: Fault) -> Self {
+        let mut gate = Self {
+            region,
+            cap,
+            open: 0.0,
+            at: now,
+            wanted: None,
+            credit: 0.0,
+            fault,
+        };
+        gate.open = gate.floor();
+        gate
+    }
+
+    /// Takes in a changed cap; what is open already does not jump up.
+    pub(crate) fn set_cap(&mut self, now: Instant, cap: Cap) {
+        self.update(now);
+        self.cap = cap;
+        self.open = self.open.min(cap.level.as_f64());
+    }
+
+    /// The share that is open now.
+    pub(crate) fn open(&mut self, now: Instant) -> f64 {
+        self.update(now);
+        self.open
+    }
+
+    /// Counts a request of this host's callers.
+    pub(crate) fn count(&mut self, now: Instant) {
+        self.update(now);
+        self.credit = (self.credit + self.open).min(CREDIT_MAX);
+    }
+
+    /// Notes that traffic would go there.
+    pub(crate) fn want(&mut self, now: Instant) {
+        self.update(now);
+        self.wanted = Some(now);
+    }
+
+    /// Shifts one request, where the cap allows it.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        self.want(now);
+        let may = self.credit >= 1.0;
+        if may {
+            self.credit -= 1.0;
+        }
+        may
+    }
+
+    /// Whether one request may be shifted.
+    pub(crate) fn may(&mut self, now: Instant) -> bool {
+        self.want(now);
+        self.credit >= 1.0
+    }
+
+    fn update(&mut self, now: Instant) {
+        let gone = now.saturating_duration_since(self.at);
+        let rising = self.wanted.map_or(Duration::ZERO, |wanted| {
+            (wanted + HOLD).saturating_duration_since(self.at).min(gone)
+        });
+        let falling = gone.saturating_sub(rising);
+        let rise = self.cap.rise.as_f64();
+        let top = self.cap.level.as_f64();
+        let open = (self.open + rise * rising.as_secs_f64()).min(top);
+        self.open = (open - rise * falling.as_secs_f64())
+            .max(self.floor())
+            .min(top);
+        self.at = self.at.max(now);
+    }
+
+    fn floor(&self) -> f64 {
+        if self.fault.is(Mutant::NoRamp) {
+            return self.cap.level.as_f64();
+        }
+        self.cap.start.as_f64().min(self.cap.level.as_f64())
+    }
+}
+
+/// Bytes that this host may exchange with other regions.
+#[derive(Debug, Clone)]
+pub(crate) struct ByteBudget {
+    rate: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl ByteBudget {
+    /// The time over which unused bytes are kept.
+    const BURST: Duration = Duration::from_millis(100);
+
+    pub(crate) fn new(rate: ByteRate, now: Instant) -> Self {
+        let rate = rate.0 as f64;
+        Self {
+            rate,
+            level: rate * Self::BURST.as_secs_f64(),
+            at: now,
+        }
+    }
+
+    /// Whether there are bytes left.
+    pub(crate) fn has(&mut self, now: Instant) -> bool {
+        self.update(now);
+        self.level > 0.0
+    }
+
+    /// Takes bytes, and returns how long to wait before they are sent.
+    pub(crate) fn take(&mut self, now: Instant, bytes: u64) -> Duration {
+        self.update(now);
+        self.level -= bytes as f64;
+        if self.level >= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(-self.level / self.rate).unwrap_or(Duration::MAX)
+    }
+
+    fn update(&mut self, now: Instant) {
+        let gone = now.saturating_duration_since(self.at).as_secs_f64();
+        let most = self.rate * Self::BURST.as_secs_f64();
+        self.level = (self.level + self.rate * gone).min(most);
+        self.at = self.at.max(now);
+    }
+}
--- a/crates/route/src/owner.rs
+++ b/crates/route/src/owner.rs
@@ -7,9 +7,11 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use wagtail_types::{EndpointId, HostId, RegionId, ZoneId};
+use wagtail_types::{EndpointId, RegionId, ZoneId};
 
+use crate::mutant::{Fault, Mutant};
 use crate::rendezvous::{name_hash, part_hash, score};
+use crate::settings::Settings;
 use crate::topology::{HostState, HostView};
 
 /// A slot that this host holds.
@@ -25,6 +27,7 @@
     me: u64,
     region: RegionId,
     detection: Duration,
+    fault: Fault,
     zones: HashMap<ZoneId, Members>,
     serving: bool,
 }
@@ -37,21 +40,17 @@
 }
 
 impl Owner {
-    pub(crate) fn new(host: &HostId, region: RegionId, detection: Duration) -> Self {
+    pub(crate) fn new(settings: &Settings) -> Self {
         Self {
-            me: name_hash(host.as_str()),
-            region,
-            detection,
+            me: name_hash(settings.host.as_str()),
+            region: settings.region.clone(),
+            detection: settings.owner.detection,
+            fault: settings.fault,
             zones: HashMap::new(),
             serving: false,
         }
     }
 
-    /// Whether this host is in its own view as serving.
-    pub(crate) fn is_serving(&self) -> bool {
-        self.serving
-    }
-
     /// Takes in the configured zones.
     pub(crate) fn set_zones(&mut self, now: Instant, zones: &[(ZoneId, RegionId)]) {
         self.zones
@@ -122,7 +121,7 @@
         if !self.serving || members.region != self.region {
             return Vec::new();
         }
-        let wait = self.detection + endpoint.longest;
+        let wait = self.wait(endpoint.longest);
         let since = |index| match held {
             None => members.changed + wait,
             Some(held) => held
@@ -130,8 +129,12 @@
                 .find(|slot| slot.index == index)
                 .map_or(now + wait, |slot| slot.from),
         };
+        let kept = |index: &u32| {
+            let was = |held: &[Slot]| held.iter().any(|slot| slot.index == *index);
+            self.fault.is(Mutant::KeepSlots) && held.is_some_and(was)
+        };
         (0..endpoint.slots)
-            .filter(|index| self.holds(members, endpoint.id, *index))
+            .filter(|index| kept(index) || self.holds(members, endpoint.id, *index))
             .map(|index| Slot {
                 index,
                 from: since(index),
@@ -139,6 +142,13 @@
             .collect()
     }
 
+    fn wait(&self, longest: Duration) -> Duration {
+        if self.fault.is(Mutant::NoWait) {
+            return Duration::ZERO;
+        }
+        self.detection + longest
+    }
+
     fn holds(&self, members: &Members, endpoint: &EndpointId, index: u32) -> bool {
         let item = part_hash(endpoint.as_str(), index);
         let best = members.hosts.iter().max_by_key(|h| (score(item, **h), **h));
--- /dev/null
+++ b/crates/route/src/plan.rs
@@ -0,0 +1,164 @@
+//! Planned moves and drains as they bear on this host.
+
+use std::time::Instant;
+
+use wagtail_types::{RegionId, ServiceId, ZoneId};
+
+use crate::moves::Gate;
+use crate::mutant::Fault;
+use crate::topology::{Cap, CapSpec, Drain, MoveSpec, Topology};
+
+/// Planned moves, drains and caps as they bear on this host.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    zone: ZoneId,
+    region: RegionId,
+    gates: Vec<Gate>,
+    moves: Vec<Steer>,
+    drained: Vec<Drain>,
+    leave: bool,
+    fault: Fault,
+}
+
+/// A planned move of this region's traffic.
+#[derive(Debug)]
+struct Steer {
+    spec: MoveSpec,
+    credit: f64,
+}
+
+impl Plan {
+    pub(crate) fn new(zone: ZoneId, region: RegionId, fault: Fault) -> Self {
+        Self {
+            zone,
+            region,
+            gates: Vec::new(),
+            moves: Vec::new(),
+            drained: Vec::new(),
+            leave: false,
+            fault,
+        }
+    }
+
+    /// Takes in the configuration; what the gates have counted is kept.
+    pub(crate) fn configure(&mut self, now: Instant, topology: &Topology) {
+        self.set_gates(now, topology);
+        let mut known = std::mem::take(&mut self.moves);
+        for spec in topology.moves.iter().filter(|m| m.from == self.region) {
+            let at = known.iter().position(|steer| steer.spec == *spec);
+            self.moves.push(at.map_or_else(
+                || Steer {
+                    spec: spec.clone(),
+                    credit: 0.0,
+                },
+                |at| known.swap_remove(at),
+            ));
+        }
+        self.drained.clone_from(&topology.drains);
+        self.leave = self.is_drained(&self.zone, &self.region);
+    }
+
+    fn set_gates(&mut self, now: Instant, topology: &Topology) {
+        let mut regions: Vec<_> = topology.zones.iter().map(|zone| &zone.region).collect();
+        regions.sort();
+        regions.dedup();
+        self.gates.retain(|gate| regions.contains(&&gate.region));
+        for region in regions {
+            let cap = cap(&topology.caps, &self.region, region);
+            match self.gates.iter_mut().find(|gate| gate.region == *region) {
+                Some(gate) => gate.set_cap(now, cap),
+                None => self
+                    .gates
+                    .push(Gate::new(region.clone(), cap, now, self.fault)),
+            }
+        }
+    }
+
+    /// Counts a request of this host's callers.
+    pub(crate) fn count(&mut self, now: Instant, service: &ServiceId) {
+        for gate in &mut self.gates {
+            gate.count(now);
+        }
+        for steer in &mut self.moves {
+            if steer.is_for(service) {
+                steer.credit = (steer.credit + steer.spec.share.as_f64()).min(1.0);
+            }
+        }
+    }
+
+    /// The region that a planned move wants this request in.
+    pub(crate) fn target(&mut self, now: Instant, service: &ServiceId) -> Option<RegionId> {
+        for steer in self.moves.iter().filter(|s| s.is_for(service)) {
+            if let Some(gate) = self.gates.iter_mut().find(|g| g.region == steer.spec.to) {
+                gate.want(now);
+            }
+        }
+        let due = |steer: &&Steer| steer.is_for(service) && steer.credit >= 1.0;
+        self.moves.iter().find(due).map(|s| s.spec.to.clone())
+    }
+
+    /// Counts a request that a planned move has steered.
+    pub(crate) fn steered(&mut self, service: &ServiceId, region: &RegionId) {
+        let is = |s: &&mut Steer| s.is_for(service) && s.spec.to == *region && s.credit >= 1.0;
+        if let Some(steer) = self.moves.iter_mut().find(is) {
+            steer.credit -= 1.0;
+        }
+    }
+
+    /// Whether traffic is to leave this host's zone.
+    pub(crate) fn leaves(&self) -> bool {
+        self.leave
+    }
+
+    /// Whether a zone is to get no traffic from others.
+    pub(crate) fn is_drained(&self, zone: &ZoneId, region: &RegionId) -> bool {
+        self.drained.iter().any(|drain| match drain {
+            Drain::Zone(id) => id == zone,
+            Drain::Region(id) => id == region,
+            Drain::Endpoint(_) => false,
+        })
+    }
+
+    /// Whether one more request may go to a region, and notes that it would.
+    pub(crate) fn may(&mut self, now: Instant, region: &RegionId) -> bool {
+        let gate = self.gates.iter_mut().find(|gate| gate.region == *region);
+        gate.is_some_and(|gate| gate.may(now))
+    }
+
+    /// Counts a request that goes to a region.
+    pub(crate) fn take(&mut self, now: Instant, region: &RegionId) -> bool {
+        let gate = self.gates.iter_mut().find(|gate| gate.region == *region);
+        gate.is_some_and(|gate| gate.take(now))
+    }
+
+    /// The share of this region's traffic that may now go to each other region.
+    pub(crate) fn open(&mut self, now: Instant) -> Vec<(RegionId, f64)> {
+        let region = &self.region;
+        let far = self.gates.iter_mut().filter(|gate| gate.region != *region);
+        far.map(|gate| (gate.region.clone(), gate.open(now)))
+            .collect()
+    }
+}
+
+impl Steer {
+    fn is_for(&self, service: &ServiceId) -> bool {
+        self.spec
+            .service
+            .as_ref()
+            .is_none_or(|only| only == service)
+    }
+}
+
+/// The tightest of the caps that bear on traffic between two regions.
+fn cap(caps: &[CapSpec], from: &RegionId, to: &RegionId) -> Cap {
+    let bears = |end: &Option<RegionId>, id| end.as_ref().is_none_or(|region| region == id);
+    caps.iter()
+        .filter(|spec| bears(&spec.from, from) && bears(&spec.to, to))
+        .map(|spec| spec.cap)
+        .reduce(|a, b| Cap {
+            level: a.level.min(b.level),
+            start: a.start.min(b.start),
+            rise: a.rise.min(b.rise),
+        })
+        .unwrap_or_default()
+}
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -12,13 +12,17 @@
 
 use crate::key::{EndpointKey, LeaseKey, ServiceKey};
 use crate::message::{Effect, Health, Lease, Outcome, Report};
+use crate::mutant::{Fault, Mutant};
 use crate::owner::Owner;
 use crate::pool::endpoint::{Endpoint, Life, Load, Order};
+use crate::queue::Pace;
 use crate::settings::PoolSettings;
 use crate::topology::EndpointSpec;
 
 /// Endpoints with a free slot that are compared for one request.
 const COMPARED: usize = 16;
+/// Weight of the newest answer in the service's mean latency.
+const MEAN_GAIN: f64 = 0.05;
 
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -30,8 +34,10 @@
     leases: SlotMap<LeaseKey, Running>,
     median: f64,
     mean: f64,
+    deviation: f64,
     reviewed: Instant,
     seen: bool,
+    fault: Fault,
 }
 
 #[derive(Debug)]
@@ -41,7 +47,7 @@
 }
 
 impl Pool {
-    pub(crate) fn new(settings: PoolSettings, key: ServiceKey, now: Instant) -> Self {
+    pub(crate) fn new(settings: PoolSettings, key: ServiceKey, now: Instant, fault: Fault) -> Self {
         Self {
             settings,
             key,
@@ -51,8 +57,10 @@
             leases: SlotMap::with_key(),
             median: 0.0,
             mean: 0.0,
+            deviation: 0.0,
             reviewed: now,
             seen: false,
+            fault,
         }
     }
 
@@ -66,12 +74,13 @@
     ) {
         self.longest = longest;
         for (_, endpoint) in &mut self.endpoints {
-            if !specs.clone().any(|spec| spec.id == endpoint.id) {
+            if !specs.clone().any(|spec| endpoint.is(spec)) {
                 endpoint.withdraw(now, effects);
             }
         }
         for spec in specs {
-            if let Some(endpoint) = self.find_mut(&spec.id) {
+            let known = self.endpoints.values_mut().find(|e| e.is(spec));
+            if let Some(endpoint) = known {
                 endpoint.configure(now, spec);
             } else {
                 let cold = self.seen.then_some(now);
@@ -111,23 +120,35 @@
     }
 
     /// Takes the best free slot.
-    pub(crate) fn pick(&mut self, now: Instant, rng: &mut SmallRng) -> Option<Lease> {
-        let key = self.best(now, rng)?;
+    pub(crate) fn pick(
+        &mut self,
+        now: Instant,
+        rng: &mut SmallRng,
+        avoid: Option<EndpointKey>,
+    ) -> Option<Lease> {
+        let key = self.best(now, rng, avoid)?;
         let endpoint = self.endpoints.get_mut(key)?;
         let slot = endpoint.take(now)?;
         let since = now;
         Some(Lease {
             endpoint: endpoint.id.clone(),
+            until: now + self.longest,
             service: self.key,
             target: key,
             key: self.leases.insert(Running { slot, since }),
         })
     }
 
-    fn best(&self, now: Instant, rng: &mut SmallRng) -> Option<EndpointKey> {
+    fn best(
+        &self,
+        now: Instant,
+        rng: &mut SmallRng,
+        avoid: Option<EndpointKey>,
+    ) -> Option<EndpointKey> {
         let count = self.order.len();
         let start = rng.random_range(0..count.max(1));
         let keys = self.order.iter().cycle().skip(start).take(count);
+        let keys = keys.filter(|key| avoid != Some(**key));
         let open = keys.filter(|key| self.endpoints[**key].free(now, &self.settings) > 0);
         let cost = |key: &EndpointKey| self.endpoints[*key].cost(now, &self.settings, self.median);
         open.take(COMPARED)
@@ -155,11 +176,7 @@
         match outcome {
             Outcome::Answered => {
                 endpoint.answered(took);
-                self.mean = if self.mean > 0.0 {
-                    self.mean + (took.as_secs_f64() - self.mean) * 0.05
-                } else {
-                    took.as_secs_f64()
-                };
+                self.learn(took.as_secs_f64());
             }
             Outcome::Refused => endpoint.refused(),
             Outcome::Failed => endpoint.failures += 1,
@@ -168,6 +185,15 @@
         self.after(now, lease.target, outcome, effects);
     }
 
+    fn learn(&mut self, took: f64) {
+        if self.mean == 0.0 {
+            self.mean = took;
+        }
+        let off = took - self.mean;
+        self.mean += off * MEAN_GAIN;
+        self.deviation += (off.abs() - self.deviation) * MEAN_GAIN;
+    }
+
     fn after(
         &mut self,
         now: Instant,
@@ -234,10 +260,13 @@
         id: &EndpointId,
         effects: &mut Vec<Effect>,
     ) -> bool {
+        let late = self.fault.is(Mutant::WorkWhileLeaving);
         let Some(endpoint) = self.find_mut(id) else {
             return false;
         };
-        endpoint.leave(now, effects);
+        if !late || endpoint.running == 0 {
+            endpoint.leave(now, effects);
+        }
         true
     }
 
@@ -255,6 +284,34 @@
         counts
     }
 
+    /// Requests that may run at a time, and how long one takes on average.
+    pub(crate) fn pace(&self, now: Instant, guess: Duration) -> Pace {
+        let open = self.order.iter().map(|key| &self.endpoints[*key]);
+        let mean = if self.mean > 0.0 {
+            Duration::from_secs_f64(self.mean)
+        } else {
+            guess
+        };
+        Pace {
+            slots: open.map(|e| e.capacity(now, &self.settings)).sum(),
+            mean,
+        }
+    }
+
+    /// The latency after which a request is unusual.
+    pub(crate) fn unusual(&self, guess: Duration) -> Duration {
+        const DEVIATIONS: f64 = 4.0;
+        let late = self.mean + DEVIATIONS * self.deviation;
+        Duration::try_from_secs_f64(late)
+            .unwrap_or(guess)
+            .max(guess)
+    }
+
+    /// Whether requests still run.
+    pub(crate) fn is_running(&self) -> bool {
+        !self.leases.is_empty()
+    }
+
     /// This host's part of the connections that an endpoint allows.
     pub(crate) fn connections(&self, id: &EndpointId) -> Option<u32> {
         let endpoint = &self.endpoints[self.find(id)?];
@@ -266,7 +323,7 @@
     fn find(&self, id: &EndpointId) -> Option<EndpointKey> {
         self.endpoints
             .iter()
-            .find(|(_, e)| e.id == *id)
+            .find(|(_, e)| e.id == *id && e.order != Order::Withdrawn)
             .map(|(key, _)| key)
     }
 
--- a/crates/route/src/pool/endpoint.rs
+++ b/crates/route/src/pool/endpoint.rs
@@ -144,6 +144,11 @@
         idle.min(self.allowed(now, settings).saturating_sub(self.running))
     }
 
+    /// Requests that may run at a time.
+    pub(crate) fn capacity(&self, now: Instant, settings: &PoolSettings) -> u32 {
+        self.usable(now).min(self.allowed(now, settings))
+    }
+
     fn allowed(&self, now: Instant, settings: &PoolSettings) -> u32 {
         match self.life {
             Life::Ejected { .. } | Life::Leaving { .. } => 0,
@@ -245,6 +250,11 @@
         matches!(self.life, Life::Ejected { .. } | Life::Probing)
     }
 
+    /// Whether this is the endpoint that is configured.
+    pub(crate) fn is(&self, spec: &EndpointSpec) -> bool {
+        self.id == spec.id && self.zone == spec.zone
+    }
+
     /// Whether the endpoint is no longer configured and runs nothing.
     pub(crate) fn is_gone(&self) -> bool {
         self.order == Order::Withdrawn && self.running == 0
--- a/crates/route/src/pool/review.rs
+++ b/crates/route/src/pool/review.rs
@@ -4,6 +4,7 @@
 
 use crate::key::EndpointKey;
 use crate::message::Effect;
+use crate::mutant::Mutant;
 use crate::pool::Pool;
 use crate::pool::endpoint::{Endpoint, Life};
 
@@ -65,7 +66,7 @@
         let endpoint = &mut self.endpoints[key];
         let counted = endpoint.is_ejected();
         if matches!(endpoint.life, Life::Leaving { .. } | Life::Ejected { .. })
-            || (!counted && endpoint.owned() > room)
+            || (!counted && endpoint.owned() > room && !self.fault.is(Mutant::EjectAll))
         {
             return;
         }
@@ -82,7 +83,7 @@
     /// Puts the first ejected endpoints back while more than the set share is ejected, as after
     /// a change of the slots that this host holds.
     pub(crate) fn cap_ejected(&mut self, now: Instant) {
-        while self.ejected() > self.allowance() {
+        while self.ejected() > self.allowance() && !self.fault.is(Mutant::EjectAll) {
             let first = self
                 .endpoints
                 .values_mut()
--- /dev/null
+++ b/crates/route/src/queue.rs
@@ -0,0 +1,248 @@
+//! The short queue of one service: start-time fair queueing across teams.
+//!
+//! Each team's requests keep their order. A request's tag is the virtual time at which it
+//! would start if every team with work had slots in proportion to its weight; the lowest tag
+//! starts first. What cannot start in time is refused when it comes.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::key::{TeamKey, Ticket};
+use crate::mutant::{Fault, Mutant};
+use crate::settings::QueueSettings;
+
+#[derive(Debug)]
+pub(crate) struct Queue {
+    settings: QueueSettings,
+    flows: Vec<Flow>,
+    virtual_time: f64,
+    len: usize,
+    fault: Fault,
+}
+
+#[derive(Debug)]
+struct Flow {
+    team: Option<TeamKey>,
+    finish: f64,
+    waiting: VecDeque<Waiting>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Waiting {
+    pub(crate) ticket: Ticket,
+    pub(crate) start_by: Instant,
+    tag: f64,
+    cost: f64,
+}
+
+/// A request that wants to wait.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Entry {
+    pub(crate) team: Option<TeamKey>,
+    pub(crate) weight: f64,
+    pub(crate) start_by: Instant,
+}
+
+/// How fast slots come free.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    pub(crate) slots: u32,
+    pub(crate) mean: Duration,
+}
+
+/// Why a request cannot wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Full {
+    /// It could not start in time.
+    Late,
+    /// The queue of its team or of the service is full.
+    Long,
+}
+
+impl Pace {
+    /// The expected wait behind `ahead` others; `None` where no slot will come free.
+    pub(crate) fn wait(self, ahead: usize) -> Option<Duration> {
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
+        self.mean.saturating_mul(ahead).checked_div(self.slots)
+    }
+}
+
+impl Queue {
+    pub(crate) fn new(settings: QueueSettings, fault: Fault) -> Self {
+        Self {
+            settings,
+            flows: Vec::new(),
+            virtual_time: 0.0,
+            len: 0,
+            fault,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// The last time at which a request may start: it must not wait longer than the set time,
+    /// nor start when it could not end before its deadline.
+    pub(crate) fn start_by(&self, now: Instant, deadline: Instant, mean: Duration) -> Instant {
+        let last = deadline.checked_sub(mean).unwrap_or(now);
+        last.min(now + self.settings.wait)
+    }
+
+    /// Counts a request that starts without waiting.
+    pub(crate) fn pass(&mut self, team: Option<TeamKey>, weight: f64) {
+        let start = self.virtual_time;
+        let flow = self.flow(team);
+        let tag = flow.finish.max(start);
+        flow.finish = tag + 1.0 / weight;
+        self.virtual_time = tag;
+    }
+
+    /// Requests that would start before one of this team that came now.
+    pub(crate) fn ahead(&self, team: Option<TeamKey>) -> usize {
+        let own = self.flows.iter().find(|flow| flow.team == team);
+        let tag = own.map_or(0.0, |flow| flow.finish).max(self.virtual_time);
+        let before = |flow: &Flow| flow.waiting.partition_point(|other| other.tag <= tag);
+        self.flows.iter().map(before).sum()
+    }
+
+    /// Lets a request wait. The request that had to make room for it, if any, is returned.
+    pub(crate) fn push(
+        &mut self,
+        now: Instant,
+        entry: &Entry,
+        pace: Pace,
+        ticket: impl FnOnce() -> Ticket,
+    ) -> Result<(Ticket, Option<Ticket>), Full> {
+        let wait = pace.wait(self.ahead(entry.team)).ok_or(Full::Late)?;
+        if now + wait > entry.start_by {
+            return Err(Full::Late);
+        }
+        let own = self.flow(entry.team).waiting.len();
+        if own >= self.settings.team_len {
+            return Err(Full::Long);
+        }
+        let evicted = self.make_room(own)?;
+        let ticket = ticket();
+        self.append(entry, ticket);
+        Ok((ticket, evicted))
+    }
+
+    fn append(&mut self, entry: &Entry, ticket: Ticket) {
+        let start = self.virtual_time;
+        let flow = self.flow(entry.team);
+        let tag = flow.finish.max(start);
+        let cost = 1.0 / entry.weight;
+        flow.finish = tag + cost;
+        flow.waiting.push_back(Waiting {
+            ticket,
+            start_by: entry.start_by,
+            tag,
+            cost,
+        });
+        self.len += 1;
+    }
+
+    /// Where the service's queue is full, the team that has most in it loses its last.
+    fn make_room(&mut self, own: usize) -> Result<Option<Ticket>, Full> {
+        if self.len < self.settings.total_len {
+            return Ok(None);
+        }
+        let longest = self.flows.iter_mut().max_by_key(|flow| flow.waiting.len());
+        let flow = longest
+            .filter(|flow| flow.waiting.len() > own + 1)
+            .ok_or(Full::Long)?;
+        let evicted = flow.waiting.pop_back().map(|last| {
+            flow.finish = last.tag;
+            last.ticket
+        });
+        self.len -= 1;
+        Ok(evicted)
+    }
+
+    /// Takes out the request that is to start next.
+    pub(crate) fn pop(&mut self) -> Option<Waiting> {
+        let head = |flow: &Flow| flow.waiting.front().map(|first| first.tag);
+        let flow = self
+            .flows
+            .iter_mut()
+            .filter(|flow| !flow.waiting.is_empty())
+            .min_by(|a, b| head(a).unwrap_or(0.0).total_cmp(&head(b).unwrap_or(0.0)))?;
+        let first = flow.waiting.pop_front()?;
+        self.virtual_time = self.virtual_time.max(first.tag);
+        self.len -= 1;
+        Some(first)
+    }
+
+    /// Takes out a request whose time to start has passed.
+    pub(crate) fn expired(&mut self, now: Instant) -> Option<Ticket> {
+        let late = self.fault.is(Mutant::StartLate);
+        self.take(|waiting| waiting.start_by < now && !late)
+    }
+
+    /// Takes out any one request.
+    pub(crate) fn any(&mut self) -> Option<Ticket> {
+        self.take(|_| true)
+    }
+
+    pub(crate) fn remove(&mut self, ticket: Ticket) -> bool {
+        self.take(|waiting| waiting.ticket == ticket).is_some()
+    }
+
+    fn take(&mut self, is: impl Fn(&Waiting) -> bool) -> Option<Ticket> {
+        let now = self.virtual_time;
+        for flow in &mut self.flows {
+            if let Some(at) = flow.waiting.iter().position(&is) {
+                self.len -= 1;
+                return flow.remove(at, now);
+            }
+        }
+        None
+    }
+
+    /// When the first request's time to start passes.
+    pub(crate) fn first_due(&self) -> Option<Instant> {
+        let waiting = self.flows.iter().flat_map(|flow| &flow.waiting);
+        waiting.map(|waiting| waiting.start_by).min()
+    }
+
+    /// Drops teams that have nothing waiting and no more debt than any new one.
+    pub(crate) fn tidy(&mut self) {
+        let now = self.virtual_time;
+        self.flows
+            .retain(|flow| !flow.waiting.is_empty() || flow.finish > now);
+        if self.flows.is_empty() {
+            self.virtual_time = 0.0;
+        }
+    }
+
+    fn flow(&mut self, team: Option<TeamKey>) -> &mut Flow {
+        let team = team.filter(|_| !self.fault.is(Mutant::Fifo));
+        let known = self.flows.iter().position(|flow| flow.team == team);
+        let at = known.unwrap_or(self.flows.len());
+        if known.is_none() {
+            self.flows.push(Flow {
+                team,
+                finish: 0.0,
+                waiting: VecDeque::new(),
+            });
+        }
+        &mut self.flows[at]
+    }
+}
+
+impl Flow {
+    /// Takes a request out; those behind it move up, so that the team does not pay for it.
+    fn remove(&mut self, at: usize, now: f64) -> Option<Ticket> {
+        let gone = self.waiting.remove(at)?;
+        for later in self.waiting.range_mut(at..) {
+            later.tag = (later.tag - gone.cost).max(now.min(later.tag));
+        }
+        self.finish -= gone.cost;
+        Some(gone.ticket)
+    }
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -1,7 +1,9 @@
 //! The router: one host's decisions on where requests run.
 
+mod hedge;
 mod input;
 mod place;
+mod pump;
 mod status;
 
 use std::collections::{HashMap, VecDeque};
@@ -12,14 +14,22 @@
 use slotmap::SlotMap;
 use wagtail_types::{EndpointId, RegionId, ServiceId, TeamId};
 
-use crate::key::{ServiceKey, TeamKey};
+use crate::budget::Budget;
+use crate::key::{ServiceKey, TeamKey, Ticket};
 use crate::message::{Effect, Lease, Outcome, Pass, Relayed};
+use crate::moves::ByteBudget;
+use crate::mutant::Mutant;
 use crate::owner::Owner;
+use crate::plan::Plan;
 use crate::pool::Pool;
+use crate::queue::Queue;
 use crate::settings::Settings;
 use crate::spill::Spill;
 use crate::topology::HostView;
 
+/// A queued request is refused once its time to start has passed.
+const JUST_AFTER: Duration = Duration::from_micros(1);
+
 /// One host's decisions on where requests run.
 ///
 /// ```
@@ -77,8 +87,12 @@
     rng: SmallRng,
     owner: Owner,
     spill: Spill,
+    plan: Plan,
+    bytes: ByteBudget,
+    reach: Vec<bool>,
     services: SlotMap<ServiceKey, Service>,
     service_keys: HashMap<ServiceId, ServiceKey>,
+    tickets: SlotMap<Ticket, ServiceKey>,
     teams: SlotMap<TeamKey, Team>,
     team_keys: HashMap<TeamId, TeamKey>,
     hosts: Vec<HostView>,
@@ -91,11 +105,16 @@
 struct Service {
     id: ServiceId,
     pool: Pool,
+    queue: Queue,
+    retries: Budget,
+    hedges: Budget,
+    withdrawn: bool,
 }
 
 #[derive(Debug)]
 struct Team {
     id: TeamId,
+    weight: u32,
     regions: Option<Vec<RegionId>>,
 }
 
@@ -105,10 +124,14 @@
         let (zone, region) = (settings.zone.clone(), settings.region.clone());
         Self {
             rng: SmallRng::seed_from_u64(seed),
-            owner: Owner::new(&settings.host, region.clone(), settings.owner.detection),
-            spill: Spill::new(settings.spill.clone(), zone, region),
+            owner: Owner::new(&settings),
+            spill: Spill::new(settings.spill.clone(), zone.clone(), region.clone()),
+            plan: Plan::new(zone, region, settings.fault),
+            bytes: ByteBudget::new(settings.spill.bytes, now),
+            reach: Vec::new(),
             services: SlotMap::with_key(),
             service_keys: HashMap::new(),
+            tickets: SlotMap::with_key(),
             teams: SlotMap::with_key(),
             team_keys: HashMap::new(),
             hosts: Vec::new(),
@@ -137,6 +160,11 @@
             return;
         };
         service.pool.finish(now, &lease, outcome, &mut self.scratch);
+        if service.withdrawn && !service.pool.is_running() {
+            self.services.remove(lease.service);
+        } else {
+            self.pump(now, lease.service);
+        }
         self.publish();
     }
 
@@ -153,7 +181,9 @@
         self.wake(now);
         for service in self.services.values_mut() {
             service.pool.tick(now, &mut self.scratch);
+            service.queue.tidy();
         }
+        self.pump_all(now);
         self.publish();
     }
 
@@ -161,7 +191,10 @@
     pub fn next_wake(&self) -> Option<Instant> {
         const TICKS_PER_PAUSE: u32 = 4;
         let step = self.settings.owner.pause / TICKS_PER_PAUSE;
-        Some(self.called + step.min(self.settings.pool.review))
+        let regular = self.called + step.min(self.settings.pool.review);
+        let queues = self.services.values().map(|service| &service.queue);
+        let due = queues.filter_map(Queue::first_due).min();
+        Some(due.map_or(regular, |due| regular.min(due + JUST_AFTER)))
     }
 
     /// The next thing that the daemon is to do.
@@ -178,7 +211,8 @@
     fn wake(&mut self, now: Instant) {
         let gap = now.saturating_duration_since(self.called);
         self.called = self.called.max(now);
-        if gap > self.settings.owner.pause {
+        let trust = self.settings.fault.is(Mutant::TrustAfterPause);
+        if gap > self.settings.owner.pause && !trust {
             self.owner.reset(now);
             for service in self.services.values_mut() {
                 service.pool.split(now, &self.owner, true);
@@ -190,6 +224,16 @@
         self.effects.extend(self.scratch.drain(..));
     }
 
+    /// Takes bytes that are to be exchanged with another region, and returns how long to wait
+    /// before they are sent.
+    pub fn far_bytes(&mut self, now: Instant, bytes: u64) -> Duration {
+        let wait = self.bytes.take(now, bytes);
+        if self.settings.fault.is(Mutant::FreeBytes) {
+            return Duration::ZERO;
+        }
+        wait
+    }
+
     /// The longest time that a slot's new holder waits.
     pub fn hand_over(&self, longest: Duration) -> Duration {
         self.settings.owner.detection + longest
--- a/crates/route/src/router/input.rs
+++ b/crates/route/src/router/input.rs
@@ -2,8 +2,13 @@
 
 use std::time::Instant;
 
+use wagtail_types::Reason;
+
+use crate::budget::Budget;
+use crate::key::ServiceKey;
 use crate::message::Input;
 use crate::pool::Pool;
+use crate::queue::Queue;
 use crate::router::{Router, Service, Team};
 use crate::topology::{Drain, HostView, ServiceSpec, TeamSpec, Topology};
 
@@ -26,6 +31,7 @@
                 pools.any(|pool| pool.leaving(now, &endpoint, effects));
             }
         }
+        self.pump_all(now);
         self.publish();
     }
 
@@ -37,6 +43,7 @@
             .collect();
         self.owner.set_zones(now, &zones);
         self.spill.set_zones(&zones, &topology.delays);
+        self.plan.configure(now, topology);
         self.set_teams(&topology.teams);
         self.set_services(now, topology);
         let hosts = std::mem::take(&mut self.hosts);
@@ -45,7 +52,9 @@
 
     fn set_hosts(&mut self, now: Instant, hosts: Vec<HostView>) {
         self.owner.set_hosts(now, &hosts);
-        self.spill.set_hosts(&self.settings.host, &hosts);
+        let plan = &self.plan;
+        let drained = |zone: &_, region: &_| plan.is_drained(zone, region);
+        self.spill.set_hosts(&self.settings.host, &hosts, drained);
         for service in self.services.values_mut() {
             service.pool.split(now, &self.owner, false);
         }
@@ -60,6 +69,7 @@
         for spec in specs {
             let team = Team {
                 id: spec.id.clone(),
+                weight: spec.weight.max(1),
                 regions: spec.regions.clone(),
             };
             if let Some(key) = self.team_keys.get(&spec.id) {
@@ -72,28 +82,32 @@
     }
 
     fn set_services(&mut self, now: Instant, topology: &Topology) {
-        let listed = |service: &Service| topology.services.iter().any(|s| s.id == service.id);
-        self.services.retain(|_, service| listed(service));
-        let services = &self.services;
-        self.service_keys
-            .retain(|_, key| services.contains_key(*key));
+        let keys: Vec<_> = self.services.keys().collect();
+        for key in keys {
+            let id = &self.services[key].id;
+            if !topology.services.iter().any(|spec| spec.id == *id) {
+                self.withdraw(key);
+            }
+        }
         for spec in &topology.services {
             self.set_service(now, spec, topology);
         }
     }
 
+    /// Refuses what waits for a service, and drops the service once nothing runs.
+    fn withdraw(&mut self, key: ServiceKey) {
+        self.refuse_all(key, Reason::UnknownService);
+        let service = &mut self.services[key];
+        self.service_keys.remove(&service.id);
+        service.withdrawn = true;
+        if !service.pool.is_running() {
+            self.services.remove(key);
+        }
+    }
+
     fn set_service(&mut self, now: Instant, spec: &ServiceSpec, topology: &Topology) {
-        let key = match self.service_keys.get(&spec.id) {
-            Some(key) => *key,
-            None => self.services.insert_with_key(|key| Service {
-                id: spec.id.clone(),
-                pool: Pool::new(self.settings.pool.clone(), key, now),
-            }),
-        };
-        self.service_keys.insert(spec.id.clone(), key);
-        let regions = &self.spill;
-        let region = &self.settings.region;
-        let near = |zone| regions.region_of(zone) == Some(region);
+        let key = self.service_key(now, spec);
+        let near = |zone| self.spill.region_of(zone) == Some(&self.settings.region);
         let mine = topology
             .endpoints
             .iter()
@@ -106,4 +120,23 @@
         pool.set_endpoints(now, spec.longest, mine, &mut self.scratch);
         pool.set_drains(now, drained, &mut self.scratch);
     }
+
+    fn service_key(&mut self, now: Instant, spec: &ServiceSpec) -> ServiceKey {
+        let mut known = self.services.iter().filter(|(_, s)| s.id == spec.id);
+        let key = known.next().map(|(key, _)| key);
+        let key = key.unwrap_or_else(|| {
+            let settings = &self.settings;
+            self.services.insert_with_key(|key| Service {
+                id: spec.id.clone(),
+                pool: Pool::new(settings.pool.clone(), key, now, settings.fault),
+                queue: Queue::new(settings.queue.clone(), settings.fault),
+                retries: Budget::new(settings.budget.retry, settings.budget.burst),
+                hedges: Budget::new(settings.budget.hedge, settings.budget.burst),
+                withdrawn: false,
+            })
+        });
+        self.services[key].withdrawn = false;
+        self.service_keys.insert(spec.id.clone(), key);
+        key
+    }
 }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -4,44 +4,262 @@
 
 use wagtail_types::{Reason, RegionId, Verdict};
 
-use crate::message::{Origin, Placement, Request};
+use crate::message::{Lease, Origin, Pass, Placement, Request};
+use crate::mutant::Mutant;
+use crate::queue::{Entry, Full, Pace};
 use crate::router::Router;
 use crate::spill::Wanted;
 
-/// The retry time given where no service time is known yet.
+/// The retry time where no slot will come free here by itself.
 const RETRY_DEFAULT: Duration = Duration::from_millis(100);
+/// The retry time where a cap on shifted traffic is reached.
+const RETRY_CAPPED: Duration = Duration::from_secs(1);
+
+/// Where a request that finds no free slot here may go.
+#[derive(Debug, Clone, Copy)]
+struct Away {
+    within: Duration,
+    leave: bool,
+}
 
 impl Router {
     /// Finds a place for a request.
     pub fn place(&mut self, now: Instant, request: &Request<'_>) -> Placement {
         self.wake(now);
-        let Some(service) = self.services.get_mut(request.service) else {
-            return refuse(Reason::UnknownService, None);
+        if let Err(verdict) = self.admit(now, request) {
+            return Placement::Refuse(verdict);
+        }
+        let local = request.origin == Origin::Local;
+        if local && let Some(pass) = self.steer(now, request) {
+            return Placement::Relay(pass);
+        }
+        if let Some(lease) = self.dispatch(now, request) {
+            return Placement::Dispatch(lease);
+        }
+        let pace = self.pace(now, request);
+        let wait = pace.and_then(|pace| self.in_time(now, request, pace));
+        if local {
+            let within = wait.map_or(Duration::MAX, |wait| wait / 2);
+            let leave = false;
+            if let Some(pass) = self.relay(now, request, Away { within, leave }) {
+                return Placement::Relay(pass);
+            }
+        }
+        self.enqueue(now, request, pace)
+    }
+
+    fn admit(&mut self, now: Instant, request: &Request<'_>) -> Result<(), Verdict> {
+        let service = self.services.get_mut(request.service);
+        let Some(service) = service.filter(|service| !service.withdrawn) else {
+            return Err(Verdict::not_run(Reason::UnknownService, None));
         };
         if request.deadline <= now {
-            return refuse(Reason::DeadlinePassed, None);
+            return Err(Verdict::not_run(Reason::DeadlinePassed, None));
+        }
+        if request.attempt > 0 {
+            let more = service.retries.take() || self.settings.fault.is(Mutant::FreeRetries);
+            let verdict = Verdict::not_run(Reason::Overloaded, RETRY_DEFAULT);
+            return if more { Ok(()) } else { Err(verdict) };
+        }
+        service.retries.fill();
+        service.hedges.fill();
+        if request.origin == Origin::Local {
+            self.plan.count(now, &service.id);
+        }
+        Ok(())
+    }
+
+    /// Relays what a planned move or drain wants elsewhere, as far as the caps allow.
+    fn steer(&mut self, now: Instant, request: &Request<'_>) -> Option<Pass> {
+        let service = &self.services.get(request.service)?.id;
+        let target = self.plan.target(now, service);
+        if target.is_none() && !self.plan.leaves() {
+            return None;
         }
+        self.fill_reach(now, request, true);
+        if let Some(target) = &target {
+            for (open, region) in self.reach.iter_mut().zip(self.spill.regions()) {
+                *open &= region == target;
+            }
+        }
+        let within = Duration::MAX;
+        let (pass, region) = self.choose(
+            now,
+            request,
+            Away {
+                within,
+                leave: true,
+            },
+        )?;
+        let service = &self.services.get(request.service)?.id;
+        if !self.settings.fault.is(Mutant::UncappedMoves) {
+            self.plan.take(now, &region);
+        }
+        self.plan.steered(service, &region);
+        Some(pass)
+    }
+
+    fn dispatch(&mut self, now: Instant, request: &Request<'_>) -> Option<Lease> {
+        if !self.may_run_here(request) {
+            return None;
+        }
+        let weight = self.weight(request);
+        let service = self.services.get_mut(request.service)?;
+        if !service.queue.is_empty() {
+            return None;
+        }
+        let lease = service.pool.pick(now, &mut self.rng, None)?;
+        service.queue.pass(request.team, weight);
+        Some(lease)
+    }
+
+    /// Relays to the nearest hosts that offer slots, as far as the caps allow.
+    fn relay(&mut self, now: Instant, request: &Request<'_>, away: Away) -> Option<Pass> {
+        if request.tried.len() > self.settings.spill.more_zones {
+            return None;
+        }
+        self.fill_reach(now, request, false);
+        let (pass, region) = self.choose(now, request, away)?;
+        if region != *self.home(request) {
+            self.plan.take(now, &region);
+        }
+        Some(pass)
+    }
+
+    fn choose(
+        &mut self,
+        now: Instant,
+        request: &Request<'_>,
+        away: Away,
+    ) -> Option<(Pass, RegionId)> {
+        let wanted = Wanted {
+            service: &self.services.get(request.service)?.id,
+            tried: request.tried,
+            regions: &self.reach,
+            within: away.within,
+            away: away.leave,
+        };
+        self.spill.choose(now, &wanted, &mut self.rng)
+    }
+
+    /// Works out which regions a request may go to under entitlement, caps and bytes.
+    fn fill_reach(&mut self, now: Instant, request: &Request<'_>, own_capped: bool) {
         let team = request.team.and_then(|team| self.teams.get(team));
         let allowed = team.and_then(|team| team.regions.as_deref());
-        let may_run = |region: &RegionId| allowed.is_none_or(|list| list.contains(region));
-        if may_run(&self.settings.region)
-            && let Some(lease) = service.pool.pick(now, &mut self.rng)
-        {
-            return Placement::Dispatch(lease);
+        let bytes = self.bytes.has(now);
+        let home = self.spill.home(allowed).clone();
+        self.reach.clear();
+        for region in self.spill.regions() {
+            let far = *region != self.settings.region;
+            let entitled = allowed.is_none_or(|list| list.contains(region));
+            let home = *region == home && !own_capped;
+            let open = home || self.plan.may(now, region);
+            self.reach.push(entitled && open && (bytes || !far));
         }
-        if request.origin == Origin::Local && self.owner.is_serving() {
-            let wanted = Wanted {
-                service: &service.id,
-                tried: request.tried,
-            };
-            if let Some(pass) = self.spill.choose(now, &wanted, &mut self.rng, may_run) {
-                return Placement::Relay(pass);
+    }
+
+    fn pace(&self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+        let service = self.services.get(request.service)?;
+        let pace = service.pool.pace(now, self.settings.queue.guess);
+        (pace.slots > 0 && self.may_run_here(request)).then_some(pace)
+    }
+
+    /// The wait in the queue here, where it ends in time.
+    fn in_time(&self, now: Instant, request: &Request<'_>, pace: Pace) -> Option<Duration> {
+        let queue = &self.services.get(request.service)?.queue;
+        let wait = pace.wait(queue.ahead(request.team))?;
+        (now + wait <= queue.start_by(now, request.deadline, pace.mean)).then_some(wait)
+    }
+
+    fn enqueue(&mut self, now: Instant, request: &Request<'_>, pace: Option<Pace>) -> Placement {
+        let Some(pace) = pace else {
+            return Placement::Refuse(self.no_place(now, request));
+        };
+        let weight = self.weight(request);
+        let Some(service) = self.services.get_mut(request.service) else {
+            return Placement::Refuse(Verdict::not_run(Reason::UnknownService, None));
+        };
+        let queue = &mut service.queue;
+        let entry = Entry {
+            team: request.team,
+            weight,
+            start_by: queue.start_by(now, request.deadline, pace.mean),
+        };
+        let tickets = &mut self.tickets;
+        match queue.push(now, &entry, pace, || tickets.insert(request.service)) {
+            Ok((ticket, evicted)) => {
+                if let Some(evicted) = evicted {
+                    self.evict(evicted, pace);
+                }
+                Placement::Queued(ticket)
             }
+            Err(full) => Placement::Refuse(self.late(now, request, full, pace)),
         }
-        refuse(Reason::Overloaded, Some(RETRY_DEFAULT))
     }
-}
 
-fn refuse(reason: Reason, retry: Option<Duration>) -> Placement {
-    Placement::Refuse(Verdict::not_run(reason, retry))
+    fn evict(&mut self, ticket: crate::key::Ticket, pace: Pace) {
+        self.tickets.remove(ticket);
+        let verdict = Verdict::not_run(Reason::Overloaded, pace.mean);
+        let effect = crate::message::Effect::Refuse { ticket, verdict };
+        self.effects.push_back(effect);
+    }
+
+    /// The refusal of a request that cannot wait: a retry is worth while once its wait would
+    /// be short enough.
+    fn late(&self, now: Instant, request: &Request<'_>, full: Full, pace: Pace) -> Verdict {
+        let Some(service) = self.services.get(request.service) else {
+            return Verdict::not_run(Reason::UnknownService, None);
+        };
+        let wait = pace
+            .wait(service.queue.ahead(request.team))
+            .unwrap_or(RETRY_DEFAULT);
+        let room = service.queue.start_by(now, request.deadline, pace.mean);
+        let room = room.saturating_duration_since(now);
+        let least = pace.wait(0).unwrap_or(RETRY_DEFAULT);
+        let retry = match full {
+            Full::Late => wait.saturating_sub(room).max(least),
+            Full::Long => least,
+        };
+        Verdict::not_run(Reason::Overloaded, retry)
+    }
+
+    /// The refusal where this host has no slot at all for the request.
+    fn no_place(&mut self, now: Instant, request: &Request<'_>) -> Verdict {
+        self.fill_reach(now, request, false);
+        let some_barred = self.reach.iter().any(|open| !open);
+        let regions = vec![true; self.reach.len()];
+        let Some(service) = self.services.get(request.service) else {
+            return Verdict::not_run(Reason::UnknownService, None);
+        };
+        let wanted = Wanted {
+            service: &service.id,
+            tried: request.tried,
+            regions: &regions,
+            within: Duration::MAX,
+            away: false,
+        };
+        if request.origin == Origin::Local && some_barred && self.spill.has_offer(now, &wanted) {
+            return Verdict::not_run(Reason::Capped, RETRY_CAPPED);
+        }
+        Verdict::not_run(Reason::NoEndpoint, RETRY_DEFAULT)
+    }
+
+    /// The region in which the request runs as long as nothing is shifted.
+    fn home(&self, request: &Request<'_>) -> &RegionId {
+        let team = request.team.and_then(|team| self.teams.get(team));
+        self.spill
+            .home(team.and_then(|team| team.regions.as_deref()))
+    }
+
+    fn may_run_here(&self, request: &Request<'_>) -> bool {
+        let team = request.team.and_then(|team| self.teams.get(team));
+        let allowed = team.and_then(|team| team.regions.as_deref());
+        allowed.is_none_or(|list| list.contains(&self.settings.region))
+    }
+
+    fn weight(&self, request: &Request<'_>) -> f64 {
+        let team = request.team.and_then(|team| self.teams.get(team));
+        let team = team.map_or(1, |team| team.weight);
+        f64::from(team) * f64::from(request.weight.max(1))
+    }
 }
--- /dev/null
+++ b/crates/route/src/router/pump.rs
@@ -0,0 +1,64 @@
+//! Starts and refuses what waits.
+
+use std::time::{Duration, Instant};
+
+use wagtail_types::{Reason, Verdict};
+
+use crate::key::{ServiceKey, Ticket};
+use crate::message::Effect;
+use crate::router::Router;
+
+impl Router {
+    /// Gives up a queued request; false where it has started or been refused already.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let Some(key) = self.tickets.remove(ticket) else {
+            return false;
+        };
+        let service = self.services.get_mut(key);
+        service.is_some_and(|service| service.queue.remove(ticket))
+    }
+
+    pub(crate) fn pump_all(&mut self, now: Instant) {
+        let keys: Vec<_> = self.services.keys().collect();
+        for key in keys {
+            self.pump(now, key);
+        }
+    }
+
+    /// Refuses what can no longer start in time, then fills the free slots.
+    pub(crate) fn pump(&mut self, now: Instant, key: ServiceKey) {
+        let Some(service) = self.services.get_mut(key) else {
+            return;
+        };
+        if service.queue.is_empty() {
+            return;
+        }
+        let pace = service.pool.pace(now, self.settings.queue.guess);
+        while let Some(ticket) = service.queue.expired(now) {
+            let retry = pace.wait(service.queue.len());
+            let verdict = Verdict::not_run(Reason::Overloaded, retry);
+            self.tickets.remove(ticket);
+            self.scratch.push(Effect::Refuse { ticket, verdict });
+        }
+        while !service.queue.is_empty()
+            && let Some(lease) = service.pool.pick(now, &mut self.rng, None)
+            && let Some(next) = service.queue.pop()
+        {
+            let ticket = next.ticket;
+            self.tickets.remove(ticket);
+            self.scratch.push(Effect::Start { ticket, lease });
+        }
+    }
+
+    /// Refuses all that waits for a service.
+    pub(crate) fn refuse_all(&mut self, key: ServiceKey, reason: Reason) {
+        let Some(service) = self.services.get_mut(key) else {
+            return;
+        };
+        while let Some(ticket) = service.queue.any() {
+            let verdict = Verdict::not_run(reason, Duration::ZERO);
+            self.tickets.remove(ticket);
+            self.scratch.push(Effect::Refuse { ticket, verdict });
+        }
+    }
+}
--- a/crates/route/src/router/status.rs
+++ b/crates/route/src/router/status.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use wagtail_types::RegionId;
+
 use crate::message::{Advert, Headroom};
 use crate::router::{Router, Service};
 
@@ -22,6 +24,11 @@
         self.services.values().map(row).collect()
     }
 
+    /// The share of this region's traffic that may now go to each other region.
+    pub fn open_shares(&mut self, now: Instant) -> Vec<(RegionId, f64)> {
+        self.plan.open(now)
+    }
+
     fn row(&self, now: Instant, service: &Service) -> Headroom {
         let counts = service.pool.counts(now);
         let (region, beyond) = self.spill.offered(now, &service.id);
@@ -30,7 +37,7 @@
             slots: counts.slots,
             free: counts.free,
             ejected: counts.ejected,
-            queued: 0,
+            queued: u32::try_from(service.queue.len()).unwrap_or(u32::MAX),
             region,
             beyond,
         }
--- a/crates/route/src/settings.rs
+++ b/crates/route/src/settings.rs
@@ -4,6 +4,8 @@
 
 use wagtail_types::{ByteRate, HostId, RegionId, Share, ZoneId};
 
+use crate::mutant::Fault;
+
 /// Settings of a [`Router`](crate::Router).
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -23,6 +25,7 @@
     pub budget: BudgetSettings,
     /// Relays to other hosts.
     pub spill: SpillSettings,
+    pub(crate) fault: Fault,
 }
 
 impl Settings {
@@ -37,8 +40,17 @@
             queue: QueueSettings::default(),
             budget: BudgetSettings::default(),
             spill: SpillSettings::default(),
+            fault: Fault::default(),
         }
     }
+
+    /// The same settings with a deliberate fault.
+    #[cfg(feature = "mutants")]
+    #[must_use]
+    pub fn with_mutant(mut self, mutant: Option<crate::Mutant>) -> Self {
+        self.fault.mutant = mutant;
+        self
+    }
 }
 
 /// Split of slots among hosts.
@@ -108,6 +120,8 @@
     pub total_len: usize,
     /// The longest wait in a queue.
     pub wait: Duration,
+    /// How long a request takes before any answer has told.
+    pub guess: Duration,
 }
 
 impl Default for QueueSettings {
@@ -116,6 +130,7 @@
             team_len: 32,
             total_len: 128,
             wait: Duration::from_millis(500),
+            guess: Duration::from_millis(20),
         }
     }
 }
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -21,6 +21,7 @@
     region: RegionId,
     regions: HashMap<ZoneId, RegionId>,
     delays: HashMap<RegionId, Duration>,
+    order: Vec<RegionId>,
     peers: Vec<Peer>,
     passes: SlotMap<PassKey, Sent>,
 }
@@ -29,7 +30,8 @@
 pub(crate) struct Peer {
     pub(crate) host: HostId,
     pub(crate) zone: ZoneId,
-    pub(crate) region: RegionId,
+    pub(crate) region: usize,
+    drained: bool,
     delay: Duration,
     free: Vec<(ServiceId, u32)>,
     at: Option<Instant>,
@@ -42,9 +44,16 @@
 }
 
 /// Hosts that one request may be relayed to.
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Wanted<'a> {
     pub(crate) service: &'a ServiceId,
     pub(crate) tried: &'a [ZoneId],
+    /// Whether it may go to each of the regions, in the order of [`Spill::regions`].
+    pub(crate) regions: &'a [bool],
+    /// The longest one-way delay.
+    pub(crate) within: Duration,
+    /// Whether the own zone is left out.
+    pub(crate) away: bool,
 }
 
 impl Spill {
@@ -55,17 +64,43 @@
             region,
             regions: HashMap::new(),
             delays: HashMap::new(),
+            order: Vec::new(),
             peers: Vec::new(),
             passes: SlotMap::with_key(),
         }
     }
 
+    /// Every region, in a fixed order.
+    pub(crate) fn regions(&self) -> &[RegionId] {
+        &self.order
+    }
+
+    /// The nearest of the regions that a request may run in.
+    pub(crate) fn home<'a>(&'a self, allowed: Option<&'a [RegionId]>) -> &'a RegionId {
+        let own = &self.region;
+        let far = self.settings.far_delay;
+        let delay = |region: &&RegionId| {
+            let delay = self.delays.get(*region).copied().unwrap_or(far);
+            if *region == own {
+                Duration::ZERO
+            } else {
+                delay
+            }
+        };
+        let nearest = allowed.and_then(|list| list.iter().min_by_key(delay));
+        nearest.unwrap_or(own)
+    }
+
+    /// The region of a configured zone.
     pub(crate) fn region_of(&self, zone: &ZoneId) -> Option<&RegionId> {
         self.regions.get(zone)
     }
 
     pub(crate) fn set_zones(&mut self, zones: &[(ZoneId, RegionId)], delays: &[Delay]) {
         self.regions = zones.iter().cloned().collect();
+        self.order = zones.iter().map(|(_, region)| region.clone()).collect();
+        self.order.sort();
+        self.order.dedup();
         self.delays.clear();
         for delay in delays {
             if delay.from == self.region {
@@ -77,25 +112,32 @@
     }
 
     /// Takes in the hosts; what those that stay have offered is kept.
-    pub(crate) fn set_hosts(&mut self, me: &HostId, hosts: &[HostView]) {
+    pub(crate) fn set_hosts(
+        &mut self,
+        me: &HostId,
+        hosts: &[HostView],
+        drained: impl Fn(&ZoneId, &RegionId) -> bool,
+    ) {
         let mut known: HashMap<_, _> = self
             .peers
             .drain(..)
             .map(|peer| (peer.host, (peer.free, peer.at)))
             .collect();
-        for host in hosts
-            .iter()
-            .filter(|h| h.state == HostState::Serving && h.id != *me)
-        {
-            let Some(region) = self.regions.get(&host.zone).cloned() else {
+        let others = |h: &&HostView| h.state == HostState::Serving && h.id != *me;
+        for host in hosts.iter().filter(others) {
+            let Some(region) = self.regions.get(&host.zone) else {
+                continue;
+            };
+            let Ok(index) = self.order.binary_search(region) else {
                 continue;
             };
             let (free, at) = known.remove(&host.id).unwrap_or_default();
             self.peers.push(Peer {
                 host: host.id.clone(),
-                delay: self.delay(&host.zone, &region),
+                delay: self.delay(&host.zone, region),
+                drained: drained(&host.zone, region),
                 zone: host.zone.clone(),
-                region,
+                region: index,
                 free,
                 at,
             });
@@ -127,32 +169,32 @@
         }
     }
 
-    /// The hosts at one delay from here that offer slots, nearest first.
+    /// Sends one request to the nearest hosts that offer slots, in proportion to their offers.
     pub(crate) fn choose(
         &mut self,
         now: Instant,
         wanted: &Wanted<'_>,
         rng: &mut SmallRng,
-        mut may: impl FnMut(&RegionId) -> bool,
-    ) -> Option<Pass> {
+    ) -> Option<(Pass, RegionId)> {
         let mut from = 0;
-        while from < self.peers.len() {
-            let delay = self.peers[from].delay;
-            let len = self.peers[from..]
-                .iter()
-                .take_while(|p| p.delay == delay)
-                .count();
-            let tier = from..from + len;
-            from += len;
-            if let Some(at) = self.draw(now, wanted, rng, tier)
-                && may(&self.peers[at].region)
-            {
-                return Some(self.send(at, wanted));
+        while let Some(first) = self.peers.get(from)
+            && first.delay <= wanted.within
+        {
+            let same = |peer: &&Peer| peer.delay == first.delay;
+            let to = from + self.peers[from..].iter().take_while(same).count();
+            if let Some(at) = self.draw(now, wanted, rng, from..to) {
+                return Some(self.send(at, wanted.service));
             }
+            from = to;
         }
         None
     }
 
+    /// Whether any host offers a slot.
+    pub(crate) fn has_offer(&self, now: Instant, wanted: &Wanted<'_>) -> bool {
+        self.peers.iter().any(|p| self.offer(now, wanted, p) > 0)
+    }
+
     fn draw(
         &self,
         now: Instant,
@@ -175,46 +217,59 @@
     }
 
     fn offer(&self, now: Instant, wanted: &Wanted<'_>, peer: &Peer) -> u32 {
+        let barred = peer.drained
+            || wanted.tried.contains(&peer.zone)
+            || (wanted.away && peer.zone == self.zone)
+            || !wanted.regions[peer.region];
+        if barred {
+            0
+        } else {
+            self.fresh(now, wanted.service, peer)
+        }
+    }
+
+    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> u32 {
         let fresh = |at| now.saturating_duration_since(at) < self.settings.advert_ttl;
-        if !peer.at.is_some_and(fresh) || wanted.tried.contains(&peer.zone) {
-            return 0;
+        if peer.at.is_some_and(fresh) {
+            peer.offer(service)
+        } else {
+            0
         }
-        peer.offer(wanted.service)
     }
 
-    fn send(&mut self, at: usize, wanted: &Wanted<'_>) -> Pass {
+    fn send(&mut self, at: usize, service: &ServiceId) -> (Pass, RegionId) {
         let peer = &mut self.peers[at];
-        peer.take(wanted.service);
+        peer.take(service);
+        let region = self.order[peer.region].clone();
         let sent = Sent {
             host: peer.host.clone(),
-            service: wanted.service.clone(),
+            service: service.clone(),
         };
-        Pass {
+        let pass = Pass {
             zone: peer.zone.clone(),
             host: peer.host.clone(),
+            far: region != self.region,
             key: self.passes.insert(sent),
-        }
+        };
+        (pass, region)
     }
 
     /// Ends a relay. A host that had no slot offers none until its next advert.
-    pub(crate) fn finish(&mut self, pass: &Pass, refused: bool) -> Option<Sent> {
-        let sent = self.passes.remove(pass.key)?;
+    pub(crate) fn finish(&mut self, pass: &Pass, refused: bool) {
+        let Some(sent) = self.passes.remove(pass.key) else {
+            return;
+        };
         if refused && let Some(peer) = self.peers.iter_mut().find(|p| p.host == sent.host) {
             peer.free.retain(|(service, _)| *service != sent.service);
         }
-        Some(sent)
     }
 
     /// Free slots that hosts of this region and of others offer.
     pub(crate) fn offered(&self, now: Instant, service: &ServiceId) -> (u32, u32) {
         let (mut near, mut far) = (0, 0);
-        let wanted = Wanted {
-            service,
-            tried: &[],
-        };
         for peer in &self.peers {
-            let free = self.offer(now, &wanted, peer);
-            if peer.region == self.region {
+            let free = self.fresh(now, service, peer);
+            if self.order[peer.region] == self.region {
                 near += free;
             } else {
                 far += free;
