--- a/crates/entryd/src/drive/limit.rs
+++ b/crates/entryd/src/drive/limit.rs
@@ -4,7 +4,7 @@
 
 use slog::info;
 use wagtail_peer::Control;
-use wagtail_quota::{Effect, Input, ReadOutcome, ShardId, WriteOutcome};
+use wagtail_quota::{Effect, Input};
 
 use super::route::send;
 use crate::host::Host;
--- a/crates/entryd/src/keyed.rs
+++ b/crates/entryd/src/keyed.rs
@@ -4,6 +4,7 @@
 //! request whose duplicates wait for its answer.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use axum::body::Body;
 use bytes::Bytes;
@@ -115,7 +116,7 @@
 ) -> Result<Response<Body>, Verdict> {
     let resolution = match begun {
         Begun::Now(resolution) => *resolution,
-        Begun::Later(waiter) => wait(host, &job, waiter).await?,
+        Begun::Later(waiter) => wait(host, job.left(host.now()), waiter).await?,
     };
     match resolution {
         Resolution::Run(permit) => run_apart(host, job, permit).await,
@@ -141,9 +142,8 @@
     }
 }
 
-async fn wait(host: &Arc<Host>, job: &Job, waiter: Waiter) -> Result<Resolution, Verdict> {
+async fn wait(host: &Arc<Host>, left: Duration, waiter: Waiter) -> Result<Resolution, Verdict> {
     let mut cancel = Cancel { host, ticket: waiter.ticket, armed: true };
-    let left = job.left(host.now());
     let waited = tokio::time::timeout(left, waiter.receiver).await;
     cancel.armed = waited.is_err();
     match waited {
@@ -172,7 +172,7 @@
 }
 
 async fn attempt(host: &Arc<Host>, mut job: Job, permit: Permit) -> Result<Response<Body>, Verdict> {
-    let result = match request::admit(host, &job).await {
+    let result = match request::admit(host, job.team.clone(), job.deadline).await {
         Ok(()) => run::run(host, &mut job).await,
         Err(verdict) => Err(verdict),
     };
--- a/crates/entryd/src/plan.rs
+++ b/crates/entryd/src/plan.rs
@@ -188,7 +188,7 @@
     (view.teams().values().map(limit).collect(), ShardMap::new(shards))
 }
 
-const SHARDS_PER_ZONE: u16 = 1;
+const SHARDS_PER_ZONE: u32 = 1;
 
 fn since(view: &View, team: &wagtail_config::Team) -> Epoch {
     wagtail_config::RecordKey::new("team", team.id.as_str())
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -111,7 +111,7 @@
     match intake.idempotency {
         Some(key) => Ok(keyed::begin(host, job, &key, intake.repeat).await?),
         None => {
-            admit(host, &job).await?;
+            admit(host, job.team.clone(), job.deadline).await?;
             Ok(run::run(host, &mut job).await?)
         }
     }
@@ -149,12 +149,16 @@
 }
 
 /// Spends a token of the team, waiting for other hosts where they have one.
-pub(crate) async fn admit(host: &Arc<Host>, job: &Job) -> Result<(), Verdict> {
-    let Some(team) = &job.team else { return Ok(()) };
+pub(crate) async fn admit(
+    host: &Arc<Host>,
+    team: Option<Arc<Team>>,
+    deadline: Instant,
+) -> Result<(), Verdict> {
+    let Some(team) = team else { return Ok(()) };
     let now = host.now();
     let (admission, receiver) = {
         let mut limiting = host.limiting.lock();
-        let admission = limiting.machine.admit(now, &team.id, job.deadline);
+        let admission = limiting.machine.admit(now, &team.id, deadline);
         let receiver = match admission {
             Admission::Waiting(ticket) => Some(limiting.wait(ticket)),
             Admission::Granted | Admission::Refused { .. } => None,
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -130,10 +130,9 @@
 impl Drop for Queued {
     fn drop(&mut self) {
         let Some(ticket) = self.ticket else { return };
-        let now = self.host.now();
         let mut routing = self.host.routing.lock();
         routing.forget(&ticket);
-        routing.machine.cancel(now, ticket);
+        routing.machine.cancel(ticket);
         drop(routing);
         // The lease may have been on its way in the channel.
         if let Ok(Ok(lease)) = self.start.try_recv() {
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use wagtail_config::{ConfigSync, SyncInput, SyncSettings, View};
 use wagtail_member::{HostInfo, Member};
 use wagtail_once::Once;
@@ -76,7 +77,16 @@
     serving: Serving,
     callers: Server,
     operators: Server,
-    tasks: tokio::task::JoinSet<()>,
+    tasks: JoinSet<()>,
+}
+
+/// A host whose sockets are bound and whose tasks run, but that has no configuration yet.
+pub struct Bound {
+    host: Arc<Host>,
+    starting: Starting,
+    callers: Server,
+    operators: Server,
+    tasks: JoinSet<()>,
 }
 
 /// Starts a host; it serves once it has a configuration.
@@ -85,6 +95,15 @@
 ///
 /// Fails where an address cannot be bound or a thread cannot start.
 pub async fn start(settings: Settings, options: Options) -> Result<Running, RunError> {
+    Ok(bind(settings, options).await?.serve().await)
+}
+
+/// Binds the sockets of a host and starts its tasks.
+///
+/// # Errors
+///
+/// Fails where an address cannot be bound or a thread cannot start.
+pub async fn bind(settings: Settings, options: Options) -> Result<Bound, RunError> {
     let callers = TcpListener::bind(settings.listen).await?;
     let operators = TcpListener::bind(settings.ops).await?;
     let starting = Starting::new();
@@ -98,17 +117,40 @@
     };
     let callers = Server::start(callers, api::callers(host.clone()), limits)?;
     let operators = Server::start(operators, api::operators(host.clone()), limits)?;
-    let mut tasks = tokio::task::JoinSet::new();
+    let mut tasks = JoinSet::new();
     tasks::spawn(&host, &mut tasks);
     let seeds = host.settings.seeds.iter().map(|s| s.host.clone()).collect();
     drive::sync_input(&host, SyncInput::Peers(seeds));
     info!(host.log, "started"; "listen" => %callers.addr(), "ops" => %operators.addr(),
         "incarnation" => %host.incarnation);
-    host.adopted.notified().await;
-    let serving = starting.serve();
-    drive::spread(&host);
-    info!(host.log, "serving"; "epoch" => %host.view.load().epoch());
-    Ok(Running { host, serving, callers, operators, tasks })
+    Ok(Bound { host, starting, callers, operators, tasks })
+}
+
+impl Bound {
+    /// The address for callers.
+    pub fn addr(&self) -> SocketAddr {
+        self.callers.addr()
+    }
+
+    /// The address for operators.
+    pub fn ops_addr(&self) -> SocketAddr {
+        self.operators.addr()
+    }
+
+    /// The address for other hosts; `None` only where the host has ended.
+    pub fn peer_addr(&self) -> Option<SocketAddr> {
+        self.host.peer().map(Peer::addr)
+    }
+
+    /// Waits for a configuration, then enters the look-ups.
+    pub async fn serve(self) -> Running {
+        let Self { host, starting, callers, operators, tasks } = self;
+        host.adopted.notified().await;
+        let serving = starting.serve();
+        drive::spread(&host);
+        info!(host.log, "serving"; "epoch" => %host.view.load().epoch());
+        Running { host, serving, callers, operators, tasks }
+    }
 }
 
 fn build(settings: Settings, options: &Options, starting: &Starting) -> Result<Host, RunError> {
@@ -225,7 +267,7 @@
         )
     };
     let inbox = Arc::new(Inbox(Arc::downgrade(host)));
-    Ok(Peer::start(settings, inbox)?)
+    Ok(Peer::start(settings, inbox, tokio::runtime::Handle::current())?)
 }
 
 impl Running {
--- a/crates/entryd/src/upstream.rs
+++ b/crates/entryd/src/upstream.rs
@@ -14,7 +14,7 @@
 use axum::body::Body;
 use bytes::Bytes;
 use http::{Request, Response};
-use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
