+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_key(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_key(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_schema(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                if self.reader.get_data_field::<u16>(6) != 1 { return false; }
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader<'a,>, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(6) {
+                    0 => {
+                        ::core::result::Result::Ok(Withdrawn(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Body(
+                            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_key(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_key(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_key(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_key(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_epoch(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_epoch(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_schema(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_schema(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+            #[inline]
+            pub fn set_withdrawn(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(6, 0);
+            }
+            #[inline]
+            pub fn set_body(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                self.builder.set_data_field::<u16>(6, 1);
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_body(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.set_data_field::<u16>(6, 1);
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_body(&self) -> bool {
+                if self.builder.get_data_field::<u16>(6) != 1 { return false; }
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder<'a,>, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(6) {
+                    0 => {
+                        ::core::result::Result::Ok(Withdrawn(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Body(
+                            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(23, 201, 48, 189, 71, 20, 193, 248),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(32, 255, 251, 186, 121, 133, 170, 229),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 2, 0),
+                ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 111, 110, 102, 105),
+                ::capnp::word(103, 46, 82, 111, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 254, 255, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(145, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(107, 101, 121, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 99, 104, 101, 109, 97, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 105, 116, 104, 100, 114, 97, 119),
+                ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[3,4];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,0,2,3];
+            pub(crate) const TYPE_ID: u64 = 0xf8c1_1447_bd30_c917;
+        }
+        pub enum Which<A0> {
+            Withdrawn(()),
+            Body(A0),
+        }
+        pub type WhichReader<'a,> = Which<::capnp::Result<::capnp::text::Reader<'a>>>;
+        pub type WhichBuilder<'a,> = Which<::capnp::Result<::capnp::text::Builder<'a>>>;
+    }
+}
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -51,7 +51,7 @@
 /// Limits on sizes, counts and times.
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// Largest message on the wire.
+    /// Largest message on the wire; the same on every host of the fleet.
     pub message: Bytes,
     /// Largest head of a relayed request or answer: path and headers together.
     pub head: Bytes,
@@ -76,7 +76,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            message: Bytes(1024 * 1024),
+            message: Bytes(4 * 1024 * 1024),
             head: Bytes(64 * 1024),
             connections: 2048,
             relays: 4096,
--- /dev/null
+++ b/crates/peer/tests/codec.rs
@@ -0,0 +1,297 @@
+//! Every control message survives its way over the wire, and broken bytes are refused.
+
+use std::fmt::Debug;
+use std::str::FromStr;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wagtail_member::{Adoption, Body, Cursor, Delta, Freshness, Sender, State, Summary};
+use wagtail_peer::{Control, wire};
+use wagtail_quota::{Hint, LoanId, Message as Quota, ShardId, ShardNote, TeamHint};
+use wagtail_route::Advert;
+use wagtail_types::{Epoch, Incarnation, Rate, Tokens};
+
+fn name<T>() -> impl Strategy<Value = T>
+where
+    T: FromStr + Debug,
+    T::Err: Debug,
+{
+    "[a-z0-9][a-z0-9.-]{0,47}".prop_map(|text| text.parse().expect("a name"))
+}
+
+fn time() -> impl Strategy<Value = Duration> {
+    prop_oneof![
+        Just(0),
+        Just(1),
+        any::<u32>().prop_map(u64::from),
+        0..1_u64 << 50
+    ]
+    .prop_map(Duration::from_micros)
+}
+
+fn epoch() -> impl Strategy<Value = Epoch> {
+    any::<u64>().prop_map(Epoch)
+}
+
+fn incarnation() -> impl Strategy<Value = Incarnation> {
+    any::<u64>().prop_map(Incarnation)
+}
+
+fn tokens() -> impl Strategy<Value = Tokens> {
+    any::<u64>().prop_map(Tokens::from_micros)
+}
+
+fn rate() -> impl Strategy<Value = Rate> {
+    any::<u64>().prop_map(Rate::from_micros)
+}
+
+fn advert() -> impl Strategy<Value = Advert> {
+    let free = vec((name(), any::<u32>()), 0..6);
+    (name(), free, time()).prop_map(|(host, free, age)| Advert { host, free, age })
+}
+
+fn hint() -> impl Strategy<Value = Hint> {
+    (tokens(), rate(), tokens()).prop_map(|(level, spare, cap)| Hint { level, spare, cap })
+}
+
+fn shard() -> impl Strategy<Value = ShardId> {
+    (name(), any::<u32>()).prop_map(|(zone, index)| ShardId { zone, index })
+}
+
+fn ask() -> impl Strategy<Value = Quota> {
+    let extend = option::of(any::<u64>().prop_map(LoanId));
+    (any::<u64>(), name(), tokens(), rate(), extend, hint()).prop_map(
+        |(id, team, need, rate, extend, hint)| Quota::Ask {
+            id,
+            team,
+            need,
+            rate,
+            extend,
+            hint,
+        },
+    )
+}
+
+fn loan() -> impl Strategy<Value = Quota> {
+    let ids = (any::<u64>(), any::<u64>().prop_map(LoanId));
+    (ids, name(), rate(), tokens(), tokens(), time(), hint()).prop_map(
+        |((id, loan), team, rate, cap, tokens, life, hint)| Quota::Loan {
+            id,
+            loan,
+            team,
+            rate,
+            cap,
+            tokens,
+            life,
+            hint,
+        },
+    )
+}
+
+fn gossip() -> impl Strategy<Value = Quota> {
+    let note =
+        (shard(), name(), any::<u64>(), epoch()).prop_map(|(shard, holder, version, epoch)| {
+            ShardNote {
+                shard,
+                holder,
+                version,
+                epoch,
+            }
+        });
+    let hint = (name(), hint()).prop_map(|(team, hint)| TeamHint { team, hint });
+    (epoch(), vec(note, 0..4), vec(hint, 0..4)).prop_map(|(confirmed, shards, hints)| {
+        Quota::Gossip {
+            confirmed,
+            shards,
+            hints,
+        }
+    })
+}
+
+fn quota() -> impl Strategy<Value = Quota> {
+    let back = (any::<u64>(), name(), tokens()).prop_map(|(loan, team, tokens)| Quota::Return {
+        loan: LoanId(loan),
+        team,
+        tokens,
+    });
+    let hold = (shard(), any::<u64>(), any::<u64>()).prop_map(|(shard, version, id)| Quota::Hold {
+        shard,
+        version,
+        id,
+    });
+    let held =
+        (shard(), any::<u64>(), incarnation()).prop_map(|(shard, id, incarnation)| Quota::Held {
+            shard,
+            id,
+            incarnation,
+        });
+    let released = shard().prop_map(|shard| Quota::Released { shard });
+    prop_oneof![ask(), loan(), back, hold, held, released, gossip()]
+}
+
+fn state() -> impl Strategy<Value = State> {
+    prop_oneof![
+        Just(State::Unknown),
+        Just(State::Alive),
+        Just(State::Leaving),
+        Just(State::Suspect),
+        Just(State::Dead),
+    ]
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    let cursor = prop_oneof![Just(Cursor::Start), name().prop_map(Cursor::Host)];
+    let seq = any::<u64>;
+    prop_oneof![
+        (seq(), option::of(cursor)).prop_map(|(seq, after)| Body::Probe { seq, after }),
+        (seq(), option::of(name())).prop_map(|(seq, until)| Body::Ack { seq, until }),
+        (seq(), name()).prop_map(|(seq, target)| Body::Ask { seq, target }),
+        (seq(), name()).prop_map(|(seq, target)| Body::Told { seq, target }),
+        Just(Body::News),
+    ]
+}
+
+fn sender() -> impl Strategy<Value = Sender> {
+    let numbers = (incarnation(), any::<u32>(), epoch(), any::<u32>());
+    (numbers, state(), option::of(time())).prop_map(
+        |((incarnation, version, epoch, free), state, contact)| Sender {
+            incarnation,
+            version,
+            state,
+            epoch,
+            free,
+            contact,
+        },
+    )
+}
+
+fn summary() -> impl Strategy<Value = Summary> {
+    let numbers = (any::<u32>(), epoch(), epoch(), any::<u64>());
+    (name(), time(), numbers, option::of(time())).prop_map(
+        |(zone, age, (live, newest, oldest, free), contact)| Summary {
+            zone,
+            age,
+            live,
+            newest,
+            oldest,
+            free,
+            contact,
+        },
+    )
+}
+
+fn member() -> impl Strategy<Value = wagtail_member::Message> {
+    let fresh = (epoch(), time()).prop_map(|(epoch, age)| Freshness { epoch, age });
+    let bits = vec(any::<u64>(), 0..10);
+    let adoption =
+        (epoch(), epoch(), any::<u64>(), bits).prop_map(|(epoch, complete, list, bits)| Adoption {
+            epoch,
+            complete,
+            list,
+            bits,
+        });
+    let delta = (name(), incarnation(), any::<u32>(), state()).prop_map(
+        |(host, incarnation, version, state)| Delta {
+            host,
+            incarnation,
+            version,
+            state,
+        },
+    );
+    let lists = (vec(summary(), 0..4), vec(delta, 0..4));
+    (
+        body(),
+        sender(),
+        option::of(fresh),
+        option::of(adoption),
+        lists,
+    )
+        .prop_map(
+            |(body, sender, fresh, adoption, (zones, deltas))| wagtail_member::Message {
+                body,
+                sender,
+                fresh,
+                adoption,
+                zones,
+                deltas,
+            },
+        )
+}
+
+fn control() -> impl Strategy<Value = Control> {
+    prop_oneof![
+        name().prop_map(Control::Leaving),
+        advert().prop_map(Control::Advert),
+        quota().prop_map(Control::Quota),
+        member().prop_map(Control::Member),
+    ]
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_message_comes_back_as_it_was(message in control()) {
+        let bytes = wire::encode(&message);
+        prop_assert_eq!(wire::decode(&bytes).expect("decodes"), message);
+    }
+
+    #[test]
+    fn broken_bytes_are_refused_or_read_but_never_panic(
+        message in control(),
+        cut in any::<prop::sample::Index>(),
+        at in any::<prop::sample::Index>(),
+        byte in any::<u8>(),
+    ) {
+        let mut bytes = wire::encode(&message);
+        let short = &bytes[..cut.index(bytes.len())];
+        prop_assert!(wire::decode(short).is_err());
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        if let Ok(other) = wire::decode(&bytes) {
+            prop_assert_eq!(wire::decode(&wire::encode(&other)).expect("decodes"), other);
+        }
+    }
+}
+
+#[test]
+fn ages_never_shrink_and_lives_never_grow() {
+    let odd = Duration::from_nanos(1_001);
+    let advert = Advert {
+        host: "h1".parse().expect("name"),
+        free: Vec::new(),
+        age: odd,
+    };
+    let Ok(Control::Advert(advert)) = wire::decode(&wire::encode(&Control::Advert(advert))) else {
+        panic!("an advert comes back");
+    };
+    assert_eq!(advert.age, Duration::from_micros(2));
+
+    let loan = Quota::Loan {
+        id: 1,
+        loan: LoanId(2),
+        team: "lead".parse().expect("name"),
+        rate: Rate::ZERO,
+        cap: Tokens::ONE,
+        tokens: Tokens::ONE,
+        life: odd,
+        hint: Hint::default(),
+    };
+    let Ok(Control::Quota(Quota::Loan { life, .. })) =
+        wire::decode(&wire::encode(&Control::Quota(loan)))
+    else {
+        panic!("a loan comes back");
+    };
+    assert_eq!(life, Duration::from_micros(1));
+}
