--- /dev/null
+++ b/crates/route/src/router/input.rs
@@ -0,0 +1,142 @@
+//! How the router takes in news.
+
+use std::time::Instant;
+
+use wagtail_types::Reason;
+
+use crate::budget::Budget;
+use crate::key::ServiceKey;
+use crate::message::Input;
+use crate::pool::Pool;
+use crate::queue::Queue;
+use crate::router::{Router, Service, Team};
+use crate::topology::{Drain, HostView, ServiceSpec, TeamSpec, Topology};
+
+impl Router {
+    /// Takes in news.
+    pub fn handle(&mut self, now: Instant, input: Input) {
+        self.wake(now);
+        match input {
+            Input::Topology(topology) => self.configure(now, &topology),
+            Input::Hosts(hosts) => self.set_hosts(now, hosts),
+            Input::Advert(advert) => self.spill.advert(now, advert),
+            Input::Report(report) => {
+                let effects = &mut self.scratch;
+                let mut pools = self.services.values_mut().map(|s| &mut s.pool);
+                pools.any(|pool| pool.report(now, &report, effects));
+            }
+            Input::Leaving(endpoint) => {
+                let effects = &mut self.scratch;
+                let mut pools = self.services.values_mut().map(|s| &mut s.pool);
+                pools.any(|pool| pool.leaving(now, &endpoint, effects));
+            }
+        }
+        self.pump_all(now);
+        self.publish();
+    }
+
+    fn configure(&mut self, now: Instant, topology: &Topology) {
+        let zones: Vec<_> = topology
+            .zones
+            .iter()
+            .map(|zone| (zone.id.clone(), zone.region.clone()))
+            .collect();
+        self.owner.set_zones(now, &zones);
+        self.spill.set_zones(&zones, &topology.delays);
+        self.plan.configure(now, topology);
+        self.set_teams(&topology.teams);
+        self.set_services(now, topology);
+        let hosts = std::mem::take(&mut self.hosts);
+        self.set_hosts(now, hosts);
+    }
+
+    fn set_hosts(&mut self, now: Instant, hosts: Vec<HostView>) {
+        self.owner.set_hosts(now, &hosts);
+        let plan = &self.plan;
+        let drained = |zone: &_, region: &_| plan.is_drained(zone, region);
+        self.spill.set_hosts(&self.settings.host, &hosts, drained);
+        for service in self.services.values_mut() {
+            service.pool.split(now, &self.owner, false);
+        }
+        self.hosts = hosts;
+    }
+
+    fn set_teams(&mut self, specs: &[TeamSpec]) {
+        let listed = |team: &Team| specs.iter().any(|spec| spec.id == team.id);
+        self.teams.retain(|_, team| listed(team));
+        let teams = &self.teams;
+        self.team_keys.retain(|_, key| teams.contains_key(*key));
+        for spec in specs {
+            let team = Team {
+                id: spec.id.clone(),
+                weight: spec.weight.max(1),
+                regions: spec.regions.clone(),
+            };
+            if let Some(key) = self.team_keys.get(&spec.id) {
+                self.teams[*key] = team;
+            } else {
+                let key = self.teams.insert(team);
+                self.team_keys.insert(spec.id.clone(), key);
+            }
+        }
+    }
+
+    fn set_services(&mut self, now: Instant, topology: &Topology) {
+        let keys: Vec<_> = self.services.keys().collect();
+        for key in keys {
+            let id = &self.services[key].id;
+            if !topology.services.iter().any(|spec| spec.id == *id) {
+                self.withdraw(key);
+            }
+        }
+        for spec in &topology.services {
+            self.set_service(now, spec, topology);
+        }
+    }
+
+    /// Refuses what waits for a service, and drops the service once nothing runs.
+    fn withdraw(&mut self, key: ServiceKey) {
+        self.refuse_all(key, Reason::UnknownService);
+        let service = &mut self.services[key];
+        self.service_keys.remove(&service.id);
+        service.withdrawn = true;
+        if !service.pool.is_running() {
+            self.services.remove(key);
+        }
+    }
+
+    fn set_service(&mut self, now: Instant, spec: &ServiceSpec, topology: &Topology) {
+        let key = self.service_key(now, spec);
+        let near = |zone| self.spill.region_of(zone) == Some(&self.settings.region);
+        let mine = topology
+            .endpoints
+            .iter()
+            .filter(|e| e.service == spec.id && near(&e.zone));
+        let drained = |id: &_| {
+            let is = |drain: &Drain| matches!(drain, Drain::Endpoint(endpoint) if endpoint == id);
+            topology.drains.iter().any(is)
+        };
+        let pool = &mut self.services[key].pool;
+        pool.set_endpoints(now, spec.longest, mine, &mut self.scratch);
+        pool.set_drains(now, drained, &mut self.scratch);
+    }
+
+    fn service_key(&mut self, now: Instant, spec: &ServiceSpec) -> ServiceKey {
+        let mut known = self.services.iter().filter(|(_, s)| s.id == spec.id);
+        let key = known.next().map(|(key, _)| key);
+        let key = key.unwrap_or_else(|| {
+            let settings = &self.settings;
+            self.services.insert_with_key(|key| Service {
+                id: spec.id.clone(),
+                pool: Pool::new(settings.pool.clone(), key, now, settings.fault),
+                queue: Queue::new(settings.queue.clone(), settings.fault),
+                retries: Budget::new(settings.budget.retry, settings.budget.burst),
+                hedges: Budget::new(settings.budget.hedge, settings.budget.burst),
+                withdrawn: false,
+            })
+        });
+        self.services[key].withdrawn = false;
+        self.service_keys.insert(spec.id.clone(), key);
+        key
+    }
+}
