Settle transactions, commit config changes, schedule platform calls

Cause: an answer lost after the write took effect must not lead to a second write or a false report, and 540 hosts must share 2,000 reads and 300 writes a second, also when all restart.

Change: Settle sends one transaction under one attempt id and reads a witness row back; commit() puts records, head and log row in one transaction and refuses raced or faulty changes; Scheduler gives leases, claims, polls and bulk their turn on a per-host pace, on a grid of random phases in large fleets.

The fuzz of Settle finds each of three broken variants, and the counter a fleet without the grid.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -22,16 +22,28 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod config;
 mod error;
 mod http;
 mod memory;
 mod row;
+mod schedule;
 mod service;
+mod settle;
 mod wire;
 
+pub use config::{
+    Change, CommitError, Committed, commit, fetch_snapshot, load_config, scan_config,
+};
 pub use error::PlatformError;
 pub use http::{HttpClient, HttpSettings};
 pub use memory::Memory;
 pub use row::{Check, Page, Place, Receipt, Row, RowKey, Scan, Txn, Write};
+pub use schedule::{
+    Access, Outcome, Priority, ScheduleEffect, ScheduleInput, ScheduleSettings, Scheduler,
+};
 pub use service::{BoxFuture, Hosts, Listed, ListedState, Objects, Platform, Table};
+#[doc(hidden)]
+pub use settle::SettleMutant;
+pub use settle::{Settle, SettleSettings, SettleStep, settle};
 pub use wire::{FailKind, Failure};
