--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Sent {
     host: HostId,
     service: ServiceId,
+    /// The advert whose slot it took.
+    advert: Option<Instant>,
 }
 
 /// Hosts that one request may be relayed to.
@@ -244,6 +246,7 @@
         let sent = Sent {
             host: peer.host.clone(),
             service: service.clone(),
+            advert: peer.at,
         };
         let pass = Pass {
             zone: peer.zone.clone(),
@@ -254,13 +257,19 @@
         (pass, region)
     }
 
-    /// Ends a relay. A host that had no slot offers none until its next advert.
+    /// Ends a relay: its slot is free again, unless a later advert has counted it. A host that had
+    /// no slot offers none until its next advert.
     pub(crate) fn finish(&mut self, pass: &Pass, refused: bool) {
         let Some(sent) = self.passes.remove(pass.key) else {
             return;
         };
-        if refused && let Some(peer) = self.peers.iter_mut().find(|p| p.host == sent.host) {
+        let Some(peer) = self.peers.iter_mut().find(|p| p.host == sent.host) else {
+            return;
+        };
+        if refused {
             peer.free.retain(|(service, _)| *service != sent.service);
+        } else if peer.at == sent.advert {
+            peer.give(&sent.service);
         }
     }
 
@@ -285,6 +294,12 @@
         entry.map_or(0, |(_, free)| *free)
     }
 
+    fn give(&mut self, service: &ServiceId) {
+        if let Some((_, free)) = self.free.iter_mut().find(|(id, _)| id == service) {
+            *free += 1;
+        }
+    }
+
     fn take(&mut self, service: &ServiceId) {
         if let Some((_, free)) = self.free.iter_mut().find(|(id, _)| id == service) {
             *free = free.saturating_sub(1);
