Wire the whole path: wagtail-entryd and wagtail-load try

Cause: the parts need one daemon and a first command that proves the path. Change: the daemon compiles and runs; wagtail-load try looks up, reads, submits with duplicates, grants and withdraws a key, drains an endpoint and stops a host gracefully. Pushes of config between hosts wait for their codec; polls carry changes until then. Conclusion: the thin path stands; next are the config codec, tests and measurements.

--- a/crates/entryd/src/answer.rs
+++ b/crates/entryd/src/answer.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use axum::body::Body;
-use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use serde::Serialize;
 use wagtail_types::{Cause, Reason, Verdict};
 
+use crate::{intake, reports};
+
 /// Header that says `not-run` or `may-have-run`.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-wagtail-verdict");
 /// Header with the reason or cause.
@@ -19,6 +21,14 @@
 /// The header's text for a request that may have run.
 pub(crate) const MAY_HAVE_RUN: &str = "may-have-run";
 
+/// Removes from an endpoint's answer what is meant for this system only.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    intake::strip_hop(headers);
+    for name in [VERDICT, REASON, RETRY_MS, reports::LEAVING, reports::LOAD] {
+        headers.remove(name);
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct Failure<'a> {
     verdict: &'a str,
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -50,7 +50,7 @@
                 handle(&host, input);
             });
         }
-        SyncEffect::Send { to, message } => send(host, &to, Control::Config(message)),
+        SyncEffect::Send { .. } => {} // TMP
         SyncEffect::Contact { asked, epoch } => {
             let contact = wagtail_member::Input::TableContact { at: asked, head: epoch };
             super::member_input(host, contact);
--- a/crates/entryd/src/intake.rs
+++ b/crates/entryd/src/intake.rs
@@ -143,7 +143,17 @@
 }
 
 /// Removes headers that concern one connection, and this system's own.
-pub(crate) fn strip(headers: &mut HeaderMap) {
+fn strip(headers: &mut HeaderMap) {
+    strip_hop(headers);
+    let own: Vec<HeaderName> =
+        headers.keys().filter(|n| n.as_str().starts_with(OWN_PREFIX)).cloned().collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Removes headers that concern one connection.
+pub(crate) fn strip_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
@@ -154,11 +164,6 @@
     for name in named.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
     }
-    let own: Vec<HeaderName> =
-        headers.keys().filter(|n| n.as_str().starts_with(OWN_PREFIX)).cloned().collect();
-    for name in own {
-        headers.remove(name);
-    }
 }
 
 fn check_nowhere_else(
--- a/crates/entryd/src/job.rs
+++ b/crates/entryd/src/job.rs
@@ -10,7 +10,7 @@
 use hyper::body::Frame;
 use wagtail_config::{Service, Team};
 use wagtail_route::Origin;
-use wagtail_types::{AttemptId, HostId, Reason, Verdict, ZoneId};
+use wagtail_types::{AttemptId, Reason, Verdict, ZoneId};
 
 use crate::intake;
 
@@ -31,8 +31,6 @@
     pub(crate) deadline: Instant,
     /// Where it came from.
     pub(crate) origin: Origin,
-    /// The host that relayed it.
-    pub(crate) relayer: Option<HostId>,
     /// Zones that refused it.
     pub(crate) tried: Vec<ZoneId>,
     /// The body.
--- a/crates/entryd/src/records.rs
+++ b/crates/entryd/src/records.rs
@@ -33,7 +33,7 @@
         None => Head::default(),
     };
     let rows = page.rows.iter().map(|row| parse::<Row>(&row.value)).collect::<Option<_>>()?;
-    Some((Page { since, head: head.epoch, rows, more: page.more }, head.snapshot))
+    Some((Page { since, head: head.epoch, floor: Epoch(0), rows, more: page.more }, head.snapshot))
 }
 
 /// Reads a snapshot and checks its digest.
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -29,7 +29,7 @@
 
     fn relay(
         &self,
-        from: HostId,
+        _: HostId,
         head: RelayHead,
         body: wagtail_peer::Body,
     ) -> BoxFuture<Result<RelayAnswer, Verdict>> {
@@ -40,14 +40,13 @@
                 .watch
                 .enter(host.settings.limits.requests)
                 .ok_or(Verdict::not_run(Reason::Overloaded, None))?;
-            take(&host, from, head, body).await.map(to_answer)
+            take(&host, head, body).await.map(to_answer)
         })
     }
 }
 
 async fn take(
     host: &Arc<Host>,
-    from: HostId,
     head: RelayHead,
     body: wagtail_peer::Body,
 ) -> Result<Response<Body>, Verdict> {
@@ -66,7 +65,6 @@
             Step::Owner => Origin::Relayed,
             Step::Issuer => Origin::Local,
         },
-        relayer: Some(from),
         tried: head.tried,
         payload,
     };
--- a/crates/entryd/src/reports.rs
+++ b/crates/entryd/src/reports.rs
@@ -15,8 +15,10 @@
 use crate::drive;
 use crate::host::Host;
 
-const LEAVING: HeaderName = HeaderName::from_static("x-wagtail-leaving");
-const LOAD: HeaderName = HeaderName::from_static("x-wagtail-load");
+/// Header by which an endpoint says that it is leaving.
+pub(crate) const LEAVING: HeaderName = HeaderName::from_static("x-wagtail-leaving");
+/// Header with requests in flight and slots.
+pub(crate) const LOAD: HeaderName = HeaderName::from_static("x-wagtail-load");
 const HEALTH_PATH: &str = "/.health";
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 const HEALTH_PERIOD: Duration = Duration::from_secs(1);
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -104,7 +104,6 @@
         headers: intake.headers,
         deadline,
         origin: Origin::Local,
-        relayer: None,
         tried: Vec::new(),
         payload,
     };
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -9,7 +9,7 @@
 use wagtail_route::{Lease, Outcome, Pass, Placement, Relayed, Request, Ticket};
 use wagtail_types::{Cause, EndpointId, Reason, Verdict};
 
-use crate::answer::{NOT_RUN, VERDICT};
+use crate::answer::{self, NOT_RUN, VERDICT};
 use crate::drive;
 use crate::host::{Host, Start};
 use crate::intake;
@@ -240,7 +240,7 @@
         slot.finish(Outcome::Refused);
         return Err(Failure::of_attempt(Verdict::not_run(Reason::EndpointRefused, None), job));
     }
-    intake::strip(response.headers_mut());
+    answer::strip(response.headers_mut());
     Ok(response.map(|body| {
         track(body, move |end| {
             slot.finish(match end {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -192,3 +192,41 @@
     let log = Arc::new(log.clone());
     move |_| Options::new((*log).clone())
 }
+
+impl Fleet {
+    /// Commits records; later calls replace those of the same kind and name.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the platform does not take them.
+    pub async fn put(&mut self, records: Vec<Raw>) -> Result<wagtail_types::Epoch, FleetError> {
+        use wagtail_config::{Head, Row};
+        use wagtail_platform::{HttpClient, HttpSettings, RowKey, Table, Txn, Write};
+        let fail = |e: &dyn std::error::Error| FleetError::Commit(e.to_string());
+        let client = HttpClient::new(HttpSettings::new(self.platform.addr));
+        let key = RowKey::new("head", "config");
+        let old = client.read(&key).await.map_err(|e| fail(&e))?;
+        let mut head: Head = match &old {
+            Some(row) => serde_json::from_str(&row.value).map_err(|e| fail(&e))?,
+            None => Head::default(),
+        };
+        head.epoch = head.epoch.next();
+        let attempt = wagtail_types::AttemptId::random(&mut <rand::rngs::SmallRng as rand::SeedableRng>::from_os_rng());
+        let text = serde_json::to_string(&head).map_err(|e| fail(&e))?;
+        let mut txn = Txn::new(attempt)
+            .check(key.clone(), old.map(|r| r.version))
+            .write(Write::put(key, &text));
+        for raw in &records {
+            let row = Row::put(raw, head.epoch).map_err(|e| fail(&e))?;
+            let text = serde_json::to_string(&row).map_err(|e| fail(&e))?;
+            let key = RowKey::new("config", &row.key.to_string());
+            txn = txn.write(Write::put(key, &text).mark(head.epoch.0));
+        }
+        client.transact(&txn).await.map_err(|e| fail(&e))?;
+        for raw in records {
+            self.records.retain(|r| (&r.kind, &r.name) != (&raw.kind, &raw.name));
+            self.records.push(raw);
+        }
+        Ok(head.epoch)
+    }
+}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,59 @@
+//! Load generation, experiments and reports.
+
+use std::process::ExitCode;
+
+use lexopt::Arg::{Long, Short, Value};
+
+const USAGE_STATUS: u8 = 2;
+const HELP: &str = "\
+Drives wagtailthread and checks its promises from outside.
+
+Usage: wagtail-load <COMMAND> [OPTIONS]
+
+Commands:
+  try  A tour of the whole path in one process, under 30 s
+
+Options of a command: wagtail-load <COMMAND> --help
+";
+
+fn main() -> ExitCode {
+    let mut args = lexopt::Parser::from_env();
+    match args.next() {
+        Ok(Some(Value(name))) if name == "try" => match args.next() {
+            Ok(None) => try_out(),
+            Ok(Some(Long("help") | Short('h'))) => help(),
+            Ok(Some(other)) => usage(&other.unexpected()),
+            Err(e) => usage(&e),
+        },
+        Ok(Some(Long("help") | Short('h'))) => help(),
+        Ok(Some(other)) => usage(&other.unexpected()),
+        Ok(None) => usage(&"a command is needed"),
+        Err(e) => usage(&e),
+    }
+}
+
+fn help() -> ExitCode {
+    print!("{HELP}");
+    ExitCode::SUCCESS
+}
+
+fn usage(reason: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("wagtail-load: {reason}; see --help");
+    ExitCode::from(USAGE_STATUS)
+}
+
+fn try_out() -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(&e),
+    };
+    match runtime.block_on(wagtail_load::tour::run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(&e),
+    }
+}
+
+fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("wagtail-load: {error}");
+    ExitCode::FAILURE
+}
