--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -117,7 +117,7 @@
         team,
         tokens,
     });
-    let hold = (shard(), any::<u64>(), any::<u64>()).prop_map(|(shard, version, id)| Quota::Hold {
+    let keep = (shard(), any::<u64>(), any::<u64>()).prop_map(|(shard, version, id)| Quota::Hold {
         shard,
         version,
         id,
@@ -129,7 +129,7 @@
             incarnation,
         });
     let released = shard().prop_map(|shard| Quota::Released { shard });
-    prop_oneof![ask(), loan(), back, hold, held, released, gossip()]
+    prop_oneof![ask(), loan(), back, keep, held, released, gossip()]
 }
 
 fn state() -> impl Strategy<Value = State> {
