--- a/crates/entryd/src/answer.rs
+++ b/crates/entryd/src/answer.rs
@@ -36,13 +36,8 @@
         Verdict::MayHaveRun { cause } => (MAY_HAVE_RUN, cause.as_str(), failure(*cause), None),
     };
     let retry_ms = retry.map(millis);
-    let text = serde_json::to_vec(&Failure {
-        verdict: name,
-        reason,
-        retry_ms,
-        detail,
-    })
-    .expect("a struct of texts and numbers serializes");
+    let text = serde_json::to_vec(&Failure { verdict: name, reason, retry_ms, detail })
+        .expect("a struct of texts and numbers serializes");
     let mut response = Response::new(Body::from(text));
     *response.status_mut() = status;
     let headers = response.headers_mut();
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -29,21 +29,12 @@
 
 fn perform(host: &Arc<Host>, effect: SyncEffect) {
     match effect {
-        SyncEffect::Scan {
-            request,
-            since,
-            after,
-            limit,
-        } => {
+        SyncEffect::Scan { request, since, after, limit } => {
             let host = host.clone();
             tokio::spawn(async move {
                 let scanned = records::scan(&*host.platform, since, after, limit).await;
                 let input = match scanned {
-                    Some((page, snapshot)) => SyncInput::Scanned {
-                        request,
-                        page,
-                        snapshot,
-                    },
+                    Some((page, snapshot)) => SyncInput::Scanned { request, page, snapshot },
                     None => SyncInput::Failed { request },
                 };
                 handle(&host, input);
@@ -61,10 +52,7 @@
         }
         SyncEffect::Send { to, message } => send(host, &to, Control::Config(message)),
         SyncEffect::Contact { asked, epoch } => {
-            let contact = wagtail_member::Input::TableContact {
-                at: asked,
-                head: epoch,
-            };
+            let contact = wagtail_member::Input::TableContact { at: asked, head: epoch };
             super::member_input(host, contact);
         }
         SyncEffect::Adopted(view) => adopt(host, view),
@@ -88,22 +76,14 @@
     super::routing(host);
     let (teams, shards) = plan::limits(&view);
     let epoch = view.epoch();
-    super::limit_input(
-        host,
-        wagtail_quota::Input::Config {
-            epoch,
-            teams,
-            shards,
-        },
-    );
+    super::limit_input(host, wagtail_quota::Input::Config { epoch, teams, shards });
     if let Some(peer) = host.peer() {
         peer.set_addresses(addresses(host, &view));
     }
     super::member_input(host, wagtail_member::Input::Hosts(infos(&view)));
     super::member_input(host, wagtail_member::Input::Adopted(epoch));
     super::spread(host);
-    host.upstreams
-        .retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
+    host.upstreams.retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
     host.adopted.notify_one();
 }
 
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -31,13 +31,6 @@
 
 pub use api::{Keys, Lookup, LookupHost};
 pub use lifecycle::Phase;
-<<<<<<< HEAD
-pub use settings::{
-    Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help,
-};
-pub use start::{Options, RunError, Running, run, start};
-=======
 pub use settings::{Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help};
 pub use start::{Bound, Options, RunError, Running, bind, run, start};
->>>>>>> main
 pub use stats::{Summary, Trend};
--- a/crates/entryd/src/lifecycle.rs
+++ b/crates/entryd/src/lifecycle.rs
@@ -30,12 +30,7 @@
     Stopped,
 }
 
-const PHASES: [Phase; 4] = [
-    Phase::Starting,
-    Phase::Serving,
-    Phase::Leaving,
-    Phase::Stopped,
-];
+const PHASES: [Phase; 4] = [Phase::Starting, Phase::Serving, Phase::Leaving, Phase::Stopped];
 
 #[derive(Debug)]
 struct Inner {
--- a/crates/entryd/src/settings.rs
+++ b/crates/entryd/src/settings.rs
@@ -28,169 +28,39 @@
     default: Option<&'static str>,
     about: &'static str,
 ) -> Spec {
-    Spec {
-        name,
-        form,
-        default,
-        about,
-    }
+    Spec { name, form, default, about }
 }
 
 const SPECS: &[Spec] = &[
-    spec(
-        "host",
-        "NAME",
-        None,
-        "name of this entry host, as in its host record",
-    ),
+    spec("host", "NAME", None, "name of this entry host, as in its host record"),
     spec("zone", "NAME", None, "availability zone of this host"),
     spec("region", "NAME", None, "region of that zone"),
-    spec(
-        "listen",
-        "IP:PORT",
-        Some("127.0.0.1:0"),
-        "address for callers",
-    ),
-    spec(
-        "ops-listen",
-        "IP:PORT",
-        Some("127.0.0.1:0"),
-        "address for operators",
-    ),
-    spec(
-        "peer-listen",
-        "IP:PORT",
-        Some("127.0.0.1:0"),
-        "address for other entry hosts",
-    ),
-    spec(
-        "platform",
-        "IP:PORT",
-        None,
-        "address of the table service and object store",
-    ),
-    spec(
-        "seeds",
-        "LIST",
-        Some(""),
-        "NAME@IP:PORT,... of hosts to ask while the platform is out",
-    ),
-    spec(
-        "fleet-secret",
-        "TEXT",
-        None,
-        "secret shared by all entry hosts; prefer the variable",
-    ),
-    spec(
-        "fleet-size",
-        "COUNT",
-        Some("11"),
-        "number of entry hosts that share the platform",
-    ),
-    spec(
-        "statsd",
-        "IP:PORT",
-        Some(""),
-        "where counters and gauges go by UDP; empty for none",
-    ),
-    spec(
-        "log-format",
-        "text|json",
-        Some("text"),
-        "form of the log lines",
-    ),
-    spec(
-        "max-connections",
-        "COUNT",
-        Some("4096"),
-        "caller connections at one time",
-    ),
-    spec(
-        "max-requests",
-        "COUNT",
-        Some("8192"),
-        "requests at one time",
-    ),
+    spec("listen", "IP:PORT", Some("127.0.0.1:0"), "address for callers"),
+    spec("ops-listen", "IP:PORT", Some("127.0.0.1:0"), "address for operators"),
+    spec("peer-listen", "IP:PORT", Some("127.0.0.1:0"), "address for other entry hosts"),
+    spec("platform", "IP:PORT", None, "address of the table service and object store"),
+    spec("seeds", "LIST", Some(""), "NAME@IP:PORT,... of hosts to ask while the platform is out"),
+    spec("fleet-secret", "TEXT", None, "secret shared by all entry hosts; prefer the variable"),
+    spec("fleet-size", "COUNT", Some("11"), "number of entry hosts that share the platform"),
+    spec("statsd", "IP:PORT", Some(""), "where counters and gauges go by UDP; empty for none"),
+    spec("log-format", "text|json", Some("text"), "form of the log lines"),
+    spec("max-connections", "COUNT", Some("4096"), "caller connections at one time"),
+    spec("max-requests", "COUNT", Some("8192"), "requests at one time"),
     spec("max-header", "SIZE", Some("16KiB"), "request head"),
     spec("max-body", "SIZE", Some("16MiB"), "request body"),
-    spec(
-        "buffer-body",
-        "SIZE",
-        Some("64KiB"),
-        "part of a body held so that it can be sent again",
-    ),
-    spec(
-        "outcome-memory",
-        "SIZE",
-        Some("64MiB"),
-        "outcomes kept for idempotency keys",
-    ),
-    spec(
-        "outcome-time",
-        "DURATION",
-        Some("10m"),
-        "how long outcomes are kept",
-    ),
-    spec(
-        "connect-timeout",
-        "DURATION",
-        Some("1s"),
-        "connecting to an endpoint or host",
-    ),
-    spec(
-        "deadline",
-        "DURATION",
-        Some("10s"),
-        "for requests that bring none to a service with none",
-    ),
-    spec(
-        "max-deadline",
-        "DURATION",
-        Some("120s"),
-        "longest deadline taken from a request",
-    ),
-    spec(
-        "lookup-ttl",
-        "DURATION",
-        Some("3s"),
-        "how long callers may cache a look-up",
-    ),
-    spec(
-        "stop-timeout",
-        "DURATION",
-        Some("60s"),
-        "longest graceful stop",
-    ),
-    spec(
-        "key-staleness",
-        "DURATION",
-        Some("2s"),
-        "cut off for longer, a host follows cut-off settings",
-    ),
-    spec(
-        "lease-term",
-        "DURATION",
-        Some("6s"),
-        "term of a quota shard's lease",
-    ),
-    spec(
-        "poll-interval",
-        "DURATION",
-        Some("500ms"),
-        "between polls of the config head",
-    ),
-    spec(
-        "probe-interval",
-        "DURATION",
-        Some("200ms"),
-        "between membership probes",
-    ),
-    spec(
-        "seed",
-        "NUMBER",
-        Some("0"),
-        "seed of random choices; 0 draws one",
-    ),
+    spec("buffer-body", "SIZE", Some("64KiB"), "part of a body held so that it can be sent again"),
+    spec("outcome-memory", "SIZE", Some("64MiB"), "outcomes kept for idempotency keys"),
+    spec("outcome-time", "DURATION", Some("10m"), "how long outcomes are kept"),
+    spec("connect-timeout", "DURATION", Some("1s"), "connecting to an endpoint or host"),
+    spec("deadline", "DURATION", Some("10s"), "for requests that bring none to a service with none"),
+    spec("max-deadline", "DURATION", Some("120s"), "longest deadline taken from a request"),
+    spec("lookup-ttl", "DURATION", Some("3s"), "how long callers may cache a look-up"),
+    spec("stop-timeout", "DURATION", Some("60s"), "longest graceful stop"),
+    spec("key-staleness", "DURATION", Some("2s"), "cut off for longer, a host follows cut-off settings"),
+    spec("lease-term", "DURATION", Some("6s"), "term of a quota shard's lease"),
+    spec("poll-interval", "DURATION", Some("500ms"), "between polls of the config head"),
+    spec("probe-interval", "DURATION", Some("200ms"), "between membership probes"),
+    spec("seed", "NUMBER", Some("0"), "seed of random choices; 0 draws one"),
 ];
 
 /// A bad or missing setting.
@@ -214,10 +84,7 @@
 
 impl SettingsError {
     fn value(name: &str, message: impl ToString) -> Self {
-        Self::Value {
-            name: name.to_owned(),
-            message: message.to_string(),
-        }
+        Self::Value { name: name.to_owned(), message: message.to_string() }
     }
 }
 
@@ -266,10 +133,7 @@
     fn from_str(text: &str) -> Result<Self, ParseError> {
         let fail = || ParseError::new("seed", text, "a form like NAME@IP:PORT was expected");
         let (host, addr) = text.split_once('@').ok_or_else(fail)?;
-        Ok(Self {
-            host: host.parse()?,
-            addr: addr.parse().map_err(|_| fail())?,
-        })
+        Ok(Self { host: host.parse()?, addr: addr.parse().map_err(|_| fail())? })
     }
 }
 
@@ -363,9 +227,7 @@
     let mut raw = read_vars(vars)?;
     let mut check = false;
     let mut parser = lexopt::Parser::from_args(args);
-    let usage = |e: lexopt::Error| SettingsError::Usage {
-        message: e.to_string(),
-    };
+    let usage = |e: lexopt::Error| SettingsError::Usage { message: e.to_string() };
     while let Some(arg) = parser.next().map_err(usage)? {
         let name = match arg {
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(Action::Help),
@@ -383,11 +245,7 @@
         raw.insert(name, value);
     }
     let settings = Box::new(Settings::try_from(Raw(raw))?);
-    Ok(if check {
-        Action::Check(settings)
-    } else {
-        Action::Run(settings)
-    })
+    Ok(if check { Action::Check(settings) } else { Action::Run(settings) })
 }
 
 fn read_vars(
@@ -395,14 +253,10 @@
 ) -> Result<BTreeMap<String, String>, SettingsError> {
     let mut raw = BTreeMap::new();
     for (var, value) in vars {
-        let Some(name) = var.strip_prefix(ENV_PREFIX) else {
-            continue;
-        };
+        let Some(name) = var.strip_prefix(ENV_PREFIX) else { continue };
         let name = name.to_lowercase().replace('_', "-");
         if !SPECS.iter().any(|s| s.name == name) {
-            return Err(SettingsError::Usage {
-                message: format!("unknown variable {var}"),
-            });
+            return Err(SettingsError::Usage { message: format!("unknown variable {var}") });
         }
         raw.insert(name, value);
     }
@@ -415,12 +269,7 @@
 
 impl Raw {
     fn text(&self, name: &str) -> Result<&str, SettingsError> {
-        let default = || {
-            SPECS
-                .iter()
-                .find(|s| s.name == name)
-                .and_then(|s| s.default)
-        };
+        let default = || SPECS.iter().find(|s| s.name == name).and_then(|s| s.default);
         self.0
             .get(name)
             .map(String::as_str)
@@ -433,8 +282,7 @@
         T::Err: std::fmt::Display,
     {
         let text = self.text(name)?;
-        text.parse()
-            .map_err(|e| SettingsError::value(name, format!("{text:?}: {e}")))
+        text.parse().map_err(|e| SettingsError::value(name, format!("{text:?}: {e}")))
     }
 
     fn count(&self, name: &str) -> Result<usize, SettingsError> {
@@ -454,10 +302,7 @@
     fn time(&self, name: &str) -> Result<Duration, SettingsError> {
         let text = self.text(name)?;
         parse_time(text).ok_or_else(|| {
-            SettingsError::value(
-                name,
-                format!("{text:?}: a form like 500ms, 2s or 10m was expected"),
-            )
+            SettingsError::value(name, format!("{text:?}: a form like 500ms, 2s or 10m was expected"))
         })
     }
 }
@@ -506,22 +351,13 @@
             return Err(SettingsError::value("fleet-size", "it must be at least 1"));
         }
         if self.limits.buffer > self.limits.body {
-            return Err(SettingsError::value(
-                "buffer-body",
-                "it must not exceed --max-body",
-            ));
+            return Err(SettingsError::value("buffer-body", "it must not exceed --max-body"));
         }
         if self.times.deadline > self.times.longest {
-            return Err(SettingsError::value(
-                "deadline",
-                "it must not exceed --max-deadline",
-            ));
+            return Err(SettingsError::value("deadline", "it must not exceed --max-deadline"));
         }
         if self.times.stop <= self.times.lookup {
-            return Err(SettingsError::value(
-                "stop-timeout",
-                "it must exceed --lookup-ttl",
-            ));
+            return Err(SettingsError::value("stop-timeout", "it must exceed --lookup-ttl"));
         }
         Ok(())
     }
@@ -530,40 +366,25 @@
 fn secret(raw: &Raw) -> Result<Secret, SettingsError> {
     let text = raw.text("fleet-secret")?;
     if text.len() < SECRET_MIN_BYTES {
-        return Err(SettingsError::value(
-            "fleet-secret",
-            "it must have at least 16 bytes",
-        ));
+        return Err(SettingsError::value("fleet-secret", "it must have at least 16 bytes"));
     }
     Ok(Secret(text.to_owned()))
 }
 
 fn seeds(raw: &Raw) -> Result<Vec<Seed>, SettingsError> {
     let list = raw.text("seeds")?.split(',').filter(|s| !s.is_empty());
-    list.map(|s| {
-        s.trim()
-            .parse()
-            .map_err(|e| SettingsError::value("seeds", e))
-    })
-    .collect()
+    list.map(|s| s.trim().parse().map_err(|e| SettingsError::value("seeds", e))).collect()
 }
 
 fn statsd(raw: &Raw) -> Result<Option<SocketAddr>, SettingsError> {
-    if raw.text("statsd")?.is_empty() {
-        Ok(None)
-    } else {
-        raw.get("statsd").map(Some)
-    }
+    if raw.text("statsd")?.is_empty() { Ok(None) } else { raw.get("statsd").map(Some) }
 }
 
 fn log_format(raw: &Raw) -> Result<LogFormat, SettingsError> {
     match raw.text("log-format")? {
         "text" => Ok(LogFormat::Text),
         "json" => Ok(LogFormat::Json),
-        other => Err(SettingsError::value(
-            "log-format",
-            format!("{other:?}: text or json was expected"),
-        )),
+        other => Err(SettingsError::value("log-format", format!("{other:?}: text or json was expected"))),
     }
 }
 
