--- a/crates/entryd/src/answer.rs
+++ b/crates/entryd/src/answer.rs
@@ -46,8 +46,13 @@
         Verdict::MayHaveRun { cause } => (MAY_HAVE_RUN, cause.as_str(), failure(*cause), None),
     };
     let retry_ms = retry.map(millis);
-    let text = serde_json::to_vec(&Failure { verdict: name, reason, retry_ms, detail })
-        .expect("a struct of texts and numbers serializes");
+    let text = serde_json::to_vec(&Failure {
+        verdict: name,
+        reason,
+        retry_ms,
+        detail,
+    })
+    .expect("a struct of texts and numbers serializes");
     let mut response = Response::new(Body::from(text));
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -63,19 +68,15 @@
 
 /// A JSON answer.
 pub(crate) fn json(value: &impl Serialize) -> Response<Body> {
-    match serde_json::to_vec(value) {
-        Ok(text) => {
-            let mut response = Response::new(Body::from(text));
-            let json = HeaderValue::from_static("application/json");
-            response.headers_mut().insert(CONTENT_TYPE, json);
-            response
-        }
-        Err(_) => {
-            let mut response = Response::new(Body::empty());
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            response
-        }
-    }
+    let Ok(text) = serde_json::to_vec(value) else {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return response;
+    };
+    let mut response = Response::new(Body::from(text));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/entryd/src/api.rs
+++ b/crates/entryd/src/api.rs
@@ -103,7 +103,12 @@
     let team = request::team_of(&host, digest.as_ref());
     let client = query.client.unwrap_or(from.ip());
     host.metrics.count("lookups");
-    answer::json(&find(&host, client, team.as_ref(), issue(&host, query.keys)))
+    answer::json(&find(
+        &host,
+        client,
+        team.as_ref(),
+        issue(&host, query.keys),
+    ))
 }
 
 /// Answers a look-up.
@@ -113,19 +118,24 @@
     team: Option<&TeamId>,
     keys: Vec<String>,
 ) -> Lookup {
-    let (view, sites, directory) =
-        (host.view.load(), host.sites.load(), host.directory.load());
+    let (view, sites, directory) = (host.view.load(), host.sites.load(), host.directory.load());
     let site = sites.blocks.site(client);
     let hosts = directory
         .answer(site, client, team)
         .filter_map(|id| view.hosts().get(id))
-        .map(|h| LookupHost { host: h.id.clone(), zone: h.zone.clone(), address: h.api })
+        .map(|h| LookupHost {
+            host: h.id.clone(),
+            zone: h.zone.clone(),
+            address: h.api,
+        })
         .collect();
     Lookup {
         hosts,
         ttl_ms: u64::try_from(host.settings.times.lookup.as_millis()).unwrap_or(u64::MAX),
         epoch: view.epoch(),
-        site: site.and_then(|s| sites.names.get(usize::from(s.0))).map(ToString::to_string),
+        site: site
+            .and_then(|s| sites.names.get(usize::from(s.0)))
+            .map(ToString::to_string),
         keys,
     }
 }
@@ -161,7 +171,10 @@
     match query {
         Ok(Query(query)) => {
             let keys = issue(&host, query.count);
-            answer::json(&Keys { host: host.settings.host.clone(), keys })
+            answer::json(&Keys {
+                host: host.settings.host.clone(),
+                keys,
+            })
         }
         Err(_) => bad(&host, "count must be a number"),
     }
@@ -196,7 +209,9 @@
         "trends": trends,
         "issues": host.view.load().issues().iter().map(ToString::to_string).collect::<Vec<_>>(),
     });
-    let Value::Object(extra) = extra else { return answer::json(&()) };
+    let Value::Object(extra) = extra else {
+        return answer::json(&());
+    };
     answer::json(&summary(&host, extra))
 }
 
@@ -204,7 +219,11 @@
     let now = host.now();
     let members = {
         let membership = host.membership.lock();
-        membership.machine.members().map(|v| member(host, now, v)).collect()
+        membership
+            .machine
+            .members()
+            .map(|v| member(host, now, v))
+            .collect()
     };
     HostStatus {
         host: host.settings.host.clone(),
@@ -232,8 +251,17 @@
         Liveness::Dead | Liveness::Unknown if lapsed => MemberState::Lapsed,
         Liveness::Suspect | Liveness::Dead | Liveness::Unknown => MemberState::Suspect,
     };
-    let epoch = if own { host.view.load().epoch() } else { view.epoch };
-    MemberStatus { host: view.info.host.clone(), zone: view.info.zone.clone(), state, epoch }
+    let epoch = if own {
+        host.view.load().epoch()
+    } else {
+        view.epoch
+    };
+    MemberStatus {
+        host: view.info.host.clone(),
+        zone: view.info.zone.clone(),
+        state,
+        epoch,
+    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -250,13 +278,20 @@
     let Ok(Query(query)) = query else {
         return bad(&host, "team and service must be names");
     };
-    let series = Series { team: query.team, service: query.service };
+    let series = Series {
+        team: query.team,
+        service: query.service,
+    };
     let steps: Vec<BTreeMap<&str, f64>> = host
         .stats
         .histogram(&series)
         .into_iter()
         .map(|(quantile, millis, count)| {
-            BTreeMap::from([("quantile", quantile), ("ms", millis), ("count", count as f64)])
+            BTreeMap::from([
+                ("quantile", quantile),
+                ("ms", millis),
+                ("count", count as f64),
+            ])
         })
         .collect();
     answer::json(&steps)
--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -58,7 +58,9 @@
         Control::Quota(message) => {
             limit_input(host, wagtail_quota::Input::Received { from, message });
         }
-        // TMP-CONFIG
+        Control::Config(message) => {
+            sync_input(host, wagtail_config::SyncInput::Message { from, message });
+        }
         Control::Advert(mut advert) => {
             advert.host = from;
             let input = wagtail_route::Input::Advert(advert);
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -29,12 +29,21 @@
 
 fn perform(host: &Arc<Host>, effect: SyncEffect) {
     match effect {
-        SyncEffect::Scan { request, since, after, limit } => {
+        SyncEffect::Scan {
+            request,
+            since,
+            after,
+            limit,
+        } => {
             let host = host.clone();
             tokio::spawn(async move {
                 let scanned = records::scan(&*host.platform, since, after, limit).await;
                 let input = match scanned {
-                    Some((page, snapshot)) => SyncInput::Scanned { request, page, snapshot },
+                    Some((page, snapshot)) => SyncInput::Scanned {
+                        request,
+                        page,
+                        snapshot,
+                    },
                     None => SyncInput::Failed { request },
                 };
                 handle(&host, input);
@@ -50,40 +59,51 @@
                 handle(&host, input);
             });
         }
-        SyncEffect::Send { .. } => {} // TMP
+        SyncEffect::Send { to, message } => send(host, &to, Control::Config(message)),
         SyncEffect::Contact { asked, epoch } => {
-            let contact = wagtail_member::Input::TableContact { at: asked, head: epoch };
+            let contact = wagtail_member::Input::TableContact {
+                at: asked,
+                head: epoch,
+            };
             super::member_input(host, contact);
         }
-        SyncEffect::Adopted(view) => adopt(host, view),
+        SyncEffect::Adopted(view) => adopt(host, &view),
     }
 }
 
 /// Puts a view in force on this host.
-fn adopt(host: &Arc<Host>, view: Arc<View>) {
+fn adopt(host: &Arc<Host>, view: &Arc<View>) {
     let old = host.view.load_full();
     if view.epoch() <= old.epoch() {
         return;
     }
     info!(host.log, "config adopted"; "epoch" => %view.epoch(), "issues" => view.issues().len());
     host.metrics.gauge("config.epoch", view.epoch().0);
-    let sites = Sites::build(&view, Some((&old, &host.sites.load())));
+    let sites = Sites::build(view, Some((&old, &host.sites.load())));
     host.sites.store(Arc::new(sites));
     // From here on every request is judged by the new records.
     host.view.store(view.clone());
-    let topology = wagtail_route::Input::Topology(plan::topology(&view));
+    let topology = wagtail_route::Input::Topology(plan::topology(view));
     host.routing.lock().machine.handle(host.now(), topology);
     super::routing(host);
-    let (teams, shards) = plan::limits(&view);
+    let (teams, shards) = plan::limits(view);
     let epoch = view.epoch();
-    super::limit_input(host, wagtail_quota::Input::Config { epoch, teams, shards });
+    super::limit_input(
+        host,
+        wagtail_quota::Input::Config {
+            epoch,
+            teams,
+            shards,
+        },
+    );
     if let Some(peer) = host.peer() {
-        peer.set_addresses(addresses(host, &view));
+        peer.set_addresses(addresses(host, view));
     }
-    super::member_input(host, wagtail_member::Input::Hosts(infos(&view)));
+    super::member_input(host, wagtail_member::Input::Hosts(infos(view)));
     super::member_input(host, wagtail_member::Input::Adopted(epoch));
     super::spread(host);
-    host.upstreams.retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
+    host.upstreams
+        .retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
     host.adopted.notify_one();
 }
 
--- a/crates/entryd/src/drive/limit.rs
+++ b/crates/entryd/src/drive/limit.rs
@@ -40,12 +40,23 @@
                 handle(&host, Input::Row { shard, outcome });
             });
         }
-        Effect::Write { shard, expected, row } => {
+        Effect::Write {
+            shard,
+            expected,
+            row,
+        } => {
             let host = host.clone();
             tokio::spawn(async move {
                 let attempt = row.attempt;
                 let outcome = rows::write_lease(&*host.platform, &shard, expected, &row).await;
-                handle(&host, Input::WriteDone { shard, attempt, outcome });
+                handle(
+                    &host,
+                    Input::WriteDone {
+                        shard,
+                        attempt,
+                        outcome,
+                    },
+                );
             });
         }
         Effect::Released => {
--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -56,7 +56,13 @@
         "from" => label(change.from), "to" => label(change.to));
     let gone = matches!(change.to, None | Some(State::Dead | State::Unknown));
     let incarnation = (!gone).then_some(change.incarnation);
-    super::dedupe_input(host, wagtail_once::Input::Host { host: change.host, incarnation });
+    super::dedupe_input(
+        host,
+        wagtail_once::Input::Host {
+            host: change.host,
+            incarnation,
+        },
+    );
 }
 
 /// Tells the other machines which hosts there are.
@@ -101,7 +107,9 @@
     let view = host.view.load();
     let own = view.regions().get(&host.settings.region);
     let distance = |v: &HostView| {
-        own.and_then(|r| r.delays.get(&v.info.region)).copied().unwrap_or(ZONE_DELAY)
+        own.and_then(|r| r.delays.get(&v.info.region))
+            .copied()
+            .unwrap_or(ZONE_DELAY)
     };
     views
         .iter()
@@ -128,7 +136,8 @@
         })
         .collect();
     let sites = host.sites.load();
-    host.directory.store(Arc::new(wagtail_route::Directory::new(&rows, &sites.rows)));
+    host.directory
+        .store(Arc::new(wagtail_route::Directory::new(&rows, &sites.rows)));
 }
 
 /// Hands an input to membership.
--- a/crates/entryd/src/drive/route.rs
+++ b/crates/entryd/src/drive/route.rs
@@ -31,7 +31,9 @@
 fn resolve(host: &Host, routing: &mut Inner, ticket: Ticket, start: Start) {
     // A request that has gone away gives its slot to the next one.
     if let Err(Ok(lease)) = routing.resolve(&ticket, start) {
-        routing.machine.finish(host.now(), lease, Outcome::Cancelled);
+        routing
+            .machine
+            .finish(host.now(), lease, Outcome::Cancelled);
     }
 }
 
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -122,5 +122,9 @@
 
 /// A seeded source of random numbers; a seed of 0 draws one.
 pub(crate) fn rng(seed: u64) -> StdRng {
-    if seed == 0 { StdRng::from_os_rng() } else { StdRng::seed_from_u64(seed) }
+    if seed == 0 {
+        StdRng::from_os_rng()
+    } else {
+        StdRng::seed_from_u64(seed)
+    }
 }
--- a/crates/entryd/src/intake.rs
+++ b/crates/entryd/src/intake.rs
@@ -65,7 +65,12 @@
     type Error = &'static str;
 
     fn try_from(parts: Parts) -> Result<Self, &'static str> {
-        let Parts { method, uri, mut headers, .. } = parts;
+        let Parts {
+            method,
+            uri,
+            mut headers,
+            ..
+        } = parts;
         if method == Method::CONNECT || method == Method::TRACE {
             return Err("the method is not supported");
         }
@@ -79,7 +84,16 @@
             check_nowhere_else(key.as_bytes(), &path, &headers, idempotency.as_deref())?;
         }
         let digest = key.map(|k| digest(k.as_bytes()));
-        Ok(Self { service, method, path, headers, digest, deadline, idempotency, repeat })
+        Ok(Self {
+            service,
+            method,
+            path,
+            headers,
+            digest,
+            deadline,
+            idempotency,
+            repeat,
+        })
     }
 }
 
@@ -90,7 +104,10 @@
 
 /// Takes the key out of the headers; both forms go, whichever is used.
 pub(crate) fn take_key(headers: &mut HeaderMap) -> Result<Option<HeaderValue>, &'static str> {
-    let bearer = headers.remove(AUTHORIZATION).map(|v| bearer(&v)).transpose()?;
+    let bearer = headers
+        .remove(AUTHORIZATION)
+        .map(|v| bearer(&v))
+        .transpose()?;
     let own = headers.remove(KEY);
     let key = match (own, bearer) {
         (Some(a), Some(b)) if a != b => return Err("two different keys were given"),
@@ -104,14 +121,22 @@
 }
 
 fn bearer(value: &HeaderValue) -> Result<HeaderValue, &'static str> {
-    let token = value.as_bytes().strip_prefix(b"Bearer ").ok_or("only Bearer authorization is known")?;
+    let token = value
+        .as_bytes()
+        .strip_prefix(b"Bearer ")
+        .ok_or("only Bearer authorization is known")?;
     HeaderValue::from_bytes(token.trim_ascii()).map_err(|_| "the key is malformed")
 }
 
 fn split(uri: &Uri) -> Result<(ServiceId, String), &'static str> {
-    let rest = uri.path().strip_prefix(SERVICE_PREFIX).ok_or("the path must start with /svc/SERVICE/")?;
+    let rest = uri
+        .path()
+        .strip_prefix(SERVICE_PREFIX)
+        .ok_or("the path must start with /svc/SERVICE/")?;
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = service.parse().map_err(|_| "the service name is malformed")?;
+    let service = service
+        .parse()
+        .map_err(|_| "the service name is malformed")?;
     let path = match uri.query() {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
@@ -120,15 +145,22 @@
 }
 
 fn take_deadline(headers: &mut HeaderMap) -> Result<Option<Duration>, &'static str> {
-    let Some(value) = headers.remove(DEADLINE) else { return Ok(None) };
+    let Some(value) = headers.remove(DEADLINE) else {
+        return Ok(None);
+    };
     let millis = value.to_str().ok().and_then(|s| s.parse().ok());
-    millis.map(Duration::from_millis).map(Some).ok_or("the deadline must be whole milliseconds")
+    millis
+        .map(Duration::from_millis)
+        .map(Some)
+        .ok_or("the deadline must be whole milliseconds")
 }
 
 fn take_idempotency(headers: &mut HeaderMap) -> Result<Option<String>, &'static str> {
     const MESSAGE: &str = "the idempotency key must be 1 to 128 visible characters";
     let mut values = headers.get_all(&IDEMPOTENCY).iter();
-    let Some(value) = values.next() else { return Ok(None) };
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
     if values.next().is_some() {
         return Err("two idempotency keys were given");
     }
@@ -145,8 +177,11 @@
 /// Removes headers that concern one connection, and this system's own.
 fn strip(headers: &mut HeaderMap) {
     strip_hop(headers);
-    let own: Vec<HeaderName> =
-        headers.keys().filter(|n| n.as_str().starts_with(OWN_PREFIX)).cloned().collect();
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|n| n.as_str().starts_with(OWN_PREFIX))
+        .cloned()
+        .collect();
     for name in own {
         headers.remove(name);
     }
@@ -174,7 +209,13 @@
 ) -> Result<(), &'static str> {
     let holds = |text: &[u8]| text.windows(key.len()).any(|w| w == key);
     let elsewhere = holds(path.as_bytes())
-        || headers.iter().any(|(n, v)| holds(v.as_bytes()) || holds(n.as_str().as_bytes()))
+        || headers
+            .iter()
+            .any(|(n, v)| holds(v.as_bytes()) || holds(n.as_str().as_bytes()))
         || idempotency.is_some_and(|i| holds(i.as_bytes()));
-    if elsewhere { Err("the key stands outside its header") } else { Ok(()) }
+    if elsewhere {
+        Err("the key stands outside its header")
+    } else {
+        Ok(())
+    }
 }
--- a/crates/entryd/src/keyed.rs
+++ b/crates/entryd/src/keyed.rs
@@ -101,9 +101,10 @@
         Begin::Replay(answer) => now(Resolution::Answer(answer)),
         Begin::Relay { host } => now(Resolution::Relay { host }),
         Begin::Refuse(verdict) => now(Resolution::Refuse(verdict)),
-        Begin::Wait(ticket) | Begin::Claiming(ticket) => {
-            Begun::Later(Waiter { ticket, receiver: deduping.wait(ticket) })
-        }
+        Begin::Wait(ticket) | Begin::Claiming(ticket) => Begun::Later(Waiter {
+            ticket,
+            receiver: deduping.wait(ticket),
+        }),
     }
 }
 
@@ -137,16 +138,25 @@
     fn drop(&mut self) {
         if self.armed {
             self.host.deduping.lock().forget(&self.ticket);
-            drive::dedupe_input(self.host, wagtail_once::Input::Cancelled { ticket: self.ticket });
+            drive::dedupe_input(
+                self.host,
+                wagtail_once::Input::Cancelled {
+                    ticket: self.ticket,
+                },
+            );
         }
     }
 }
 
 async fn wait(host: &Arc<Host>, left: Duration, waiter: Waiter) -> Result<Resolution, Verdict> {
-    let mut cancel = Cancel { host, ticket: waiter.ticket, armed: true };
-    let waited = tokio::time::timeout(left, waiter.receiver).await;
-    cancel.armed = waited.is_err();
-    match waited {
+    let mut cancel = Cancel {
+        host,
+        ticket: waiter.ticket,
+        armed: true,
+    };
+    let ended = tokio::time::timeout(left, waiter.receiver).await;
+    cancel.armed = ended.is_err();
+    match ended {
         Ok(Ok(resolution)) => Ok(resolution),
         // The first attempt is still under way.
         Ok(Err(_)) | Err(_) => Err(Verdict::may_have_run(Cause::Timeout)),
@@ -168,10 +178,15 @@
 async fn run_apart(host: &Arc<Host>, job: Job, permit: Permit) -> Result<Response<Body>, Verdict> {
     let host = host.clone();
     let task = tokio::spawn(async move { attempt(&host, job, permit).await });
-    task.await.unwrap_or(Err(Verdict::may_have_run(Cause::Unknown)))
+    task.await
+        .unwrap_or(Err(Verdict::may_have_run(Cause::Unknown)))
 }
 
-async fn attempt(host: &Arc<Host>, mut job: Job, permit: Permit) -> Result<Response<Body>, Verdict> {
+async fn attempt(
+    host: &Arc<Host>,
+    mut job: Job,
+    permit: Permit,
+) -> Result<Response<Body>, Verdict> {
     let result = match request::admit(host, job.team.clone(), job.deadline).await {
         Ok(()) => run::run(host, &mut job).await,
         Err(verdict) => Err(verdict),
@@ -190,7 +205,10 @@
 }
 
 fn finish(host: &Arc<Host>, permit: Permit, outcome: Outcome) {
-    host.deduping.lock().machine.finish(host.now(), permit, outcome);
+    host.deduping
+        .lock()
+        .machine
+        .finish(host.now(), permit, outcome);
     drive::deduping(host);
 }
 
@@ -242,9 +260,10 @@
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for (name, value) in answer.headers {
-        if let (Ok(name), Ok(value)) =
-            (HeaderName::from_bytes(name.as_bytes()), HeaderValue::from_maybe_shared(value))
-        {
+        if let (Ok(name), Ok(value)) = (
+            HeaderName::from_bytes(name.as_bytes()),
+            HeaderValue::from_maybe_shared(value),
+        ) {
             response.headers_mut().append(name, value);
         }
     }
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -31,6 +31,8 @@
 
 pub use api::{Keys, Lookup, LookupHost};
 pub use lifecycle::Phase;
-pub use settings::{Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help};
+pub use settings::{
+    Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help,
+};
 pub use start::{Bound, Options, RunError, Running, bind, run, start};
 pub use stats::{Summary, Trend};
--- a/crates/entryd/src/lifecycle.rs
+++ b/crates/entryd/src/lifecycle.rs
@@ -30,7 +30,12 @@
     Stopped,
 }
 
-const PHASES: [Phase; 4] = [Phase::Starting, Phase::Serving, Phase::Leaving, Phase::Stopped];
+const PHASES: [Phase; 4] = [
+    Phase::Starting,
+    Phase::Serving,
+    Phase::Leaving,
+    Phase::Stopped,
+];
 
 #[derive(Debug)]
 struct Inner {
--- a/crates/entryd/src/metrics.rs
+++ b/crates/entryd/src/metrics.rs
@@ -14,7 +14,11 @@
 
 impl Metrics {
     /// Sends to `addr`, or nowhere; every line has the host and zone as tags.
-    pub(crate) fn new(addr: Option<SocketAddr>, host: &HostId, zone: &ZoneId) -> std::io::Result<Self> {
+    pub(crate) fn new(
+        addr: Option<SocketAddr>,
+        host: &HostId,
+        zone: &ZoneId,
+    ) -> std::io::Result<Self> {
         let builder = match addr {
             None => StatsdClient::builder(PREFIX, NopMetricSink),
             Some(addr) => {
@@ -29,7 +33,10 @@
                 StatsdClient::builder(PREFIX, QueuingMetricSink::with_capacity(sink, QUEUE_LINES))
             }
         };
-        let client = builder.with_tag("host", host.as_str()).with_tag("zone", zone.as_str()).build();
+        let client = builder
+            .with_tag("host", host.as_str())
+            .with_tag("zone", zone.as_str())
+            .build();
         Ok(Self(client))
     }
 
--- a/crates/entryd/src/plan.rs
+++ b/crates/entryd/src/plan.rs
@@ -26,11 +26,23 @@
     /// Builds the tables; parts that are the same as in `last` are taken from there.
     pub(crate) fn build(view: &View, last: Option<(&View, &Self)>) -> Self {
         let names: Vec<SiteId> = view.sites().keys().cloned().collect();
-        let rows = view.sites().values().map(|s| SiteRow { zones: s.zones.clone() }).collect();
+        let rows = view
+            .sites()
+            .values()
+            .map(|s| SiteRow {
+                zones: s.zones.clone(),
+            })
+            .collect();
         let kept = last.filter(|(_, sites)| sites.names == names);
-        let mut blocks = kept.map(|(_, sites)| sites.blocks.clone()).unwrap_or_default();
+        let mut blocks = kept
+            .map(|(_, sites)| sites.blocks.clone())
+            .unwrap_or_default();
         if let Some((old, _)) = kept {
-            for gone in old.blocks().keys().filter(|part| !view.blocks().contains_key(*part)) {
+            for gone in old
+                .blocks()
+                .keys()
+                .filter(|part| !view.blocks().contains_key(*part))
+            {
                 blocks.replace(gone.as_str(), &[]);
             }
         }
@@ -47,7 +59,11 @@
                 blocks.replace(part.as_str(), &nets);
             }
         }
-        Self { blocks, names, rows }
+        Self {
+            blocks,
+            names,
+            rows,
+        }
     }
 }
 
@@ -71,7 +87,10 @@
 }
 
 fn zones(view: &View) -> Vec<ZoneSpec> {
-    let spec = |z: &Arc<wagtail_config::Zone>| ZoneSpec { id: z.id.clone(), region: z.region.clone() };
+    let spec = |z: &Arc<wagtail_config::Zone>| ZoneSpec {
+        id: z.id.clone(),
+        region: z.region.clone(),
+    };
     view.zones().values().map(spec).collect()
 }
 
@@ -89,7 +108,10 @@
 }
 
 fn services(view: &View) -> Vec<ServiceSpec> {
-    let spec = |s: &Arc<wagtail_config::Service>| ServiceSpec { id: s.id.clone(), longest: s.deadline };
+    let spec = |s: &Arc<wagtail_config::Service>| ServiceSpec {
+        id: s.id.clone(),
+        longest: s.deadline,
+    };
     view.services().values().map(spec).collect()
 }
 
@@ -149,22 +171,38 @@
     let moves = view.moves().values().map(|m| CapSpec {
         from: Some(m.from.clone()),
         to: Some(m.to.clone()),
-        cap: Cap { level: m.cap, start: Share::NONE, rise: rise(m.share, m.ramp) },
+        cap: Cap {
+            level: m.cap,
+            start: Share::NONE,
+            rise: rise(m.share, m.ramp),
+        },
     });
     let drains = view.drains().values().map(|d| {
         let from = match &d.target {
-            DrainTarget::Endpoint(id) => {
-                view.endpoints().get(id).and_then(|e| view.region_of(&e.zone)).cloned()
-            }
+            DrainTarget::Endpoint(id) => view
+                .endpoints()
+                .get(id)
+                .and_then(|e| view.region_of(&e.zone))
+                .cloned(),
             DrainTarget::Zone(id) => view.region_of(id).cloned(),
             DrainTarget::Region(id) => Some(id.clone()),
         };
-        CapSpec { from, to: None, cap: Cap { level: d.cap, ..Cap::default() } }
+        CapSpec {
+            from,
+            to: None,
+            cap: Cap {
+                level: d.cap,
+                ..Cap::default()
+            },
+        }
     });
     let spills = view.regions().values().map(|r| CapSpec {
         from: Some(r.id.clone()),
         to: None,
-        cap: Cap { level: r.spill, ..Cap::default() },
+        cap: Cap {
+            level: r.spill,
+            ..Cap::default()
+        },
     });
     moves.chain(drains).chain(spills).collect()
 }
@@ -173,7 +211,10 @@
 fn rise(share: Share, ramp: Duration) -> Share {
     let millis = u64::try_from(ramp.as_millis()).unwrap_or(u64::MAX).max(1);
     let ppm = u64::from(share.ppm()).saturating_mul(1_000) / millis;
-    u32::try_from(ppm).ok().and_then(Share::from_ppm).unwrap_or(Share::ALL)
+    u32::try_from(ppm)
+        .ok()
+        .and_then(Share::from_ppm)
+        .unwrap_or(Share::ALL)
 }
 
 /// The limits of every team, and the shards that they are cut into.
@@ -184,8 +225,15 @@
         burst: t.burst,
         since: since(view, t),
     };
-    let shards = view.zones().keys().map(|zone| (zone.clone(), SHARDS_PER_ZONE)).collect();
-    (view.teams().values().map(limit).collect(), ShardMap::new(shards))
+    let shards = view
+        .zones()
+        .keys()
+        .map(|zone| (zone.clone(), SHARDS_PER_ZONE))
+        .collect();
+    (
+        view.teams().values().map(limit).collect(),
+        ShardMap::new(shards),
+    )
 }
 
 const SHARDS_PER_ZONE: u32 = 1;
--- a/crates/entryd/src/records.rs
+++ b/crates/entryd/src/records.rs
@@ -23,7 +23,10 @@
     let after = after.unwrap_or_else(|| Cursor::after(since));
     let scan = Scan {
         space: RECORDS.to_owned(),
-        after: Some(Place { mark: after.epoch.0, key: after.key.map(|k| k.to_string()) }),
+        after: Some(Place {
+            mark: after.epoch.0,
+            key: after.key.map(|k| k.to_string()),
+        }),
         limit,
         with: Some(head_key()),
     };
@@ -32,8 +35,21 @@
         Some(row) => parse::<Head>(&row.value)?,
         None => Head::default(),
     };
-    let rows = page.rows.iter().map(|row| parse::<Row>(&row.value)).collect::<Option<_>>()?;
-    Some((Page { since, head: head.epoch, floor: Epoch(0), rows, more: page.more }, head.snapshot))
+    let rows = page
+        .rows
+        .iter()
+        .map(|row| parse::<Row>(&row.value))
+        .collect::<Option<_>>()?;
+    Some((
+        Page {
+            since,
+            head: head.epoch,
+            floor: Epoch(0),
+            rows,
+            more: page.more,
+        },
+        head.snapshot,
+    ))
 }
 
 /// Reads a snapshot and checks its digest.
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -83,7 +83,11 @@
     job: &mut Job,
     attempt: wagtail_types::AttemptId,
 ) -> Result<Response<Body>, Verdict> {
-    let begin = host.deduping.lock().machine.receive_bare(host.now(), attempt);
+    let begin = host
+        .deduping
+        .lock()
+        .machine
+        .receive_bare(host.now(), attempt);
     drive::deduping(host);
     match begin {
         Begin::Run(permit) => {
@@ -104,7 +108,10 @@
         Err(Verdict::MayHaveRun { cause }) => Outcome::Unknown(*cause),
         Err(verdict) => Outcome::NotRun(verdict.clone()),
     };
-    host.deduping.lock().machine.finish(host.now(), permit, outcome);
+    host.deduping
+        .lock()
+        .machine
+        .finish(host.now(), permit, outcome);
     drive::deduping(host);
 }
 
@@ -123,5 +130,9 @@
 
 fn to_answer(response: Response<Body>) -> RelayAnswer {
     let (parts, body) = response.into_parts();
-    RelayAnswer { status: parts.status, headers: parts.headers, body: to_peer(body) }
+    RelayAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: to_peer(body),
+    }
 }
--- a/crates/entryd/src/reports.rs
+++ b/crates/entryd/src/reports.rs
@@ -29,7 +29,11 @@
     let leaving = headers.contains_key(LEAVING);
     let load = headers.get(LOAD).and_then(|v| parse_load(v.to_str().ok()?));
     if leaving || load.is_some() {
-        let health = if leaving { Health::Leaving } else { Health::Serving };
+        let health = if leaving {
+            Health::Leaving
+        } else {
+            Health::Serving
+        };
         take(host, endpoint, health, load);
     }
 }
@@ -40,7 +44,11 @@
     loop {
         period.tick().await;
         let view = host.view.load_full();
-        for endpoint in view.endpoints().values().filter(|e| e.zone == host.settings.zone) {
+        for endpoint in view
+            .endpoints()
+            .values()
+            .filter(|e| e.zone == host.settings.zone)
+        {
             tokio::spawn(ask(host.clone(), endpoint.clone()));
         }
     }
@@ -49,7 +57,10 @@
 async fn ask(host: Arc<Host>, endpoint: Arc<Endpoint>) {
     let mut request = Request::new(Body::empty());
     *request.uri_mut() = http::Uri::from_static(HEALTH_PATH);
-    let answer = host.upstreams.send(endpoint.addr, request, HEALTH_TIMEOUT).await;
+    let answer = host
+        .upstreams
+        .send(endpoint.addr, request, HEALTH_TIMEOUT)
+        .await;
     let (health, load) = match answer {
         Ok(response) => read(response).await,
         Err(_) => (Health::Sick, None),
@@ -67,13 +78,21 @@
     if !response.status().is_success() {
         return (Health::Sick, None);
     }
-    let body = Limited::new(response.into_body(), HEALTH_MAX_BYTES).collect().await;
-    let status = body.ok().and_then(|b| serde_json::from_slice::<Status>(&b.to_bytes()).ok());
+    let body = Limited::new(response.into_body(), HEALTH_MAX_BYTES)
+        .collect()
+        .await;
+    let status = body
+        .ok()
+        .and_then(|b| serde_json::from_slice::<Status>(&b.to_bytes()).ok());
     match status {
         None => (Health::Sick, None),
         Some(status) => {
             let leaving = status.state == "leaving";
-            let health = if leaving { Health::Leaving } else { Health::Serving };
+            let health = if leaving {
+                Health::Leaving
+            } else {
+                Health::Serving
+            };
             (health, status.load.as_deref().and_then(parse_load))
         }
     }
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -33,7 +33,10 @@
 
 impl From<Verdict> for Refusal {
     fn from(verdict: Verdict) -> Self {
-        Self { verdict, detail: None }
+        Self {
+            verdict,
+            detail: None,
+        }
     }
 }
 
@@ -41,7 +44,10 @@
 pub(crate) async fn serve(State(host): State<Arc<Host>>, request: Request<Body>) -> Response<Body> {
     let start = host.now();
     let Some(running) = host.watch.enter(host.settings.limits.requests) else {
-        return refuse(&host, &Verdict::not_run(Reason::Overloaded, RETRY_BUSY).into());
+        return refuse(
+            &host,
+            &Verdict::not_run(Reason::Overloaded, RETRY_BUSY).into(),
+        );
     };
     let (parts, body) = request.into_parts();
     let length = hyper::body::Body::size_hint(&body);
@@ -58,7 +64,10 @@
 }
 
 fn bad(detail: &'static str) -> Refusal {
-    Refusal { verdict: Verdict::not_run(Reason::BadRequest, None), detail: Some(detail) }
+    Refusal {
+        verdict: Verdict::not_run(Reason::BadRequest, None),
+        detail: Some(detail),
+    }
 }
 
 fn too_long() -> Refusal {
@@ -80,7 +89,10 @@
         Some(team) => team.id.clone(),
         None => OPEN_TEAM.parse().ok()?,
     };
-    Some(Series { team, service: service.id.clone() })
+    Some(Series {
+        team,
+        service: service.id.clone(),
+    })
 }
 
 async fn admit_and_run(
@@ -90,12 +102,17 @@
 ) -> Result<Response<Body>, Refusal> {
     let view = host.view.load_full();
     let (service, team) = entitle(host, &view, &intake.service, intake.digest.as_ref())?;
-    let given = intake.deadline.unwrap_or(service.deadline).min(host.settings.times.longest);
+    let given = intake
+        .deadline
+        .unwrap_or(service.deadline)
+        .min(host.settings.times.longest);
     let limits = &host.settings.limits;
     let body = Body::new(http_body_util::Limited::new(body, limits.body.as_usize()));
     let deadline = host.now() + given;
     let payload = tokio::time::timeout(given, Payload::read(body, limits.buffer.as_usize()));
-    let payload = payload.await.map_err(|_| Verdict::not_run(Reason::DeadlinePassed, None))??;
+    let payload = payload
+        .await
+        .map_err(|_| Verdict::not_run(Reason::DeadlinePassed, None))??;
     let mut job = Job {
         service,
         team,
@@ -107,13 +124,11 @@
         tried: Vec::new(),
         payload,
     };
-    match intake.idempotency {
-        Some(key) => Ok(keyed::begin(host, job, &key, intake.repeat).await?),
-        None => {
-            admit(host, job.team.clone(), job.deadline).await?;
-            Ok(run::run(host, &mut job).await?)
-        }
+    if let Some(key) = intake.idempotency {
+        return Ok(keyed::begin(host, job, &key, intake.repeat).await?);
     }
+    admit(host, job.team.clone(), job.deadline).await?;
+    Ok(run::run(host, &mut job).await?)
 }
 
 /// Finds the records that a request may use.
@@ -138,7 +153,9 @@
             if !team.services.contains(&service.id) && !service.open {
                 return Err(refuse(Reason::Forbidden));
             }
-            let stale = host.cut_off(host.now()).is_some_and(|t| t > host.settings.times.staleness);
+            let stale = host
+                .cut_off(host.now())
+                .is_some_and(|t| t > host.settings.times.staleness);
             if stale && team.cutoff == CutOff::Refuse && !service.open {
                 return Err(Verdict::not_run(Reason::CutOff, RETRY_CUT_OFF));
             }
--- a/crates/entryd/src/rows.rs
+++ b/crates/entryd/src/rows.rs
@@ -27,13 +27,19 @@
 
 impl From<&Member> for Holder {
     fn from(member: &Member) -> Self {
-        Self { host: member.host.clone(), incarnation: member.incarnation }
+        Self {
+            host: member.host.clone(),
+            incarnation: member.incarnation,
+        }
     }
 }
 
 impl From<Holder> for Member {
     fn from(holder: Holder) -> Self {
-        Self { host: holder.host, incarnation: holder.incarnation }
+        Self {
+            host: holder.host,
+            incarnation: holder.incarnation,
+        }
     }
 }
 
@@ -45,7 +51,11 @@
             confirmed: row.confirmed,
             members: row.members.iter().map(Holder::from).collect(),
             attempt: row.attempt.to_string(),
-            tokens: row.tokens.iter().map(|t| (t.team.clone(), t.tokens.micros())).collect(),
+            tokens: row
+                .tokens
+                .iter()
+                .map(|t| (t.team.clone(), t.tokens.micros()))
+                .collect(),
         }
     }
 }
@@ -54,7 +64,10 @@
     type Error = wagtail_types::ParseError;
 
     fn try_from(lease: Lease) -> Result<Self, Self::Error> {
-        let tokens = |(team, micros)| TeamTokens { team, tokens: Tokens::from_micros(micros) };
+        let tokens = |(team, micros)| TeamTokens {
+            team,
+            tokens: Tokens::from_micros(micros),
+        };
         Ok(Self {
             holder: lease.holder.map(Member::from),
             epoch: lease.epoch,
@@ -74,9 +87,12 @@
 pub(crate) async fn read_lease(platform: &dyn Platform, shard: &ShardId) -> ReadOutcome {
     match platform.read(&lease_key(shard)).await {
         Ok(None) => ReadOutcome::Absent,
-        Ok(Some(row)) => parse_lease(&row.value).map_or(ReadOutcome::Failed, |lease| {
-            ReadOutcome::Found { version: row.version, row: lease }
-        }),
+        Ok(Some(row)) => {
+            parse_lease(&row.value).map_or(ReadOutcome::Failed, |lease| ReadOutcome::Found {
+                version: row.version,
+                row: lease,
+            })
+        }
         Err(_) => ReadOutcome::Failed,
     }
 }
@@ -92,11 +108,17 @@
     expected: Option<u64>,
     row: &Row,
 ) -> WriteOutcome {
-    let Ok(text) = serde_json::to_string(&Lease::from(row)) else { return WriteOutcome::Unknown };
+    let Ok(text) = serde_json::to_string(&Lease::from(row)) else {
+        return WriteOutcome::Unknown;
+    };
     let key = lease_key(shard);
-    let txn = Txn::new(row.attempt).check(key.clone(), expected).write(Write::put(key, &text));
+    let txn = Txn::new(row.attempt)
+        .check(key.clone(), expected)
+        .write(Write::put(key, &text));
     match platform.transact(&txn).await {
-        Ok(receipt) => WriteOutcome::Applied { version: receipt.version },
+        Ok(receipt) => WriteOutcome::Applied {
+            version: receipt.version,
+        },
         Err(PlatformError::Conflict { .. }) => WriteOutcome::Conflict,
         // What did not reach the table is read back like a lost answer.
         Err(_) => WriteOutcome::Unknown,
@@ -107,7 +129,7 @@
 struct Claim {
     host: HostId,
     incarnation: Incarnation,
-    claim: String,
+    attempt: String,
     lasts_secs: u64,
 }
 
@@ -124,12 +146,16 @@
     let value = Claim {
         host: row.host.clone(),
         incarnation: row.incarnation,
-        claim: claim.to_string(),
+        attempt: claim.to_string(),
         lasts_secs: row.lasts.as_secs(),
     };
-    let Ok(text) = serde_json::to_string(&value) else { return ClaimResult::Unavailable };
+    let Ok(text) = serde_json::to_string(&value) else {
+        return ClaimResult::Unavailable;
+    };
     let key = claim_key(row);
-    let txn = Txn::new(claim).check(key.clone(), None).write(Write::put(key, &text));
+    let txn = Txn::new(claim)
+        .check(key.clone(), None)
+        .write(Write::put(key, &text));
     match platform.transact(&txn).await {
         Ok(_) => ClaimResult::Applied,
         Err(PlatformError::Conflict { .. }) => read_claim(platform, claim, row).await,
@@ -150,9 +176,10 @@
         Ok(None) => ClaimResult::Absent,
         Ok(Some(found)) if found.attempt == claim => ClaimResult::Applied,
         Ok(Some(found)) => match serde_json::from_str::<Claim>(&found.value) {
-            Ok(held) => {
-                ClaimResult::AlreadyHeldBy { host: held.host, incarnation: held.incarnation }
-            }
+            Ok(held) => ClaimResult::AlreadyHeldBy {
+                host: held.host,
+                incarnation: held.incarnation,
+            },
             Err(_) => ClaimResult::Unknown,
         },
         Err(_) => ClaimResult::Unknown,
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -45,7 +45,10 @@
 
 impl Failure {
     fn last(verdict: Verdict) -> Self {
-        Self { verdict, again: false }
+        Self {
+            verdict,
+            again: false,
+        }
     }
 
     fn of_attempt(verdict: Verdict, job: &Job) -> Self {
@@ -55,7 +58,12 @@
 }
 
 fn is_timeout(verdict: &Verdict) -> bool {
-    matches!(verdict, Verdict::MayHaveRun { cause: Cause::Timeout })
+    matches!(
+        verdict,
+        Verdict::MayHaveRun {
+            cause: Cause::Timeout
+        }
+    )
 }
 
 async fn once(host: &Arc<Host>, job: &mut Job, attempt: u32) -> Result<Response<Body>, Failure> {
@@ -98,7 +106,11 @@
         Placement::Dispatch(lease) => Placed::Now(Slot::new(host, lease)),
         Placement::Queued(ticket) => {
             let start = routing.wait(ticket);
-            Placed::Later(Queued { host: host.clone(), ticket: Some(ticket), start })
+            Placed::Later(Queued {
+                host: host.clone(),
+                ticket: Some(ticket),
+                start,
+            })
         }
         Placement::Relay(pass) => Placed::Elsewhere(Passing::new(host, pass)),
         Placement::Refuse(verdict) => Placed::Nowhere(verdict),
@@ -150,7 +162,10 @@
 
 impl Slot {
     pub(crate) fn new(host: &Arc<Host>, lease: Lease) -> Self {
-        Self { host: host.clone(), lease: Some(lease) }
+        Self {
+            host: host.clone(),
+            lease: Some(lease),
+        }
     }
 
     fn endpoint(&self) -> Option<EndpointId> {
@@ -184,7 +199,10 @@
 
 impl Passing {
     fn new(host: &Arc<Host>, pass: Pass) -> Self {
-        Self { host: host.clone(), pass: Some(pass) }
+        Self {
+            host: host.clone(),
+            pass: Some(pass),
+        }
     }
 
     fn end(&mut self, outcome: Relayed) {
@@ -204,7 +222,10 @@
 
 async fn dispatch(host: &Arc<Host>, job: &mut Job, slot: Slot) -> Result<Response<Body>, Failure> {
     let view = host.view.load_full();
-    let Some(endpoint) = slot.endpoint().and_then(|id| view.endpoints().get(&id).cloned()) else {
+    let Some(endpoint) = slot
+        .endpoint()
+        .and_then(|id| view.endpoints().get(&id).cloned())
+    else {
         slot.finish(Outcome::Cancelled);
         return Err(Failure::last(Verdict::not_run(Reason::NoEndpoint, None)));
     };
@@ -212,7 +233,10 @@
     let attempt = host.attempt();
     let request = job.request(attempt, now);
     let id = request.headers().get(intake::REQUEST).cloned();
-    let sent = host.upstreams.send(endpoint.addr, request, job.left(now)).await;
+    let sent = host
+        .upstreams
+        .send(endpoint.addr, request, job.left(now))
+        .await;
     match sent {
         Ok(response) => judge(host, &endpoint.id, job, slot, id.as_ref(), response),
         Err(verdict) => {
@@ -234,11 +258,21 @@
     reports::passive(host, endpoint, response.headers());
     if is_crossed(response.headers(), id) {
         slot.finish(Outcome::Failed);
-        return Err(Failure::of_attempt(Verdict::may_have_run(Cause::BadAnswer), job));
+        return Err(Failure::of_attempt(
+            Verdict::may_have_run(Cause::BadAnswer),
+            job,
+        ));
     }
-    if response.headers().get(VERDICT).is_some_and(|v| v == NOT_RUN) {
+    if response
+        .headers()
+        .get(VERDICT)
+        .is_some_and(|v| v == NOT_RUN)
+    {
         slot.finish(Outcome::Refused);
-        return Err(Failure::of_attempt(Verdict::not_run(Reason::EndpointRefused, None), job));
+        return Err(Failure::of_attempt(
+            Verdict::not_run(Reason::EndpointRefused, None),
+            job,
+        ));
     }
     answer::strip(response.headers_mut());
     Ok(response.map(|body| {
@@ -254,18 +288,31 @@
 
 /// Whether the answer names another request.
 fn is_crossed(headers: &HeaderMap, id: Option<&HeaderValue>) -> bool {
-    headers.get(intake::REQUEST).is_some_and(|echo| Some(echo) != id)
+    headers
+        .get(intake::REQUEST)
+        .is_some_and(|echo| Some(echo) != id)
 }
 
-async fn relay(host: &Arc<Host>, job: &mut Job, mut passing: Passing) -> Result<Response<Body>, Failure> {
-    let Some((to, zone)) = passing.pass.as_ref().map(|p| (p.host.clone(), p.zone.clone())) else {
+async fn relay(
+    host: &Arc<Host>,
+    job: &mut Job,
+    mut passing: Passing,
+) -> Result<Response<Body>, Failure> {
+    let Some((to, zone)) = passing
+        .pass
+        .as_ref()
+        .map(|p| (p.host.clone(), p.zone.clone()))
+    else {
         return Err(Failure::last(Verdict::not_run(Reason::Unavailable, None)));
     };
     let head = head(host, job, Step::Owner, None);
     let answer = forward(host, job, &to, head).await;
     passing.end(match &answer {
         Ok(_) | Err(Verdict::MayHaveRun { .. }) => Relayed::Taken,
-        Err(Verdict::NotRun { reason: Reason::ConnectFailed, .. }) => Relayed::Lost,
+        Err(Verdict::NotRun {
+            reason: Reason::ConnectFailed,
+            ..
+        }) => Relayed::Lost,
         Err(Verdict::NotRun { .. }) => Relayed::NoSlot,
     });
     answer.map_err(|verdict| {
@@ -313,12 +360,17 @@
 /// The team and service records that a relayed head names.
 pub(crate) fn named(view: &View, head: &RelayHead) -> Result<Named, Verdict> {
     let service = view.services().get(&head.service);
-    let service = service.ok_or(Verdict::not_run(Reason::UnknownService, None))?.clone();
+    let service = service
+        .ok_or(Verdict::not_run(Reason::UnknownService, None))?
+        .clone();
     let team = match &head.team {
         None => None,
         Some(id) => {
             let team = view.teams().get(id);
-            Some(team.ok_or(Verdict::not_run(Reason::Forbidden, None))?.clone())
+            Some(
+                team.ok_or(Verdict::not_run(Reason::Forbidden, None))?
+                    .clone(),
+            )
         }
     };
     Ok(Named { service, team })
--- a/crates/entryd/src/server.rs
+++ b/crates/entryd/src/server.rs
@@ -40,15 +40,29 @@
 
 impl Server {
     /// Serves `router` on a bound listener until [`Server::stop`].
-    pub(crate) fn start(listener: TcpListener, router: Router, limits: Limits) -> std::io::Result<Self> {
+    pub(crate) fn start(
+        listener: TcpListener,
+        router: Router,
+        limits: Limits,
+    ) -> std::io::Result<Self> {
         let addr = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let tasks = TaskTracker::new();
         let cut = CancellationToken::new();
-        let acceptor =
-            Acceptor { router, limits, stopped, cut: cut.clone(), tasks: tasks.clone() };
+        let acceptor = Acceptor {
+            router,
+            limits,
+            stopped,
+            cut: cut.clone(),
+            tasks: tasks.clone(),
+        };
         tasks.spawn(acceptor.run(listener));
-        Ok(Self { addr, stop, cut, tasks })
+        Ok(Self {
+            addr,
+            stop,
+            cut,
+            tasks,
+        })
     }
 
     /// The address that callers connect to.
@@ -84,7 +98,9 @@
     async fn run(mut self, listener: TcpListener) {
         let slots = Arc::new(Semaphore::new(self.limits.connections));
         loop {
-            let Ok(slot) = slots.clone().acquire_owned().await else { return };
+            let Ok(slot) = slots.clone().acquire_owned().await else {
+                return;
+            };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = self.stopped.wait_for(|stopped| *stopped) => return,
--- /dev/null
+++ b/crates/entryd/src/settings/spec.rs
@@ -0,0 +1,204 @@
+//! Names, forms, defaults and descriptions of all settings.
+
+use std::fmt::Write as _;
+
+/// One setting: name, value's form, default, description.
+pub(super) struct Spec {
+    pub(super) name: &'static str,
+    form: &'static str,
+    pub(super) default: Option<&'static str>,
+    about: &'static str,
+}
+
+const fn spec(
+    name: &'static str,
+    form: &'static str,
+    default: Option<&'static str>,
+    about: &'static str,
+) -> Spec {
+    Spec {
+        name,
+        form,
+        default,
+        about,
+    }
+}
+
+pub(super) const SPECS: &[Spec] = &[
+    spec(
+        "host",
+        "NAME",
+        None,
+        "name of this entry host, as in its host record",
+    ),
+    spec("zone", "NAME", None, "availability zone of this host"),
+    spec("region", "NAME", None, "region of that zone"),
+    spec(
+        "listen",
+        "IP:PORT",
+        Some("127.0.0.1:0"),
+        "address for callers",
+    ),
+    spec(
+        "ops-listen",
+        "IP:PORT",
+        Some("127.0.0.1:0"),
+        "address for operators",
+    ),
+    spec(
+        "peer-listen",
+        "IP:PORT",
+        Some("127.0.0.1:0"),
+        "address for other entry hosts",
+    ),
+    spec(
+        "platform",
+        "IP:PORT",
+        None,
+        "address of the table service and object store",
+    ),
+    spec(
+        "seeds",
+        "LIST",
+        Some(""),
+        "NAME@IP:PORT,... of hosts to ask while the platform is out",
+    ),
+    spec(
+        "fleet-secret",
+        "TEXT",
+        None,
+        "secret shared by all entry hosts; prefer the variable",
+    ),
+    spec(
+        "fleet-size",
+        "COUNT",
+        Some("11"),
+        "number of entry hosts that share the platform",
+    ),
+    spec(
+        "statsd",
+        "IP:PORT",
+        Some(""),
+        "where counters and gauges go by UDP; empty for none",
+    ),
+    spec(
+        "log-format",
+        "text|json",
+        Some("text"),
+        "form of the log lines",
+    ),
+    spec(
+        "max-connections",
+        "COUNT",
+        Some("4096"),
+        "caller connections at one time",
+    ),
+    spec(
+        "max-requests",
+        "COUNT",
+        Some("8192"),
+        "requests at one time",
+    ),
+    spec("max-header", "SIZE", Some("16KiB"), "request head"),
+    spec("max-body", "SIZE", Some("16MiB"), "request body"),
+    spec(
+        "buffer-body",
+        "SIZE",
+        Some("64KiB"),
+        "part of a body held so that it can be sent again",
+    ),
+    spec(
+        "outcome-memory",
+        "SIZE",
+        Some("64MiB"),
+        "outcomes kept for idempotency keys",
+    ),
+    spec(
+        "outcome-time",
+        "DURATION",
+        Some("10m"),
+        "how long outcomes are kept",
+    ),
+    spec(
+        "connect-timeout",
+        "DURATION",
+        Some("1s"),
+        "connecting to an endpoint or host",
+    ),
+    spec(
+        "deadline",
+        "DURATION",
+        Some("10s"),
+        "for requests that bring none to a service with none",
+    ),
+    spec(
+        "max-deadline",
+        "DURATION",
+        Some("120s"),
+        "longest deadline taken from a request",
+    ),
+    spec(
+        "lookup-ttl",
+        "DURATION",
+        Some("3s"),
+        "how long callers may cache a look-up",
+    ),
+    spec(
+        "stop-timeout",
+        "DURATION",
+        Some("60s"),
+        "longest graceful stop",
+    ),
+    spec(
+        "key-staleness",
+        "DURATION",
+        Some("2s"),
+        "cut off for longer, a host follows cut-off settings",
+    ),
+    spec(
+        "lease-term",
+        "DURATION",
+        Some("6s"),
+        "term of a quota shard's lease",
+    ),
+    spec(
+        "poll-interval",
+        "DURATION",
+        Some("500ms"),
+        "between polls of the config head",
+    ),
+    spec(
+        "probe-interval",
+        "DURATION",
+        Some("200ms"),
+        "between membership probes",
+    ),
+    spec(
+        "seed",
+        "NUMBER",
+        Some("0"),
+        "seed of random choices; 0 draws one",
+    ),
+];
+
+/// The help text.
+pub fn help() -> String {
+    let mut text = String::from(
+        "The daemon on each entry host.\n\n\
+         Usage: wagtail-entryd [--check] [--NAME VALUE]...\n\n\
+         Each setting can stand in a variable too: --max-body is WAGTAIL_MAX_BODY.\n\
+         SIZE: 4096, 64KiB, 16MiB. DURATION: 500ms, 2s, 10m.\n\n\
+         \x20 --check                    check the settings, bind nothing, exit\n\
+         \x20 --help                     show this text\n",
+    );
+    for spec in SPECS {
+        let flag = format!("--{} {}", spec.name, spec.form);
+        let default = match spec.default {
+            Some("") => String::new(),
+            Some(default) => format!(" [{default}]"),
+            None => " (required)".to_owned(),
+        };
+        let _ = writeln!(text, "  {flag:<26} {}{default}", spec.about);
+    }
+    text
+}
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -52,7 +52,12 @@
 impl Options {
     /// The operating system's clock and the platform of the settings.
     pub fn new(log: Logger) -> Self {
-        Self { log, clock: Arc::new(SystemClock), platform: None, lines: None }
+        Self {
+            log,
+            clock: Arc::new(SystemClock),
+            platform: None,
+            lines: None,
+        }
     }
 }
 
@@ -123,7 +128,13 @@
     drive::sync_input(&host, SyncInput::Peers(seeds));
     info!(host.log, "started"; "listen" => %callers.addr(), "ops" => %operators.addr(),
         "incarnation" => %host.incarnation);
-    Ok(Bound { host, starting, callers, operators, tasks })
+    Ok(Bound {
+        host,
+        starting,
+        callers,
+        operators,
+        tasks,
+    })
 }
 
 impl Bound {
@@ -144,12 +155,24 @@
 
     /// Waits for a configuration, then enters the look-ups.
     pub async fn serve(self) -> Running {
-        let Self { host, starting, callers, operators, tasks } = self;
+        let Self {
+            host,
+            starting,
+            callers,
+            operators,
+            tasks,
+        } = self;
         host.adopted.notified().await;
         let serving = starting.serve();
         drive::spread(&host);
         info!(host.log, "serving"; "epoch" => %host.view.load().epoch());
-        Running { host, serving, callers, operators, tasks }
+        Running {
+            host,
+            serving,
+            callers,
+            operators,
+            tasks,
+        }
     }
 }
 
@@ -158,9 +181,10 @@
     let now = clock.now();
     let mut random = rng(settings.seed);
     let incarnation = incarnation(&*clock);
-    let platform = options.platform.clone().unwrap_or_else(|| {
-        Arc::new(HttpClient::new(HttpSettings::new(settings.platform)))
-    });
+    let platform = options
+        .platform
+        .clone()
+        .unwrap_or_else(|| Arc::new(HttpClient::new(HttpSettings::new(settings.platform))));
     let log = options.log.new(o!("host" => settings.host.to_string()));
     let metrics = Metrics::new(settings.statsd, &settings.host, &settings.zone)?;
     Ok(Host {
@@ -174,7 +198,11 @@
         directory: Directory::default().into_swap(),
         mode: wagtail_member::Mode::CutOff { since: now }.into_swap(),
         routing: Waiting::new(Router::new(route_settings(&settings), random.random(), now)),
-        limiting: Waiting::new(Quota::new(quota_settings(&settings, incarnation), random.random(), now)),
+        limiting: Waiting::new(Quota::new(
+            quota_settings(&settings, incarnation),
+            random.random(),
+            now,
+        )),
         deduping: Waiting::new(Once::new(
             once_settings(&settings),
             settings.host.clone(),
@@ -187,7 +215,11 @@
             random.random(),
             now,
         )),
-        syncing: Waiting::new(ConfigSync::new(sync_settings(&settings), random.random(), now)),
+        syncing: Waiting::new(ConfigSync::new(
+            sync_settings(&settings),
+            random.random(),
+            now,
+        )),
         upstreams: Upstreams::new(settings.times.connect),
         peer: OnceLock::new(),
         platform,
@@ -242,7 +274,11 @@
 }
 
 fn member_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_member::Settings {
-    let own = HostInfo::new(settings.host.clone(), settings.zone.clone(), settings.region.clone());
+    let own = HostInfo::new(
+        settings.host.clone(),
+        settings.zone.clone(),
+        settings.region.clone(),
+    );
     wagtail_member::Settings {
         poll_interval: settings.times.poll,
         ..wagtail_member::Settings::new(own, incarnation)
@@ -250,13 +286,19 @@
 }
 
 fn sync_settings(settings: &Settings) -> SyncSettings {
-    SyncSettings { poll: settings.times.poll, ..SyncSettings::default() }
+    SyncSettings {
+        poll: settings.times.poll,
+        ..SyncSettings::default()
+    }
 }
 
 fn start_peer(host: &Arc<Host>, lines: Option<Lines>) -> Result<Peer, RunError> {
     let settings = &host.settings;
-    let secret: FleetSecret =
-        settings.secret.0.parse().map_err(|e| std::io::Error::other(format!("{e}")))?;
+    let secret: FleetSecret = settings
+        .secret
+        .0
+        .parse()
+        .map_err(|e| std::io::Error::other(format!("{e}")))?;
     let settings = wagtail_peer::Settings {
         lines,
         ..wagtail_peer::Settings::new(
@@ -267,7 +309,11 @@
         )
     };
     let inbox = Arc::new(Inbox(Arc::downgrade(host)));
-    Ok(Peer::start(settings, inbox, tokio::runtime::Handle::current())?)
+    Ok(Peer::start(
+        settings,
+        inbox,
+        tokio::runtime::Handle::current(),
+    )?)
 }
 
 impl Running {
@@ -292,7 +338,13 @@
     ///
     /// Fails where requests still ran when the time for the stop was over.
     pub async fn stop(self) -> Result<(), RunError> {
-        let Self { host, serving, callers, operators, tasks } = self;
+        let Self {
+            host,
+            serving,
+            callers,
+            operators,
+            tasks,
+        } = self;
         let leaving = serving.leave();
         info!(host.log, "leaving"; "running" => host.watch.running());
         drive::member_input(&host, wagtail_member::Input::Leave);
@@ -323,7 +375,13 @@
 
     /// Ends at once, as if the process were killed.
     pub async fn kill(self) {
-        let Self { host, callers, operators, tasks, .. } = self;
+        let Self {
+            host,
+            callers,
+            operators,
+            tasks,
+            ..
+        } = self;
         drop(tasks);
         callers.abort();
         operators.abort();
@@ -337,7 +395,10 @@
     let now = host.now();
     host.limiting.lock().machine.release(now);
     drive::limiting(host);
-    if tokio::time::timeout(RELEASE_TIMEOUT, host.released.notified()).await.is_err() {
+    if tokio::time::timeout(RELEASE_TIMEOUT, host.released.notified())
+        .await
+        .is_err()
+    {
         warn!(host.log, "quota shards could not be handed back");
     }
 }
@@ -349,7 +410,9 @@
 /// As [`start`] and [`Running::stop`].
 pub fn run(settings: Settings) -> Result<(), RunError> {
     let log = crate::logs::to_stderr(settings.logs);
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let running = tokio::select! {
             running = start(settings, Options::new(log)) => running?,
--- a/crates/entryd/src/stats.rs
+++ b/crates/entryd/src/stats.rs
@@ -35,7 +35,11 @@
     fn new() -> Self {
         let latency = Histogram::new_with_bounds(1, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
             .expect("the bounds are constants in range");
-        Self { latency, refused: [0; Reason::ALL.len()], unknown: 0 }
+        Self {
+            latency,
+            refused: [0; Reason::ALL.len()],
+            unknown: 0,
+        }
     }
 
     fn record(&mut self, taken: Duration, failure: Option<&Verdict>) {
@@ -50,7 +54,9 @@
     }
 
     fn add(&mut self, other: &Self) {
-        self.latency.add(&other.latency).expect("all spans have the same bounds");
+        self.latency
+            .add(&other.latency)
+            .expect("all spans have the same bounds");
         for (sum, count) in self.refused.iter_mut().zip(other.refused) {
             *sum += count;
         }
@@ -141,7 +147,12 @@
 impl Stats {
     /// Nothing recorded yet.
     pub(crate) fn new(now: Instant) -> Self {
-        let inner = Inner { series: BTreeMap::new(), turned: now, slot_start: now, slot: 0 };
+        let inner = Inner {
+            series: BTreeMap::new(),
+            turned: now,
+            slot_start: now,
+            slot: 0,
+        };
         Self(Mutex::new(inner))
     }
 
@@ -159,7 +170,9 @@
         if !inner.series.contains_key(series) {
             inner.series.insert(series.clone(), Windows::new());
         }
-        let Some(windows) = inner.series.get_mut(series) else { return };
+        let Some(windows) = inner.series.get_mut(series) else {
+            return;
+        };
         windows.now.record(taken, failure);
         windows.hour[slot].record(taken, failure);
         windows.total.record(taken, failure);
@@ -169,19 +182,31 @@
     pub(crate) fn trends(&self, now: Instant) -> Vec<Trend> {
         let mut inner = self.lock();
         inner.turn(now);
-        inner.series.iter().map(|(series, windows)| trend(series, windows)).collect()
+        inner
+            .series
+            .iter()
+            .map(|(series, windows)| trend(series, windows))
+            .collect()
     }
 
     /// Latency since start in HDR's own percentile steps: (quantile, milliseconds, count).
     pub(crate) fn histogram(&self, series: &Series) -> Vec<(f64, f64, u64)> {
         const TICKS_PER_HALF: u32 = 5;
         let inner = self.lock();
-        let Some(windows) = inner.series.get(series) else { return Vec::new() };
+        let Some(windows) = inner.series.get(series) else {
+            return Vec::new();
+        };
         windows
             .total
             .latency
             .iter_quantiles(TICKS_PER_HALF)
-            .map(|v| (v.quantile(), v.value_iterated_to() as f64 / 1_000.0, v.count_since_last_iteration()))
+            .map(|v| {
+                (
+                    v.quantile(),
+                    v.value_iterated_to() as f64 / 1_000.0,
+                    v.count_since_last_iteration(),
+                )
+            })
             .collect()
     }
 
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -24,46 +24,71 @@
     let timers = host.clone();
     tasks.spawn(async move {
         let next = wagtail_route::Router::next_wake;
-        drive::timer(&timers, |h| &h.routing, next, |h, now| {
-            h.routing.lock().machine.tick(now);
-            drive::routing(h);
-        })
+        drive::timer(
+            &timers,
+            |h| &h.routing,
+            next,
+            |h, now| {
+                h.routing.lock().machine.tick(now);
+                drive::routing(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
         let next = wagtail_quota::Quota::next_wake;
-        drive::timer(&timers, |h| &h.limiting, next, |h, now| {
-            h.limiting.lock().machine.tick(now);
-            drive::limiting(h);
-        })
+        drive::timer(
+            &timers,
+            |h| &h.limiting,
+            next,
+            |h, now| {
+                h.limiting.lock().machine.tick(now);
+                drive::limiting(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
         let next = wagtail_once::Once::next_wake;
-        drive::timer(&timers, |h| &h.deduping, next, |h, now| {
-            h.deduping.lock().machine.tick(now);
-            drive::deduping(h);
-        })
+        drive::timer(
+            &timers,
+            |h| &h.deduping,
+            next,
+            |h, now| {
+                h.deduping.lock().machine.tick(now);
+                drive::deduping(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
         let next = wagtail_member::Member::next_wake;
-        drive::timer(&timers, |h| &h.membership, next, |h, now| {
-            h.membership.lock().machine.tick(now);
-            drive::membership(h);
-        })
+        drive::timer(
+            &timers,
+            |h| &h.membership,
+            next,
+            |h, now| {
+                h.membership.lock().machine.tick(now);
+                drive::membership(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
         let next = wagtail_config::ConfigSync::next_wake;
-        drive::timer(&timers, |h| &h.syncing, next, |h, now| {
-            h.syncing.lock().machine.tick(now);
-            drive::syncing(h);
-        })
+        drive::timer(
+            &timers,
+            |h| &h.syncing,
+            next,
+            |h, now| {
+                h.syncing.lock().machine.tick(now);
+                drive::syncing(h);
+            },
+        )
         .await;
     });
     tasks.spawn(reports::poll(host.clone()));
@@ -82,7 +107,10 @@
         let others: Vec<HostId> = {
             let membership = host.membership.lock();
             let others = membership.machine.members().filter(|m| m.is_live());
-            others.map(|m| m.info.host.clone()).filter(|h| *h != host.settings.host).collect()
+            others
+                .map(|m| m.info.host.clone())
+                .filter(|h| *h != host.settings.host)
+                .collect()
         };
         for to in others.choose_multiple(&mut random, ADVERT_FANOUT) {
             drive::send(&host, to, Control::Advert(advert.clone()));
@@ -95,7 +123,9 @@
     let mut period = tokio::time::interval(LIST_PERIOD);
     loop {
         period.tick().await;
-        let Ok(list) = host.platform.list().await else { continue };
+        let Ok(list) = host.platform.list().await else {
+            continue;
+        };
         for listed in list.iter().filter(|l| l.state == ListedState::Leaving) {
             if let Ok(endpoint) = listed.name.parse() {
                 let input = wagtail_route::Input::Leaving(endpoint);
@@ -112,8 +142,10 @@
         period.tick().await;
         let headroom = host.routing.lock().machine.headroom(host.now());
         for row in headroom {
-            host.metrics.gauge(&format!("headroom.{}", row.service), u64::from(row.free));
-            host.metrics.gauge(&format!("queued.{}", row.service), u64::from(row.queued));
+            host.metrics
+                .gauge(&format!("headroom.{}", row.service), u64::from(row.free));
+            host.metrics
+                .gauge(&format!("queued.{}", row.service), u64::from(row.queued));
         }
         host.metrics.gauge("running", host.watch.running() as u64);
     }
--- a/crates/entryd/src/tracked.rs
+++ b/crates/entryd/src/tracked.rs
@@ -23,7 +23,10 @@
 
 /// Passes `body` on and calls `on_end` once.
 pub(crate) fn track(body: Body, on_end: impl FnOnce(End) + Send + 'static) -> Body {
-    Body::new(Tracked { body, on_end: Some(Box::new(on_end)) })
+    Body::new(Tracked {
+        body,
+        on_end: Some(Box::new(on_end)),
+    })
 }
 
 struct Tracked {
@@ -68,7 +71,11 @@
 
 impl Drop for Tracked {
     fn drop(&mut self) {
-        let end = if self.body.is_end_stream() { End::Whole } else { End::Dropped };
+        let end = if self.body.is_end_stream() {
+            End::Whole
+        } else {
+            End::Dropped
+        };
         self.end(end);
     }
 }
--- a/crates/entryd/src/upstream.rs
+++ b/crates/entryd/src/upstream.rs
@@ -36,7 +36,10 @@
 impl Upstreams {
     /// No connections yet; `connect` bounds the making of one.
     pub(crate) fn new(connect: Duration) -> Self {
-        Self { idle: Idle::default(), connect }
+        Self {
+            idle: Idle::default(),
+            connect,
+        }
     }
 
     /// Sends a request and returns the answer's head, with its body still to come.
@@ -103,9 +106,19 @@
         response: Response<Incoming>,
         until: Instant,
     ) -> Response<Body> {
-        let back = Return { addr, sender, idle: self.idle.clone() };
+        let back = Return {
+            addr,
+            sender,
+            idle: self.idle.clone(),
+        };
         let late = Box::pin(sleep_until(until));
-        response.map(|body| Body::new(Answer { body, late, back: Some(back) }))
+        response.map(|body| {
+            Body::new(Answer {
+                body,
+                late,
+                back: Some(back),
+            })
+        })
     }
 }
 
@@ -122,7 +135,11 @@
 }
 
 fn cause(err: &hyper::Error) -> Cause {
-    if err.is_parse() || err.is_incomplete_message() { Cause::BadAnswer } else { Cause::Broken }
+    if err.is_parse() || err.is_incomplete_message() {
+        Cause::BadAnswer
+    } else {
+        Cause::Broken
+    }
 }
 
 async fn connect(addr: SocketAddr) -> Result<Sender, BoxError> {
--- a/crates/entryd/src/waiting.rs
+++ b/crates/entryd/src/waiting.rs
@@ -26,8 +26,14 @@
 impl<M, T: Eq + Hash, R> Waiting<M, T, R> {
     /// Nothing waits yet.
     pub(crate) fn new(machine: M) -> Self {
-        let inner = Inner { machine, waiters: HashMap::new() };
-        Self { inner: Mutex::new(inner), changed: Notify::new() }
+        let inner = Inner {
+            machine,
+            waiters: HashMap::new(),
+        };
+        Self {
+            inner: Mutex::new(inner),
+            changed: Notify::new(),
+        }
     }
 
     /// Locks the machine.
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -140,7 +140,11 @@
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
             .build(connector);
-        Self { client, next: AtomicU64::new(0), name: name.to_owned() }
+        Self {
+            client,
+            next: AtomicU64::new(0),
+            name: name.to_owned(),
+        }
     }
 
     /// Sends one request to an entry host.
@@ -151,7 +155,12 @@
         let (got, body) = match tokio::time::timeout(patience, self.send(addr, call, &id)).await {
             Ok(Ok((status, headers, body))) => (judge(&id, status, &headers, &body), body),
             Ok(Err(reason)) => (Got::Lost { reason }, Bytes::new()),
-            Err(_) => (Got::Lost { reason: "no answer by the deadline".to_owned() }, Bytes::new()),
+            Err(_) => (
+                Got::Lost {
+                    reason: "no answer by the deadline".to_owned(),
+                },
+                Bytes::new(),
+            ),
         };
         Reply { id, got, body }
     }
@@ -174,7 +183,9 @@
         if let Some(key) = &call.idempotency {
             request = request.header(IDEMPOTENCY, key);
         }
-        let request = request.body(Full::new(call.body.clone())).map_err(|e| text(&e))?;
+        let request = request
+            .body(Full::new(call.body.clone()))
+            .map_err(|e| text(&e))?;
         let response = self.client.request(request).await.map_err(|e| text(&e))?;
         let (parts, body) = response.into_parts();
         let body = body.collect().await.map_err(|e| text(&e))?.to_bytes();
@@ -192,15 +203,27 @@
         addr: SocketAddr,
         path: &str,
     ) -> Result<T, ClientError> {
-        let fail = |reason: String| ClientError { addr, path: path.to_owned(), reason };
+        let fail = |reason: String| ClientError {
+            addr,
+            path: path.to_owned(),
+            reason,
+        };
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{addr}{path}"))
             .body(Full::default())
             .map_err(|e| fail(e.to_string()))?;
-        let response = self.client.request(request).await.map_err(|e| fail(e.to_string()))?;
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|e| fail(e.to_string()))?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|e| fail(e.to_string()))?;
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|e| fail(e.to_string()))?;
         if !status.is_success() {
             return Err(fail(format!("status {status}")));
         }
@@ -209,15 +232,25 @@
 }
 
 fn judge(id: &str, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> Got {
-    let get = |name| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+    let get = |name| {
+        headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    };
     let reason = get(REASON);
     match get(header::VERDICT).as_str() {
         NOT_RUN => Got::NotRun { reason },
         MAY_HAVE_RUN => Got::MayHaveRun { reason },
         _ if status.is_success() => match check_answer(id, headers, body) {
             Ok(()) => Got::Answer,
-            Err(wrong) => Got::Wrong { reason: wrong.to_string() },
+            Err(wrong) => Got::Wrong {
+                reason: wrong.to_string(),
+            },
+        },
+        _ => Got::Wrong {
+            reason: format!("status {status} without a verdict"),
         },
-        _ => Got::Wrong { reason: format!("status {status} without a verdict") },
     }
 }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -85,7 +85,12 @@
         }
         let bound = bind_all(&mut records, &platform, options, flags).await?;
         check(&records)?;
-        let mut fleet = Self { platform, endpoints: running, hosts: BTreeMap::new(), records };
+        let mut fleet = Self {
+            platform,
+            endpoints: running,
+            hosts: BTreeMap::new(),
+            records,
+        };
         fleet.put(fleet.records.clone()).await?;
         for (name, host) in bound {
             fleet.hosts.insert(name, host.serve().await);
@@ -100,7 +105,10 @@
 
     /// The record of a kind and name.
     pub fn record(&self, kind: &str, name: &str) -> Option<Raw> {
-        self.records.iter().find(|r| r.kind == kind && r.name == name).cloned()
+        self.records
+            .iter()
+            .find(|r| r.kind == kind && r.name == name)
+            .cloned()
     }
 
     /// Stops every host gracefully and ends the stand-ins.
@@ -109,7 +117,11 @@
     ///
     /// Fails where a host cut requests off.
     pub async fn stop(self) -> Result<(), FleetError> {
-        let stops: Vec<_> = self.hosts.into_values().map(|h| tokio::spawn(h.stop())).collect();
+        let stops: Vec<_> = self
+            .hosts
+            .into_values()
+            .map(|h| tokio::spawn(h.stop()))
+            .collect();
         let mut result = Ok(());
         for stop in stops {
             if let Ok(Err(error)) = stop.await {
@@ -135,7 +147,11 @@
         .filter(|r| r.kind == "zone")
         .map(|r| Ok((r.name.clone(), text(&r.body, "region")?)))
         .collect::<Result<_, FleetError>>()?;
-    let count = records.iter().filter(|r| r.kind == "host").count().to_string();
+    let count = records
+        .iter()
+        .filter(|r| r.kind == "host")
+        .count()
+        .to_string();
     let mut bound = Vec::new();
     for record in records.iter_mut().filter(|r| r.kind == "host") {
         let zone = text(&record.body, "zone")?;
@@ -162,7 +178,9 @@
             }
         };
         let host = wagtail_entryd::bind(settings, options(&record.name)).await?;
-        let peer = host.peer_addr().ok_or_else(|| FleetError::Records("no peer address".into()))?;
+        let peer = host
+            .peer_addr()
+            .ok_or_else(|| FleetError::Records("no peer address".into()))?;
         record.body["api"] = json!(host.addr());
         record.body["peer"] = json!(peer);
         bound.push((record.name.clone(), host));
@@ -174,7 +192,9 @@
 fn check(records: &[Raw]) -> Result<(), FleetError> {
     let epoch = wagtail_types::Epoch(1);
     let rows = records.iter().map(|r| wagtail_config::Row::put(r, epoch));
-    let rows = rows.collect::<Result<Vec<_>, _>>().map_err(|e| FleetError::Records(e.to_string()))?;
+    let rows = rows
+        .collect::<Result<Vec<_>, _>>()
+        .map_err(|e| FleetError::Records(e.to_string()))?;
     let view = View::empty().apply(epoch, rows);
     match view.issues().first() {
         None => Ok(()),
@@ -184,7 +204,9 @@
 
 fn text(body: &Value, field: &str) -> Result<String, FleetError> {
     let value = body[field].as_str();
-    value.map(ToOwned::to_owned).ok_or_else(|| FleetError::Records(format!("{field} is missing")))
+    value
+        .map(ToOwned::to_owned)
+        .ok_or_else(|| FleetError::Records(format!("{field} is missing")))
 }
 
 /// Options with the given logger and the defaults.
@@ -211,7 +233,9 @@
             None => Head::default(),
         };
         head.epoch = head.epoch.next();
-        let attempt = wagtail_types::AttemptId::random(&mut <rand::rngs::SmallRng as rand::SeedableRng>::from_os_rng());
+        let attempt = wagtail_types::AttemptId::random(
+            &mut <rand::rngs::SmallRng as rand::SeedableRng>::from_os_rng(),
+        );
         let text = serde_json::to_string(&head).map_err(|e| fail(&e))?;
         let mut txn = Txn::new(attempt)
             .check(key.clone(), old.map(|r| r.version))
@@ -224,7 +248,8 @@
         }
         client.transact(&txn).await.map_err(|e| fail(&e))?;
         for raw in records {
-            self.records.retain(|r| (&r.kind, &r.name) != (&raw.kind, &raw.name));
+            self.records
+                .retain(|r| (&r.kind, &r.name) != (&raw.kind, &raw.name));
             self.records.push(raw);
         }
         Ok(head.epoch)
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -43,7 +43,10 @@
 }
 
 fn try_out() -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
         Ok(runtime) => runtime,
         Err(e) => return fail(&e),
     };
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -20,7 +20,10 @@
     fn new() -> Self {
         let latency = Histogram::new_with_bounds(1, HIGHEST_MICROS, SIGNIFICANT_DIGITS)
             .expect("the bounds are constants in range");
-        Self { latency, failures: BTreeMap::new() }
+        Self {
+            latency,
+            failures: BTreeMap::new(),
+        }
     }
 
     /// The latency at a quantile, in milliseconds.
@@ -49,12 +52,18 @@
     /// Counts an answer.
     pub fn answered(&mut self, team: &str, class: &str, taken: Duration) {
         let micros = u64::try_from(taken.as_micros()).unwrap_or(u64::MAX);
-        self.row(team, class).latency.saturating_record(micros.max(1));
+        self.row(team, class)
+            .latency
+            .saturating_record(micros.max(1));
     }
 
     /// Counts a failure.
     pub fn failed(&mut self, team: &str, class: &str, what: &str) {
-        *self.row(team, class).failures.entry(what.to_owned()).or_default() += 1;
+        *self
+            .row(team, class)
+            .failures
+            .entry(what.to_owned())
+            .or_default() += 1;
     }
 
     /// The rows by team and class.
@@ -63,7 +72,9 @@
     }
 
     fn row(&mut self, team: &str, class: &str) -> &mut Row {
-        self.rows.entry((team.to_owned(), class.to_owned())).or_insert_with(Row::new)
+        self.rows
+            .entry((team.to_owned(), class.to_owned()))
+            .or_insert_with(Row::new)
     }
 }
 
@@ -75,7 +86,11 @@
             "team", "class", "answered", "p50 ms", "p99 ms", "max ms"
         )?;
         for ((team, class), row) in &self.rows {
-            let failed: Vec<String> = row.failures.iter().map(|(w, n)| format!("{n} {w}")).collect();
+            let failed: Vec<String> = row
+                .failures
+                .iter()
+                .map(|(w, n)| format!("{n} {w}"))
+                .collect();
             writeln!(
                 f,
                 "{team:<12} {class:<12} {:>9} {:>9.2} {:>9.2} {:>9.2}  {}",
--- a/crates/load/src/tour.rs
+++ b/crates/load/src/tour.rs
@@ -1,10 +1,11 @@
 //! A tour of the whole path on loopback sockets, with every outcome checked.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use derive_more::{Display, Error, From};
+use derive_more::{Error, From};
 use http::Method;
 use serde_json::json;
 use slog::{Discard, Logger, o};
@@ -25,7 +26,7 @@
 const NO_NEW_WORK: Duration = Duration::from_secs(3);
 
 /// Why the tour did not come to its end.
-#[derive(Debug, Display, Error, From)]
+#[derive(Debug, derive_more::Display, Error, From)]
 pub enum TourError {
     /// The fleet could not be set up or stopped.
     #[display("{_0}")]
@@ -47,11 +48,14 @@
     },
 }
 
-fn wrong(what: &str, saw: impl ToString) -> TourError {
-    TourError::Wrong { what: what.to_owned(), saw: saw.to_string() }
+fn wrong(what: &str, saw: impl Display) -> TourError {
+    TourError::Wrong {
+        what: what.to_owned(),
+        saw: saw.to_string(),
+    }
 }
 
-fn expect(good: bool, what: &str, saw: impl ToString) -> Result<(), TourError> {
+fn expect(good: bool, what: &str, saw: impl Display) -> Result<(), TourError> {
     if good { Ok(()) } else { Err(wrong(what, saw)) }
 }
 
@@ -87,7 +91,10 @@
     let Tour { fleet, report, .. } = tour;
     step("stopping everything");
     fleet.stop().await?;
-    println!("\n{}", report.lock().unwrap_or_else(PoisonError::into_inner));
+    println!(
+        "\n{}",
+        report.lock().unwrap_or_else(PoisonError::into_inner)
+    );
     step("every outcome was right");
     Ok(())
 }
@@ -134,11 +141,18 @@
     }
 
     fn addrs(&self) -> Vec<SocketAddr> {
-        self.fleet.hosts.values().map(wagtail_entryd::Running::addr).collect()
+        self.fleet
+            .hosts
+            .values()
+            .map(wagtail_entryd::Running::addr)
+            .collect()
     }
 
     fn first(&self) -> Result<SocketAddr, TourError> {
-        self.addrs().first().copied().ok_or_else(|| wrong("fleet", "no host"))
+        self.addrs()
+            .first()
+            .copied()
+            .ok_or_else(|| wrong("fleet", "no host"))
     }
 
     async fn timed(&self, addr: SocketAddr, team: &str, class: &str, call: &Call) -> Got {
@@ -149,8 +163,16 @@
         let path = "/v1/lookup?client=198.51.100.7&keys=1";
         let lookup: Lookup = self.caller.json(Method::GET, self.first()?, path).await?;
         let first = lookup.hosts.first().map(|h| h.zone.to_string());
-        expect(first.as_deref() == Some("eire-a"), "nearest zone first", format!("{first:?}"))?;
-        expect(lookup.site.as_deref() == Some("cork"), "site", format!("{:?}", lookup.site))?;
+        expect(
+            first.as_deref() == Some("eire-a"),
+            "nearest zone first",
+            format!("{first:?}"),
+        )?;
+        expect(
+            lookup.site.as_deref() == Some("cork"),
+            "site",
+            format!("{:?}", lookup.site),
+        )?;
         expect(lookup.keys.len() == 1, "issued keys", lookup.keys.len())
     }
 
@@ -160,7 +182,10 @@
             for addr in self.addrs() {
                 let lead = Call::read("substances", LEAD);
                 let consult = Call::read("substances", CONSULT);
-                let open = Call { key: None, ..Call::read("hazards", LEAD) };
+                let open = Call {
+                    key: None,
+                    ..Call::read("hazards", LEAD)
+                };
                 let (a, b, c) = tokio::join!(
                     self.timed(addr, "lead", "lookup", &lead),
                     self.timed(addr, "consult", "lookup", &consult),
@@ -172,11 +197,19 @@
             }
         }
         let stranger = Call::read("substances", "a key that nobody granted");
-        let got = self.timed(self.first()?, "stranger", "lookup", &stranger).await;
+        let got = self
+            .timed(self.first()?, "stranger", "lookup", &stranger)
+            .await;
         expect(is_refused(&got, "unauthorized"), "unknown key", &got)?;
         let beyond = Call::read("dossiers", CONSULT);
-        let got = self.timed(self.first()?, "consult", "submission", &beyond).await;
-        expect(is_refused(&got, "forbidden"), "service without entitlement", &got)
+        let got = self
+            .timed(self.first()?, "consult", "submission", &beyond)
+            .await;
+        expect(
+            is_refused(&got, "forbidden"),
+            "service without entitlement",
+            &got,
+        )
     }
 
     async fn submissions(&self) -> Result<(), TourError> {
@@ -191,27 +224,47 @@
             let call = Call::submit("dossiers", LEAD, &format!("dossier {n}")).under(key);
             let other = addrs[n % addrs.len()];
             let start = Instant::now();
-            let (a, b) = tokio::join!(self.caller.call(issuer, &call), self.caller.call(other, &call));
+            let (a, b) = tokio::join!(
+                self.caller.call(issuer, &call),
+                self.caller.call(other, &call)
+            );
             self.record("lead", "submission", start.elapsed());
-            expect(is_whole(&a.got) && is_whole(&b.got), "submission", format!("{}, {}", a.got, b.got))?;
+            expect(
+                is_whole(&a.got) && is_whole(&b.got),
+                "submission",
+                format!("{}, {}", a.got, b.got),
+            )?;
             expect(a.body == b.body, "the same answer to a duplicate", &b.got)?;
             let third = self.caller.call(other, &call).await;
             expect(third.body == a.body, "the kept answer", &third.got)?;
         }
         let ran = self.ran("dossiers") - before;
-        expect(ran == COUNT, "each submission ran once", format!("{ran} of {COUNT}"))
+        expect(
+            ran == COUNT,
+            "each submission ran once",
+            format!("{ran} of {COUNT}"),
+        )
     }
 
     fn ran(&self, service: &str) -> usize {
         let of = |(name, _): &(&String, _)| name.starts_with(service);
-        self.fleet.endpoints.iter().filter(of).map(|(_, e)| e.log().ran()).sum()
+        self.fleet
+            .endpoints
+            .iter()
+            .filter(of)
+            .map(|(_, e)| e.log().ran())
+            .sum()
     }
 
     async fn keys(&mut self) -> Result<(), TourError> {
         self.put_keys(&[LEAD, GRANTED]).await?;
-        self.until(GRANTED, "granted key", |got| *got == Got::Answer).await?;
+        self.until(GRANTED, "granted key", |got| *got == Got::Answer)
+            .await?;
         self.put_keys(&[LEAD]).await?;
-        self.until(GRANTED, "withdrawn key", |got| is_refused(got, "unauthorized")).await
+        self.until(GRANTED, "withdrawn key", |got| {
+            is_refused(got, "unauthorized")
+        })
+        .await
     }
 
     async fn put_keys(&mut self, keys: &[&str]) -> Result<(), TourError> {
@@ -232,7 +285,11 @@
         let start = Instant::now();
         for addr in self.addrs() {
             loop {
-                let got = self.caller.call(addr, &Call::read("substances", key)).await.got;
+                let got = self
+                    .caller
+                    .call(addr, &Call::read("substances", key))
+                    .await
+                    .got;
                 if good(&got) {
                     break;
                 }
@@ -240,23 +297,37 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
             }
         }
-        println!("          {what}: in force on every host after {} ms", start.elapsed().as_millis());
+        println!(
+            "          {what}: in force on every host after {} ms",
+            start.elapsed().as_millis()
+        );
         Ok(())
     }
 
     async fn drain(&self) -> Result<(), TourError> {
         let name = "substances-b1";
-        let endpoint = self.fleet.endpoints.get(name).ok_or_else(|| wrong("fleet", name))?;
+        let endpoint = self
+            .fleet
+            .endpoints
+            .get(name)
+            .ok_or_else(|| wrong("fleet", name))?;
         let load = self.load();
         tokio::time::sleep(Duration::from_millis(500)).await;
-        endpoint.set_faults(Faults { leaving: true, ..Faults::default() });
+        endpoint.set_faults(Faults {
+            leaving: true,
+            ..Faults::default()
+        });
         tokio::time::sleep(NO_NEW_WORK).await;
         let before = endpoint.log().ran();
         tokio::time::sleep(Duration::from_millis(700)).await;
         let after = endpoint.log().ran();
         load.stop().await?;
         expect(before > 0, "load reached the endpoint", before)?;
-        expect(after == before, "no new work after 3 s", format!("{} requests", after - before))?;
+        expect(
+            after == before,
+            "no new work after 3 s",
+            format!("{} requests", after - before),
+        )?;
         endpoint.set_faults(Faults::default());
         Ok(())
     }
@@ -266,7 +337,11 @@
         let gone = self.fleet.addr(name).ok_or_else(|| wrong("fleet", name))?;
         let load = self.load();
         tokio::time::sleep(Duration::from_millis(300)).await;
-        let host = self.fleet.hosts.remove(name).ok_or_else(|| wrong("fleet", name))?;
+        let host = self
+            .fleet
+            .hosts
+            .remove(name)
+            .ok_or_else(|| wrong("fleet", name))?;
         let stop = tokio::spawn(host.stop());
         tokio::time::sleep(Duration::from_millis(500)).await;
         let path = "/v1/lookup?client=203.0.113.9";
@@ -300,8 +375,15 @@
         for (name, endpoint) in &self.fleet.endpoints {
             for entry in endpoint.log().entries() {
                 for key in [LEAD, CONSULT, GRANTED] {
-                    let seen = entry.headers.windows(key.len()).any(|w| w == key.as_bytes());
-                    expect(!seen && !entry.path.contains(key), "no key at an endpoint", name)?;
+                    let seen = entry
+                        .headers
+                        .windows(key.len())
+                        .any(|w| w == key.as_bytes());
+                    expect(
+                        !seen && !entry.path.contains(key),
+                        "no key at an endpoint",
+                        name,
+                    )?;
                 }
             }
         }
@@ -353,11 +435,19 @@
             match got {
                 Ok(Got::Answer) => {}
                 Ok(got) => return Some(got),
-                Err(e) => return Some(Got::Lost { reason: e.to_string() }),
+                Err(e) => {
+                    return Some(Got::Lost {
+                        reason: e.to_string(),
+                    });
+                }
             }
         }
     }
-    calls.join_all().await.into_iter().find(|got| *got != Got::Answer)
+    calls
+        .join_all()
+        .await
+        .into_iter()
+        .find(|got| *got != Got::Answer)
 }
 
 async fn timed(
@@ -396,7 +486,10 @@
 
 fn set_keys(records: &mut [Raw], team: &str, keys: &[&str]) {
     let digests: Vec<String> = keys.iter().map(|k| digest(k)).collect();
-    for record in records.iter_mut().filter(|r| r.kind == "team" && r.name == team) {
+    for record in records
+        .iter_mut()
+        .filter(|r| r.kind == "team" && r.name == team)
+    {
         record.body["keys"] = json!(digests);
     }
 }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -8,6 +8,7 @@
 use proptest::option;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use wagtail_config::{Message as Config, Page, RecordKey, Row};
 use wagtail_member::{Adoption, Body, Cursor, Delta, Freshness, Sender, State, Summary};
 use wagtail_peer::{Control, wire};
 use wagtail_quota::{Hint, LoanId, Message as Quota, ShardId, ShardNote, TeamHint};
@@ -221,12 +222,59 @@
         )
 }
 
+fn record_key() -> impl Strategy<Value = RecordKey> {
+    "[a-z]{1,9}/[a-z0-9][a-z0-9.-]{0,20}".prop_map(|text| text.parse().expect("a key"))
+}
+
+fn row() -> impl Strategy<Value = Row> {
+    (record_key(), epoch(), any::<u32>(), option::of(".{0,40}")).prop_map(
+        |(key, epoch, schema, body)| Row {
+            key,
+            epoch,
+            schema,
+            body: body.map(Into::into),
+        },
+    )
+}
+
+fn page() -> impl Strategy<Value = Page> {
+    let epochs = [epoch().boxed(), epoch().boxed(), epoch().boxed()];
+    (epochs, vec(row(), 0..4), any::<bool>()).prop_map(|([since, head, floor], rows, more)| Page {
+        since,
+        head,
+        floor,
+        rows,
+        more,
+    })
+}
+
+fn cursor() -> impl Strategy<Value = wagtail_config::Cursor> {
+    (epoch(), option::of(record_key()))
+        .prop_map(|(epoch, key)| wagtail_config::Cursor { epoch, key })
+}
+
+fn config_message() -> impl Strategy<Value = Config> {
+    prop_oneof![
+        epoch().prop_map(|epoch| Config::Epoch { epoch }),
+        page().prop_map(|page| Config::Push { page }),
+        (any::<u64>(), epoch(), option::of(cursor())).prop_map(|(request, since, after)| {
+            Config::Pull {
+                request,
+                since,
+                after,
+            }
+        }),
+        (any::<u64>(), page()).prop_map(|(request, page)| Config::Page { request, page }),
+    ]
+}
+
 fn control() -> impl Strategy<Value = Control> {
     prop_oneof![
         name().prop_map(Control::Leaving),
         advert().prop_map(Control::Advert),
         quota().prop_map(Control::Quota),
         member().prop_map(Control::Member),
+        config_message().prop_map(Control::Config),
     ]
 }
 
