route: ramps of moves, fallback caps, the end of drains, the region's link

Cause: the config records say more than the topology could carry. A move has a ramp of its own; a region's spill cap is only meant where no record says otherwise, yet the tightest of all was taken, which would hold a move of 50 % at a spill cap of 20 %; a drained zone went on taking work for ever where its neighbours were busy; the byte budget was a fixed setting.

Change: a move's share ramps from what it had reached; fallback caps count only where no other bears; once the caps' open shares sum to all, a drained zone's endpoints get no new work; the region's link is cut among its hosts, a larger part only after the detection time.

API: MoveSpec.ramp and CapSpec.fallback are new fields (for the region's spill set fallback: true, for moves and drains false; a move's cap needs no rise of its own now, so Cap { level, ..Cap::default() } will do). Input::Link gives the region's link. A delay from a region to itself is the delay between its zones.

--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wagtail_types::{EndpointId, HostId, ServiceId, Share, Verdict, ZoneId};
+use wagtail_types::{ByteRate, EndpointId, HostId, ServiceId, Share, Verdict, ZoneId};
 
 use crate::key::{EndpointKey, LeaseKey, PassKey, ServiceKey, TeamKey, Ticket};
 use crate::topology::{HostView, Topology};
@@ -20,6 +20,8 @@
     Report(Report),
     /// An endpoint is leaving, whoever said so.
     Leaving(EndpointId),
+    /// What the links of this region to others carry, shared by its hosts in equal parts.
+    Link(ByteRate),
 }
 
 /// Free slots that a host offers to the others.
--- a/crates/route/src/moves.rs
+++ b/crates/route/src/moves.rs
@@ -111,6 +111,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct ByteBudget {
     rate: f64,
+    later: Option<(Instant, ByteRate)>,
     level: f64,
     at: Instant,
 }
@@ -123,11 +124,23 @@
         let rate = rate.0 as f64;
         Self {
             rate,
+            later: None,
             level: rate * Self::BURST.as_secs_f64(),
             at: now,
         }
     }
 
+    /// Changes the rate: a lower one counts at once, a higher one after `wait`, by when the
+    /// other hosts have lowered theirs.
+    pub(crate) fn set_rate(&mut self, now: Instant, rate: ByteRate, wait: Duration) {
+        self.update(now);
+        let most = rate.0 as f64;
+        if self.later.is_none_or(|(_, later)| later != rate) {
+            self.later = (most > self.rate).then_some((now + wait, rate));
+        }
+        self.rate = self.rate.min(most);
+    }
+
     /// Whether there are bytes left.
     pub(crate) fn has(&mut self, now: Instant) -> bool {
         self.update(now);
@@ -145,6 +158,17 @@
     }
 
     fn update(&mut self, now: Instant) {
+        if let Some((at, rate)) = self.later
+            && at <= now
+        {
+            self.fill(at);
+            self.rate = rate.0 as f64;
+            self.later = None;
+        }
+        self.fill(now);
+    }
+
+    fn fill(&mut self, now: Instant) {
         let gone = now.saturating_duration_since(self.at).as_secs_f64();
         let most = self.rate * Self::BURST.as_secs_f64();
         self.level = (self.level + self.rate * gone).min(most);
--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -21,10 +21,13 @@
 }
 
 /// A planned move of this region's traffic.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Steer {
     spec: MoveSpec,
     credit: f64,
+    /// The share that had been reached when the record came or changed.
+    base: f64,
+    since: Instant,
 }
 
 impl Plan {
@@ -43,17 +46,9 @@
     /// Takes in the configuration; what the gates have counted is kept.
     pub(crate) fn configure(&mut self, now: Instant, topology: &Topology) {
         self.set_gates(now, topology);
-        let mut known = std::mem::take(&mut self.moves);
-        for spec in topology.moves.iter().filter(|m| m.from == self.region) {
-            let at = known.iter().position(|steer| steer.spec == *spec);
-            self.moves.push(at.map_or_else(
-                || Steer {
-                    spec: spec.clone(),
-                    credit: 0.0,
-                },
-                |at| known.swap_remove(at),
-            ));
-        }
+        let known = std::mem::take(&mut self.moves);
+        let moves = topology.moves.iter().filter(|m| m.from == self.region);
+        self.moves = moves.map(|spec| Steer::new(now, spec, &known)).collect();
         self.drained.clone_from(&topology.drains);
         self.leave = self.is_drained(&self.zone, &self.region);
     }
@@ -81,7 +76,7 @@
         }
         for steer in &mut self.moves {
             if steer.is_for(service) {
-                steer.credit = steer.credit.min(1.0) + steer.spec.share.as_f64();
+                steer.credit = steer.credit.min(1.0) + steer.share(now);
             }
         }
     }
@@ -110,6 +105,32 @@
         self.leave
     }
 
+    /// Whether the caps have opened so far that the drained zone need take nothing more.
+    pub(crate) fn has_left(&mut self, now: Instant) -> bool {
+        const ALL: f64 = 1.0 - 1e-9;
+        let region = self.drains(&Drain::Region(self.region.clone()));
+        let own = self.region.clone();
+        let gates = self
+            .gates
+            .iter_mut()
+            .filter(|gate| !region || gate.region != own);
+        self.leave && gates.map(|gate| gate.open(now)).sum::<f64>() >= ALL
+    }
+
+    fn drains(&self, drain: &Drain) -> bool {
+        self.drained.contains(drain)
+    }
+
+    /// Keeps the caps open that a planned move or drain needs, also while no request comes.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        for gate in &mut self.gates {
+            let needed = |steer: &Steer| steer.spec.to == gate.region;
+            if self.leave || self.moves.iter().any(needed) {
+                gate.want(now);
+            }
+        }
+    }
+
     /// Whether a zone is to get no traffic from others.
     pub(crate) fn is_drained(&self, zone: &ZoneId, region: &RegionId) -> bool {
         self.drained.iter().any(|drain| match drain {
@@ -141,6 +162,29 @@
 }
 
 impl Steer {
+    fn new(now: Instant, spec: &MoveSpec, known: &[Self]) -> Self {
+        let old = known
+            .iter()
+            .find(|steer| steer.spec.to == spec.to && steer.spec.service == spec.service);
+        match old {
+            Some(old) if old.spec == *spec => old.clone(),
+            _ => Self {
+                spec: spec.clone(),
+                credit: 0.0,
+                base: old.map_or(0.0, |old| old.share(now)),
+                since: now,
+            },
+        }
+    }
+
+    /// The share that is to move now.
+    fn share(&self, now: Instant) -> f64 {
+        let gone = now.saturating_duration_since(self.since).as_secs_f64();
+        let ramp = self.spec.ramp.as_secs_f64().max(f64::MIN_POSITIVE);
+        let target = self.spec.share.as_f64();
+        self.base + (target - self.base) * (gone / ramp).min(1.0)
+    }
+
     fn is_for(&self, service: &ServiceId) -> bool {
         self.spec
             .service
@@ -152,13 +196,14 @@
 /// The tightest of the caps that bear on traffic between two regions.
 fn cap(caps: &[CapSpec], from: &RegionId, to: &RegionId) -> Cap {
     let bears = |end: &Option<RegionId>, id| end.as_ref().is_none_or(|region| region == id);
-    caps.iter()
-        .filter(|spec| bears(&spec.from, from) && bears(&spec.to, to))
-        .map(|spec| spec.cap)
-        .reduce(|a, b| Cap {
-            level: a.level.min(b.level),
-            start: a.start.min(b.start),
-            rise: a.rise.min(b.rise),
-        })
+    let tightest = |fallback| {
+        caps.iter()
+            .filter(|spec| spec.fallback == fallback)
+            .filter(|spec| bears(&spec.from, from) && bears(&spec.to, to))
+            .map(|spec| spec.cap)
+            .reduce(Cap::tighter)
+    };
+    tightest(false)
+        .or_else(|| tightest(true))
         .unwrap_or_default()
 }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
-use wagtail_types::{EndpointId, RegionId, ServiceId, TeamId};
+use wagtail_types::{ByteRate, EndpointId, RegionId, ServiceId, TeamId};
 
 use crate::budget::Budget;
 use crate::key::{ServiceKey, TeamKey, Ticket};
@@ -89,6 +89,7 @@
     spill: Spill,
     plan: Plan,
     bytes: ByteBudget,
+    link: Option<ByteRate>,
     reach: Vec<bool>,
     services: SlotMap<ServiceKey, Service>,
     service_keys: HashMap<ServiceId, ServiceKey>,
@@ -128,6 +129,7 @@
             spill: Spill::new(settings.spill.clone(), zone.clone(), region.clone()),
             plan: Plan::new(zone, region, settings.fault),
             bytes: ByteBudget::new(settings.spill.bytes, now),
+            link: None,
             reach: Vec::new(),
             services: SlotMap::with_key(),
             service_keys: HashMap::new(),
@@ -183,6 +185,7 @@
             service.pool.tick(now, &mut self.scratch);
             service.queue.tidy();
         }
+        self.plan.tick(now);
         self.pump_all(now);
         self.publish();
     }
--- a/crates/route/src/router/input.rs
+++ b/crates/route/src/router/input.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use wagtail_types::Reason;
+use wagtail_types::{ByteRate, Reason};
 
 use crate::budget::Budget;
 use crate::key::ServiceKey;
@@ -10,7 +10,7 @@
 use crate::pool::Pool;
 use crate::queue::Queue;
 use crate::router::{Router, Service, Team};
-use crate::topology::{Drain, HostView, ServiceSpec, TeamSpec, Topology};
+use crate::topology::{Drain, HostState, HostView, ServiceSpec, TeamSpec, Topology};
 
 impl Router {
     /// Takes in news.
@@ -30,6 +30,10 @@
                 let mut pools = self.services.values_mut().map(|s| &mut s.pool);
                 pools.any(|pool| pool.leaving(now, &endpoint, effects));
             }
+            Input::Link(rate) => {
+                self.link = Some(rate);
+                self.share_link(now);
+            }
         }
         self.pump_all(now);
         self.publish();
@@ -59,6 +63,21 @@
             service.pool.split(now, &self.owner, false);
         }
         self.hosts = hosts;
+        self.share_link(now);
+    }
+
+    /// Takes this host's part of the region's link; hosts that are leaving still have theirs.
+    fn share_link(&mut self, now: Instant) {
+        let Some(link) = self.link else {
+            return;
+        };
+        let near = |h: &&HostView| {
+            let region = self.spill.region_of(&h.zone);
+            h.state != HostState::Dead && region == Some(&self.settings.region)
+        };
+        let hosts = self.hosts.iter().filter(near).count().max(1) as u64;
+        let wait = self.settings.owner.detection;
+        self.bytes.set_rate(now, ByteRate(link.0 / hosts), wait);
     }
 
     fn set_teams(&mut self, specs: &[TeamSpec]) {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -105,7 +105,7 @@
     }
 
     fn dispatch(&mut self, now: Instant, request: &Request<'_>) -> Option<Lease> {
-        if !self.may_run_here(request) {
+        if !self.may_run_here(request) || self.plan.has_left(now) {
             return None;
         }
         let weight = self.weight(request);
@@ -163,7 +163,10 @@
         }
     }
 
-    fn pace(&self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+    fn pace(&mut self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+        if self.plan.has_left(now) {
+            return None;
+        }
         let service = self.services.get(request.service)?;
         let pace = service.pool.pace(now, self.settings.queue.guess);
         (!pace.left.is_empty() && self.may_run_here(request)).then_some(pace)
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -150,7 +150,8 @@
         if *zone == self.zone {
             Duration::ZERO
         } else if *region == self.region {
-            self.settings.zone_delay
+            let near = self.settings.zone_delay;
+            self.delays.get(region).copied().unwrap_or(near)
         } else {
             let far = self.settings.far_delay;
             self.delays.get(region).copied().unwrap_or(far)
--- a/crates/route/src/topology.rs
+++ b/crates/route/src/topology.rs
@@ -91,6 +91,8 @@
     pub share: Share,
     /// The service that moves; `None` for all.
     pub service: Option<ServiceId>,
+    /// How long the share takes to reach its target, from when this host first sees it.
+    pub ramp: Duration,
 }
 
 /// A planned drain.
@@ -113,6 +115,8 @@
     pub to: Option<RegionId>,
     /// The cap.
     pub cap: Cap,
+    /// Whether it counts only between regions for which no other cap is set.
+    pub fallback: bool,
 }
 
 /// How much of a region's traffic may go to one other region, and how fast that may grow.
@@ -126,6 +130,17 @@
     pub rise: Share,
 }
 
+impl Cap {
+    /// What both caps allow.
+    pub(crate) fn tighter(self, other: Self) -> Self {
+        Self {
+            level: self.level.min(other.level),
+            start: self.start.min(other.start),
+            rise: self.rise.min(other.rise),
+        }
+    }
+}
+
 impl Default for Cap {
     fn default() -> Self {
         const PPM: [Option<Share>; 2] = [Share::from_ppm(100_000), Share::from_ppm(20_000)];
--- a/crates/route/tests/route/moves.rs
+++ b/crates/route/tests/route/moves.rs
@@ -124,6 +124,7 @@
             from: None,
             to: None,
             cap,
+            fallback: false,
         }];
         let moves = FAR
             .iter()
@@ -135,6 +136,7 @@
                 to: id(to),
                 share: share(percent),
                 service: None,
+                ramp: Duration::ZERO,
             })
             .collect();
         self.open = self.open.min(f64::from(self.level) / 100.0);
