route: relay to the queue of a host that holds slots where this one holds none

Change: adverts list the services of which the host holds slots, free or not; a host with none relays there.

--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -23,6 +23,34 @@
 struct Away {
     within: Duration,
     leave: bool,
+    queue: bool,
+}
+
+impl Away {
+    /// To free slots within a delay.
+    fn free(within: Duration) -> Self {
+        Self {
+            within,
+            leave: false,
+            queue: false,
+        }
+    }
+
+    /// To the queue of a host that holds slots, since this one holds none.
+    fn queue() -> Self {
+        Self {
+            queue: true,
+            ..Self::free(Duration::MAX)
+        }
+    }
+
+    /// To free slots outside this zone.
+    fn zone() -> Self {
+        Self {
+            leave: true,
+            ..Self::free(Duration::MAX)
+        }
+    }
 }
 
 impl Router {
@@ -45,8 +73,12 @@
             .and_then(|pace| self.in_time(now, request, pace));
         if local {
             let within = wait.map_or(Duration::MAX, |wait| wait / 2);
-            let leave = false;
-            if let Some(pass) = self.relay(now, request, Away { within, leave }) {
+            let found = self.relay(now, request, Away::free(within));
+            let found = match found {
+                None if pace.is_none() => self.relay(now, request, Away::queue()),
+                found => found,
+            };
+            if let Some(pass) = found {
                 return Placement::Relay(pass);
             }
         }
@@ -87,15 +119,7 @@
                 *open &= region == target;
             }
         }
-        let within = Duration::MAX;
-        let (pass, region) = self.choose(
-            now,
-            request,
-            Away {
-                within,
-                leave: true,
-            },
-        )?;
+        let (pass, region) = self.choose(now, request, Away::zone())?;
         let service = &self.services.get(request.service)?.id;
         if !self.settings.fault.is(Mutant::UncappedMoves) {
             self.plan.take(now, &region);
@@ -143,6 +167,7 @@
             regions: &self.reach,
             within: away.within,
             away: away.leave,
+            queue: away.queue,
         };
         self.spill.choose(now, &wanted, &mut self.rng)
     }
@@ -245,6 +270,7 @@
             regions: &regions,
             within: Duration::MAX,
             away: false,
+            queue: true,
         };
         if request.origin == Origin::Local && some_barred && self.spill.has_offer(now, &wanted) {
             return Verdict::not_run(Reason::Capped, RETRY_CAPPED);
--- a/crates/route/src/router/status.rs
+++ b/crates/route/src/router/status.rs
@@ -10,10 +10,13 @@
 impl Router {
     /// The free slots to offer to other hosts.
     pub fn advert(&self, now: Instant) -> Advert {
-        let free = |service: &Service| (service.id.clone(), service.pool.counts(now).free);
+        let free = |service: &Service| {
+            let counts = service.pool.counts(now);
+            (counts.slots > 0).then(|| (service.id.clone(), counts.free))
+        };
         Advert {
             host: self.settings.host.clone(),
-            free: self.services.values().map(free).collect(),
+            free: self.services.values().filter_map(free).collect(),
             age: Duration::ZERO,
         }
     }
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -56,6 +56,8 @@
     pub(crate) within: Duration,
     /// Whether the own zone is left out.
     pub(crate) away: bool,
+    /// Whether hosts that hold slots count although none is free now.
+    pub(crate) queue: bool,
 }
 
 impl Spill {
@@ -224,20 +226,17 @@
             || wanted.tried.contains(&peer.zone)
             || (wanted.away && peer.zone == self.zone)
             || !wanted.regions[peer.region];
-        if barred {
-            0
-        } else {
-            self.fresh(now, wanted.service, peer)
+        match self.fresh(now, wanted.service, peer) {
+            Some(free) if !barred => free.max(u32::from(wanted.queue)),
+            _ => 0,
         }
     }
 
-    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> u32 {
+    /// The free slots that a host offers; `None` where it holds none at all or is not heard.
+    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> Option<u32> {
         let fresh = |at| now.saturating_duration_since(at) < self.settings.advert_ttl;
-        if peer.at.is_some_and(fresh) {
-            peer.offer(service)
-        } else {
-            0
-        }
+        peer.at.filter(|at| fresh(*at))?;
+        peer.offer(service)
     }
 
     fn send(&mut self, at: usize, service: &ServiceId) -> (Pass, RegionId) {
@@ -278,7 +277,7 @@
     pub(crate) fn offered(&self, now: Instant, service: &ServiceId) -> (u32, u32) {
         let (mut near, mut far) = (0, 0);
         for peer in &self.peers {
-            let free = self.fresh(now, service, peer);
+            let free = self.fresh(now, service, peer).unwrap_or(0);
             if self.order[peer.region] == self.region {
                 near += free;
             } else {
@@ -290,9 +289,9 @@
 }
 
 impl Peer {
-    fn offer(&self, service: &ServiceId) -> u32 {
+    fn offer(&self, service: &ServiceId) -> Option<u32> {
         let entry = self.free.iter().find(|(id, _)| id == service);
-        entry.map_or(0, |(_, free)| *free)
+        entry.map(|(_, free)| *free)
     }
 
     fn give(&mut self, service: &ServiceId) {
--- a/crates/route/tests/route/cases.rs
+++ b/crates/route/tests/route/cases.rs
@@ -255,6 +255,19 @@
     }
 }
 
+#[test]
+fn a_host_without_slots_relays_to_the_queue_of_one_that_has_some() {
+    let mut single = Single::standard(one_zone(1, 1));
+    far_fleet(&mut single);
+    single.router.handle(single.now, Input::Leaving(id("e0")));
+    advert(&mut single, "two", 0, Duration::ZERO);
+    let placed = single.place();
+    assert!(
+        matches!(&placed, Placement::Relay(pass) if pass.host.as_str() == "two"),
+        "{placed:?}"
+    );
+}
+
 #[test]
 fn a_relayed_request_is_not_relayed_again() {
     let mut single = Single::standard(one_zone(1, 1));
