--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wagtail_types::{EndpointId, HostId, ServiceId, Share, Verdict, ZoneId};
+use wagtail_types::{ByteRate, EndpointId, HostId, ServiceId, Share, Verdict, ZoneId};
 
 use crate::key::{EndpointKey, LeaseKey, PassKey, ServiceKey, TeamKey, Ticket};
 use crate::topology::{HostView, Topology};
@@ -20,6 +20,8 @@
     Report(Report),
     /// An endpoint is leaving, whoever said so.
     Leaving(EndpointId),
+    /// What the links of this region to others carry, shared by its hosts in equal parts.
+    Link(ByteRate),
 }
 
 /// Free slots that a host offers to the others.
@@ -27,7 +29,7 @@
 pub struct Advert {
     /// The host that offers them.
     pub host: HostId,
-    /// Free slots per service.
+    /// Free slots of each service of which the host holds any.
     pub free: Vec<(ServiceId, u32)>,
     /// How old the counts are, on the receiver's clock.
     pub age: Duration,
