Fuzz duplicate suppression over several hosts, and mend what it found

Cause: the at-most-once promise needs an oracle that can fail. Conclusion: a relay names the life it is for, and a quarter of the memory is kept for notes of relayed attempts.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -4,8 +4,8 @@
 
 use wagtail_types::{AttemptId, Cause, HostId, Incarnation, Reason, ServiceId, TeamId, Verdict};
 
+use crate::begin::blind;
 use crate::entry::{EntryId, Name, State};
-use crate::once::blind;
 use crate::settings::Mutant;
 use crate::{ChosenKey, Effect, Once, Permit, Resolution};
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -33,10 +33,13 @@
 //! # Ok::<(), wagtail_types::ParseError>(())
 //! ```
 
+mod begin;
 mod claim;
 mod entry;
+mod finish;
 mod issue;
 mod key;
+mod memory;
 mod once;
 mod permit;
 mod print;
--- a/crates/once/src/relay.rs
+++ b/crates/once/src/relay.rs
@@ -5,10 +5,10 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use wagtail_types::{AttemptId, Cause, HostId, Reason, Verdict};
+use wagtail_types::{AttemptId, Cause, HostId, Incarnation, Reason, Verdict};
 
+use crate::begin::blind;
 use crate::entry::{Entry, EntryId, Name, State};
-use crate::once::blind;
 use crate::settings::Mutant;
 use crate::{Begin, Fingerprint, Once, Permit, Request};
 
@@ -20,12 +20,26 @@
 }
 
 impl Once {
-    /// Decides on a request that another host has relayed; a repeated message runs nothing again.
-    pub fn receive(&mut self, now: Instant, attempt: AttemptId, request: &Request) -> Begin {
+    /// Decides on a request that another host has relayed to the life `to` of this host; a repeated
+    /// message runs nothing again.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        to: Incarnation,
+        request: &Request,
+    ) -> Begin {
         self.tick(now);
+        if let Some(refusal) = self.misaddressed(to) {
+            return refusal;
+        }
         if let Some(begin) = self.repeated(attempt, request.repeat) {
             return begin;
         }
+        if !self.has_note_room() {
+            // A later copy of a refused message could not be told from a first one.
+            return Begin::Refuse(Verdict::may_have_run(Cause::RelayLost));
+        }
         let begin = match self.decide(now, request, Some(attempt)) {
             // A relayed request goes no further.
             Begin::Relay { .. } => Begin::Refuse(self.misdirected(request.repeat)),
@@ -36,8 +50,18 @@
     }
 
     /// Decides on a relayed request that has no idempotency key.
-    pub fn receive_bare(&mut self, now: Instant, attempt: AttemptId) -> Begin {
+    pub fn receive_bare(&mut self, now: Instant, attempt: AttemptId, to: Incarnation) -> Begin {
         self.tick(now);
+        if let Some(refusal) = self.misaddressed(to) {
+            return refusal;
+        }
+        if let Some(Seen {
+            verdict: Some(verdict),
+            ..
+        }) = self.seen.get(&attempt)
+        {
+            return Begin::Refuse(verdict.clone());
+        }
         let name = Name::Bare(attempt);
         if let Some(&id) = self.names.get(&name) {
             return match &self.entries[id].state {
@@ -50,8 +74,12 @@
             };
         }
         if !self.has_room(Entry::BYTES) {
-            let retry = self.room_after(now);
-            return Begin::Refuse(Verdict::not_run(Reason::Overloaded, retry));
+            if !self.has_note_room() {
+                return Begin::Refuse(Verdict::may_have_run(Cause::RelayLost));
+            }
+            let verdict = Verdict::not_run(Reason::Overloaded, self.room_after(now));
+            self.note(now, attempt, None, Some(verdict.clone()));
+            return Begin::Refuse(verdict);
         }
         let id = self.insert(name, Fingerprint(0));
         self.entries[id].state = State::Running;
@@ -59,6 +87,12 @@
         Begin::Run(Permit::new(id, self.dropped.clone()))
     }
 
+    /// An earlier copy of a message for another life may have reached that life.
+    fn misaddressed(&self, to: Incarnation) -> Option<Begin> {
+        let other = to != self.incarnation && !self.settings.broken(Mutant::AnyLife);
+        other.then(|| Begin::Refuse(Verdict::may_have_run(Cause::RelayLost)))
+    }
+
     /// What a message gets whose attempt has been seen before.
     fn repeated(&mut self, attempt: AttemptId, repeat: bool) -> Option<Begin> {
         if self.settings.broken(Mutant::ForgetRelay) {
@@ -87,10 +121,20 @@
             Begin::Refuse(verdict) => Some(verdict.clone()),
             _ => None,
         };
-        let entry = self.find(request);
+        let entry = self.find(request).filter(|_| verdict.is_none());
         if let Some(id) = entry.filter(|_| matches!(begin, Begin::Wait(_))) {
             self.entries[id].relayed.push(attempt);
         }
+        self.note(now, attempt, entry, verdict);
+    }
+
+    fn note(
+        &mut self,
+        now: Instant,
+        attempt: AttemptId,
+        entry: Option<EntryId>,
+        verdict: Option<Verdict>,
+    ) {
         self.seen.insert(attempt, Seen { entry, verdict });
         self.used += Self::SEEN_BYTES;
         // The sender repeats a message for one relay life, and each copy is under way for one more.
@@ -98,6 +142,10 @@
         self.seen_due.push_back((until, attempt));
     }
 
+    fn has_note_room(&self) -> bool {
+        self.used + Self::SEEN_BYTES <= self.settings.memory.as_usize()
+    }
+
     const SEEN_BYTES: usize = 192;
 
     pub(crate) fn forget_seen(&mut self, now: Instant) {
@@ -150,6 +198,7 @@
 #[derive(Debug)]
 struct Open {
     host: HostId,
+    life: Incarnation,
     started: Instant,
     repeat: bool,
     copies: u32,
@@ -165,11 +214,21 @@
         }
     }
 
-    /// Opens an attempt at `host`; `repeat` is as in [`Request::repeat`].
-    pub fn open(&mut self, now: Instant, host: HostId, repeat: bool) -> AttemptId {
+    /// Opens an attempt at that life of `host`; `repeat` is as in [`Request::repeat`].
+    ///
+    /// The life is best learned when the connection is made: a message that reaches another life
+    /// is answered `may-have-run`.
+    pub fn open(
+        &mut self,
+        now: Instant,
+        host: HostId,
+        life: Incarnation,
+        repeat: bool,
+    ) -> AttemptId {
         let attempt = AttemptId::random(&mut self.rng);
         let open = Open {
             host,
+            life,
             started: now,
             repeat,
             copies: 0,
@@ -178,14 +237,14 @@
         attempt
     }
 
-    /// Whether the message may be sent now, and to which host; call it before every copy.
-    pub fn send(&mut self, now: Instant, attempt: AttemptId) -> Option<&HostId> {
+    /// Whether the message may be sent now, and to which life of which host; call it before every copy.
+    pub fn send(&mut self, now: Instant, attempt: AttemptId) -> Option<(&HostId, Incarnation)> {
         let open = self.open.get_mut(&attempt)?;
         if now.saturating_duration_since(open.started) >= self.life {
             return None;
         }
         open.copies += 1;
-        Some(&open.host)
+        Some((&open.host, open.life))
     }
 
     /// Notes that the latest copy failed before any byte of it left.
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -13,7 +13,8 @@
     pub key_life: Duration,
     /// The longest that a relay message can be under way between two hosts.
     pub relay_life: Duration,
-    /// The memory for all attempts and outcomes.
+    /// The memory for all attempts and outcomes, a quarter of which only notes of relayed attempts
+    /// may fill.
     pub memory: Bytes,
     /// The largest answer that is kept; every running attempt reserves this much.
     pub answer_max: Bytes,
@@ -80,6 +81,8 @@
     GoneIsNotRun,
     /// A repeated relay message runs again after `not-run`.
     ForgetRelay,
+    /// A relay message for an earlier life is taken in.
+    AnyLife,
     /// A duplicate of a running attempt is run too.
     NoWait,
     /// Fingerprints are not compared.
