Carry configuration messages between hosts

Change: its codec in the schema, with the page's floor; the endpoint stand-in tells when it started, so that logs can be put on one clock. Conclusion: every message between hosts has its wire form.

--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -277,6 +277,7 @@
     head @1 :UInt64;
     rows @2 :List(Row);
     more @3 :Bool;
+    floor @4 :UInt64;
   }
 
   struct Row {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,5 +1,6 @@
 //! Messages and their form on the wire.
 
+mod config;
 pub(crate) mod control;
 mod member;
 mod quota;
--- a/crates/peer/src/codec/control.rs
+++ b/crates/peer/src/codec/control.rs
@@ -1,7 +1,7 @@
 //! Control messages.
 
 use super::text::parse;
-use super::{Malformed, member, quota, route};
+use super::{Malformed, config, member, quota, route};
 use crate::message::Control;
 use crate::peer_capnp::control;
 
@@ -11,6 +11,7 @@
         Control::Advert(advert) => route::write(builder.init_advert(), advert),
         Control::Quota(message) => quota::write(builder.init_quota(), message),
         Control::Member(message) => member::write(builder.init_member(), message),
+        Control::Config(message) => config::write(builder.init_config(), message),
     }
 }
 
@@ -20,6 +21,6 @@
         control::Advert(advert) => Control::Advert(route::read(advert?)?),
         control::Quota(message) => Control::Quota(quota::read(message?)?),
         control::Member(message) => Control::Member(member::read(message?)?),
-        control::Config(_) => return Err(Malformed::Range("message")),
+        control::Config(message) => Control::Config(config::read(message?)?),
     })
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -25,6 +25,8 @@
     Quota(wagtail_quota::Message),
     /// A message of the membership machine.
     Member(wagtail_member::Message),
+    /// A message about the configuration.
+    Config(wagtail_config::Message),
 }
 
 /// What the receiver of a relay is asked to do.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -11230,11 +11230,15 @@
             pub fn get_more(self) -> bool {
                 self.reader.get_bool_field(128)
             }
+            #[inline]
+            pub fn get_floor(self) -> u64 {
+                self.reader.get_data_field::<u64>(3)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11324,6 +11328,14 @@
             pub fn set_more(&mut self, value: bool)  {
                 self.builder.set_bool_field(128, value);
             }
+            #[inline]
+            pub fn get_floor(self) -> u64 {
+                self.builder.get_data_field::<u64>(3)
+            }
+            #[inline]
+            pub fn set_floor(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(3, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -11335,52 +11347,59 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(142, 50, 248, 221, 176, 2, 204, 253),
-                ::capnp::word(18, 0, 0, 0, 1, 0, 3, 0),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(32, 255, 251, 186, 121, 133, 170, 229),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 67, 111, 110, 102, 105),
                 ::capnp::word(103, 46, 80, 97, 103, 101, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 128, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11417,6 +11436,14 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 108, 111, 111, 114, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -11424,6 +11451,7 @@
                     1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::peer_capnp::config::row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -11437,9 +11465,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,1,3,2,0];
             pub(crate) const TYPE_ID: u64 = 0xfdcc_02b0_ddf8_328e;
         }
     }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -8,6 +8,7 @@
 use proptest::option;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use wagtail_config::{Cursor as Place, Message as Config, Page, RecordKey, Row};
 use wagtail_member::{Adoption, Body, Cursor, Delta, Freshness, Sender, State, Summary};
 use wagtail_peer::{Control, wire};
 use wagtail_quota::{Hint, LoanId, Message as Quota, ShardId, ShardNote, TeamHint};
@@ -221,12 +222,56 @@
         )
 }
 
+fn row() -> impl Strategy<Value = Row> {
+    let key = ("[a-z0-9.-]{1,48}", "[a-z0-9.-]{1,48}")
+        .prop_map(|(kind, name)| RecordKey::new(&kind, &name).expect("a key"));
+    let body = option::of(any::<String>().prop_map(Into::into));
+    (key, epoch(), any::<u32>(), body).prop_map(|(key, epoch, schema, body)| Row {
+        key,
+        epoch,
+        schema,
+        body,
+    })
+}
+
+fn page() -> impl Strategy<Value = Page> {
+    let epochs = (epoch(), epoch(), epoch());
+    (epochs, vec(row(), 0..4), any::<bool>()).prop_map(|((since, head, floor), rows, more)| Page {
+        since,
+        head,
+        floor,
+        rows,
+        more,
+    })
+}
+
+fn config_message() -> impl Strategy<Value = Config> {
+    let after = (epoch(), option::of(row())).prop_map(|(epoch, row)| Place {
+        epoch,
+        key: row.map(|row| row.key),
+    });
+    let request = any::<u64>;
+    prop_oneof![
+        epoch().prop_map(|epoch| Config::Epoch { epoch }),
+        page().prop_map(|page| Config::Push { page }),
+        (request(), epoch(), option::of(after)).prop_map(|(request, since, after)| {
+            Config::Pull {
+                request,
+                since,
+                after,
+            }
+        }),
+        (request(), page()).prop_map(|(request, page)| Config::Page { request, page }),
+    ]
+}
+
 fn control() -> impl Strategy<Value = Control> {
     prop_oneof![
         name().prop_map(Control::Leaving),
         advert().prop_map(Control::Advert),
         quota().prop_map(Control::Quota),
         member().prop_map(Control::Member),
+        config_message().prop_map(Control::Config),
     ]
 }
 
--- a/crates/standin/src/endpoint/server.rs
+++ b/crates/standin/src/endpoint/server.rs
@@ -33,6 +33,11 @@
         self.addr
     }
 
+    /// When the endpoint started; the times in its log count from here.
+    pub fn started(&self) -> std::time::Instant {
+        self.state.started
+    }
+
     /// The log of requests.
     pub fn log(&self) -> Log {
         self.state.log.clone()
--- a/crates/standin/src/endpoint/work.rs
+++ b/crates/standin/src/endpoint/work.rs
@@ -31,7 +31,7 @@
     pub(crate) faults: watch::Sender<Faults>,
     pub(crate) peak: AtomicUsize,
     pub(crate) peak_connections: AtomicUsize,
-    started: Instant,
+    pub(crate) started: Instant,
     slots: Semaphore,
     running: AtomicUsize,
     load: Mutex<Load>,
