--- a/crates/peer/src/codec/config.rs
+++ b/crates/peer/src/codec/config.rs
@@ -5,7 +5,7 @@
 
 use super::Malformed;
 use super::text::{count, parse, parse_some};
-use crate::peer_capnp::config;
+use crate::peer_capnp::config::{self, cursor, page, row};
 
 pub(crate) fn write(mut builder: config::Builder<'_>, message: &Message) {
     match message {
@@ -16,39 +16,46 @@
             since,
             after,
         } => {
-            let mut pull = builder.init_pull();
-            pull.set_request(*request);
-            pull.set_since(since.0);
+            let mut builder = builder.init_pull();
+            builder.set_request(*request);
+            builder.set_since(since.0);
             if let Some(after) = after {
-                let mut cursor = pull.init_after();
-                cursor.set_epoch(after.epoch.0);
-                let key = after.key.as_ref().map(ToString::to_string);
-                cursor.set_key(key.unwrap_or_default());
+                write_cursor(builder.init_after(), after);
             }
         }
         Message::Page { request, page } => {
-            let mut answer = builder.init_page();
-            answer.set_request(*request);
-            write_page(answer.init_page(), page);
+            let mut builder = builder.init_page();
+            builder.set_request(*request);
+            write_page(builder.init_page(), page);
         }
     }
 }
 
-fn write_page(mut builder: config::page::Builder<'_>, page: &Page) {
+fn write_cursor(mut builder: cursor::Builder<'_>, cursor: &Cursor) {
+    builder.set_epoch(cursor.epoch.0);
+    if let Some(key) = &cursor.key {
+        builder.set_key(key.to_string());
+    }
+}
+
+fn write_page(mut builder: page::Builder<'_>, page: &Page) {
     builder.set_since(page.since.0);
     builder.set_head(page.head.0);
     builder.set_floor(page.floor.0);
     builder.set_more(page.more);
-    let mut list = builder.init_rows(count(&page.rows));
+    let mut rows = builder.init_rows(count(&page.rows));
     for (index, row) in (0..).zip(&page.rows) {
-        let mut builder = list.reborrow().get(index);
-        builder.set_key(row.key.to_string());
-        builder.set_epoch(row.epoch.0);
-        builder.set_schema(row.schema);
-        match &row.body {
-            Some(body) => builder.set_body(&**body),
-            None => builder.set_withdrawn(()),
-        }
+        write_row(rows.reborrow().get(index), row);
+    }
+}
+
+fn write_row(mut builder: row::Builder<'_>, row: &Row) {
+    builder.set_key(row.key.to_string());
+    builder.set_epoch(row.epoch.0);
+    builder.set_schema(row.schema);
+    match &row.body {
+        Some(body) => builder.set_body(&**body),
+        None => builder.set_withdrawn(()),
     }
 }
 
@@ -79,14 +86,14 @@
     })
 }
 
-fn read_cursor(reader: config::cursor::Reader<'_>) -> Result<Cursor, Malformed> {
+fn read_cursor(reader: cursor::Reader<'_>) -> Result<Cursor, Malformed> {
     Ok(Cursor {
         epoch: Epoch(reader.get_epoch()),
         key: parse_some(reader.get_key()?)?,
     })
 }
 
-fn read_page(reader: config::page::Reader<'_>) -> Result<Page, Malformed> {
+fn read_page(reader: page::Reader<'_>) -> Result<Page, Malformed> {
     let rows = reader.get_rows()?.into_iter().map(read_row);
     Ok(Page {
         since: Epoch(reader.get_since()),
@@ -97,15 +104,14 @@
     })
 }
 
-fn read_row(reader: config::row::Reader<'_>) -> Result<Row, Malformed> {
-    let body = match reader.which()? {
-        config::row::Withdrawn(()) => None,
-        config::row::Body(body) => Some(body?.to_str()?.into()),
-    };
+fn read_row(reader: row::Reader<'_>) -> Result<Row, Malformed> {
     Ok(Row {
         key: parse(reader.get_key()?)?,
         epoch: Epoch(reader.get_epoch()),
         schema: reader.get_schema(),
-        body,
+        body: match reader.which()? {
+            row::Withdrawn(()) => None,
+            row::Body(body) => Some(body?.to_str()?.into()),
+        },
     })
 }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -8,7 +8,7 @@
 use proptest::option;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use wagtail_config::{Message as Config, Page, RecordKey, Row};
+use wagtail_config::{Cursor as Place, Message as Config, Page, RecordKey, Row};
 use wagtail_member::{Adoption, Body, Cursor, Delta, Freshness, Sender, State, Summary};
 use wagtail_peer::{Control, wire};
 use wagtail_quota::{Hint, LoanId, Message as Quota, ShardId, ShardNote, TeamHint};
@@ -222,24 +222,21 @@
         )
 }
 
-fn record_key() -> impl Strategy<Value = RecordKey> {
-    "[a-z]{1,9}/[a-z0-9][a-z0-9.-]{0,20}".prop_map(|text| text.parse().expect("a key"))
-}
-
 fn row() -> impl Strategy<Value = Row> {
-    (record_key(), epoch(), any::<u32>(), option::of(".{0,40}")).prop_map(
-        |(key, epoch, schema, body)| Row {
-            key,
-            epoch,
-            schema,
-            body: body.map(Into::into),
-        },
-    )
+    let key = ("[a-z0-9.-]{1,48}", "[a-z0-9.-]{1,48}")
+        .prop_map(|(kind, name)| RecordKey::new(&kind, &name).expect("a key"));
+    let body = option::of(any::<String>().prop_map(Into::into));
+    (key, epoch(), any::<u32>(), body).prop_map(|(key, epoch, schema, body)| Row {
+        key,
+        epoch,
+        schema,
+        body,
+    })
 }
 
 fn page() -> impl Strategy<Value = Page> {
-    let epochs = [epoch().boxed(), epoch().boxed(), epoch().boxed()];
-    (epochs, vec(row(), 0..4), any::<bool>()).prop_map(|([since, head, floor], rows, more)| Page {
+    let epochs = (epoch(), epoch(), epoch());
+    (epochs, vec(row(), 0..4), any::<bool>()).prop_map(|((since, head, floor), rows, more)| Page {
         since,
         head,
         floor,
@@ -248,23 +245,23 @@
     })
 }
 
-fn cursor() -> impl Strategy<Value = wagtail_config::Cursor> {
-    (epoch(), option::of(record_key()))
-        .prop_map(|(epoch, key)| wagtail_config::Cursor { epoch, key })
-}
-
 fn config_message() -> impl Strategy<Value = Config> {
+    let after = (epoch(), option::of(row())).prop_map(|(epoch, row)| Place {
+        epoch,
+        key: row.map(|row| row.key),
+    });
+    let request = any::<u64>;
     prop_oneof![
         epoch().prop_map(|epoch| Config::Epoch { epoch }),
         page().prop_map(|page| Config::Push { page }),
-        (any::<u64>(), epoch(), option::of(cursor())).prop_map(|(request, since, after)| {
+        (request(), epoch(), option::of(after)).prop_map(|(request, since, after)| {
             Config::Pull {
                 request,
                 since,
                 after,
             }
         }),
-        (any::<u64>(), page()).prop_map(|(request, page)| Config::Page { request, page }),
+        (request(), page()).prop_map(|(request, page)| Config::Page { request, page }),
     ]
 }
 
