--- a/crates/entryd/src/answer.rs
+++ b/crates/entryd/src/answer.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use axum::body::Body;
-use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use serde::Serialize;
 use wagtail_types::{Cause, Reason, Verdict};
 
+use crate::{intake, reports};
+
 /// Header that says `not-run` or `may-have-run`.
 pub(crate) const VERDICT: HeaderName = HeaderName::from_static("x-wagtail-verdict");
 /// Header with the reason or cause.
@@ -19,6 +21,14 @@
 /// The header's text for a request that may have run.
 pub(crate) const MAY_HAVE_RUN: &str = "may-have-run";
 
+/// Removes from an endpoint's answer what is meant for this system only.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    intake::strip_hop(headers);
+    for name in [VERDICT, REASON, RETRY_MS, reports::LEAVING, reports::LOAD] {
+        headers.remove(name);
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct Failure<'a> {
     verdict: &'a str,
@@ -36,8 +46,13 @@
         Verdict::MayHaveRun { cause } => (MAY_HAVE_RUN, cause.as_str(), failure(*cause), None),
     };
     let retry_ms = retry.map(millis);
-    let text = serde_json::to_vec(&Failure { verdict: name, reason, retry_ms, detail })
-        .expect("a struct of texts and numbers serializes");
+    let text = serde_json::to_vec(&Failure {
+        verdict: name,
+        reason,
+        retry_ms,
+        detail,
+    })
+    .expect("a struct of texts and numbers serializes");
     let mut response = Response::new(Body::from(text));
     *response.status_mut() = status;
     let headers = response.headers_mut();
@@ -53,19 +68,15 @@
 
 /// A JSON answer.
 pub(crate) fn json(value: &impl Serialize) -> Response<Body> {
-    match serde_json::to_vec(value) {
-        Ok(text) => {
-            let mut response = Response::new(Body::from(text));
-            let json = HeaderValue::from_static("application/json");
-            response.headers_mut().insert(CONTENT_TYPE, json);
-            response
-        }
-        Err(_) => {
-            let mut response = Response::new(Body::empty());
-            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
-            response
-        }
-    }
+    let Ok(text) = serde_json::to_vec(value) else {
+        let mut response = Response::new(Body::empty());
+        *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return response;
+    };
+    let mut response = Response::new(Body::from(text));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
 }
 
 fn millis(time: Duration) -> u64 {
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -29,7 +29,7 @@
 
     fn relay(
         &self,
-        from: HostId,
+        _: HostId,
         head: RelayHead,
         body: wagtail_peer::Body,
     ) -> BoxFuture<Result<RelayAnswer, Verdict>> {
@@ -40,14 +40,13 @@
                 .watch
                 .enter(host.settings.limits.requests)
                 .ok_or(Verdict::not_run(Reason::Overloaded, None))?;
-            take(&host, from, head, body).await.map(to_answer)
+            take(&host, head, body).await.map(to_answer)
         })
     }
 }
 
 async fn take(
     host: &Arc<Host>,
-    from: HostId,
     head: RelayHead,
     body: wagtail_peer::Body,
 ) -> Result<Response<Body>, Verdict> {
@@ -66,7 +65,6 @@
             Step::Owner => Origin::Relayed,
             Step::Issuer => Origin::Local,
         },
-        relayer: Some(from),
         tried: head.tried,
         payload,
     };
@@ -85,7 +83,11 @@
     job: &mut Job,
     attempt: wagtail_types::AttemptId,
 ) -> Result<Response<Body>, Verdict> {
-    let begin = host.deduping.lock().machine.receive_bare(host.now(), attempt);
+    let begin = host
+        .deduping
+        .lock()
+        .machine
+        .receive_bare(host.now(), attempt);
     drive::deduping(host);
     match begin {
         Begin::Run(permit) => {
@@ -106,7 +108,10 @@
         Err(Verdict::MayHaveRun { cause }) => Outcome::Unknown(*cause),
         Err(verdict) => Outcome::NotRun(verdict.clone()),
     };
-    host.deduping.lock().machine.finish(host.now(), permit, outcome);
+    host.deduping
+        .lock()
+        .machine
+        .finish(host.now(), permit, outcome);
     drive::deduping(host);
 }
 
@@ -125,5 +130,9 @@
 
 fn to_answer(response: Response<Body>) -> RelayAnswer {
     let (parts, body) = response.into_parts();
-    RelayAnswer { status: parts.status, headers: parts.headers, body: to_peer(body) }
+    RelayAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: to_peer(body),
+    }
 }
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -4,7 +4,8 @@
 
 use wagtail_types::{Reason, RegionId, Verdict};
 
-use crate::message::{Lease, Origin, Pass, Placement, Request};
+use crate::key::Ticket;
+use crate::message::{Effect, Lease, Origin, Pass, Placement, Request};
 use crate::mutant::Mutant;
 use crate::queue::{Entry, Full, Pace};
 use crate::router::Router;
@@ -12,6 +13,8 @@
 
 /// The retry time where no slot will come free here by itself.
 const RETRY_DEFAULT: Duration = Duration::from_millis(100);
+/// The shortest retry time that is given.
+const RETRY_LEAST: Duration = Duration::from_millis(1);
 /// The retry time where a cap on shifted traffic is reached.
 const RETRY_CAPPED: Duration = Duration::from_secs(1);
 
@@ -20,6 +23,34 @@
 struct Away {
     within: Duration,
     leave: bool,
+    queue: bool,
+}
+
+impl Away {
+    /// To free slots within a delay.
+    fn free(within: Duration) -> Self {
+        Self {
+            within,
+            leave: false,
+            queue: false,
+        }
+    }
+
+    /// To the queue of a host that holds slots, since this one holds none.
+    fn queue() -> Self {
+        Self {
+            queue: true,
+            ..Self::free(Duration::MAX)
+        }
+    }
+
+    /// To free slots outside this zone.
+    fn zone() -> Self {
+        Self {
+            leave: true,
+            ..Self::free(Duration::MAX)
+        }
+    }
 }
 
 impl Router {
@@ -37,11 +68,17 @@
             return Placement::Dispatch(lease);
         }
         let pace = self.pace(now, request);
-        let wait = pace.and_then(|pace| self.in_time(now, request, pace));
+        let wait = pace
+            .as_ref()
+            .and_then(|pace| self.in_time(now, request, pace));
         if local {
             let within = wait.map_or(Duration::MAX, |wait| wait / 2);
-            let leave = false;
-            if let Some(pass) = self.relay(now, request, Away { within, leave }) {
+            let found = self.relay(now, request, Away::free(within));
+            let found = match found {
+                None if pace.is_none() => self.relay(now, request, Away::queue()),
+                found => found,
+            };
+            if let Some(pass) = found {
                 return Placement::Relay(pass);
             }
         }
@@ -82,15 +119,7 @@
                 *open &= region == target;
             }
         }
-        let within = Duration::MAX;
-        let (pass, region) = self.choose(
-            now,
-            request,
-            Away {
-                within,
-                leave: true,
-            },
-        )?;
+        let (pass, region) = self.choose(now, request, Away::zone())?;
         let service = &self.services.get(request.service)?.id;
         if !self.settings.fault.is(Mutant::UncappedMoves) {
             self.plan.take(now, &region);
@@ -100,7 +129,7 @@
     }
 
     fn dispatch(&mut self, now: Instant, request: &Request<'_>) -> Option<Lease> {
-        if !self.may_run_here(request) {
+        if !self.may_run_here(request) || self.plan.has_left(now) {
             return None;
         }
         let weight = self.weight(request);
@@ -138,6 +167,7 @@
             regions: &self.reach,
             within: away.within,
             away: away.leave,
+            queue: away.queue,
         };
         self.spill.choose(now, &wanted, &mut self.rng)
     }
@@ -158,14 +188,17 @@
         }
     }
 
-    fn pace(&self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+    fn pace(&mut self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+        if self.plan.has_left(now) {
+            return None;
+        }
         let service = self.services.get(request.service)?;
         let pace = service.pool.pace(now, self.settings.queue.guess);
-        (pace.slots > 0 && self.may_run_here(request)).then_some(pace)
+        (!pace.left.is_empty() && self.may_run_here(request)).then_some(pace)
     }
 
     /// The wait in the queue here, where it ends in time.
-    fn in_time(&self, now: Instant, request: &Request<'_>, pace: Pace) -> Option<Duration> {
+    fn in_time(&self, now: Instant, request: &Request<'_>, pace: &Pace) -> Option<Duration> {
         let queue = &self.services.get(request.service)?.queue;
         let wait = pace.wait(queue.ahead(request.team))?;
         (now + wait <= queue.start_by(now, request.deadline, pace.mean)).then_some(wait)
@@ -186,27 +219,27 @@
             start_by: queue.start_by(now, request.deadline, pace.mean),
         };
         let tickets = &mut self.tickets;
-        match queue.push(now, &entry, pace, || tickets.insert(request.service)) {
+        match queue.push(now, &entry, &pace, || tickets.insert(request.service)) {
             Ok((ticket, evicted)) => {
                 if let Some(evicted) = evicted {
-                    self.evict(evicted, pace);
+                    self.evict(evicted, &pace);
                 }
                 Placement::Queued(ticket)
             }
-            Err(full) => Placement::Refuse(self.late(now, request, full, pace)),
+            Err(full) => Placement::Refuse(self.late(now, request, full, &pace)),
         }
     }
 
-    fn evict(&mut self, ticket: crate::key::Ticket, pace: Pace) {
+    fn evict(&mut self, ticket: Ticket, pace: &Pace) {
         self.tickets.remove(ticket);
         let verdict = Verdict::not_run(Reason::Overloaded, pace.mean);
-        let effect = crate::message::Effect::Refuse { ticket, verdict };
+        let effect = Effect::Refuse { ticket, verdict };
         self.effects.push_back(effect);
     }
 
     /// The refusal of a request that cannot wait: a retry is worth while once its wait would
     /// be short enough.
-    fn late(&self, now: Instant, request: &Request<'_>, full: Full, pace: Pace) -> Verdict {
+    fn late(&self, now: Instant, request: &Request<'_>, full: Full, pace: &Pace) -> Verdict {
         let Some(service) = self.services.get(request.service) else {
             return Verdict::not_run(Reason::UnknownService, None);
         };
@@ -215,7 +248,7 @@
             .unwrap_or(RETRY_DEFAULT);
         let room = service.queue.start_by(now, request.deadline, pace.mean);
         let room = room.saturating_duration_since(now);
-        let least = pace.wait(0).unwrap_or(RETRY_DEFAULT);
+        let least = pace.wait(0).unwrap_or(RETRY_DEFAULT).max(RETRY_LEAST);
         let retry = match full {
             Full::Late => wait.saturating_sub(room).max(least),
             Full::Long => least,
@@ -237,6 +270,7 @@
             regions: &regions,
             within: Duration::MAX,
             away: false,
+            queue: true,
         };
         if request.origin == Origin::Local && some_barred && self.spill.has_offer(now, &wanted) {
             return Verdict::not_run(Reason::Capped, RETRY_CAPPED);
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -41,6 +41,8 @@
 pub(crate) struct Sent {
     host: HostId,
     service: ServiceId,
+    /// The advert whose slot it took.
+    advert: Option<Instant>,
 }
 
 /// Hosts that one request may be relayed to.
@@ -54,6 +56,8 @@
     pub(crate) within: Duration,
     /// Whether the own zone is left out.
     pub(crate) away: bool,
+    /// Whether hosts that hold slots count although none is free now.
+    pub(crate) queue: bool,
 }
 
 impl Spill {
@@ -150,7 +154,8 @@
         if *zone == self.zone {
             Duration::ZERO
         } else if *region == self.region {
-            self.settings.zone_delay
+            let near = self.settings.zone_delay;
+            self.delays.get(region).copied().unwrap_or(near)
         } else {
             let far = self.settings.far_delay;
             self.delays.get(region).copied().unwrap_or(far)
@@ -221,20 +226,17 @@
             || wanted.tried.contains(&peer.zone)
             || (wanted.away && peer.zone == self.zone)
             || !wanted.regions[peer.region];
-        if barred {
-            0
-        } else {
-            self.fresh(now, wanted.service, peer)
+        match self.fresh(now, wanted.service, peer) {
+            Some(free) if !barred => free.max(u32::from(wanted.queue)),
+            _ => 0,
         }
     }
 
-    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> u32 {
+    /// The free slots that a host offers; `None` where it holds none at all or is not heard.
+    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> Option<u32> {
         let fresh = |at| now.saturating_duration_since(at) < self.settings.advert_ttl;
-        if peer.at.is_some_and(fresh) {
-            peer.offer(service)
-        } else {
-            0
-        }
+        peer.at.filter(|at| fresh(*at))?;
+        peer.offer(service)
     }
 
     fn send(&mut self, at: usize, service: &ServiceId) -> (Pass, RegionId) {
@@ -244,6 +246,7 @@
         let sent = Sent {
             host: peer.host.clone(),
             service: service.clone(),
+            advert: peer.at,
         };
         let pass = Pass {
             zone: peer.zone.clone(),
@@ -254,13 +257,19 @@
         (pass, region)
     }
 
-    /// Ends a relay. A host that had no slot offers none until its next advert.
+    /// Ends a relay: its slot is free again, unless a later advert has counted it. A host that had
+    /// no slot offers none until its next advert.
     pub(crate) fn finish(&mut self, pass: &Pass, refused: bool) {
         let Some(sent) = self.passes.remove(pass.key) else {
             return;
         };
-        if refused && let Some(peer) = self.peers.iter_mut().find(|p| p.host == sent.host) {
+        let Some(peer) = self.peers.iter_mut().find(|p| p.host == sent.host) else {
+            return;
+        };
+        if refused {
             peer.free.retain(|(service, _)| *service != sent.service);
+        } else if peer.at == sent.advert {
+            peer.give(&sent.service);
         }
     }
 
@@ -268,7 +277,7 @@
     pub(crate) fn offered(&self, now: Instant, service: &ServiceId) -> (u32, u32) {
         let (mut near, mut far) = (0, 0);
         for peer in &self.peers {
-            let free = self.fresh(now, service, peer);
+            let free = self.fresh(now, service, peer).unwrap_or(0);
             if self.order[peer.region] == self.region {
                 near += free;
             } else {
@@ -280,9 +289,15 @@
 }
 
 impl Peer {
-    fn offer(&self, service: &ServiceId) -> u32 {
+    fn offer(&self, service: &ServiceId) -> Option<u32> {
         let entry = self.free.iter().find(|(id, _)| id == service);
-        entry.map_or(0, |(_, free)| *free)
+        entry.map(|(_, free)| *free)
+    }
+
+    fn give(&mut self, service: &ServiceId) {
+        if let Some((_, free)) = self.free.iter_mut().find(|(id, _)| id == service) {
+            *free += 1;
+        }
     }
 
     fn take(&mut self, service: &ServiceId) {
