Add wagtail-ctl, its operator library and example record sets

Cause: operators add, change and withdraw records while traffic runs, race one another, and need to know whether a change is in force.

Change: wagtail-ctl with put, change, withdraw, get, list, key, drain, move, status and check; table and JSON output; exit statuses 0 accepted, 1 refused or raced, 2 usage, 3 committed only, 4 platform out of reach or unknown.

Conclusion: a change of another record in between is retried, one of the same record is refused with its epoch.

--- /dev/null
+++ b/crates/ctl/src/cli/input.rs
@@ -0,0 +1,98 @@
+//! Reads record files and keys.
+
+use std::ffi::{OsStr, OsString};
+use std::io::Read;
+
+use serde::Deserialize;
+use serde_json::Value;
+use wagtail_config::{ConfigError, Raw, Record, Row, View};
+use wagtail_types::{Epoch, KeyDigest};
+
+use crate::{CtlError, key_digest};
+
+const MAX_FILE_BYTES: u64 = 256 * 1024 * 1024;
+const MAX_KEY_BYTES: u64 = 4_096;
+
+/// Reads the records of several files.
+pub(crate) fn all_records(
+    files: &[OsString],
+    input: &mut (dyn Read + Send),
+) -> Result<Vec<Raw>, CtlError> {
+    let mut all = Vec::new();
+    for file in files {
+        all.extend(records(file, input)?);
+    }
+    Ok(all)
+}
+
+/// Reads the records of a file: one, a list, or several one after the other.
+fn records(file: &OsStr, input: &mut (dyn Read + Send)) -> Result<Vec<Raw>, CtlError> {
+    let name = file.display().to_string();
+    let fail = |reason: String| CtlError::Input {
+        name: name.clone(),
+        reason,
+    };
+    let mut text = String::new();
+    let read = if file == "-" {
+        input.take(MAX_FILE_BYTES).read_to_string(&mut text)
+    } else {
+        let opened = std::fs::File::open(file);
+        opened.and_then(|f| f.take(MAX_FILE_BYTES).read_to_string(&mut text))
+    };
+    read.map_err(|e| fail(e.to_string()))?;
+    let mut records = Vec::new();
+    for value in serde_json::Deserializer::from_str(&text).into_iter::<Value>() {
+        let value = value.map_err(|e| fail(e.to_string()))?;
+        let list = match value {
+            Value::Array(list) => list,
+            one => vec![one],
+        };
+        for value in list {
+            let at = records.len() + 1;
+            let raw = Raw::deserialize(value).map_err(|e| fail(format!("record {at}: {e}")))?;
+            records.push(raw);
+        }
+    }
+    if records.is_empty() {
+        return Err(fail("it holds no record".to_owned()));
+    }
+    Ok(records)
+}
+
+/// Checks records by themselves, as if they were the whole configuration.
+pub(crate) fn check(records: &[Raw]) -> Result<View, Vec<ConfigError>> {
+    let epoch = Epoch(1);
+    let mut faults: Vec<ConfigError> = records
+        .iter()
+        .filter_map(|raw| Record::try_from(raw).err())
+        .collect();
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let rows = records.iter().filter_map(|raw| Row::put(raw, epoch).ok());
+    let view = View::empty().apply(epoch, rows);
+    faults.extend_from_slice(view.issues());
+    if faults.is_empty() {
+        Ok(view)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Reads a key and keeps its digest only.
+pub(crate) fn key(input: &mut (dyn Read + Send)) -> Result<KeyDigest, CtlError> {
+    let fail = |reason: &str| CtlError::Input {
+        name: "key".to_owned(),
+        reason: reason.to_owned(),
+    };
+    let mut bytes = Vec::new();
+    let read = input.take(MAX_KEY_BYTES + 1).read_to_end(&mut bytes);
+    read.map_err(|e| fail(&e.to_string()))?;
+    if bytes.len() as u64 > MAX_KEY_BYTES {
+        return Err(fail("it is longer than 4096 bytes"));
+    }
+    if bytes.trim_ascii().is_empty() {
+        return Err(fail("it is empty"));
+    }
+    Ok(key_digest(&bytes))
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command line as a process.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wagtail_ctl::cli::main()
+}
--- a/crates/platform/src/config/commit.rs
+++ b/crates/platform/src/config/commit.rs
@@ -43,7 +43,7 @@
     #[display("{} fault(s), first: {}", _0.len(), _0[0])]
     Faulty(#[error(not(source))] Vec<ConfigError>),
     /// A record was changed by someone else.
-    #[display("{record} was changed at epoch {epoch} by another operator; read it again")]
+    #[display("{record} was changed at epoch {epoch}, since this change was made; read it again")]
     Raced {
         /// The record.
         record: RecordKey,
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -59,6 +59,16 @@
         }
     }
 
+    /// Reads a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the service cannot be reached, or the answer is not such a document.
+    pub async fn get_json<T: DeserializeOwned>(&self, path: &str) -> Result<T, PlatformError> {
+        let (status, answer) = of_read(self.call(Method::GET, path, Bytes::new()).await)?;
+        of_read(parse(status, &answer))
+    }
+
     async fn call(
         &self,
         method: Method,
@@ -149,9 +159,6 @@
 
 impl Hosts for HttpClient {
     fn list(&self) -> BoxFuture<'_, Vec<Listed>> {
-        Box::pin(async move {
-            let (status, answer) = of_read(self.call(Method::GET, "/hosts", Bytes::new()).await)?;
-            of_read(parse(status, &answer))
-        })
+        Box::pin(self.get_json("/hosts"))
     }
 }
--- /dev/null
+++ b/crates/platform/tests/commit.rs
@@ -0,0 +1,173 @@
+//! Changes of the configuration by operators who race one another, over a table that reads old
+//! states and loses answers.
+
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use serde_json::json;
+use wagtail_config::{Raw, RecordKey, View};
+use wagtail_platform::{
+    BoxFuture, Change, CommitError, Hosts, Listed, Memory, Objects, Page, Platform, PlatformError,
+    Receipt, Row, RowKey, Scan, Table, Txn, commit, load_config,
+};
+use wagtail_types::Epoch;
+
+fn region(name: &str, delay: u32) -> Raw {
+    let body = json!({"delay_ms": {"other": delay}});
+    Raw {
+        kind: "region".into(),
+        name: name.into(),
+        schema: 1,
+        body,
+    }
+}
+
+fn putting(records: &[Raw]) -> Change {
+    Change {
+        put: records.to_vec(),
+        ..Change::default()
+    }
+}
+
+async fn put(platform: &dyn Platform, seed: u64, records: &[Raw]) -> Result<Epoch, CommitError> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    commit(platform, &mut rng, |_| Ok(putting(records)))
+        .await
+        .map(|c| c.epoch)
+}
+
+fn body(view: &View, name: &str) -> Option<String> {
+    let key = RecordKey::new("region", name).unwrap();
+    view.row(&key)?.body.as_deref().map(ToOwned::to_owned)
+}
+
+/// A table at which another operator commits right before the first transaction.
+struct Raced {
+    memory: Arc<Memory>,
+    rival: Mutex<Option<Raw>>,
+}
+
+impl Table for Raced {
+    fn read<'a>(&'a self, key: &'a RowKey) -> BoxFuture<'a, Option<Row>> {
+        self.memory.read(key)
+    }
+
+    fn scan<'a>(&'a self, scan: &'a Scan) -> BoxFuture<'a, Page> {
+        self.memory.scan(scan)
+    }
+
+    fn transact<'a>(&'a self, txn: &'a Txn) -> BoxFuture<'a, Receipt> {
+        Box::pin(async move {
+            let rival = self.rival.lock().unwrap().take();
+            if let Some(rival) = rival {
+                put(&*self.memory, 99, &[rival])
+                    .await
+                    .expect("the rival is alone");
+            }
+            self.memory.transact(txn).await
+        })
+    }
+}
+
+impl Objects for Raced {
+    fn put<'a>(&'a self, name: &'a str, bytes: Bytes) -> BoxFuture<'a, ()> {
+        Objects::put(&*self.memory, name, bytes)
+    }
+
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Option<Bytes>> {
+        self.memory.get(name)
+    }
+}
+
+impl Hosts for Raced {
+    fn list(&self) -> BoxFuture<'_, Vec<Listed>> {
+        self.memory.list()
+    }
+}
+
+async fn race(own: &str, rival: &str) -> (Result<Epoch, CommitError>, View) {
+    let memory = Arc::new(Memory::default());
+    put(&*memory, 1, &[region("a", 1), region("b", 1)])
+        .await
+        .unwrap();
+    let rival = Mutex::new(Some(region(rival, 7)));
+    let raced = Raced {
+        memory: memory.clone(),
+        rival,
+    };
+    let result = put(&raced, 2, &[region(own, 3)]).await;
+    (result, load_config(&*memory).await.unwrap())
+}
+
+#[tokio::test]
+async fn changes_of_different_records_both_come_into_force() {
+    let (result, view) = race("a", "b").await;
+    assert_eq!(result.unwrap(), Epoch(3));
+    assert_eq!(body(&view, "a").unwrap(), r#"{"delay_ms":{"other":3}}"#);
+    assert_eq!(body(&view, "b").unwrap(), r#"{"delay_ms":{"other":7}}"#);
+}
+
+#[tokio::test]
+async fn of_two_changes_of_one_record_the_later_is_refused() {
+    let (result, view) = race("a", "a").await;
+    let error = result.unwrap_err().to_string();
+    assert_eq!(
+        error,
+        "region/a was changed at epoch 2, since this change was made; read it again"
+    );
+    assert_eq!(
+        (view.epoch(), body(&view, "a").unwrap()),
+        (Epoch(2), r#"{"delay_ms":{"other":7}}"#.into())
+    );
+}
+
+#[tokio::test]
+async fn old_reads_cannot_bring_an_old_state_back() {
+    let memory = Memory::default();
+    put(&memory, 1, &[region("a", 1)]).await.unwrap();
+    memory.freeze_reads(true);
+    put(&memory, 2, &[region("a", 2)]).await.unwrap();
+    let result = put(&memory, 3, &[region("b", 3)]).await;
+    assert!(
+        matches!(
+            result,
+            Err(CommitError::Platform(PlatformError::Conflict { .. }))
+        ),
+        "{result:?}"
+    );
+    memory.freeze_reads(false);
+    let view = load_config(&memory).await.unwrap();
+    assert_eq!((view.epoch(), body(&view, "b")), (Epoch(2), None));
+}
+
+#[tokio::test]
+async fn snapshots_are_stored_and_lead_to_the_same_view() {
+    let memory = Memory::default();
+    for n in 0..70 {
+        put(
+            &memory,
+            n,
+            &[region(&format!("r{}", n % 7), u32::try_from(n).unwrap())],
+        )
+        .await
+        .unwrap();
+    }
+    let mut rng = StdRng::seed_from_u64(100);
+    let key = RecordKey::new("region", "r0").unwrap();
+    let gone = Change {
+        withdraw: vec![key],
+        ..Change::default()
+    };
+    commit(&memory, &mut rng, |_| Ok(gone.clone()))
+        .await
+        .unwrap();
+    let (page, snapshot) = wagtail_platform::scan_config(&memory, Epoch(0), None, 0)
+        .await
+        .unwrap();
+    assert_eq!((page.head, snapshot.unwrap().epoch), (Epoch(71), Epoch(64)));
+    let view = load_config(&memory).await.unwrap();
+    assert_eq!((view.epoch(), view.regions().len()), (Epoch(71), 6));
+    assert_eq!(body(&view, "r6").unwrap(), r#"{"delay_ms":{"other":69}}"#);
+}
