Follow the libraries: lives in relays, ramps and fallback caps

Cause: duplicate suppression now wants the life that a relay is for, moves carry their ramp and region caps are a fallback. Change: the daemon passes its own life (a connection belongs to one process), the ramp and the caps.

--- a/crates/entryd/src/keyed.rs
+++ b/crates/entryd/src/keyed.rs
@@ -54,7 +54,9 @@
     let request = to_request(&job, key, Fingerprint(print), true)?;
     let begun = {
         let mut deduping = host.deduping.lock();
-        let begin = deduping.machine.receive(host.now(), attempt, &request);
+        let begin = deduping
+            .machine
+            .receive(host.now(), attempt, host.incarnation, &request);
         wait_if_asked(&mut deduping, begin)
     };
     drive::deduping(host);
--- a/crates/entryd/src/plan.rs
+++ b/crates/entryd/src/plan.rs
@@ -1,7 +1,6 @@
 //! What the host works with at one config epoch, built once per change.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use wagtail_config::{DrainTarget, Scope, View};
 use wagtail_quota::{ShardMap, TeamLimit};
@@ -9,7 +8,7 @@
     Blocks, Cap, CapSpec, Delay, Drain, EndpointSpec, MoveSpec, ServiceSpec, SiteKey, SiteRow,
     TeamSpec, Topology, ZoneSpec,
 };
-use wagtail_types::{Epoch, Share, SiteId};
+use wagtail_types::{Epoch, RegionId, SiteId};
 
 /// The client blocks and sites of a view.
 #[derive(Debug, Clone, Default)]
@@ -151,6 +150,7 @@
             to: m.to.clone(),
             share: m.share,
             service: Some(m.service.clone()),
+            ramp: m.ramp,
         })
         .collect()
 }
@@ -166,55 +166,36 @@
         .collect()
 }
 
-/// Caps of moves, drains and regions, the strictest of which holds for a pair of regions.
+/// Caps of moves and drains; those of regions count where there is neither.
 fn caps(view: &View) -> Vec<CapSpec> {
-    let moves = view.moves().values().map(|m| CapSpec {
-        from: Some(m.from.clone()),
-        to: Some(m.to.clone()),
+    let cap = |from, to, level, fallback| CapSpec {
+        from,
+        to,
         cap: Cap {
-            level: m.cap,
-            start: Share::NONE,
-            rise: rise(m.share, m.ramp),
-        },
-    });
-    let drains = view.drains().values().map(|d| {
-        let from = match &d.target {
-            DrainTarget::Endpoint(id) => view
-                .endpoints()
-                .get(id)
-                .and_then(|e| view.region_of(&e.zone))
-                .cloned(),
-            DrainTarget::Zone(id) => view.region_of(id).cloned(),
-            DrainTarget::Region(id) => Some(id.clone()),
-        };
-        CapSpec {
-            from,
-            to: None,
-            cap: Cap {
-                level: d.cap,
-                ..Cap::default()
-            },
-        }
-    });
-    let spills = view.regions().values().map(|r| CapSpec {
-        from: Some(r.id.clone()),
-        to: None,
-        cap: Cap {
-            level: r.spill,
+            level,
             ..Cap::default()
         },
-    });
-    moves.chain(drains).chain(spills).collect()
+        fallback,
+    };
+    let moves = view.moves().values();
+    let moves = moves.map(|m| cap(Some(m.from.clone()), Some(m.to.clone()), m.cap, false));
+    let drains = view.drains().values();
+    let drains = drains.map(|d| cap(drained(view, &d.target), None, d.cap, false));
+    let regions = view.regions().values();
+    let regions = regions.map(|r| cap(Some(r.id.clone()), None, r.spill, true));
+    moves.chain(drains).chain(regions).collect()
 }
 
-/// The growth per second that brings `share` in `ramp`.
-fn rise(share: Share, ramp: Duration) -> Share {
-    let millis = u64::try_from(ramp.as_millis()).unwrap_or(u64::MAX).max(1);
-    let ppm = u64::from(share.ppm()).saturating_mul(1_000) / millis;
-    u32::try_from(ppm)
-        .ok()
-        .and_then(Share::from_ppm)
-        .unwrap_or(Share::ALL)
+/// The region whose traffic a drain shifts.
+fn drained(view: &View, target: &DrainTarget) -> Option<RegionId> {
+    match target {
+        DrainTarget::Endpoint(id) => {
+            let endpoint = view.endpoints().get(id)?;
+            view.region_of(&endpoint.zone).cloned()
+        }
+        DrainTarget::Zone(id) => view.region_of(id).cloned(),
+        DrainTarget::Region(id) => Some(id.clone()),
+    }
 }
 
 /// The limits of every team, and the shards that they are cut into.
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -78,6 +78,8 @@
 }
 
 /// Runs a relayed request once, however often its message comes.
+///
+/// A message comes over a connection to this process, so it is for this life of the host.
 async fn once(
     host: &Arc<Host>,
     job: &mut Job,
@@ -87,7 +89,7 @@
         .deduping
         .lock()
         .machine
-        .receive_bare(host.now(), attempt);
+        .receive_bare(host.now(), attempt, host.incarnation);
     drive::deduping(host);
     match begin {
         Begin::Run(permit) => {
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -39,7 +39,7 @@
 /// The digest under which a key stands in a team record.
 pub fn digest(key: &str) -> String {
     let hash = Sha256::digest(key.as_bytes());
-    hash.iter().map(|b| format!("{b:02x}")).collect()
+    hex::encode(hash)
 }
 
 /// A running deployment.
