Add a platform handle that waits for its turn

Cause: the daemon needs every call of one host to pass one scheduler.

Change: Paced wraps a platform; at(priority, patience) gives a handle for each user; a call that gets no turn is said to be not applied; a dropped call frees its place.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -26,6 +26,7 @@
 mod error;
 mod http;
 mod memory;
+mod paced;
 mod row;
 mod schedule;
 mod service;
@@ -38,6 +39,7 @@
 pub use error::PlatformError;
 pub use http::{HttpClient, HttpSettings};
 pub use memory::Memory;
+pub use paced::Paced;
 pub use row::{Check, Page, Place, Receipt, Row, RowKey, Scan, Txn, Write};
 pub use schedule::{
     Access, Outcome, Priority, ScheduleEffect, ScheduleInput, ScheduleSettings, Scheduler,
