--- a/crates/platform/tests/paced.rs
+++ b/crates/platform/tests/paced.rs
@@ -8,8 +8,8 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 use wagtail_platform::{
-    BoxFuture, Hosts, Listed, Memory, Objects, Paced, Page, Platform, PlatformError, Priority,
-    Receipt, Row, RowKey, Scan, ScheduleSettings, Table, Txn, Write,
+    BoxFuture, Hosts, Listed, Memory, Objects, Paced, Page, PlatformError, Priority, Receipt, Row,
+    RowKey, Scan, ScheduleSettings, Table, Txn, Write,
 };
 use wagtail_types::AttemptId;
 
