--- a/crates/route/src/plan.rs
+++ b/crates/route/src/plan.rs
@@ -108,17 +108,14 @@
     /// Whether the caps have opened so far that the drained zone need take nothing more.
     pub(crate) fn has_left(&mut self, now: Instant) -> bool {
         const ALL: f64 = 1.0 - 1e-9;
-        let region = self.drains(&Drain::Region(self.region.clone()));
-        let own = self.region.clone();
-        let gates = self
-            .gates
-            .iter_mut()
-            .filter(|gate| !region || gate.region != own);
-        self.leave && gates.map(|gate| gate.open(now)).sum::<f64>() >= ALL
-    }
-
-    fn drains(&self, drain: &Drain) -> bool {
-        self.drained.contains(drain)
+        if !self.leave {
+            return false;
+        }
+        let own = &self.region;
+        let whole = self.drained.contains(&Drain::Region(own.clone()));
+        let gates = self.gates.iter_mut();
+        let gates = gates.filter(|gate| !whole || gate.region != *own);
+        gates.map(|gate| gate.open(now)).sum::<f64>() >= ALL
     }
 
     /// Keeps the caps open that a planned move or drain needs, also while no request comes.
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -222,8 +222,8 @@
         if self.endpoints[key].is_gone() {
             self.endpoints.remove(key);
             self.order.retain(|other| *other != key);
+            self.cap_ejected(now);
         }
-        self.cap_ejected(now);
     }
 
     /// Takes in an endpoint's report on itself; false where the endpoint is not known.
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -107,10 +107,29 @@
 
     /// Requests that would start before one of this team that came now.
     pub(crate) fn ahead(&self, team: Option<TeamKey>) -> usize {
-        let own = self.flows.iter().find(|flow| flow.team == team);
-        let tag = own.map_or(0.0, |flow| flow.finish).max(self.virtual_time);
-        let before = |flow: &Flow| flow.waiting.partition_point(|other| other.tag <= tag);
-        self.flows.iter().map(before).sum()
+        let own = self.position(team);
+        let finish = own.map_or(0.0, |at| self.flows[at].finish);
+        self.before(
+            finish.max(self.virtual_time),
+            own.unwrap_or(self.flows.len()),
+        )
+    }
+
+    /// Requests that start before the first of this team that waits.
+    pub(crate) fn ahead_of_first(&self, team: Option<TeamKey>) -> usize {
+        let own = self.position(team);
+        let first = own.and_then(|at| Some((at, self.flows[at].waiting.front()?.tag)));
+        first.map_or(0, |(at, tag)| self.before(tag, at))
+    }
+
+    /// Requests that start before one with this tag of the team at this place; of equal tags
+    /// the team that comes first in the list goes first.
+    fn before(&self, tag: f64, place: usize) -> usize {
+        let count = |(at, flow): (usize, &Flow)| {
+            let first = |other: &Waiting| other.tag < tag || (other.tag <= tag && at < place);
+            flow.waiting.partition_point(first)
+        };
+        self.flows.iter().enumerate().map(count).sum()
     }
 
     /// Lets a request wait. The request that had to make room for it, if any, is returned.
@@ -223,13 +242,17 @@
         }
     }
 
-    fn flow(&mut self, team: Option<TeamKey>) -> &mut Flow {
+    fn position(&self, team: Option<TeamKey>) -> Option<usize> {
         let team = team.filter(|_| !self.fault.is(Mutant::Fifo));
-        let known = self.flows.iter().position(|flow| flow.team == team);
+        self.flows.iter().position(|flow| flow.team == team)
+    }
+
+    fn flow(&mut self, team: Option<TeamKey>) -> &mut Flow {
+        let known = self.position(team);
         let at = known.unwrap_or(self.flows.len());
         if known.is_none() {
             self.flows.push(Flow {
-                team,
+                team: team.filter(|_| !self.fault.is(Mutant::Fifo)),
                 finish: 0.0,
                 waiting: VecDeque::new(),
             });
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -237,22 +237,24 @@
         self.effects.push_back(effect);
     }
 
-    /// The refusal of a request that cannot wait: a retry is worth while once its wait would
-    /// be short enough.
+    /// The refusal of a request that cannot wait. Where nothing else comes, a retry at the time
+    /// given finds its wait short enough, or a place in the queue.
     fn late(&self, now: Instant, request: &Request<'_>, full: Full, pace: &Pace) -> Verdict {
         let Some(service) = self.services.get(request.service) else {
             return Verdict::not_run(Reason::UnknownService, None);
         };
-        let wait = pace
-            .wait(service.queue.ahead(request.team))
-            .unwrap_or(RETRY_DEFAULT);
-        let room = service.queue.start_by(now, request.deadline, pace.mean);
-        let room = room.saturating_duration_since(now);
-        let least = pace.wait(0).unwrap_or(RETRY_DEFAULT).max(RETRY_LEAST);
+        let queue = &service.queue;
+        let room = queue
+            .start_by(now, request.deadline, pace.mean)
+            .saturating_duration_since(now);
         let retry = match full {
-            Full::Late => wait.saturating_sub(room).max(least),
-            Full::Long => least,
+            Full::Long => pace.wait(queue.ahead_of_first(request.team)),
+            Full::Late if room.is_zero() => pace.wait(queue.len()),
+            Full::Late => pace
+                .wait(queue.ahead(request.team))
+                .map(|wait| wait.saturating_sub(room)),
         };
+        let retry = retry.unwrap_or(RETRY_DEFAULT).max(RETRY_LEAST);
         Verdict::not_run(Reason::Overloaded, retry)
     }
 
--- a/crates/route/tests/route/main.rs
+++ b/crates/route/tests/route/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod lookup;
 mod moves;
+mod plan;
 mod queue;
 mod slots;
 mod support;
