Add experiments to the load tool

Cause: the users' measures and promises must be shown from outside, under load and faults, for both deployments. Change: wagtail-load experiment runs a deployment on loopback with its own topology and link delays, draws open-loop Poisson arrivals, plays acts such as a store outage, a drain or a killed host, and checks every promise by comparing the endpoints' logs with the callers' verdicts. Latency counts from when a request was due.

--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -90,6 +90,12 @@
         /// The cause.
         reason: String,
     },
+    /// The entry host could not be reached; nothing was sent.
+    #[display("unreached ({reason})")]
+    Unreached {
+        /// What happened.
+        reason: String,
+    },
     /// No answer from the entry host, or an aborted one.
     #[display("no whole answer ({reason})")]
     Lost {
@@ -145,12 +151,21 @@
 
     /// Sends one request to an entry host.
     pub async fn call(&self, addr: SocketAddr, call: &Call) -> Reply {
+        self.call_as(addr, call, self.id()).await
+    }
+
+    /// A new request id.
+    pub fn id(&self) -> String {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let id = format!("{}-{number}", self.name);
+        format!("{}-{number}", self.name)
+    }
+
+    /// Sends one request under a request id; a repetition has the id of its first attempt.
+    pub async fn call_as(&self, addr: SocketAddr, call: &Call, id: String) -> Reply {
         let patience = call.deadline + Duration::from_secs(2);
         let (got, body) = match tokio::time::timeout(patience, self.send(addr, call, &id)).await {
             Ok(Ok((status, headers, body))) => (judge(&id, status, &headers, &body), body),
-            Ok(Err(reason)) => (Got::Lost { reason }, Bytes::new()),
+            Ok(Err(got)) => (got, Bytes::new()),
             Err(_) => (Got::Lost { reason: "no answer by the deadline".to_owned() }, Bytes::new()),
         };
         Reply { id, got, body }
@@ -161,8 +176,8 @@
         addr: SocketAddr,
         call: &Call,
         id: &str,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), String> {
-        let text = |e: &dyn std::error::Error| e.to_string();
+    ) -> Result<(StatusCode, HeaderMap, Bytes), Got> {
+        let lost = |e: &dyn std::error::Error| Got::Lost { reason: e.to_string() };
         let mut request = Request::builder()
             .method(call.method.clone())
             .uri(format!("http://{addr}/svc/{}{}", call.service, call.path))
@@ -174,10 +189,15 @@
         if let Some(key) = &call.idempotency {
             request = request.header(IDEMPOTENCY, key);
         }
-        let request = request.body(Full::new(call.body.clone())).map_err(|e| text(&e))?;
-        let response = self.client.request(request).await.map_err(|e| text(&e))?;
+        let request = request.body(Full::new(call.body.clone())).map_err(|e| lost(&e))?;
+        let response = self.client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                return Got::Unreached { reason: e.to_string() };
+            }
+            lost(&e)
+        })?;
         let (parts, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| text(&e))?.to_bytes();
+        let body = body.collect().await.map_err(|e| lost(&e))?.to_bytes();
         Ok((parts.status, parts.headers, body))
     }
 
--- /dev/null
+++ b/crates/load/src/deployment.rs
@@ -0,0 +1,355 @@
+//! The two deployments that experiments run, with their topology, services and teams.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde_json::json;
+use wagtail_config::Raw;
+use wagtail_types::{ParseError, Rate, Tokens};
+
+use crate::fleet::digest;
+use crate::mix::{self, Mix};
+
+/// A deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Deployment {
+    /// Registration dossiers: three regions, few large teams, the worst-served team counts most.
+    #[display("tender")]
+    Tender,
+    /// Emergency call-out: three regions, look-up latency counts most.
+    #[display("annex")]
+    Annex,
+}
+
+impl std::str::FromStr for Deployment {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "tender" => Ok(Self::Tender),
+            "annex" => Ok(Self::Annex),
+            _ => Err(ParseError::new("deployment", text, "tender or annex was expected")),
+        }
+    }
+}
+
+/// A service with its endpoints and the work that it gets.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// The name.
+    pub name: &'static str,
+    /// The class.
+    pub class: &'static str,
+    /// Whether a request may run more than once.
+    pub idempotent: bool,
+    /// The weight of its class.
+    pub weight: u32,
+    /// How many endpoints it has.
+    pub endpoints: usize,
+    /// Slots of each endpoint.
+    pub slots: usize,
+    /// Connections of each endpoint.
+    pub connections: usize,
+    /// Median service time.
+    pub median: Duration,
+    /// Requests a second at full load.
+    pub load: f64,
+    /// Bytes of an answer.
+    pub answer: usize,
+}
+
+/// A team and its share of the load.
+#[derive(Debug, Clone)]
+pub struct Team {
+    /// The name.
+    pub name: &'static str,
+    /// Its share of every service's load.
+    pub share: f64,
+    /// The region of its callers, by number.
+    pub home: usize,
+    /// Its rate.
+    pub rate: Rate,
+    /// Its burst.
+    pub burst: Tokens,
+}
+
+impl Team {
+    /// Its key, which no endpoint must see.
+    pub fn key(&self) -> String {
+        format!("key-of-{}-0123456789abcdef", self.name)
+    }
+}
+
+/// The sizes of a deployment.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// Regions; the first one holds the store.
+    pub regions: [&'static str; 3],
+    /// Entry hosts in each zone, two zones a region.
+    pub hosts: [usize; 6],
+    /// One-way delay between zones of a region.
+    pub zone_delay: Duration,
+    /// One-way delay between regions.
+    pub region_delay: Duration,
+    /// The services.
+    pub services: Vec<Service>,
+    /// The teams.
+    pub teams: Vec<Team>,
+}
+
+impl Deployment {
+    /// The deployment's sizes.
+    pub fn layout(self) -> Layout {
+        match self {
+            Self::Tender => tender(),
+            Self::Annex => annex(),
+        }
+    }
+}
+
+fn tender() -> Layout {
+    let service = |name, class, idempotent, weight| Service {
+        name,
+        class,
+        idempotent,
+        weight,
+        endpoints: 12,
+        slots: 3,
+        connections: 300,
+        median: Duration::from_millis(60),
+        load: 240.0,
+        answer: 512,
+    };
+    Layout {
+        regions: ["cymru", "eire", "benelux"],
+        hosts: [2, 2, 2, 2, 1, 1],
+        zone_delay: Duration::from_micros(1_500),
+        region_delay: Duration::from_millis(10),
+        services: vec![
+            service("substances", "lookup", true, 4),
+            Service {
+                median: Duration::from_millis(120),
+                load: 80.0,
+                ..service("dossiers", "submission", false, 2)
+            },
+            Service {
+                endpoints: 15,
+                slots: 6,
+                median: Duration::from_millis(150),
+                load: 120.0,
+                answer: 16_384,
+                ..service("archive", "archive", true, 1)
+            },
+        ],
+        teams: teams(&[
+            "aber-lead", "bangor", "conwy", "dublin", "gent", "harlech", "leuven", "tywyn",
+        ]),
+    }
+}
+
+fn annex() -> Layout {
+    let service = |name, class, idempotent, weight| Service {
+        name,
+        class,
+        idempotent,
+        weight,
+        endpoints: 12,
+        slots: 3,
+        connections: 400,
+        median: Duration::from_millis(50),
+        load: 280.0,
+        answer: 256,
+    };
+    Layout {
+        regions: ["gulf", "plains", "hill"],
+        hosts: [2, 2, 2, 2, 1, 2],
+        zone_delay: Duration::from_micros(500),
+        region_delay: Duration::from_millis(20),
+        services: vec![
+            service("rosters", "lookup", true, 4),
+            Service {
+                median: Duration::from_millis(100),
+                load: 100.0,
+                ..service("assignments", "assignment", false, 3)
+            },
+            Service {
+                endpoints: 20,
+                slots: 4,
+                median: Duration::from_millis(120),
+                load: 120.0,
+                answer: 8_192,
+                ..service("records", "record", true, 1)
+            },
+        ],
+        teams: teams(&[
+            "abilene", "bryan", "crockett", "denton", "elgin", "frisco", "galveston", "hondo",
+        ]),
+    }
+}
+
+/// Eight teams, two of them large, the last one tiny.
+fn teams(names: &[&'static str; 8]) -> Vec<Team> {
+    const SHARES: [f64; 8] = [0.30, 0.25, 0.12, 0.10, 0.09, 0.08, 0.05, 0.01];
+    const FULL_LOAD: f64 = 450.0;
+    const HEADROOM: f64 = 1.2;
+    const MIN_RATE: u64 = 2;
+    let team = |(index, (&name, share)): (usize, (&&'static str, f64))| {
+        let rate = whole(FULL_LOAD * share * HEADROOM).max(MIN_RATE);
+        // Every second team has a burst of less than a second of its rate.
+        let burst = if index % 2 == 0 { rate } else { rate / 4 };
+        Team {
+            name,
+            share,
+            home: index % 3,
+            rate: Rate::per_second(rate),
+            burst: Tokens::whole(burst.max(MIN_RATE + 1)),
+        }
+    };
+    names.iter().zip(SHARES).enumerate().map(team).collect()
+}
+
+fn whole(value: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "rates here are small and positive"
+    )]
+    let whole = value.round() as u64;
+    whole
+}
+
+impl Layout {
+    /// The name of a zone; zones count through the regions, two each.
+    pub fn zone(&self, index: usize) -> String {
+        let letter = if index % 2 == 0 { 'a' } else { 'b' };
+        format!("{}-{letter}", self.regions[index / 2 % self.regions.len()])
+    }
+
+    /// The name of an endpoint, and its zone.
+    pub fn endpoint(&self, service: &Service, index: usize) -> (String, String) {
+        let zones = self.hosts.len();
+        (format!("{}-{index}", service.name), self.zone(index % zones))
+    }
+
+    /// Every entry host with its zone.
+    pub fn host_names(&self) -> Vec<(String, String)> {
+        let zones = self.hosts.iter().enumerate();
+        let host = |zone: String, n: usize| (format!("{zone}{n}"), zone);
+        zones
+            .flat_map(|(z, &count)| (1..=count).map(move |n| (z, n)))
+            .map(|(z, n)| host(self.zone(z), n))
+            .collect()
+    }
+
+    /// The one-way delay between two zones.
+    pub fn delay(&self, from: &str, to: &str) -> Duration {
+        let region = |zone: &str| zone.rsplit_once('-').map(|(region, _)| region.to_owned());
+        if from == to {
+            Duration::ZERO
+        } else if region(from) == region(to) {
+            self.zone_delay
+        } else {
+            self.region_delay
+        }
+    }
+
+    /// The address from which callers of a region come.
+    pub fn client(&self, region: usize) -> String {
+        format!("198.51.{region}.7")
+    }
+
+    /// The load of the deployment's callers.
+    pub fn mix(&self) -> Mix {
+        const DEADLINE: Duration = Duration::from_secs(2);
+        let team = |team: &Team| mix::Team {
+            name: team.name.to_owned(),
+            key: team.key(),
+            share: team.share,
+            home: team.home,
+            limit: Some(mix::Limit {
+                rate: team.rate,
+                burst: team.burst,
+            }),
+        };
+        let class = |service: &Service| mix::Class {
+            name: service.class.to_owned(),
+            service: service.name.to_owned(),
+            idempotent: service.idempotent,
+            load: service.load,
+        };
+        Mix {
+            teams: self.teams.iter().map(team).collect(),
+            classes: self.services.iter().map(class).collect(),
+            homes: (0..self.regions.len()).map(|r| self.client(r)).collect(),
+            deadline: DEADLINE,
+        }
+    }
+
+    /// The records of the deployment. Addresses are filled in when it starts.
+    pub fn records(&self) -> Vec<Raw> {
+        let mut records = self.places();
+        for service in &self.services {
+            records.push(raw(1, "service", service.name, json!({
+                "class": service.class, "idempotent": service.idempotent,
+                "weight": service.weight, "deadline_ms": 2_000,
+            })));
+            for index in 0..service.endpoints {
+                let (name, zone) = self.endpoint(service, index);
+                records.push(raw(1, "endpoint", &name, json!({
+                    "service": service.name, "zone": zone, "addr": "127.0.0.1:1",
+                    "slots": service.slots, "connections": service.connections,
+                })));
+            }
+        }
+        records.extend(self.teams.iter().map(|team| self.team(team, &[team.key()])));
+        records
+    }
+
+    /// The record of a team with these keys.
+    pub fn team(&self, team: &Team, keys: &[String]) -> Raw {
+        let services: Vec<_> = self.services.iter().map(|s| s.name).collect();
+        let keys: Vec<_> = keys.iter().map(|key| digest(key)).collect();
+        raw(2, "team", team.name, json!({
+            "rate": team.rate, "burst": team.burst.micros() / Tokens::ONE.micros(),
+            "keys": keys, "services": services,
+        }))
+    }
+
+    fn places(&self) -> Vec<Raw> {
+        let mut records = Vec::new();
+        let zones: Vec<_> = (0..self.hosts.len()).map(|z| self.zone(z)).collect();
+        for (index, region) in self.regions.iter().enumerate() {
+            let millis = |to: &&str| {
+                let delay = if to == region { self.zone_delay } else { self.region_delay };
+                ((*to).to_owned(), json!(delay.as_secs_f64() * 1_000.0))
+            };
+            let delays: serde_json::Map<_, _> = self.regions.iter().map(millis).collect();
+            records.push(raw(1, "region", region, json!({ "delay_ms": delays })));
+            let mut order = zones.clone();
+            order.rotate_left(2 * index);
+            records.push(raw(1, "site", region, json!({ "zones": order })));
+            let block = format!("198.51.{index}.0/24 {region}");
+            records.push(raw(1, "blocks", &index.to_string(), json!({ "blocks": [block] })));
+        }
+        for (index, zone) in zones.iter().enumerate() {
+            let region = self.regions[index / 2];
+            records.push(raw(1, "zone", zone, json!({ "region": region })));
+        }
+        for (name, zone) in self.host_names() {
+            records.push(raw(1, "host", &name, json!({
+                "zone": zone, "api": "127.0.0.1:1", "peer": "127.0.0.1:2",
+            })));
+        }
+        records
+    }
+}
+
+/// A record as an operator writes it.
+pub(crate) fn raw(schema: u32, kind: &str, name: &str, body: serde_json::Value) -> Raw {
+    Raw {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        schema,
+        body,
+    }
+}
--- /dev/null
+++ b/crates/load/src/experiment.rs
@@ -0,0 +1,159 @@
+//! Experiments: a deployment on loopback, a load, and what happens meanwhile.
+
+mod acts;
+mod catalogue;
+mod command;
+mod compare;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use slog::{Discard, Logger, o};
+use wagtail_entryd::Options;
+use wagtail_standin::{endpoint, platform};
+
+use crate::arrivals::arrivals;
+use crate::callers::Callers;
+use crate::deployment::{Deployment, Layout};
+use crate::fleet::{Fleet, FleetError};
+use crate::measure::{Measures, measure};
+use crate::network::Network;
+use crate::promises::{Evidence, Promise, check};
+
+pub use acts::Act;
+pub use catalogue::{Experiment, catalogue, find};
+pub use command::{CommandError, command};
+pub use compare::{Comparison, compare};
+
+const FLAGS: &[(&str, &str)] = &[
+    ("lookup-ttl", "1s"),
+    ("stop-timeout", "8s"),
+    ("lease-term", "2s"),
+    ("key-staleness", "2s"),
+];
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// What to run.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The experiment.
+    pub experiment: &'static Experiment,
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The seed of arrivals, service times and hosts.
+    pub seed: u64,
+    /// Flags for every entry host, besides the defaults.
+    pub flags: Vec<(String, String)>,
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// The experiment.
+    pub experiment: &'static str,
+    /// The deployment.
+    pub deployment: String,
+    /// The seed.
+    pub seed: u64,
+    /// The users' measures.
+    pub measures: Measures,
+    /// What happened when.
+    pub notes: Vec<String>,
+    /// The promises.
+    pub promises: Vec<Promise>,
+}
+
+impl Report {
+    /// Whether every promise was kept.
+    pub fn is_kept(&self) -> bool {
+        self.promises.iter().all(|p| p.broken == 0)
+    }
+}
+
+/// Runs one experiment.
+///
+/// # Errors
+///
+/// Fails where the deployment cannot be set up, or a host cannot stop as it should.
+pub async fn run(request: &Request) -> Result<Report, FleetError> {
+    let layout = Arc::new(request.deployment.layout());
+    let network = Network::new(layout.clone());
+    let fleet = start(&layout, &network, request).await?;
+    let callers = Callers::new(layout.mix(), fleet.hosts.values().map(|h| h.addr()).collect());
+    callers.look().await;
+    tokio::time::sleep(WARM_UP).await;
+
+    let profile = (request.experiment.profile)();
+    let due = arrivals(&layout.mix(), &profile, request.seed);
+    let start = Instant::now();
+    let mut stage = acts::Stage::new(layout.clone(), network, fleet, start);
+    let acts = (request.experiment.acts)(&layout);
+    let samples = tokio::select! {
+        (samples, acted) = async {
+            tokio::join!(callers.send(due, start.into()), stage.play(acts))
+        } => {
+            acted?;
+            samples
+        }
+        () = callers.keep_looking() => Vec::new(),
+    };
+    let (evidence, notes) = stage.end().await?;
+    Ok(report(request, &layout, &samples, &evidence, notes))
+}
+
+fn report(
+    request: &Request,
+    layout: &Layout,
+    samples: &[crate::measure::Sample],
+    evidence: &Evidence,
+    notes: Vec<String>,
+) -> Report {
+    Report {
+        experiment: request.experiment.name,
+        deployment: request.deployment.to_string(),
+        seed: request.seed,
+        measures: measure(&layout.mix(), samples),
+        notes,
+        promises: check(layout, samples, evidence),
+    }
+}
+
+async fn start(
+    layout: &Arc<Layout>,
+    network: &Network,
+    request: &Request,
+) -> Result<Fleet, FleetError> {
+    let platform = platform::start((std::net::Ipv4Addr::LOCALHOST, 0).into()).await?;
+    let addr = platform.addr;
+    let log = Logger::root(Discard, o!());
+    let options = |host: &str| Options {
+        platform: Some(network.platform(host, addr)),
+        lines: Some(network.lines(host)),
+        ..Options::new(log.clone())
+    };
+    let own = request.flags.iter().map(|(n, v)| (n.as_str(), v.as_str()));
+    let flags: Vec<_> = FLAGS.iter().copied().chain(own).collect();
+    let endpoints = |name: &str, service: &str| endpoint_settings(layout, request.seed, name, service);
+    Fleet::start_on(platform, layout.records(), &endpoints, &options, &flags).await
+}
+
+fn endpoint_settings(
+    layout: &Layout,
+    seed: u64,
+    name: &str,
+    service: &str,
+) -> endpoint::Settings {
+    const SIGMA: f64 = 0.4;
+    let mut settings = endpoint::Settings {
+        seed: name.bytes().fold(seed, |seed, b| seed.wrapping_mul(31).wrapping_add(b.into())),
+        sigma: SIGMA,
+        ..endpoint::Settings::default()
+    };
+    if let Some(spec) = layout.services.iter().find(|s| s.name == service) {
+        settings.median = spec.median;
+        settings.answer_bytes = spec.answer;
+        settings.connections = spec.connections;
+    }
+    settings
+}
--- /dev/null
+++ b/crates/load/src/experiment/acts.rs
@@ -0,0 +1,241 @@
+//! What happens to a deployment while it is under load.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::Method;
+use serde_json::json;
+use tokio::time::sleep_until;
+use wagtail_config::HostStatus;
+use wagtail_standin::endpoint::{Fault, Faults, Report, Rule};
+
+use crate::client::Caller;
+use crate::deployment::{Layout, raw};
+use crate::fleet::{Fleet, FleetError};
+use crate::network::Network;
+use crate::promises::Evidence;
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+pub enum Act {
+    /// The platform goes down or comes back.
+    StoreDown(bool),
+    /// The platform takes so many milliseconds longer for each call.
+    StoreSlow(u64),
+    /// A zone is cut off from the others and the platform.
+    Cut(String),
+    /// Every cut is mended.
+    Heal,
+    /// An operator drains an endpoint.
+    Drain(String),
+    /// An endpoint says that it leaves.
+    Leave(String),
+    /// An operator moves part of a service's traffic: service, from, to, percent, cap in percent,
+    /// ramp in seconds.
+    Move(&'static str, &'static str, &'static str, u32, u32, u64),
+    /// A host stops gracefully.
+    Stop(String),
+    /// A host is killed.
+    Kill(String),
+    /// Every host and endpoint of a region is killed.
+    Lose(usize),
+    /// An operator withdraws the key of a team.
+    Withdraw(usize),
+    /// Every third endpoint of a service reports itself as idle while it is slow.
+    Mislead(&'static str),
+}
+
+/// A deployment on which acts are played.
+pub(crate) struct Stage {
+    layout: Arc<Layout>,
+    network: Network,
+    fleet: Fleet,
+    start: Instant,
+    evidence: Evidence,
+    notes: Vec<String>,
+    caller: Caller,
+}
+
+impl Stage {
+    pub(crate) fn new(layout: Arc<Layout>, network: Network, fleet: Fleet, start: Instant) -> Self {
+        Self {
+            layout,
+            network,
+            fleet,
+            start,
+            evidence: Evidence::default(),
+            notes: Vec::new(),
+            caller: Caller::new("stage"),
+        }
+    }
+
+    /// Plays every act when it is due.
+    pub(crate) async fn play(&mut self, acts: Vec<(Duration, Act)>) -> Result<(), FleetError> {
+        for (at, act) in acts {
+            sleep_until((self.start + at).into()).await;
+            self.note(format!("{act:?}"));
+            self.act(act).await?;
+        }
+        Ok(())
+    }
+
+    async fn act(&mut self, act: Act) -> Result<(), FleetError> {
+        match act {
+            Act::StoreDown(down) => {
+                let faults = self.fleet.platform.faults.get();
+                self.fleet.platform.faults.set(wagtail_standin::platform::Faults { down, ..faults });
+            }
+            Act::StoreSlow(delay_ms) => {
+                let faults = self.fleet.platform.faults.get();
+                let slow = wagtail_standin::platform::Faults { delay_ms, ..faults };
+                self.fleet.platform.faults.set(slow);
+            }
+            Act::Cut(zone) => self.network.cut(&zone),
+            Act::Heal => self.network.heal(),
+            Act::Drain(endpoint) => self.drain(endpoint).await?,
+            Act::Leave(endpoint) => self.leave(endpoint),
+            Act::Move(service, from, to, share, cap, ramp) => {
+                let body = json!({
+                    "service": service, "from": from, "to": to, "ramp_s": ramp,
+                    "share": format!("{share}%"), "cap": format!("{cap}%"),
+                });
+                self.fleet.put(vec![raw(1, "move", "planned", body)]).await?;
+            }
+            Act::Stop(host) => self.stop(&host).await?,
+            Act::Kill(host) => self.kill(&host).await,
+            Act::Lose(region) => self.lose(region).await,
+            Act::Withdraw(team) => self.withdraw(team).await?,
+            Act::Mislead(service) => self.mislead(service),
+        }
+        Ok(())
+    }
+
+    fn note(&mut self, text: String) {
+        let at = self.start.elapsed().as_secs_f64();
+        self.notes.push(format!("{at:6.2} s  {text}"));
+    }
+
+    async fn drain(&mut self, endpoint: String) -> Result<(), FleetError> {
+        let body = json!({ "endpoint": endpoint });
+        self.fleet.put(vec![raw(1, "drain", "planned", body)]).await?;
+        self.evidence.leaving.insert(endpoint, self.start.elapsed());
+        Ok(())
+    }
+
+    fn leave(&mut self, endpoint: String) {
+        if let Some(running) = self.fleet.endpoints.get(&endpoint) {
+            running.set_faults(Faults {
+                leaving: true,
+                ..running.faults()
+            });
+            self.evidence.leaving.insert(endpoint, self.start.elapsed());
+        }
+    }
+
+    async fn stop(&mut self, host: &str) -> Result<(), FleetError> {
+        if let Some(running) = self.fleet.hosts.remove(host) {
+            let begun = Instant::now();
+            running.stop().await?;
+            self.note(format!("{host} stopped after {:.2} s", begun.elapsed().as_secs_f64()));
+        }
+        Ok(())
+    }
+
+    async fn kill(&mut self, host: &str) {
+        if let Some(running) = self.fleet.hosts.remove(host) {
+            self.evidence.crashed = true;
+            running.kill().await;
+        }
+    }
+
+    async fn lose(&mut self, region: usize) {
+        self.evidence.crashed = true;
+        let prefix = format!("{}-", self.layout.regions[region]);
+        let hosts: Vec<_> = self.fleet.hosts.keys().filter(|h| h.starts_with(&prefix)).cloned().collect();
+        for host in hosts {
+            self.kill(&host).await;
+        }
+        let layout = self.layout.clone();
+        for service in &layout.services {
+            for index in 0..service.endpoints {
+                let (name, zone) = layout.endpoint(service, index);
+                if zone.starts_with(&prefix)
+                    && let Some(running) = self.fleet.endpoints.remove(&name)
+                {
+                    self.evidence.take(&layout, &name, &running, self.start);
+                    running.kill().await;
+                }
+            }
+        }
+    }
+
+    async fn withdraw(&mut self, team: usize) -> Result<(), FleetError> {
+        let record = self.layout.team(&self.layout.teams[team], &[]);
+        let before = self.epochs().await.into_iter().max().unwrap_or_default();
+        self.fleet.put(vec![record]).await?;
+        let committed = Instant::now();
+        self.evidence.withdrawn.insert(team, self.start.elapsed());
+        const PATIENCE: Duration = Duration::from_secs(5);
+        while committed.elapsed() < PATIENCE {
+            if self.epochs().await.iter().all(|epoch| *epoch > before) {
+                let after = committed.elapsed().as_millis();
+                self.note(format!("in force on every host {after} ms after the commit"));
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        self.note("not in force on every host within 5 s".to_owned());
+        Ok(())
+    }
+
+    async fn epochs(&self) -> Vec<wagtail_types::Epoch> {
+        let mut epochs = Vec::new();
+        for host in self.fleet.hosts.values() {
+            let status = self.caller.json::<HostStatus>(Method::GET, host.addr(), "/v1/status");
+            epochs.push(status.await.map(|s| s.epoch).unwrap_or_default());
+        }
+        epochs
+    }
+
+    fn mislead(&mut self, service: &str) {
+        const SLOW_PERCENT: u32 = 400;
+        let own = |name: &str| {
+            let index = name.strip_prefix(service)?.strip_prefix('-')?;
+            index.parse::<usize>().ok()
+        };
+        for (name, running) in &self.fleet.endpoints {
+            if own(name).is_some_and(|index| index % 3 == 0) {
+                running.set_faults(Faults {
+                    slow_percent: SLOW_PERCENT,
+                    report: Report::Fixed { inflight: 0 },
+                    rules: vec![Rule {
+                        fault: Fault::Refuse,
+                        percent: 5,
+                        path: None,
+                    }],
+                    ..Faults::default()
+                });
+            }
+        }
+    }
+
+    /// Stops the deployment and hands over what is left of it.
+    pub(crate) async fn end(mut self) -> Result<(Evidence, Vec<String>), FleetError> {
+        for (name, running) in &self.fleet.endpoints {
+            self.evidence.take(&self.layout, name, running, self.start);
+        }
+        for (name, told) in self.evidence.leaving.clone() {
+            let own = self.evidence.seen.iter().filter(|s| s.endpoint == name);
+            let last = own.filter_map(|s| Some(s.at? + s.entry.ended? - s.entry.started)).max();
+            if let Some(last) = last {
+                let after = last.saturating_sub(told).as_secs_f64();
+                self.notes.push(format!("{name} was drained {after:.2} s after it was told"));
+            }
+        }
+        self.network.heal();
+        let calm = wagtail_standin::platform::Faults::default();
+        self.fleet.platform.faults.set(calm);
+        self.fleet.stop().await?;
+        Ok((self.evidence, self.notes))
+    }
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -65,12 +65,27 @@
     ///
     /// Fails where a part cannot start or the records do not fit together.
     pub async fn start(
-        mut records: Vec<Raw>,
+        records: Vec<Raw>,
         endpoints: EndpointSettings<'_>,
         options: &dyn Fn(&str) -> Options,
         flags: &[(&str, &str)],
     ) -> Result<Self, FleetError> {
         let platform = platform::start((Ipv4Addr::LOCALHOST, 0).into()).await?;
+        Self::start_on(platform, records, endpoints, options, flags).await
+    }
+
+    /// As [`Fleet::start`], with a platform that runs already.
+    ///
+    /// # Errors
+    ///
+    /// As [`Fleet::start`].
+    pub async fn start_on(
+        platform: platform::Running,
+        mut records: Vec<Raw>,
+        endpoints: EndpointSettings<'_>,
+        options: &dyn Fn(&str) -> Options,
+        flags: &[(&str, &str)],
+    ) -> Result<Self, FleetError> {
         let mut running = BTreeMap::new();
         for record in records.iter_mut().filter(|r| r.kind == "endpoint") {
             let service = text(&record.body, "service")?;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,6 +1,16 @@
 //! Load generation, experiments and reports.
 
+pub mod arrivals;
+pub mod callers;
 pub mod client;
+pub mod deployment;
+pub mod experiment;
 pub mod fleet;
+pub mod measure;
+pub mod mix;
+pub mod network;
+pub mod plot;
+pub mod promises;
 pub mod report;
+pub mod text;
 pub mod tour;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use lexopt::Arg::{Long, Short, Value};
+use wagtail_load::experiment::CommandError;
 
 const USAGE_STATUS: u8 = 2;
 const HELP: &str = "\
@@ -11,7 +12,8 @@
 Usage: wagtail-load <COMMAND> [OPTIONS]
 
 Commands:
-  try  A tour of the whole path in one process, under 30 s
+  experiment  One deployment in one process under load and faults, promises checked
+  try         A tour of the whole path in one process, under 30 s
 
 Options of a command: wagtail-load <COMMAND> --help
 ";
@@ -25,6 +27,7 @@
             Ok(Some(other)) => usage(&other.unexpected()),
             Err(e) => usage(&e),
         },
+        Ok(Some(Value(name))) if name == "experiment" => experiment(args),
         Ok(Some(Long("help") | Short('h'))) => help(),
         Ok(Some(other)) => usage(&other.unexpected()),
         Ok(None) => usage(&"a command is needed"),
@@ -43,16 +46,26 @@
 }
 
 fn try_out() -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => return fail(&e),
-    };
-    match runtime.block_on(wagtail_load::tour::run()) {
-        Ok(()) => ExitCode::SUCCESS,
+    match runtime().map(|r| r.block_on(wagtail_load::tour::run())) {
+        Ok(Ok(())) => ExitCode::SUCCESS,
+        Ok(Err(e)) => fail(&e),
         Err(e) => fail(&e),
     }
 }
 
+fn experiment(args: lexopt::Parser) -> ExitCode {
+    match runtime().map(|r| r.block_on(wagtail_load::experiment::command(args))) {
+        Ok(Ok(status)) => status,
+        Ok(Err(CommandError::Arguments(e))) => usage(&e),
+        Ok(Err(e)) => fail(&e),
+        Err(e) => fail(&e),
+    }
+}
+
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()
+}
+
 fn fail(error: &dyn std::error::Error) -> ExitCode {
     eprintln!("wagtail-load: {error}");
     ExitCode::FAILURE
