Wait until every slot has its host before an experiment starts

Cause: 446 of 2668 requests in steady were refused as no-endpoint, all in the first two seconds: after a start of the whole fleet no slot has a host until the detection time has passed. Change: an experiment waits until the hosts together hold every slot and says how long that took.

--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -8,13 +8,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use serde::Serialize;
+use http::Method;
+use serde::{Deserialize, Serialize};
 use slog::{Discard, Logger, o};
 use wagtail_entryd::Options;
 use wagtail_standin::{endpoint, platform};
 
 use crate::arrivals::arrivals;
 use crate::callers::Callers;
+use crate::client::Caller;
 use crate::deployment::{Deployment, Layout};
 use crate::fleet::{Fleet, FleetError};
 use crate::measure::{Measures, measure};
@@ -32,7 +34,8 @@
     ("lease-term", "2s"),
     ("key-staleness", "2s"),
 ];
-const WARM_UP: Duration = Duration::from_secs(2);
+const READY_WITHIN: Duration = Duration::from_secs(10);
+const WARM_UP: Duration = Duration::from_secs(1);
 
 /// What to run.
 #[derive(Debug, Clone)]
@@ -82,12 +85,17 @@
     let fleet = start(&layout, &network, request).await?;
     let callers = Callers::new(layout.mix(), fleet.hosts.values().map(|h| h.addr()).collect());
     callers.look().await;
+    let ready = ready(&layout, &fleet).await;
     tokio::time::sleep(WARM_UP).await;
 
     let profile = (request.experiment.profile)();
     let due = arrivals(&layout.mix(), &profile, request.seed);
     let start = Instant::now();
     let mut stage = acts::Stage::new(layout.clone(), network, fleet, start);
+    stage.note(match ready {
+        Some(after) => format!("every slot has its host {:.2} s after the start", after.as_secs_f64()),
+        None => "not every slot has its host".to_owned(),
+    });
     let acts = (request.experiment.acts)(&layout);
     let samples = tokio::select! {
         (samples, acted) = async {
@@ -102,6 +110,36 @@
     Ok(report(request, &layout, &samples, &evidence, notes))
 }
 
+#[derive(Debug, Deserialize)]
+struct Status {
+    headroom: Vec<Slots>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Slots {
+    slots: usize,
+}
+
+/// Waits until the hosts together hold every slot, and tells how long that took.
+async fn ready(layout: &Layout, fleet: &Fleet) -> Option<Duration> {
+    const PAUSE: Duration = Duration::from_millis(50);
+    let all: usize = layout.services.iter().map(|s| s.endpoints * s.slots).sum();
+    let caller = Caller::new("ready");
+    let begun = Instant::now();
+    while begun.elapsed() < READY_WITHIN {
+        let mut held = 0;
+        for host in fleet.hosts.values() {
+            let status = caller.json::<Status>(Method::GET, host.ops_addr(), "/v1/status").await;
+            held += status.map_or(0, |s| s.headroom.iter().map(|h| h.slots).sum());
+        }
+        if held >= all {
+            return Some(begun.elapsed());
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    None
+}
+
 fn report(
     request: &Request,
     layout: &Layout,
--- a/crates/load/src/experiment/acts.rs
+++ b/crates/load/src/experiment/acts.rs
@@ -110,7 +110,7 @@
         Ok(())
     }
 
-    fn note(&mut self, text: String) {
+    pub(crate) fn note(&mut self, text: String) {
         let at = self.start.elapsed().as_secs_f64();
         self.notes.push(format!("{at:6.2} s  {text}"));
     }
