Schedule platform calls, bound deadlines by the service, wait out real detection

Cause: platform calls were unscheduled; a caller's deadline could outlast the wait of a slot's next holder; and that wait was 2 s although membership needs 3.4 s to detect a dead host at 11 hosts, so two hosts could use one slot. Change: every call takes a turn of the scheduler; deadlines are at most the service's; the detection time comes from membership for the fleet's size; three settings that nothing needs are gone. Conclusion: exact slots rest on the time that membership states.

--- /dev/null
+++ b/crates/entryd/src/calls.rs
@@ -0,0 +1,135 @@
+//! Turns at the platform: every call waits until the host's share allows it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use wagtail_platform::{
+    Access, Outcome, PlatformError, Priority, ScheduleEffect, ScheduleInput, Scheduler,
+};
+
+use crate::host::Host;
+use crate::waiting::Waiting;
+
+/// How long a call may wait for its turn.
+const LONGEST_WAIT: Duration = Duration::from_secs(3);
+
+/// The scheduler, and the calls that wait for it.
+#[derive(Debug)]
+pub(crate) struct Calls {
+    pub(crate) scheduler: Waiting<Scheduler, u64, Start>,
+    next: AtomicU64,
+}
+
+/// Whether a call may start.
+type Start = bool;
+
+impl Calls {
+    /// No calls yet.
+    pub(crate) fn new(scheduler: Scheduler) -> Self {
+        Self {
+            scheduler: Waiting::new(scheduler),
+            next: AtomicU64::new(0),
+        }
+    }
+}
+
+/// A call under way; counts as failed when dropped.
+pub(crate) struct Turn {
+    host: Arc<Host>,
+    id: u64,
+    outcome: Outcome,
+}
+
+impl Turn {
+    /// Notes how the call ended.
+    pub(crate) fn end<T>(mut self, result: &Result<T, PlatformError>) {
+        self.outcome = match result {
+            Ok(_) | Err(PlatformError::Conflict { .. }) => Outcome::Answered,
+            Err(_) => Outcome::Failed,
+        };
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        let (id, outcome) = (self.id, self.outcome);
+        handle(&self.host, ScheduleInput::Finished { id, outcome });
+    }
+}
+
+/// Waits for a turn.
+///
+/// # Errors
+///
+/// The call must not be made: its turn did not come in time or a newer poll took its place.
+pub(crate) async fn turn(
+    host: &Arc<Host>,
+    priority: Priority,
+    access: Access,
+) -> Result<Turn, PlatformError> {
+    let id = host.calls.next.fetch_add(1, Ordering::Relaxed);
+    let now = host.now();
+    let start = {
+        let mut scheduler = host.calls.scheduler.lock();
+        let start = scheduler.wait(id);
+        let submit = ScheduleInput::Submit {
+            id,
+            priority,
+            access,
+            deadline: now + LONGEST_WAIT,
+        };
+        scheduler.machine.handle(now, submit);
+        start
+    };
+    drive(host);
+    if start.await == Ok(true) {
+        return Ok(Turn {
+            host: host.clone(),
+            id,
+            outcome: Outcome::Failed,
+        });
+    }
+    host.metrics.count("platform.dropped");
+    Err(PlatformError::unavailable("no turn in time"))
+}
+
+/// Makes one call in its turn.
+pub(crate) async fn call<T>(
+    host: &Arc<Host>,
+    priority: Priority,
+    access: Access,
+    work: impl Future<Output = Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
+    let turn = turn(host, priority, access).await?;
+    let result = work.await;
+    turn.end(&result);
+    result
+}
+
+/// Hands an input to the scheduler.
+pub(crate) fn handle(host: &Arc<Host>, input: ScheduleInput) {
+    let now = host.now();
+    host.calls.scheduler.lock().machine.handle(now, input);
+    drive(host);
+}
+
+/// Starts and drops calls as the scheduler says.
+pub(crate) fn drive(host: &Arc<Host>) {
+    let mut scheduler = host.calls.scheduler.lock();
+    while let Some(effect) = scheduler.machine.poll_effect() {
+        let (id, start) = match effect {
+            ScheduleEffect::Start { id } => (id, true),
+            ScheduleEffect::Drop { id } => (id, false),
+        };
+        if scheduler.resolve(&id, start).is_err() && start {
+            let outcome = Outcome::Answered;
+            let now = host.now();
+            scheduler
+                .machine
+                .handle(now, ScheduleInput::Finished { id, outcome });
+        }
+    }
+    drop(scheduler);
+    host.calls.scheduler.notify();
+}
--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -29,14 +29,14 @@
 pub(crate) async fn timer<M, T, R>(
     host: &Arc<Host>,
     waiting: impl Fn(&Host) -> &Waiting<M, T, R>,
-    next: impl Fn(&M) -> Option<Instant>,
+    next: impl Fn(&M, Instant) -> Option<Instant>,
     tick: impl Fn(&Arc<Host>, Instant),
 ) where
     T: Eq + Hash,
 {
     loop {
-        let wake = next(&waiting(host).lock().machine);
         let now = host.now();
+        let wake = next(&waiting(host).lock().machine, now);
         let sleep = wake.map_or(LONGEST_SLEEP, |at| at.saturating_duration_since(now));
         if sleep > Duration::ZERO {
             let _ = tokio::time::timeout(sleep.min(LONGEST_SLEEP), waiting(host).notified()).await;
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -7,11 +7,12 @@
 use wagtail_config::{SyncEffect, SyncInput, View};
 use wagtail_member::HostInfo;
 use wagtail_peer::Control;
+use wagtail_platform::{Access, Priority, fetch_snapshot, scan_config};
 
 use super::route::send;
+use crate::calls;
 use crate::host::Host;
 use crate::plan::{self, Sites};
-use crate::records;
 
 /// Carries out the effects of config adoption.
 pub(crate) fn syncing(host: &Arc<Host>) {
@@ -37,14 +38,14 @@
         } => {
             let host = host.clone();
             tokio::spawn(async move {
-                let scanned = records::scan(&*host.platform, since, after, limit).await;
-                let input = match scanned {
-                    Some((page, snapshot)) => SyncInput::Scanned {
+                let scan = scan_config(&*host.platform, since, after, limit);
+                let input = match calls::call(&host, Priority::Poll, Access::Read, scan).await {
+                    Ok((page, snapshot)) => SyncInput::Scanned {
                         request,
                         page,
                         snapshot,
                     },
-                    None => SyncInput::Failed { request },
+                    Err(_) => SyncInput::Failed { request },
                 };
                 handle(&host, input);
             });
@@ -52,9 +53,10 @@
         SyncEffect::Fetch { request, snapshot } => {
             let host = host.clone();
             tokio::spawn(async move {
-                let input = match records::fetch(&*host.platform, &snapshot).await {
-                    Some(snapshot) => SyncInput::Fetched { request, snapshot },
-                    None => SyncInput::Failed { request },
+                let fetch = fetch_snapshot(&*host.platform, &snapshot);
+                let input = match calls::call(&host, Priority::Bulk, Access::Read, fetch).await {
+                    Ok(snapshot) => SyncInput::Fetched { request, snapshot },
+                    Err(_) => SyncInput::Failed { request },
                 };
                 handle(&host, input);
             });
--- a/crates/entryd/src/drive/dedupe.rs
+++ b/crates/entryd/src/drive/dedupe.rs
@@ -32,13 +32,13 @@
     match effect {
         Effect::Claim { claim, row } => {
             tokio::spawn(async move {
-                let result = rows::write_claim(&*host.platform, claim, &row).await;
+                let result = rows::write_claim(&host, claim, &row).await;
                 handle(&host, Input::Claimed { claim, result });
             });
         }
         Effect::ReadClaim { claim, row } => {
             tokio::spawn(async move {
-                let result = rows::read_claim(&*host.platform, claim, &row).await;
+                let result = rows::read_claim(&host, claim, &row).await;
                 handle(&host, Input::Claimed { claim, result });
             });
         }
--- a/crates/entryd/src/drive/limit.rs
+++ b/crates/entryd/src/drive/limit.rs
@@ -36,7 +36,7 @@
         Effect::Read { shard } => {
             let host = host.clone();
             tokio::spawn(async move {
-                let outcome = rows::read_lease(&*host.platform, &shard).await;
+                let outcome = rows::read_lease(&host, &shard).await;
                 handle(&host, Input::Row { shard, outcome });
             });
         }
@@ -48,7 +48,7 @@
             let host = host.clone();
             tokio::spawn(async move {
                 let attempt = row.attempt;
-                let outcome = rows::write_lease(&*host.platform, &shard, expected, &row).await;
+                let outcome = rows::write_lease(&host, &shard, expected, &row).await;
                 handle(
                     &host,
                     Input::WriteDone {
--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -5,11 +5,13 @@
 use slog::{info, warn};
 use wagtail_member::{Effect, HostView, Input, MemberChange, State};
 use wagtail_peer::Control;
+use wagtail_platform::ScheduleInput;
 use wagtail_quota::PeerInfo;
 use wagtail_route::{HostRow, HostState};
 use wagtail_types::{Incarnation, Share};
 
 use super::route::send;
+use crate::calls;
 use crate::host::Host;
 
 /// Carries out the effects of membership.
@@ -82,6 +84,9 @@
     let live = live.map(|v| v.info.host.clone()).collect();
     super::sync_input(host, wagtail_config::SyncInput::Peers(live));
     rebuild(host, &views);
+    let hosts = u32::try_from(views.len()).unwrap_or(u32::MAX);
+    let hosts = hosts.max(host.settings.fleet);
+    calls::handle(host, ScheduleInput::Fleet { hosts });
 }
 
 fn is_other(host: &Host, view: &HostView) -> bool {
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -20,6 +20,7 @@
 use wagtail_route::{Directory, Router};
 use wagtail_types::{AttemptId, Clock, Incarnation};
 
+use crate::calls::Calls;
 use crate::lifecycle::Watch;
 use crate::metrics::Metrics;
 use crate::plan::Sites;
@@ -80,6 +81,8 @@
     pub(crate) upstreams: Upstreams,
     /// Connections to other hosts.
     pub(crate) peer: std::sync::OnceLock<Peer>,
+    /// Turns at the platform.
+    pub(crate) calls: Calls,
     /// The platform.
     pub(crate) platform: Arc<dyn Platform>,
     /// Signals that a configuration is in force.
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod api;
+mod calls;
 mod drive;
 mod host;
 mod intake;
@@ -14,7 +15,6 @@
 mod logs;
 mod metrics;
 mod plan;
-mod records;
 mod relay;
 mod reports;
 mod request;
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -53,14 +53,15 @@
     let named = run::named(&host.view.load(), &head)?;
     let limit = host.settings.limits.buffer.as_usize();
     let payload = Payload::read(Body::new(body.map_err(axum::Error::new)), limit).await?;
-    let deadline = head.deadline.unwrap_or(host.settings.times.deadline);
+    let longest = named.service.deadline;
+    let deadline = head.deadline.unwrap_or(longest).min(longest);
     let mut job = Job {
         service: named.service,
         team: named.team,
         method: head.method,
         path: head.path,
         headers: head.headers,
-        deadline: host.now() + deadline.min(host.settings.times.longest),
+        deadline: host.now() + deadline,
         origin: match head.step {
             Step::Owner => Origin::Relayed,
             Step::Issuer => Origin::Local,
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -102,10 +102,11 @@
 ) -> Result<Response<Body>, Refusal> {
     let view = host.view.load_full();
     let (service, team) = entitle(host, &view, &intake.service, intake.digest.as_ref())?;
+    // A slot's next holder waits out the service's deadline, so no request may run longer.
     let given = intake
         .deadline
         .unwrap_or(service.deadline)
-        .min(host.settings.times.longest);
+        .min(service.deadline);
     let limits = &host.settings.limits;
     let body = Body::new(http_body_util::Limited::new(body, limits.body.as_usize()));
     let deadline = host.now() + given;
--- a/crates/entryd/src/rows.rs
+++ b/crates/entryd/src/rows.rs
@@ -1,11 +1,16 @@
 //! Rows of leases and claims in the platform's table.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use wagtail_once::{ClaimResult, ClaimRow};
-use wagtail_platform::{Platform, PlatformError, RowKey, Txn, Write};
+use wagtail_platform::{Access, PlatformError, Priority, Receipt, RowKey, Txn, Write};
 use wagtail_quota::{Member, ReadOutcome, Row, ShardId, TeamTokens, WriteOutcome};
 use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, TeamId, Tokens};
 
+use crate::calls;
+use crate::host::Host;
+
 const LEASES: &str = "lease";
 const CLAIMS: &str = "claim";
 
@@ -79,13 +84,25 @@
     }
 }
 
+async fn read(
+    host: &Arc<Host>,
+    priority: Priority,
+    key: &RowKey,
+) -> Result<Option<wagtail_platform::Row>, PlatformError> {
+    calls::call(host, priority, Access::Read, host.platform.read(key)).await
+}
+
+async fn write(host: &Arc<Host>, priority: Priority, txn: &Txn) -> Result<Receipt, PlatformError> {
+    calls::call(host, priority, Access::Write, host.platform.transact(txn)).await
+}
+
 fn lease_key(shard: &ShardId) -> RowKey {
     RowKey::new(LEASES, &shard.to_string())
 }
 
 /// Reads the row of a shard's lease.
-pub(crate) async fn read_lease(platform: &dyn Platform, shard: &ShardId) -> ReadOutcome {
-    match platform.read(&lease_key(shard)).await {
+pub(crate) async fn read_lease(host: &Arc<Host>, shard: &ShardId) -> ReadOutcome {
+    match read(host, Priority::Lease, &lease_key(shard)).await {
         Ok(None) => ReadOutcome::Absent,
         Ok(Some(row)) => {
             parse_lease(&row.value).map_or(ReadOutcome::Failed, |lease| ReadOutcome::Found {
@@ -103,7 +120,7 @@
 
 /// Writes the row of a shard's lease over the expected version.
 pub(crate) async fn write_lease(
-    platform: &dyn Platform,
+    host: &Arc<Host>,
     shard: &ShardId,
     expected: Option<u64>,
     row: &Row,
@@ -115,7 +132,7 @@
     let txn = Txn::new(row.attempt)
         .check(key.clone(), expected)
         .write(Write::put(key, &text));
-    match platform.transact(&txn).await {
+    match write(host, Priority::Lease, &txn).await {
         Ok(receipt) => WriteOutcome::Applied {
             version: receipt.version,
         },
@@ -138,11 +155,7 @@
 }
 
 /// Inserts the row of a claim unless there is one.
-pub(crate) async fn write_claim(
-    platform: &dyn Platform,
-    claim: AttemptId,
-    row: &ClaimRow,
-) -> ClaimResult {
+pub(crate) async fn write_claim(host: &Arc<Host>, claim: AttemptId, row: &ClaimRow) -> ClaimResult {
     let value = Claim {
         host: row.host.clone(),
         incarnation: row.incarnation,
@@ -156,9 +169,9 @@
     let txn = Txn::new(claim)
         .check(key.clone(), None)
         .write(Write::put(key, &text));
-    match platform.transact(&txn).await {
+    match write(host, Priority::Claim, &txn).await {
         Ok(_) => ClaimResult::Applied,
-        Err(PlatformError::Conflict { .. }) => read_claim(platform, claim, row).await,
+        Err(PlatformError::Conflict { .. }) => read_claim(host, claim, row).await,
         Err(PlatformError::Unknown { .. }) => ClaimResult::Unknown,
         Err(PlatformError::Unavailable { .. } | PlatformError::NotApplied { .. }) => {
             ClaimResult::Unavailable
@@ -167,12 +180,8 @@
 }
 
 /// Reads the row of a claim, to learn whose it is.
-pub(crate) async fn read_claim(
-    platform: &dyn Platform,
-    claim: AttemptId,
-    row: &ClaimRow,
-) -> ClaimResult {
-    match platform.read(&claim_key(row)).await {
+pub(crate) async fn read_claim(host: &Arc<Host>, claim: AttemptId, row: &ClaimRow) -> ClaimResult {
+    match read(host, Priority::Claim, &claim_key(row)).await {
         Ok(None) => ClaimResult::Absent,
         Ok(Some(found)) if found.attempt == claim => ClaimResult::Applied,
         Ok(Some(found)) => match serde_json::from_str::<Claim>(&found.value) {
--- a/crates/entryd/src/settings.rs
+++ b/crates/entryd/src/settings.rs
@@ -125,10 +125,6 @@
     pub outcomes: Duration,
     /// Connecting to an endpoint or host.
     pub connect: Duration,
-    /// Deadline for requests that bring none to a service with none.
-    pub deadline: Duration,
-    /// Longest deadline taken from a request.
-    pub longest: Duration,
     /// How long callers may cache a look-up.
     pub lookup: Duration,
     /// Longest graceful stop.
@@ -139,8 +135,6 @@
     pub lease: Duration,
     /// Between polls of the config head.
     pub poll: Duration,
-    /// Between membership probes.
-    pub probe: Duration,
 }
 
 /// Checked settings of one entry host.
--- a/crates/entryd/src/settings/raw.rs
+++ b/crates/entryd/src/settings/raw.rs
@@ -114,12 +114,6 @@
                 "it must not exceed --max-body",
             ));
         }
-        if self.times.deadline > self.times.longest {
-            return Err(SettingsError::value(
-                "deadline",
-                "it must not exceed --max-deadline",
-            ));
-        }
         if self.times.stop <= self.times.lookup {
             return Err(SettingsError::value(
                 "stop-timeout",
@@ -185,13 +179,10 @@
     Ok(Times {
         outcomes: raw.time("outcome-time")?,
         connect: raw.time("connect-timeout")?,
-        deadline: raw.time("deadline")?,
-        longest: raw.time("max-deadline")?,
         lookup: raw.time("lookup-ttl")?,
         stop: raw.time("stop-timeout")?,
         staleness: raw.time("key-staleness")?,
         lease: raw.time("lease-term")?,
         poll: raw.time("poll-interval")?,
-        probe: raw.time("probe-interval")?,
     })
 }
--- a/crates/entryd/src/settings/spec.rs
+++ b/crates/entryd/src/settings/spec.rs
@@ -125,18 +125,6 @@
         Some("1s"),
         "connecting to an endpoint or host",
     ),
-    spec(
-        "deadline",
-        "DURATION",
-        Some("10s"),
-        "for requests that bring none to a service with none",
-    ),
-    spec(
-        "max-deadline",
-        "DURATION",
-        Some("120s"),
-        "longest deadline taken from a request",
-    ),
     spec(
         "lookup-ttl",
         "DURATION",
@@ -167,12 +155,6 @@
         Some("500ms"),
         "between polls of the config head",
     ),
-    spec(
-        "probe-interval",
-        "DURATION",
-        Some("200ms"),
-        "between membership probes",
-    ),
     spec(
         "seed",
         "NUMBER",
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -15,12 +15,13 @@
 use wagtail_member::{HostInfo, Member};
 use wagtail_once::Once;
 use wagtail_peer::{FleetSecret, Lines, Peer};
-use wagtail_platform::{HttpClient, HttpSettings, Platform};
+use wagtail_platform::{HttpClient, HttpSettings, Platform, ScheduleSettings, Scheduler};
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
 use wagtail_types::{Clock, Incarnation, SystemClock};
 
 use crate::api;
+use crate::calls::Calls;
 use crate::drive;
 use crate::host::{Host, rng};
 use crate::lifecycle::{Serving, Starting};
@@ -181,6 +182,8 @@
     let now = clock.now();
     let mut random = rng(settings.seed);
     let incarnation = incarnation(&*clock);
+    let member = member_settings(&settings, incarnation);
+    let detection = member.detection(settings.fleet as usize);
     let platform = options
         .platform
         .clone()
@@ -197,7 +200,11 @@
         sites: Sites::default().into_swap(),
         directory: Directory::default().into_swap(),
         mode: wagtail_member::Mode::CutOff { since: now }.into_swap(),
-        routing: Waiting::new(Router::new(route_settings(&settings), random.random(), now)),
+        routing: Waiting::new(Router::new(
+            route_settings(&settings, detection),
+            random.random(),
+            now,
+        )),
         limiting: Waiting::new(Quota::new(
             quota_settings(&settings, incarnation),
             random.random(),
@@ -210,13 +217,17 @@
             random.random(),
             now,
         )),
-        membership: Waiting::new(Member::new(
-            member_settings(&settings, incarnation),
+        membership: Waiting::new(Member::new(member, random.random(), now)),
+        syncing: Waiting::new(ConfigSync::new(
+            sync_settings(&settings),
             random.random(),
             now,
         )),
-        syncing: Waiting::new(ConfigSync::new(
-            sync_settings(&settings),
+        calls: Calls::new(Scheduler::new(
+            ScheduleSettings {
+                hosts: settings.fleet,
+                ..ScheduleSettings::default()
+            },
             random.random(),
             now,
         )),
@@ -247,12 +258,11 @@
     Incarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
-fn route_settings(settings: &Settings) -> wagtail_route::Settings {
-    wagtail_route::Settings::new(
-        settings.host.clone(),
-        settings.zone.clone(),
-        settings.region.clone(),
-    )
+fn route_settings(settings: &Settings, detection: Duration) -> wagtail_route::Settings {
+    let (zone, region) = (settings.zone.clone(), settings.region.clone());
+    let mut route = wagtail_route::Settings::new(settings.host.clone(), zone, region);
+    route.owner.detection = detection;
+    route
 }
 
 fn quota_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_quota::Settings {
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -6,9 +6,10 @@
 use rand::seq::IndexedRandom;
 use tokio::task::JoinSet;
 use wagtail_peer::Control;
-use wagtail_platform::ListedState;
+use wagtail_platform::{Access, ListedState, Priority};
 use wagtail_types::HostId;
 
+use crate::calls;
 use crate::drive;
 use crate::host::{Host, rng};
 use crate::reports;
@@ -23,7 +24,7 @@
 pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_route::Router::next_wake;
+        let next = |m: &wagtail_route::Router, _| m.next_wake();
         drive::timer(
             &timers,
             |h| &h.routing,
@@ -37,7 +38,7 @@
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_quota::Quota::next_wake;
+        let next = |m: &wagtail_quota::Quota, _| m.next_wake();
         drive::timer(
             &timers,
             |h| &h.limiting,
@@ -51,7 +52,7 @@
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_once::Once::next_wake;
+        let next = |m: &wagtail_once::Once, _| m.next_wake();
         drive::timer(
             &timers,
             |h| &h.deduping,
@@ -65,7 +66,7 @@
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_member::Member::next_wake;
+        let next = |m: &wagtail_member::Member, _| m.next_wake();
         drive::timer(
             &timers,
             |h| &h.membership,
@@ -79,7 +80,7 @@
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_config::ConfigSync::next_wake;
+        let next = |m: &wagtail_config::ConfigSync, _| m.next_wake();
         drive::timer(
             &timers,
             |h| &h.syncing,
@@ -91,6 +92,20 @@
         )
         .await;
     });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |s: &wagtail_platform::Scheduler, now| s.next_wake(now);
+        drive::timer(
+            &timers,
+            |h| &h.calls.scheduler,
+            next,
+            |h, now| {
+                h.calls.scheduler.lock().machine.tick(now);
+                calls::drive(h);
+            },
+        )
+        .await;
+    });
     tasks.spawn(reports::poll(host.clone()));
     tasks.spawn(advertise(host.clone()));
     tasks.spawn(read_list(host.clone()));
@@ -123,9 +138,8 @@
     let mut period = tokio::time::interval(LIST_PERIOD);
     loop {
         period.tick().await;
-        let Ok(list) = host.platform.list().await else {
-            continue;
-        };
+        let list = calls::call(&host, Priority::Bulk, Access::Read, host.platform.list());
+        let Ok(list) = list.await else { continue };
         for listed in list.iter().filter(|l| l.state == ListedState::Leaving) {
             if let Ok(endpoint) = listed.name.parse() {
                 let input = wagtail_route::Input::Leaving(endpoint);
