--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod plot;
 pub mod promises;
 pub mod report;
+pub mod run;
 pub mod text;
 pub mod tour;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,6 +4,7 @@
 
 use lexopt::Arg::{Long, Short, Value};
 use wagtail_load::experiment::CommandError;
+use wagtail_load::run::RunError;
 
 const USAGE_STATUS: u8 = 2;
 const HELP: &str = "\
@@ -13,6 +14,7 @@
 
 Commands:
   experiment  One deployment in one process under load and faults, promises checked
+  run         An open-loop load against given entry hosts
   try         A tour of the whole path in one process, under 30 s
 
 Options of a command: wagtail-load <COMMAND> --help
@@ -28,6 +30,7 @@
             Err(e) => usage(&e),
         },
         Ok(Some(Value(name))) if name == "experiment" => experiment(args),
+        Ok(Some(Value(name))) if name == "run" => run(args),
         Ok(Some(Long("help") | Short('h'))) => help(),
         Ok(Some(other)) => usage(&other.unexpected()),
         Ok(None) => usage(&"a command is needed"),
@@ -62,6 +65,15 @@
     }
 }
 
+fn run(args: lexopt::Parser) -> ExitCode {
+    match runtime().map(|r| r.block_on(wagtail_load::run::command(args))) {
+        Ok(Ok(status)) => status,
+        Ok(Err(RunError::Arguments(e))) => usage(&e),
+        Ok(Err(e)) => fail(&e),
+        Err(e) => fail(&e),
+    }
+}
+
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
     tokio::runtime::Builder::new_multi_thread().enable_all().build()
 }
