--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -73,7 +73,11 @@
         for (region, home) in self.shared.homes.iter().enumerate() {
             let path = format!("/v1/lookup?client={}", self.shared.mix.homes[region]);
             for addr in self.hosts(region) {
-                let found = self.shared.caller.json::<Lookup>(Method::GET, addr, &path).await;
+                let found = self
+                    .shared
+                    .caller
+                    .json::<Lookup>(Method::GET, addr, &path)
+                    .await;
                 if let Ok(found) = found
                     && !found.hosts.is_empty()
                 {
@@ -166,8 +170,18 @@
         let mut got = Got::Unreached {
             reason: "no host is known".to_owned(),
         };
-        for addr in hosts.iter().cycle().skip(first).take(TRIES.min(hosts.len())) {
-            got = self.shared.caller.call_as(*addr, call, id.to_owned()).await.got;
+        for addr in hosts
+            .iter()
+            .cycle()
+            .skip(first)
+            .take(TRIES.min(hosts.len()))
+        {
+            got = self
+                .shared
+                .caller
+                .call_as(*addr, call, id.to_owned())
+                .await
+                .got;
             if !matches!(got, Got::Unreached { .. }) {
                 break;
             }
@@ -182,7 +196,11 @@
         }
         let path = format!("/v1/keys?count={KEYS_AT_ONCE}");
         for addr in hosts.iter().take(TRIES) {
-            let keys = self.shared.caller.json::<Keys>(Method::POST, *addr, &path).await;
+            let keys = self
+                .shared
+                .caller
+                .json::<Keys>(Method::POST, *addr, &path)
+                .await;
             if let Ok(keys) = keys {
                 let mut pool = lock(&home.keys);
                 pool.extend(keys.keys);
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -28,7 +28,11 @@
         match text {
             "tender" => Ok(Self::Tender),
             "annex" => Ok(Self::Annex),
-            _ => Err(ParseError::new("deployment", text, "tender or annex was expected")),
+            _ => Err(ParseError::new(
+                "deployment",
+                text,
+                "tender or annex was expected",
+            )),
         }
     }
 }
@@ -142,7 +146,14 @@
             },
         ],
         teams: teams(&[
-            "aber-lead", "bangor", "conwy", "dublin", "gent", "harlech", "leuven", "tywyn",
+            "aber-lead",
+            "bangor",
+            "conwy",
+            "dublin",
+            "gent",
+            "harlech",
+            "leuven",
+            "tywyn",
         ]),
     }
 }
@@ -182,7 +193,14 @@
             },
         ],
         teams: teams(&[
-            "abilene", "bryan", "crockett", "denton", "elgin", "frisco", "galveston", "hondo",
+            "abilene",
+            "bryan",
+            "crockett",
+            "denton",
+            "elgin",
+            "frisco",
+            "galveston",
+            "hondo",
         ]),
     }
 }
@@ -228,7 +246,10 @@
     /// The name of an endpoint, and its zone.
     pub fn endpoint(&self, service: &Service, index: usize) -> (String, String) {
         let zones = self.hosts.len();
-        (format!("{}-{index}", service.name), self.zone(index % zones))
+        (
+            format!("{}-{index}", service.name),
+            self.zone(index % zones),
+        )
     }
 
     /// Every entry host with its zone.
@@ -289,16 +310,26 @@
     pub fn records(&self) -> Vec<Raw> {
         let mut records = self.places();
         for service in &self.services {
-            records.push(raw(1, "service", service.name, json!({
-                "class": service.class, "idempotent": service.idempotent,
-                "weight": service.weight, "deadline_ms": 2_000,
-            })));
+            records.push(raw(
+                1,
+                "service",
+                service.name,
+                json!({
+                    "class": service.class, "idempotent": service.idempotent,
+                    "weight": service.weight, "deadline_ms": 2_000,
+                }),
+            ));
             for index in 0..service.endpoints {
                 let (name, zone) = self.endpoint(service, index);
-                records.push(raw(1, "endpoint", &name, json!({
-                    "service": service.name, "zone": zone, "addr": "127.0.0.1:1",
-                    "slots": service.slots, "connections": service.connections,
-                })));
+                records.push(raw(
+                    1,
+                    "endpoint",
+                    &name,
+                    json!({
+                        "service": service.name, "zone": zone, "addr": "127.0.0.1:1",
+                        "slots": service.slots, "connections": service.connections,
+                    }),
+                ));
             }
         }
         records.extend(self.teams.iter().map(|team| self.team(team, &[team.key()])));
@@ -309,10 +340,15 @@
     pub fn team(&self, team: &Team, keys: &[String]) -> Raw {
         let services: Vec<_> = self.services.iter().map(|s| s.name).collect();
         let keys: Vec<_> = keys.iter().map(|key| digest(key)).collect();
-        raw(2, "team", team.name, json!({
-            "rate": team.rate, "burst": team.burst.micros() / Tokens::ONE.micros(),
-            "keys": keys, "services": services,
-        }))
+        raw(
+            2,
+            "team",
+            team.name,
+            json!({
+                "rate": team.rate, "burst": team.burst.micros() / Tokens::ONE.micros(),
+                "keys": keys, "services": services,
+            }),
+        )
     }
 
     fn places(&self) -> Vec<Raw> {
@@ -320,7 +356,11 @@
         let zones: Vec<_> = (0..self.hosts.len()).map(|z| self.zone(z)).collect();
         for (index, region) in self.regions.iter().enumerate() {
             let millis = |to: &&str| {
-                let delay = if to == region { self.zone_delay } else { self.region_delay };
+                let delay = if to == region {
+                    self.zone_delay
+                } else {
+                    self.region_delay
+                };
                 ((*to).to_owned(), json!(delay.as_secs_f64() * 1_000.0))
             };
             let delays: serde_json::Map<_, _> = self.regions.iter().map(millis).collect();
@@ -329,16 +369,26 @@
             order.rotate_left(2 * index);
             records.push(raw(1, "site", region, json!({ "zones": order })));
             let block = format!("198.51.{index}.0/24 {region}");
-            records.push(raw(1, "blocks", &index.to_string(), json!({ "blocks": [block] })));
+            records.push(raw(
+                1,
+                "blocks",
+                &index.to_string(),
+                json!({ "blocks": [block] }),
+            ));
         }
         for (index, zone) in zones.iter().enumerate() {
             let region = self.regions[index / 2];
             records.push(raw(1, "zone", zone, json!({ "region": region })));
         }
         for (name, zone) in self.host_names() {
-            records.push(raw(1, "host", &name, json!({
-                "zone": zone, "api": "127.0.0.1:1", "peer": "127.0.0.1:2",
-            })));
+            records.push(raw(
+                1,
+                "host",
+                &name,
+                json!({
+                    "zone": zone, "api": "127.0.0.1:1", "peer": "127.0.0.1:2",
+                }),
+            ));
         }
         records
     }
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -83,7 +83,10 @@
     let layout = Arc::new(request.deployment.layout());
     let network = Network::new(layout.clone());
     let fleet = start(&layout, &network, request).await?;
-    let callers = Callers::new(layout.mix(), fleet.hosts.values().map(|h| h.addr()).collect());
+    let callers = Callers::new(
+        layout.mix(),
+        fleet.hosts.values().map(|h| h.addr()).collect(),
+    );
     callers.look().await;
     let ready = ready(&layout, &fleet).await;
     tokio::time::sleep(WARM_UP).await;
@@ -93,7 +96,10 @@
     let start = Instant::now();
     let mut stage = acts::Stage::new(layout.clone(), network, fleet, start);
     stage.note(match ready {
-        Some(after) => format!("every slot has its host {:.2} s after the start", after.as_secs_f64()),
+        Some(after) => format!(
+            "every slot has its host {:.2} s after the start",
+            after.as_secs_f64()
+        ),
         None => "not every slot has its host".to_owned(),
     });
     let acts = (request.experiment.acts)(&layout);
@@ -129,7 +135,9 @@
     while begun.elapsed() < READY_WITHIN {
         let mut held = 0;
         for host in fleet.hosts.values() {
-            let status = caller.json::<Status>(Method::GET, host.ops_addr(), "/v1/status").await;
+            let status = caller
+                .json::<Status>(Method::GET, host.ops_addr(), "/v1/status")
+                .await;
             held += status.map_or(0, |s| s.headroom.iter().map(|h| h.slots).sum());
         }
         if held >= all {
@@ -172,19 +180,17 @@
     };
     let own = request.flags.iter().map(|(n, v)| (n.as_str(), v.as_str()));
     let flags: Vec<_> = FLAGS.iter().copied().chain(own).collect();
-    let endpoints = |name: &str, service: &str| endpoint_settings(layout, request.seed, name, service);
+    let endpoints =
+        |name: &str, service: &str| endpoint_settings(layout, request.seed, name, service);
     Fleet::start_on(platform, layout.records(), &endpoints, &options, &flags).await
 }
 
-fn endpoint_settings(
-    layout: &Layout,
-    seed: u64,
-    name: &str,
-    service: &str,
-) -> endpoint::Settings {
+fn endpoint_settings(layout: &Layout, seed: u64, name: &str, service: &str) -> endpoint::Settings {
     const SIGMA: f64 = 0.4;
     let mut settings = endpoint::Settings {
-        seed: name.bytes().fold(seed, |seed, b| seed.wrapping_mul(31).wrapping_add(b.into())),
+        seed: name
+            .bytes()
+            .fold(seed, |seed, b| seed.wrapping_mul(31).wrapping_add(b.into())),
         sigma: SIGMA,
         ..endpoint::Settings::default()
     };
--- a/crates/load/src/experiment/acts.rs
+++ b/crates/load/src/experiment/acts.rs
@@ -83,7 +83,10 @@
         match act {
             Act::StoreDown(down) => {
                 let faults = self.fleet.platform.faults.get();
-                self.fleet.platform.faults.set(wagtail_standin::platform::Faults { down, ..faults });
+                self.fleet
+                    .platform
+                    .faults
+                    .set(wagtail_standin::platform::Faults { down, ..faults });
             }
             Act::StoreSlow(delay_ms) => {
                 let faults = self.fleet.platform.faults.get();
@@ -99,7 +102,9 @@
                     "service": service, "from": from, "to": to, "ramp_s": ramp,
                     "share": format!("{share}%"), "cap": format!("{cap}%"),
                 });
-                self.fleet.put(vec![raw(1, "move", "planned", body)]).await?;
+                self.fleet
+                    .put(vec![raw(1, "move", "planned", body)])
+                    .await?;
             }
             Act::Stop(host) => self.stop(&host).await?,
             Act::Kill(host) => self.kill(&host).await,
@@ -117,7 +122,9 @@
 
     async fn drain(&mut self, endpoint: String) -> Result<(), FleetError> {
         let body = json!({ "endpoint": endpoint });
-        self.fleet.put(vec![raw(1, "drain", "planned", body)]).await?;
+        self.fleet
+            .put(vec![raw(1, "drain", "planned", body)])
+            .await?;
         self.evidence.leaving.insert(endpoint, self.start.elapsed());
         Ok(())
     }
@@ -136,7 +143,10 @@
         if let Some(running) = self.fleet.hosts.remove(host) {
             let begun = Instant::now();
             running.stop().await?;
-            self.note(format!("{host} stopped after {:.2} s", begun.elapsed().as_secs_f64()));
+            self.note(format!(
+                "{host} stopped after {:.2} s",
+                begun.elapsed().as_secs_f64()
+            ));
         }
         Ok(())
     }
@@ -151,7 +161,13 @@
     async fn lose(&mut self, region: usize) {
         self.evidence.crashed = true;
         let prefix = format!("{}-", self.layout.regions[region]);
-        let hosts: Vec<_> = self.fleet.hosts.keys().filter(|h| h.starts_with(&prefix)).cloned().collect();
+        let hosts: Vec<_> = self
+            .fleet
+            .hosts
+            .keys()
+            .filter(|h| h.starts_with(&prefix))
+            .cloned()
+            .collect();
         for host in hosts {
             self.kill(&host).await;
         }
@@ -179,7 +195,9 @@
         while committed.elapsed() < PATIENCE {
             if self.epochs().await.iter().all(|epoch| *epoch > before) {
                 let after = committed.elapsed().as_millis();
-                self.note(format!("in force on every host {after} ms after the commit"));
+                self.note(format!(
+                    "in force on every host {after} ms after the commit"
+                ));
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -191,7 +209,9 @@
     async fn epochs(&self) -> Vec<wagtail_types::Epoch> {
         let mut epochs = Vec::new();
         for host in self.fleet.hosts.values() {
-            let status = self.caller.json::<HostStatus>(Method::GET, host.addr(), "/v1/status");
+            let status = self
+                .caller
+                .json::<HostStatus>(Method::GET, host.addr(), "/v1/status");
             epochs.push(status.await.map(|s| s.epoch).unwrap_or_default());
         }
         epochs
@@ -226,10 +246,13 @@
         }
         for (name, told) in self.evidence.leaving.clone() {
             let own = self.evidence.seen.iter().filter(|s| s.endpoint == name);
-            let last = own.filter_map(|s| Some(s.at? + s.entry.ended? - s.entry.started)).max();
+            let last = own
+                .filter_map(|s| Some(s.at? + s.entry.ended? - s.entry.started))
+                .max();
             if let Some(last) = last {
                 let after = last.saturating_sub(told).as_secs_f64();
-                self.notes.push(format!("{name} was drained {after:.2} s after it was told"));
+                self.notes
+                    .push(format!("{name} was drained {after:.2} s after it was told"));
             }
         }
         self.network.heal();
--- a/crates/load/src/experiment/catalogue.rs
+++ b/crates/load/src/experiment/catalogue.rs
@@ -63,7 +63,12 @@
         name: "store-out",
         about: "the platform is down for 6 s",
         profile: steady,
-        acts: |_| vec![(secs(3), Act::StoreDown(true)), (secs(9), Act::StoreDown(false))],
+        acts: |_| {
+            vec![
+                (secs(3), Act::StoreDown(true)),
+                (secs(9), Act::StoreDown(false)),
+            ]
+        },
     },
     Experiment {
         name: "store-slow",
@@ -100,7 +105,10 @@
         profile: steady,
         acts: |layout| {
             let (service, regions) = (layout.services[0].name, layout.regions);
-            vec![(secs(3), Act::Move(service, regions[0], regions[1], 40, 50, 4))]
+            vec![(
+                secs(3),
+                Act::Move(service, regions[0], regions[1], 40, 50, 4),
+            )]
         },
     },
     Experiment {
--- a/crates/load/src/experiment/command.rs
+++ b/crates/load/src/experiment/command.rs
@@ -74,7 +74,10 @@
         plot(&report.measures, &title, file)?;
     }
     if args.json {
-        println!("{}", serde_json::to_string_pretty(&report).unwrap_or_default());
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&report).unwrap_or_default()
+        );
     } else {
         print!("{}", text::whole(&report));
     }
@@ -86,10 +89,16 @@
     second.flags.extend(args.against.clone());
     let lines = compare(&args.request, &second, args.turns).await?;
     if args.json {
-        println!("{}", serde_json::to_string_pretty(&lines).unwrap_or_default());
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&lines).unwrap_or_default()
+        );
         return Ok(ExitCode::SUCCESS);
     }
-    println!("{:<28}{:>12}{:>12}{:>8}   spread", "measure", "first", "second", "ratio");
+    println!(
+        "{:<28}{:>12}{:>12}{:>8}   spread",
+        "measure", "first", "second", "ratio"
+    );
     for line in lines {
         let (least, most) = line.spread;
         println!(
@@ -146,6 +155,8 @@
 
 fn setting(args: &mut lexopt::Parser) -> Result<(String, String), lexopt::Error> {
     let text = args.value()?.string()?;
-    let (name, value) = text.split_once('=').ok_or("a form like lease-term=3s was expected")?;
+    let (name, value) = text
+        .split_once('=')
+        .ok_or("a form like lease-term=3s was expected")?;
     Ok((name.to_owned(), value.to_owned()))
 }
--- a/crates/load/src/experiment/compare.rs
+++ b/crates/load/src/experiment/compare.rs
@@ -34,13 +34,24 @@
     let mut pairs = Vec::new();
     for turn in 0..turns.max(1) {
         let seed = first.seed + turn;
-        let a = run(&Request { seed, ..first.clone() }).await?;
-        let b = run(&Request { seed, ..second.clone() }).await?;
+        let a = run(&Request {
+            seed,
+            ..first.clone()
+        })
+        .await?;
+        let b = run(&Request {
+            seed,
+            ..second.clone()
+        })
+        .await?;
         pairs.push((figures(&a), figures(&b)));
     }
     let names: Vec<String> = pairs[0].0.iter().map(|(name, _)| name.clone()).collect();
     let one = |(index, name): (usize, String)| {
-        let values: Vec<_> = pairs.iter().map(|(a, b)| (a[index].1, b[index].1)).collect();
+        let values: Vec<_> = pairs
+            .iter()
+            .map(|(a, b)| (a[index].1, b[index].1))
+            .collect();
         comparison(name, &values)
     };
     Ok(names.into_iter().enumerate().map(one).collect())
@@ -79,7 +90,10 @@
     let worst = teams.iter().map(|l| l.latency.p99).fold(0.0, f64::max);
     figures.push(("worst team p99 ms".to_owned(), worst));
     let wrongful = teams.iter().filter_map(|l| l.wrongful).map(percent);
-    figures.push(("worst team wrongful %".to_owned(), wrongful.fold(0.0, f64::max)));
+    figures.push((
+        "worst team wrongful %".to_owned(),
+        wrongful.fold(0.0, f64::max),
+    ));
     let broken: usize = report.promises.iter().map(|p| p.broken).sum();
     figures.push(("promises broken".to_owned(), broken as f64));
     figures
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -75,7 +75,9 @@
 }
 
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
-    tokio::runtime::Builder::new_multi_thread().enable_all().build()
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
 }
 
 fn fail(error: &dyn std::error::Error) -> ExitCode {
--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -177,7 +177,9 @@
     let (mut level, mut last) = (burst, Duration::ZERO);
     let mut count = Wrongful::default();
     for sample in samples {
-        level = level.saturating_add(rate.over(sample.due.saturating_sub(last))).min(burst);
+        level = level
+            .saturating_add(rate.over(sample.due.saturating_sub(last)))
+            .min(burst);
         last = sample.due;
         if level < Tokens::ONE {
             continue;
--- a/crates/load/src/network.rs
+++ b/crates/load/src/network.rs
@@ -41,11 +41,17 @@
 
     /// Mends every cut.
     pub fn heal(&self) {
-        self.cut.write().unwrap_or_else(PoisonError::into_inner).clear();
+        self.cut
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
     }
 
     fn is_cut(&self, zone: &str) -> bool {
-        self.cut.read().unwrap_or_else(PoisonError::into_inner).contains(zone)
+        self.cut
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains(zone)
     }
 
     fn line(&self, from: &str, to: &str) -> Line {
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -39,11 +39,7 @@
     })
 }
 
-fn draw(
-    measures: &Measures,
-    title: &str,
-    file: &Path,
-) -> Result<(), Box<dyn std::error::Error>> {
+fn draw(measures: &Measures, title: &str, file: &Path) -> Result<(), Box<dyn std::error::Error>> {
     let root = SVGBackend::new(file, (WIDTH, HEIGHT)).into_drawing_area();
     root.fill(&WHITE)?;
     let areas = root.split_evenly((3, 1));
@@ -58,7 +54,9 @@
 
 fn over_time(seconds: &[Second], value: impl Fn(&Second) -> f64) -> Series {
     let points = seconds.iter().enumerate();
-    points.map(|(at, second)| (at as f64, value(second))).collect()
+    points
+        .map(|(at, second)| (at as f64, value(second)))
+        .collect()
 }
 
 fn counts(
@@ -94,7 +92,11 @@
         .x_label_area_size(28)
         .y_label_area_size(60)
         .build_cartesian_2d(0.0..right, 0.0..top)?;
-    chart.configure_mesh().x_desc("seconds").y_desc(unit).draw()?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc(unit)
+        .draw()?;
     for ((name, points), colour) in series.iter().zip(COLOURS) {
         chart
             .draw_series(LineSeries::new(points.iter().copied(), &colour))?
@@ -121,7 +123,11 @@
         .x_label_area_size(28)
         .y_label_area_size(60)
         .build_cartesian_2d((0.1..right).log_scale(), 0.0..100.0)?;
-    chart.configure_mesh().x_desc("ms").y_desc("percent answered").draw()?;
+    chart
+        .configure_mesh()
+        .x_desc("ms")
+        .y_desc("percent answered")
+        .draw()?;
     for (line, colour) in classes.iter().zip(COLOURS) {
         chart
             .draw_series(LineSeries::new(quantiles(line), &colour))?
@@ -132,7 +138,11 @@
 }
 
 fn legend<'a, X, Y>(
-    chart: &mut plotters::chart::ChartContext<'a, SVGBackend<'a>, plotters::coord::cartesian::Cartesian2d<X, Y>>,
+    chart: &mut plotters::chart::ChartContext<
+        'a,
+        SVGBackend<'a>,
+        plotters::coord::cartesian::Cartesian2d<X, Y>,
+    >,
 ) -> Result<(), Box<dyn std::error::Error>>
 where
     X: plotters::coord::ranged1d::Ranged<ValueType = f64>,
--- a/crates/load/src/promises.rs
+++ b/crates/load/src/promises.rs
@@ -97,7 +97,8 @@
     /// Takes the log of an endpoint.
     pub fn take(&mut self, layout: &Layout, name: &str, running: &Running, start: Instant) {
         let service = layout.services.iter().position(|s| {
-            name.strip_prefix(s.name).is_some_and(|rest| rest.starts_with('-'))
+            name.strip_prefix(s.name)
+                .is_some_and(|rest| rest.starts_with('-'))
         });
         let Some(service) = service else { return };
         let spec = &layout.services[service];
@@ -206,10 +207,16 @@
 
 fn no_key(layout: &Layout, evidence: &Evidence) -> Promise {
     let mut promise = Promise::new("no endpoint sees a key");
-    let keys: Vec<_> = layout.teams.iter().map(crate::deployment::Team::key).collect();
+    let keys: Vec<_> = layout
+        .teams
+        .iter()
+        .map(crate::deployment::Team::key)
+        .collect();
     for seen in &evidence.seen {
         let text = String::from_utf8_lossy(&seen.entry.headers);
-        let clean = keys.iter().all(|k| !text.contains(k) && !seen.entry.path.contains(k));
+        let clean = keys
+            .iter()
+            .all(|k| !text.contains(k) && !seen.entry.path.contains(k));
         promise.check(clean, || format!("{} saw a key", seen.endpoint));
     }
     promise
@@ -223,7 +230,11 @@
         let own = samples.iter().filter(|s| s.team == index && !s.again);
         let mut spans: Vec<(Duration, Duration)> = own
             .filter_map(|s| {
-                let first = ran.get(s.id.as_str())?.iter().filter_map(|seen| seen.at).min()?;
+                let first = ran
+                    .get(s.id.as_str())?
+                    .iter()
+                    .filter_map(|seen| seen.at)
+                    .min()?;
                 Some((s.due.min(first), first))
             })
             .collect();
@@ -255,13 +266,21 @@
     for peak in &evidence.peaks {
         let kept = peak.inflight <= peak.slots && peak.open <= peak.connections;
         promise.check(kept, || {
-            let Peak { endpoint, inflight, slots, open, connections } = peak;
+            let Peak {
+                endpoint,
+                inflight,
+                slots,
+                open,
+                connections,
+            } = peak;
             format!("{endpoint}: {inflight}/{slots} in flight, {open}/{connections} connections")
         });
     }
     for seen in &evidence.seen {
         let shed = seen.entry.outcome == Outcome::Refused;
-        promise.check(!shed, || format!("{} had to shed at {:?}", seen.endpoint, seen.at));
+        promise.check(!shed, || {
+            format!("{} had to shed at {:?}", seen.endpoint, seen.at)
+        });
     }
     promise
 }
@@ -271,7 +290,9 @@
     for seen in &evidence.seen {
         if let (Some(told), Some(at)) = (evidence.leaving.get(&seen.endpoint), seen.at) {
             let limit = *told + LEAVING_LIMIT;
-            promise.check(at <= limit, || format!("{} at {at:?}, told at {told:?}", seen.endpoint));
+            promise.check(at <= limit, || {
+                format!("{} at {at:?}, told at {told:?}", seen.endpoint)
+            });
         }
     }
     promise
@@ -280,10 +301,15 @@
 fn withdrawn_keys(samples: &[Sample], evidence: &Evidence, ran: &Ran<'_>) -> Promise {
     let mut promise = Promise::new("a withdrawn key stops within 2 s of acceptance");
     for sample in samples {
-        let Some(at) = evidence.withdrawn.get(&sample.team) else { continue };
+        let Some(at) = evidence.withdrawn.get(&sample.team) else {
+            continue;
+        };
         if sample.due > *at + WITHDRAWN_LIMIT {
             promise.check(!ran.contains_key(sample.id.as_str()), || {
-                format!("{} was sent at {:?} and ran, withdrawn at {at:?}", sample.id, sample.due)
+                format!(
+                    "{} was sent at {:?} and ran, withdrawn at {at:?}",
+                    sample.id, sample.due
+                )
             });
         }
     }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -97,7 +97,10 @@
         plot(&measures, "run", file)?;
     }
     if args.json {
-        println!("{}", serde_json::to_string_pretty(&measures).unwrap_or_default());
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&measures).unwrap_or_default()
+        );
     } else {
         print!("{}", text::tables(&measures));
     }
@@ -109,7 +112,9 @@
 }
 
 fn wrong(samples: &[Sample]) -> Vec<String> {
-    let wrong = samples.iter().filter(|s| matches!(s.got, Got::Wrong { .. }));
+    let wrong = samples
+        .iter()
+        .filter(|s| matches!(s.got, Got::Wrong { .. }));
     wrong.map(|s| format!("{}: {}", s.id, s.got)).collect()
 }
 
@@ -226,10 +231,16 @@
         reason,
     };
     let text = std::fs::read_to_string(file).map_err(|e| fail(e.to_string()))?;
-    let lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
+    let lines = text
+        .lines()
+        .enumerate()
+        .filter(|(_, line)| !line.trim().is_empty());
     let arrival = |(index, line)| {
         trace_line(line, mix).ok_or_else(|| {
-            fail(format!("line {}: a form like 250 lead lookup was expected", index + 1))
+            fail(format!(
+                "line {}: a form like 250 lead lookup was expected",
+                index + 1
+            ))
         })
     };
     let mut due = lines.map(arrival).collect::<Result<Vec<_>, _>>()?;
--- a/crates/load/src/text.rs
+++ b/crates/load/src/text.rs
@@ -18,8 +18,17 @@
     let _ = writeln!(
         text,
         "{what:<14}{:>7}{:>9}{:>8}{:>9}{:>6}{:>10}{:>10}{:>10}{:>10}{:>11}{:>7}",
-        "sent", "answered", "refused", "unknown", "lost", "p50 ms", "p90 ms", "p99 ms", "max ms",
-        "wrongful %", "other"
+        "sent",
+        "answered",
+        "refused",
+        "unknown",
+        "lost",
+        "p50 ms",
+        "p90 ms",
+        "p99 ms",
+        "max ms",
+        "wrongful %",
+        "other"
     );
     for line in lines {
         let unknown: u64 = line.unknown.values().sum();
@@ -44,9 +53,14 @@
             None => text.push('\n'),
         }
     }
-    for line in lines.iter().filter(|l| !l.refused.is_empty() || !l.unknown.is_empty()) {
+    for line in lines
+        .iter()
+        .filter(|l| !l.refused.is_empty() || !l.unknown.is_empty())
+    {
         let reasons = line.refused.iter().chain(&line.unknown);
-        let list: Vec<_> = reasons.map(|(reason, count)| format!("{reason} {count}")).collect();
+        let list: Vec<_> = reasons
+            .map(|(reason, count)| format!("{reason} {count}"))
+            .collect();
         let _ = writeln!(text, "  {}: {}", line.name, list.join(", "));
     }
 }
@@ -74,7 +88,11 @@
     }
     text.push('\n');
     for promise in &report.promises {
-        let mark = if promise.broken == 0 { "kept  " } else { "BROKEN" };
+        let mark = if promise.broken == 0 {
+            "kept  "
+        } else {
+            "BROKEN"
+        };
         let _ = writeln!(
             text,
             "{mark}  {} ({} of {} broken)",
