--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -26,7 +26,6 @@
 mod error;
 mod http;
 mod memory;
-mod paced;
 mod row;
 mod schedule;
 mod service;
@@ -39,7 +38,6 @@
 pub use error::PlatformError;
 pub use http::{HttpClient, HttpSettings};
 pub use memory::Memory;
-pub use paced::Paced;
 pub use row::{Check, Page, Place, Receipt, Row, RowKey, Scan, Txn, Write};
 pub use schedule::{
     Access, Outcome, Priority, ScheduleEffect, ScheduleInput, ScheduleSettings, Scheduler,
--- a/crates/platform/src/schedule.rs
+++ b/crates/platform/src/schedule.rs
@@ -10,6 +10,9 @@
 
 use pace::Pace;
 
+/// A change of the fleet's size by less than one in this many is not acted on.
+const KEPT_PART: u32 = 16;
+
 /// What a call is for; earlier ones go first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Priority {
@@ -258,8 +261,9 @@
         first.min().map(|(_, access)| access)
     }
 
+    /// A small change keeps the phases, so that a count which flaps delays nothing.
     fn set_hosts(&mut self, now: Instant, hosts: u32) {
-        if hosts == self.settings.hosts {
+        if hosts.abs_diff(self.settings.hosts) <= self.settings.hosts / KEPT_PART {
             return;
         }
         self.settings.hosts = hosts;
--- a/crates/platform/tests/schedule.rs
+++ b/crates/platform/tests/schedule.rs
@@ -276,3 +276,27 @@
     assert!(waits.iter().all(|w| *w <= longest), "{waits:?}");
     assert!(waits[7] >= longest / 2, "{waits:?}");
 }
+
+/// A host that hears of another size of the fleet every 20 ms gets as many turns as one that
+/// hears of none, and the fleet keeps its caps.
+#[test]
+fn a_size_that_flaps_neither_delays_nor_hastens() {
+    let total = |flaps: bool| {
+        let mut fleet = Fleet::new(540, 3);
+        for step in 0..500 {
+            let hosts = if flaps { 540 + step % 30 } else { 540 };
+            let now = fleet.clock.now();
+            for host in &mut fleet.hosts {
+                host.handle(now, ScheduleInput::Fleet { hosts });
+            }
+            fleet.run(STEP, Outcome::Answered);
+        }
+        assert!(
+            fleet.writes.peak <= WRITES_CAP,
+            "{} writes",
+            fleet.writes.peak
+        );
+        fleet.writes.total
+    };
+    assert_eq!(total(true), total(false));
+}
