Ask hosts that are held to be behind themselves

Cause: a change that was in force in tens of milliseconds was said to be accepted seconds later, because heartbeats carry epochs late.

Change: wagtail-ctl asks one host for all, then each host that is behind for itself, and says so where no entry host answered.

--- a/crates/ctl/src/cli/output.rs
+++ b/crates/ctl/src/cli/output.rs
@@ -52,6 +52,9 @@
             let (done, all) = (confirmed.len(), zones.len());
             let mut text =
                 format!("committed: epoch {epoch}, not yet accepted ({done} of {all} zones)\n");
+            if !outcome.answered {
+                text.push_str("no entry host answered\n");
+            }
             for host in missing {
                 let _ = writeln!(text, "missing: {host}");
             }
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -41,6 +41,8 @@
     pub epoch: Epoch,
     /// Whether it is in force everywhere that matters.
     pub acceptance: Acceptance,
+    /// Whether any entry host could be asked.
+    pub answered: bool,
     /// The zones that entry hosts stand in.
     pub zones: BTreeSet<ZoneId>,
     /// The entry hosts of the configuration.
@@ -223,10 +225,11 @@
         } else {
             own.clone()
         };
-        let acceptance = watch::wait(&view, &entries, self.settings.wait).await;
+        let watched = watch::wait(&view, &entries, self.settings.wait).await;
         Ok(Outcome {
             epoch,
-            acceptance,
+            acceptance: watched.acceptance,
+            answered: watched.answered,
             zones: view.hosts().values().map(|h| h.zone.clone()).collect(),
             hosts: view.hosts().keys().cloned().collect(),
         })
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -84,12 +84,16 @@
     ])
 }
 
-/// An entry host that answers with the epoch in the counter.
+/// An entry host that answers with the epoch in the counter, and knows nothing of others.
 async fn entry(epoch: Arc<AtomicU64>) -> SocketAddr {
+    named_entry("entry-1", epoch, json!([])).await
+}
+
+async fn named_entry(name: &'static str, epoch: Arc<AtomicU64>, members: Value) -> SocketAddr {
     let status = move || async move {
         Json(json!({
-            "host": "entry-1", "zone": "cymru-a", "epoch": epoch.load(Ordering::Relaxed),
-            "mode": "current", "members": [],
+            "host": name, "zone": "cymru-a", "epoch": epoch.load(Ordering::Relaxed),
+            "mode": "current", "members": members,
             "trends": [{"team": "lab", "service": "archive",
                 "now": {"answered": 7, "p50_ms": 1.5, "p99_ms": 9.25, "refused": {"over-rate": 2}}}],
         }))
@@ -103,6 +107,27 @@
     addr
 }
 
+#[tokio::test]
+async fn hosts_that_are_held_to_be_behind_are_asked_themselves() {
+    for (state, reported, expected) in [("live", 2, 0), ("suspect", 2, 0), ("live", 1, 3)] {
+        let second = named_entry("entry-2", Arc::new(AtomicU64::new(reported)), json!([])).await;
+        let members = json!([
+            {"host": "entry-2", "zone": "cymru-a", "state": state, "epoch": 0},
+        ]);
+        let mut ctl = Ctl::new().await;
+        ctl.entry = Some(named_entry("entry-1", Arc::new(AtomicU64::new(2)), members).await);
+        let ctl = ctl.with_records().await;
+        let host = json!({"kind": "host", "name": "entry-2", "schema": 1,
+            "body": {"zone": "cymru-a", "api": second, "peer": "127.0.0.1:2"}});
+        let said = ctl.run_with("put -", &host.to_string()).await;
+        assert_eq!(
+            said.status, expected,
+            "{state}, {reported}: {}",
+            said.output
+        );
+    }
+}
+
 #[tokio::test]
 async fn help() {
     let said = ctl(vec!["--help".to_owned()], "").await;
