route: compact blocks, an audience for adverts, benchmarks of growth

Change: the parts are kept in columns and a range's site in two bytes; Router::audience(count) draws the receivers of an advert, half from the own zone, a quarter from the own region, as far as there are so many.

API: Router::audience is new.

--- a/crates/route/benches/decisions.rs
+++ b/crates/route/benches/decisions.rs
@@ -1,7 +1,7 @@
 //! Cost of a look-up decision and of a request decision.
 
 use std::hint::black_box;
-use std::net::{IpAddr, Ipv4Addr};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 use std::time::{Duration, Instant};
 
 use criterion::{Criterion, criterion_group, criterion_main};
@@ -10,7 +10,8 @@
 use rand::{Rng, SeedableRng};
 use wagtail_route::{
     Blocks, Directory, EndpointSpec, HostRow, HostState, HostView, Input, Origin, Outcome,
-    Placement, Request, Router, ServiceSpec, Settings, SiteKey, SiteRow, Topology, ZoneSpec,
+    Placement, Relayed, Request, Router, ServiceSpec, Settings, SiteKey, SiteRow, Topology,
+    ZoneSpec,
 };
 use wagtail_types::Share;
 
@@ -22,7 +23,16 @@
 fn nets(rng: &mut SmallRng) -> Vec<(IpNet, SiteKey)> {
     let net = |rng: &mut SmallRng| {
         let (addr, len) = (Ipv4Addr::from_bits(rng.random()), rng.random_range(12..=24));
-        let net: IpNet = format!("{addr}/{len}").parse().expect("a valid block");
+        let net = IpNet::new(addr.into(), len).expect("a valid block");
+        (net.trunc(), SiteKey(rng.random_range(0..SITES)))
+    };
+    (0..BLOCKS).map(|_| net(rng)).collect()
+}
+
+fn wide_nets(rng: &mut SmallRng) -> Vec<(IpNet, SiteKey)> {
+    let net = |rng: &mut SmallRng| {
+        let (addr, len) = (Ipv6Addr::from_bits(rng.random()), rng.random_range(24..=56));
+        let net = IpNet::new(addr.into(), len).expect("a valid block");
         (net.trunc(), SiteKey(rng.random_range(0..SITES)))
     };
     (0..BLOCKS).map(|_| net(rng)).collect()
@@ -52,7 +62,10 @@
     let nets = nets(&mut rng);
     let mut blocks = Blocks::default();
     blocks.replace("all", &nets);
-    println!("blocks: {} bytes on the heap", blocks.heap_bytes());
+    println!("IPv4 blocks: {} bytes on the heap", blocks.heap_bytes());
+    let mut wide = Blocks::default();
+    wide.replace("all", &wide_nets(&mut rng));
+    println!("IPv6 blocks: {} bytes on the heap", wide.heap_bytes());
     let (hosts, sites) = (hosts(), sites());
     let directory = Directory::new(&hosts, &sites);
     let callers: Vec<IpAddr> = (0..4096)
@@ -74,40 +87,52 @@
     });
 }
 
-fn router(now: &mut Instant) -> Router {
-    let name = |text: String| text.parse().expect("a valid name");
-    let settings = Settings::new(
-        name("one".into()),
-        "a".parse().expect("name"),
-        "r".parse().expect("name"),
-    );
-    let mut router = Router::new(settings, 7, *now);
-    let endpoint = |n: usize| EndpointSpec {
-        id: format!("e-{n}").parse().expect("a valid name"),
-        service: "s".parse().expect("a valid name"),
-        zone: "a".parse().expect("a valid name"),
+fn id<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+/// Endpoints of one service in a zone.
+fn endpoints(zone: &str, count: usize) -> Vec<EndpointSpec> {
+    let endpoint = |n| EndpointSpec {
+        id: id(&format!("{zone}-{n}")),
+        service: id("s"),
+        zone: id(zone),
         slots: 6,
         connections: 300,
     };
-    let topology = Topology {
-        zones: vec![ZoneSpec {
-            id: "a".parse().expect("name"),
-            region: "r".parse().expect("name"),
-        }],
+    (0..count).map(endpoint).collect()
+}
+
+fn topology() -> Topology {
+    let zone = |n: usize| ZoneSpec {
+        id: id(&format!("zone-{n}")),
+        region: id(&format!("region-{}", n / 3)),
+    };
+    Topology {
+        zones: (0..ZONES).map(zone).collect(),
         services: vec![ServiceSpec {
-            id: "s".parse().expect("name"),
+            id: id("s"),
             longest: Duration::from_millis(500),
         }],
-        endpoints: (0..15).map(endpoint).collect(),
         ..Topology::default()
+    }
+}
+
+fn views() -> Vec<HostView> {
+    let view = |row: HostRow| HostView {
+        id: row.id,
+        zone: row.zone,
+        state: row.state,
     };
-    router.handle(*now, Input::Topology(topology));
-    let view = HostView {
-        id: "one".parse().expect("name"),
-        zone: "a".parse().expect("name"),
-        state: HostState::Serving,
-    };
-    router.handle(*now, Input::Hosts(vec![view]));
+    hosts().into_iter().map(view).collect()
+}
+
+/// The router of `host-0` in `zone-0`, past its wait.
+fn router(now: &mut Instant, topology: &Topology, views: &[HostView]) -> Router {
+    let settings = Settings::new(id("host-0"), id("zone-0"), id("region-0"));
+    let mut router = Router::new(settings, 7, *now);
+    router.handle(*now, Input::Topology(topology.clone()));
+    router.handle(*now, Input::Hosts(views.to_vec()));
     for _ in 0..20 {
         *now += Duration::from_millis(200);
         router.tick(*now);
@@ -115,14 +140,10 @@
     router
 }
 
-fn request(c: &mut Criterion) {
-    let mut now = Instant::now();
-    let mut router = router(&mut now);
-    let service = router
-        .service(&"s".parse().expect("name"))
-        .expect("configured");
-    let request = Request {
-        service,
+/// A request of a caller for the only service.
+fn call(router: &Router, now: Instant) -> Request<'static> {
+    Request {
+        service: router.service(&id("s")).expect("configured"),
         team: None,
         weight: 1,
         deadline: now + Duration::from_secs(1000),
@@ -130,7 +151,15 @@
         origin: Origin::Local,
         attempt: 0,
         tried: &[],
-    };
+    }
+}
+
+fn request(c: &mut Criterion) {
+    let mut now = Instant::now();
+    let mut topology = topology();
+    topology.endpoints = endpoints("zone-0", 15);
+    let mut router = router(&mut now, &topology, &views()[..1]);
+    let request = call(&router, now);
     let mut held = std::collections::VecDeque::new();
     for _ in 0..45 {
         if let Placement::Dispatch(lease) = router.place(now, &request) {
@@ -150,5 +179,43 @@
     });
 }
 
-criterion_group!(benches, lookup, request);
+/// The costs that grow with the fleet: 540 hosts, 200 endpoints a zone.
+fn fleet(c: &mut Criterion) {
+    let mut now = Instant::now();
+    let mut topology = topology();
+    for zone in 0..ZONES {
+        topology
+            .endpoints
+            .extend(endpoints(&format!("zone-{zone}"), 200));
+    }
+    let views = views();
+    let mut router = router(&mut now, &topology, &views);
+    let request = call(&router, now);
+    let mut held = Vec::new();
+    while let Placement::Dispatch(lease) = router.place(now, &request) {
+        held.push(lease);
+    }
+    c.bench_function("fleet/spill among 540 hosts", |b| {
+        b.iter(|| match router.place(now, &request) {
+            Placement::Relay(pass) => router.relayed(now, pass, Relayed::Taken),
+            Placement::Queued(ticket) => assert!(router.cancel(ticket)),
+            other => panic!("{other:?}"),
+        });
+    });
+    let mut gone = views.clone();
+    gone[9].state = HostState::Dead;
+    let mut turn = 0;
+    c.bench_function("fleet/change of membership", |b| {
+        b.iter(|| {
+            turn += 1;
+            let views = if turn % 2 == 0 { &views } else { &gone };
+            router.handle(now, Input::Hosts(views.clone()));
+        });
+    });
+    c.bench_function("fleet/new topology, 1800 endpoints", |b| {
+        b.iter(|| router.handle(now, Input::Topology(topology.clone())));
+    });
+}
+
+criterion_group!(benches, lookup, request, fleet);
 criterion_main!(benches);
--- a/crates/route/src/blocks.rs
+++ b/crates/route/src/blocks.rs
@@ -5,10 +5,13 @@
 
 use ipnet::IpNet;
 
-/// The index of a site, as the caller numbers them.
+/// The index of a site, as the caller numbers them; the highest index is not to be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct SiteKey(pub u16);
 
+/// Stands for addresses of no site, so that a range costs two bytes.
+const NO_SITE: SiteKey = SiteKey(u16::MAX);
+
 /// A longest-prefix table over IPv4 and IPv6 blocks.
 ///
 /// The blocks come in named parts that are replaced one at a time. Where two parts hold the
@@ -35,8 +38,16 @@
 
 #[derive(Debug, Clone, Default)]
 struct Part {
-    v4: Box<[Block<u32>]>,
-    v6: Box<[Block<u128>]>,
+    v4: Nets<u32>,
+    v6: Nets<u128>,
+}
+
+/// Blocks as they came, in columns to save the padding.
+#[derive(Debug, Clone, Default)]
+struct Nets<A> {
+    firsts: Box<[A]>,
+    lens: Box<[u8]>,
+    sites: Box<[SiteKey]>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -53,8 +64,8 @@
         if !nets.is_empty() {
             self.parts.insert(part.to_owned(), Part::new(nets));
         }
-        self.v4 = Ranges::new(self.parts.values().flat_map(|p| p.v4.iter().copied()));
-        self.v6 = Ranges::new(self.parts.values().flat_map(|p| p.v6.iter().copied()));
+        self.v4 = Ranges::new(self.parts.values().flat_map(|p| p.v4.iter()));
+        self.v6 = Ranges::new(self.parts.values().flat_map(|p| p.v6.iter()));
     }
 
     /// The site of the longest block that holds `addr`.
@@ -78,36 +89,60 @@
     /// Bytes that the table holds on the heap.
     pub fn heap_bytes(&self) -> usize {
         let parts = self.parts.values();
-        let raw = parts.map(|p| size_of_val(&*p.v4) + size_of_val(&*p.v6));
+        let raw = parts.map(|p| p.v4.heap_bytes() + p.v6.heap_bytes());
         raw.sum::<usize>() + self.v4.heap_bytes() + self.v6.heap_bytes()
     }
 }
 
 impl Part {
     fn new(nets: &[(IpNet, SiteKey)]) -> Self {
-        let (mut v4, mut v6) = (Vec::new(), Vec::new());
-        for &(net, site) in nets {
-            match net {
-                IpNet::V4(net) => {
-                    let (first, last) = (net.network().to_bits(), net.broadcast().to_bits());
-                    v4.push(Block { first, last, site });
-                }
-                IpNet::V6(net) => {
-                    let (first, last) = (net.network().to_bits(), net.broadcast().to_bits());
-                    v6.push(Block { first, last, site });
-                }
-            }
+        let v4 = nets.iter().filter_map(|(net, site)| match net {
+            IpNet::V4(net) => Some((net.network().to_bits(), net.prefix_len(), *site)),
+            IpNet::V6(_) => None,
+        });
+        let v6 = nets.iter().filter_map(|(net, site)| match net {
+            IpNet::V4(_) => None,
+            IpNet::V6(net) => Some((net.network().to_bits(), net.prefix_len(), *site)),
+        });
+        Self {
+            v4: Nets::new(v4),
+            v6: Nets::new(v6),
         }
+    }
+}
+
+impl<A: Addr> Nets<A> {
+    fn new(nets: impl Iterator<Item = (A, u8, SiteKey)> + Clone) -> Self {
         Self {
-            v4: v4.into(),
-            v6: v6.into(),
+            firsts: nets.clone().map(|(first, _, _)| first).collect(),
+            lens: nets.clone().map(|(_, len, _)| len).collect(),
+            sites: nets.map(|(_, _, site)| site).collect(),
         }
     }
+
+    fn len(&self) -> usize {
+        self.firsts.len()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = Block<A>> {
+        let columns = self.firsts.iter().zip(&self.lens).zip(&self.sites);
+        columns.map(|((first, len), site)| Block {
+            first: *first,
+            last: first.last_of(*len),
+            site: *site,
+        })
+    }
+
+    fn heap_bytes(&self) -> usize {
+        size_of_val(&*self.firsts) + size_of_val(&*self.lens) + size_of_val(&*self.sites)
+    }
 }
 
 trait Addr: Copy + Ord {
     fn next(self) -> Option<Self>;
     fn top(self) -> usize;
+    /// The last address of the block of this length that starts here.
+    fn last_of(self, len: u8) -> Self;
 }
 
 impl Addr for u32 {
@@ -118,6 +153,10 @@
     fn top(self) -> usize {
         (self >> 16) as usize
     }
+
+    fn last_of(self, len: u8) -> Self {
+        self | u32::MAX.checked_shr(u32::from(len)).unwrap_or(0)
+    }
 }
 
 impl Addr for u128 {
@@ -128,13 +167,17 @@
     fn top(self) -> usize {
         (self >> 112) as usize
     }
+
+    fn last_of(self, len: u8) -> Self {
+        self | u128::MAX.checked_shr(u32::from(len)).unwrap_or(0)
+    }
 }
 
 /// Disjoint ranges: each runs from its start to the next one.
 #[derive(Debug, Clone, Default)]
 struct Ranges<A> {
     starts: Box<[A]>,
-    sites: Box<[Option<SiteKey>]>,
+    sites: Box<[SiteKey]>,
     index: Box<[u32]>,
 }
 
@@ -168,7 +211,8 @@
         let low = *self.index.get(top)? as usize;
         let high = *self.index.get(top + 1)? as usize;
         let within = self.starts[low..high].partition_point(|start| *start <= addr);
-        self.sites[(low + within).checked_sub(1)?]
+        let site = self.sites[(low + within).checked_sub(1)?];
+        (site != NO_SITE).then_some(site)
     }
 
     fn heap_bytes(&self) -> usize {
@@ -177,7 +221,7 @@
 }
 
 /// Turns nested blocks, sorted by start and outer ones first, into disjoint ranges.
-fn flatten<A: Addr>(blocks: &[Block<A>]) -> (Vec<A>, Vec<Option<SiteKey>>) {
+fn flatten<A: Addr>(blocks: &[Block<A>]) -> (Vec<A>, Vec<SiteKey>) {
     let mut out = Flat {
         starts: Vec::with_capacity(blocks.len()),
         sites: Vec::with_capacity(blocks.len()),
@@ -185,7 +229,7 @@
     let mut open: Vec<Block<A>> = Vec::new();
     for &block in blocks {
         close(&mut open, &mut out, |outer| outer.last < block.first);
-        out.push(block.first, Some(block.site));
+        out.push(block.first, block.site);
         open.push(block);
     }
     close(&mut open, &mut out, |_| true);
@@ -195,18 +239,18 @@
 fn close<A: Addr>(open: &mut Vec<Block<A>>, out: &mut Flat<A>, ended: impl Fn(&Block<A>) -> bool) {
     while let Some(block) = open.pop_if(|block| ended(block)) {
         if let Some(next) = block.last.next() {
-            out.push(next, open.last().map(|outer| outer.site));
+            out.push(next, open.last().map_or(NO_SITE, |outer| outer.site));
         }
     }
 }
 
 struct Flat<A> {
     starts: Vec<A>,
-    sites: Vec<Option<SiteKey>>,
+    sites: Vec<SiteKey>,
 }
 
 impl<A: Addr> Flat<A> {
-    fn push(&mut self, start: A, site: Option<SiteKey>) {
+    fn push(&mut self, start: A, site: SiteKey) {
         if self.starts.last() == Some(&start) {
             self.starts.pop();
             self.sites.pop();
--- a/crates/route/src/router/status.rs
+++ b/crates/route/src/router/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wagtail_types::RegionId;
+use wagtail_types::{HostId, RegionId};
 
 use crate::message::{Advert, Headroom};
 use crate::router::{Router, Service};
@@ -21,6 +21,12 @@
         }
     }
 
+    /// Other hosts that the next advert should go to, near ones more often, so that what is sent
+    /// does not grow with the fleet.
+    pub fn audience(&mut self, count: usize) -> Vec<HostId> {
+        self.spill.audience(count, &mut self.rng)
+    }
+
     /// Slots of each service on this host and beyond.
     pub fn headroom(&self, now: Instant) -> Vec<Headroom> {
         let row = |service: &Service| self.row(now, service);
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use slotmap::SlotMap;
 use wagtail_types::{HostId, RegionId, ServiceId, ZoneId};
 
@@ -127,6 +128,7 @@
             .drain(..)
             .map(|peer| (peer.host, (peer.free, peer.at)))
             .collect();
+        let own = self.order.binary_search(&self.region).unwrap_or(usize::MAX);
         let others = |h: &&HostView| h.state == HostState::Serving && h.id != *me;
         for host in hosts.iter().filter(others) {
             let Some(region) = self.regions.get(&host.zone) else {
@@ -146,8 +148,10 @@
                 at,
             });
         }
-        self.peers
-            .sort_by(|a, b| (a.delay, &a.host).cmp(&(b.delay, &b.host)));
+        self.peers.sort_by(|a, b| {
+            let key = |peer: &Peer| (peer.delay, peer.zone != self.zone, peer.region != own);
+            key(a).cmp(&key(b)).then_with(|| a.host.cmp(&b.host))
+        });
     }
 
     fn delay(&self, zone: &ZoneId, region: &RegionId) -> Duration {
@@ -195,6 +199,34 @@
         None
     }
 
+    /// Hosts to send an advert to: half of them of the own zone, a quarter of the own region
+    /// and a quarter of others, as far as there are so many.
+    pub(crate) fn audience(&self, count: usize, rng: &mut SmallRng) -> Vec<HostId> {
+        let own = |peer: &Peer| self.order[peer.region] == self.region;
+        let zone = self
+            .peers
+            .iter()
+            .take_while(|p| p.zone == self.zone)
+            .count();
+        let region = zone + self.peers[zone..].iter().take_while(|p| own(p)).count();
+        let (near, rest) = (&self.peers[..region], &self.peers[region..]);
+        let far = rest
+            .len()
+            .min((count / 4).max(count.saturating_sub(near.len())));
+        let left = count - far;
+        let home = zone.min((left - left / 3).max(left.saturating_sub(region - zone)));
+        let parts = [
+            (&near[..zone], home),
+            (&near[zone..], left - home),
+            (rest, far),
+        ];
+        parts
+            .into_iter()
+            .flat_map(|(peers, count)| peers.choose_multiple(rng, count))
+            .map(|peer| peer.host.clone())
+            .collect()
+    }
+
     /// Whether any host offers a slot.
     pub(crate) fn has_offer(&self, now: Instant, wanted: &Wanted<'_>) -> bool {
         self.peers.iter().any(|p| self.offer(now, wanted, p) > 0)
--- a/crates/route/tests/route/cases.rs
+++ b/crates/route/tests/route/cases.rs
@@ -388,3 +388,33 @@
     );
     single.router.finish(single.now, lease, Outcome::Answered);
 }
+
+#[test]
+fn adverts_go_to_near_hosts_first_and_to_no_more_than_asked() {
+    let cases = [
+        ((9, 9, 9), 8, (4, 2, 2)),
+        ((1, 9, 9), 8, (1, 5, 2)),
+        ((9, 0, 0), 8, (8, 0, 0)),
+        ((0, 0, 9), 8, (0, 0, 8)),
+        ((2, 1, 1), 8, (2, 1, 1)),
+    ];
+    for ((own, near, far), count, wanted) in cases {
+        let mut topology = one_zone(1, 1);
+        topology.zones.extend([zone("b", "r"), zone("c", "q")]);
+        let mut single = Single::standard(topology);
+        let some = |zone: &str, count: usize| {
+            let host = |n| host(&format!("{zone}{n}"), zone, HostState::Serving);
+            (0..count).map(host).collect::<Vec<_>>()
+        };
+        let views = [some("a", own), some("b", near), some("c", far)].concat();
+        single.router.handle(single.now, Input::Hosts(views));
+        let chosen = single.router.audience(count);
+        let of = |zone: char| {
+            chosen
+                .iter()
+                .filter(|h| h.as_str().starts_with(zone))
+                .count()
+        };
+        assert_eq!((of('a'), of('b'), of('c')), wanted, "{own} {near} {far}");
+    }
+}
