Judge the load tool's measures and promise checks by made-up runs

Cause: a check that cannot fail shows nothing. The report also says what a team was admitted as a share of what one central bucket would have admitted. The records of a deployment have a file of their own. Conclusion: every one of the nine promises has a case that breaks it.

--- a/crates/load/src/arrivals.rs
+++ b/crates/load/src/arrivals.rs
@@ -70,7 +70,8 @@
         let mut at = 0.0;
         loop {
             at += -(1.0 - rng.random::<f64>()).ln() / rate;
-            if !(at < profile.time.as_secs_f64()) {
+            // A team without a share has an infinite or undefined next arrival.
+            if at.is_nan() || at >= profile.time.as_secs_f64() {
                 break;
             }
             all.push(draw(mix, profile, &mut rng, team, at));
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -1,15 +1,16 @@
 //! The two deployments that experiments run, with their topology, services and teams.
 
+mod records;
+
 use std::time::Duration;
 
 use derive_more::Display;
-use serde_json::json;
-use wagtail_config::Raw;
 use wagtail_types::{ParseError, Rate, Tokens};
 
-use crate::fleet::digest;
 use crate::mix::{self, Mix};
 
+pub(crate) use records::raw;
+
 /// A deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Deployment {
@@ -239,7 +240,7 @@
 impl Layout {
     /// The name of a zone; zones count through the regions, two each.
     pub fn zone(&self, index: usize) -> String {
-        let letter = if index % 2 == 0 { 'a' } else { 'b' };
+        let letter = if index.is_multiple_of(2) { 'a' } else { 'b' };
         format!("{}-{letter}", self.regions[index / 2 % self.regions.len()])
     }
 
@@ -305,101 +306,4 @@
             deadline: DEADLINE,
         }
     }
-
-    /// The records of the deployment. Addresses are filled in when it starts.
-    pub fn records(&self) -> Vec<Raw> {
-        let mut records = self.places();
-        for service in &self.services {
-            records.push(raw(
-                1,
-                "service",
-                service.name,
-                json!({
-                    "class": service.class, "idempotent": service.idempotent,
-                    "weight": service.weight, "deadline_ms": 2_000,
-                }),
-            ));
-            for index in 0..service.endpoints {
-                let (name, zone) = self.endpoint(service, index);
-                records.push(raw(
-                    1,
-                    "endpoint",
-                    &name,
-                    json!({
-                        "service": service.name, "zone": zone, "addr": "127.0.0.1:1",
-                        "slots": service.slots, "connections": service.connections,
-                    }),
-                ));
-            }
-        }
-        records.extend(self.teams.iter().map(|team| self.team(team, &[team.key()])));
-        records
-    }
-
-    /// The record of a team with these keys.
-    pub fn team(&self, team: &Team, keys: &[String]) -> Raw {
-        let services: Vec<_> = self.services.iter().map(|s| s.name).collect();
-        let keys: Vec<_> = keys.iter().map(|key| digest(key)).collect();
-        raw(
-            2,
-            "team",
-            team.name,
-            json!({
-                "rate": team.rate, "burst": team.burst.micros() / Tokens::ONE.micros(),
-                "keys": keys, "services": services,
-            }),
-        )
-    }
-
-    fn places(&self) -> Vec<Raw> {
-        let mut records = Vec::new();
-        let zones: Vec<_> = (0..self.hosts.len()).map(|z| self.zone(z)).collect();
-        for (index, region) in self.regions.iter().enumerate() {
-            let millis = |to: &&str| {
-                let delay = if to == region {
-                    self.zone_delay
-                } else {
-                    self.region_delay
-                };
-                ((*to).to_owned(), json!(delay.as_secs_f64() * 1_000.0))
-            };
-            let delays: serde_json::Map<_, _> = self.regions.iter().map(millis).collect();
-            records.push(raw(1, "region", region, json!({ "delay_ms": delays })));
-            let mut order = zones.clone();
-            order.rotate_left(2 * index);
-            records.push(raw(1, "site", region, json!({ "zones": order })));
-            let block = format!("198.51.{index}.0/24 {region}");
-            records.push(raw(
-                1,
-                "blocks",
-                &index.to_string(),
-                json!({ "blocks": [block] }),
-            ));
-        }
-        for (index, zone) in zones.iter().enumerate() {
-            let region = self.regions[index / 2];
-            records.push(raw(1, "zone", zone, json!({ "region": region })));
-        }
-        for (name, zone) in self.host_names() {
-            records.push(raw(
-                1,
-                "host",
-                &name,
-                json!({
-                    "zone": zone, "api": "127.0.0.1:1", "peer": "127.0.0.1:2",
-                }),
-            ));
-        }
-        records
-    }
-}
-
-/// A record as an operator writes it.
-pub(crate) fn raw(schema: u32, kind: &str, name: &str, body: serde_json::Value) -> Raw {
-    Raw {
-        kind: kind.to_owned(),
-        name: name.to_owned(),
-        schema,
-        body,
-    }
 }
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -11,7 +11,7 @@
 use http::Method;
 use serde::{Deserialize, Serialize};
 use slog::{Discard, Logger, o};
-use wagtail_entryd::Options;
+use wagtail_entryd::{Options, Running};
 use wagtail_standin::{endpoint, platform};
 
 use crate::arrivals::arrivals;
@@ -85,7 +85,7 @@
     let fleet = start(&layout, &network, request).await?;
     let callers = Callers::new(
         layout.mix(),
-        fleet.hosts.values().map(|h| h.addr()).collect(),
+        fleet.hosts.values().map(Running::addr).collect(),
     );
     callers.look().await;
     let ready = ready(&layout, &fleet).await;
@@ -95,11 +95,8 @@
     let due = arrivals(&layout.mix(), &profile, request.seed);
     let start = Instant::now();
     let mut stage = acts::Stage::new(layout.clone(), network, fleet, start);
-    stage.note(match ready {
-        Some(after) => format!(
-            "every slot has its host {:.2} s after the start",
-            after.as_secs_f64()
-        ),
+    stage.note(&match ready {
+        Some(after) => format!("every slot has its host after {:.2} s", after.as_secs_f64()),
         None => "not every slot has its host".to_owned(),
     });
     let acts = (request.experiment.acts)(&layout);
--- a/crates/load/src/experiment/acts.rs
+++ b/crates/load/src/experiment/acts.rs
@@ -73,7 +73,7 @@
     pub(crate) async fn play(&mut self, acts: Vec<(Duration, Act)>) -> Result<(), FleetError> {
         for (at, act) in acts {
             sleep_until((self.start + at).into()).await;
-            self.note(format!("{act:?}"));
+            self.note(&format!("{act:?}"));
             self.act(act).await?;
         }
         Ok(())
@@ -115,7 +115,7 @@
         Ok(())
     }
 
-    pub(crate) fn note(&mut self, text: String) {
+    pub(crate) fn note(&mut self, text: &str) {
         let at = self.start.elapsed().as_secs_f64();
         self.notes.push(format!("{at:6.2} s  {text}"));
     }
@@ -143,7 +143,7 @@
         if let Some(running) = self.fleet.hosts.remove(host) {
             let begun = Instant::now();
             running.stop().await?;
-            self.note(format!(
+            self.note(&format!(
                 "{host} stopped after {:.2} s",
                 begun.elapsed().as_secs_f64()
             ));
@@ -186,23 +186,23 @@
     }
 
     async fn withdraw(&mut self, team: usize) -> Result<(), FleetError> {
+        const PATIENCE: Duration = Duration::from_secs(5);
         let record = self.layout.team(&self.layout.teams[team], &[]);
         let before = self.epochs().await.into_iter().max().unwrap_or_default();
         self.fleet.put(vec![record]).await?;
         let committed = Instant::now();
         self.evidence.withdrawn.insert(team, self.start.elapsed());
-        const PATIENCE: Duration = Duration::from_secs(5);
         while committed.elapsed() < PATIENCE {
             if self.epochs().await.iter().all(|epoch| *epoch > before) {
                 let after = committed.elapsed().as_millis();
-                self.note(format!(
+                self.note(&format!(
                     "in force on every host {after} ms after the commit"
                 ));
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        self.note("not in force on every host within 5 s".to_owned());
+        self.note("not in force on every host within 5 s");
         Ok(())
     }
 
@@ -247,7 +247,7 @@
         for (name, told) in self.evidence.leaving.clone() {
             let own = self.evidence.seen.iter().filter(|s| s.endpoint == name);
             let last = own
-                .filter_map(|s| Some(s.at? + s.entry.ended? - s.entry.started))
+                .filter_map(|s| Some(s.at? + s.entry.ended?.saturating_sub(s.entry.started)))
                 .max();
             if let Some(last) = last {
                 let after = last.saturating_sub(told).as_secs_f64();
--- a/crates/load/src/experiment/compare.rs
+++ b/crates/load/src/experiment/compare.rs
@@ -58,7 +58,7 @@
 }
 
 fn comparison(name: String, values: &[(f64, f64)]) -> Comparison {
-    let ratios = sorted(values.iter().map(|(a, b)| if a == b { 1.0 } else { b / a }));
+    let ratios = sorted(values.iter().map(|(a, b)| ratio(*a, *b)));
     Comparison {
         name,
         first: median(&sorted(values.iter().map(|v| v.0))),
@@ -68,6 +68,12 @@
     }
 }
 
+/// Two zeros compare as equal.
+fn ratio(first: f64, second: f64) -> f64 {
+    let ratio = second / first;
+    if ratio.is_nan() { 1.0 } else { ratio }
+}
+
 fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
     let mut values: Vec<_> = values.collect();
     values.sort_by(f64::total_cmp);
--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -10,6 +10,8 @@
 use crate::client::Got;
 use crate::mix::{Limit, Mix};
 
+const OVER_RATE: &str = "over-rate";
+
 /// One request as its caller saw it.
 #[derive(Debug, Clone)]
 pub struct Sample {
@@ -73,7 +75,9 @@
 pub struct Wrongful {
     /// Requests that one central bucket would have admitted.
     pub within: u64,
-    /// Those of them that were refused as over the rate.
+    /// Requests that were in fact not refused as over the rate.
+    pub admitted: u64,
+    /// Those of `within` that were refused as over the rate.
     pub over_rate: u64,
     /// Those of them that were refused for any other reason.
     pub other: u64,
@@ -181,13 +185,15 @@
             .saturating_add(rate.over(sample.due.saturating_sub(last)))
             .min(burst);
         last = sample.due;
+        let over_rate = matches!(&sample.got, Got::NotRun { reason } if reason == OVER_RATE);
+        count.admitted += u64::from(!over_rate);
         if level < Tokens::ONE {
             continue;
         }
-        level = level - Tokens::ONE;
+        level -= Tokens::ONE;
         count.within += 1;
         match &sample.got {
-            Got::NotRun { reason } if reason == "over-rate" => count.over_rate += 1,
+            _ if over_rate => count.over_rate += 1,
             Got::NotRun { .. } => count.other += 1,
             _ => {}
         }
@@ -198,9 +204,10 @@
 fn seconds(samples: &[Sample]) -> Vec<Second> {
     let last = samples.iter().map(|s| s.due.as_secs()).max().unwrap_or(0);
     let second = |at: u64| {
-        let due: Vec<_> = samples.iter().filter(|s| s.due.as_secs() == at).collect();
         let mut line = Line::new("");
-        due.iter().for_each(|s| line.add(s));
+        for sample in samples.iter().filter(|s| s.due.as_secs() == at) {
+            line.add(sample);
+        }
         let line = line.finish();
         Second {
             sent: line.sent,
--- a/crates/load/src/promises.rs
+++ b/crates/load/src/promises.rs
@@ -246,7 +246,9 @@
                     continue;
                 }
                 count += 1;
-                let allowed = team.burst.saturating_add(team.rate.over(started - from));
+                let allowed = team
+                    .burst
+                    .saturating_add(team.rate.over(started.saturating_sub(from)));
                 let kept = Tokens::whole(count) <= allowed;
                 if !kept {
                     promise.check(false, || {
--- a/crates/load/src/text.rs
+++ b/crates/load/src/text.rs
@@ -17,7 +17,7 @@
 fn table(text: &mut String, what: &str, lines: &[Line]) {
     let _ = writeln!(
         text,
-        "{what:<14}{:>7}{:>9}{:>8}{:>9}{:>6}{:>10}{:>10}{:>10}{:>10}{:>11}{:>7}",
+        "{what:<14}{:>7}{:>9}{:>8}{:>9}{:>6}{:>10}{:>10}{:>10}{:>10}{:>11}{:>11}{:>7}",
         "sent",
         "answered",
         "refused",
@@ -28,6 +28,7 @@
         "p99 ms",
         "max ms",
         "wrongful %",
+        "of rate %",
         "other"
     );
     for line in lines {
@@ -48,7 +49,8 @@
         );
         match line.wrongful {
             Some(wrongful) => {
-                let _ = writeln!(text, "{:>11.3}{:>7}", percent(wrongful), wrongful.other);
+                let (refused, admitted) = (percent(wrongful), 100.0 * admitted(wrongful));
+                let _ = writeln!(text, "{refused:>11.3}{admitted:>11.2}{:>7}", wrongful.other);
             }
             None => text.push('\n'),
         }
@@ -73,6 +75,14 @@
     100.0 * wrongful.over_rate as f64 / wrongful.within as f64
 }
 
+/// What was admitted, as a share of what one central bucket would have admitted.
+pub fn admitted(wrongful: Wrongful) -> f64 {
+    if wrongful.within == 0 {
+        return 1.0;
+    }
+    wrongful.admitted as f64 / wrongful.within as f64
+}
+
 /// The whole report.
 pub fn whole(report: &Report) -> String {
     let mut text = format!(
--- /dev/null
+++ b/crates/load/tests/check/measure.rs
@@ -0,0 +1,109 @@
+//! Measures of made-up samples.
+
+use std::time::Duration;
+
+use wagtail_load::client::Got;
+use wagtail_load::deployment::Deployment;
+use wagtail_load::measure::{Sample, Wrongful, measure};
+use wagtail_load::mix::{Limit, Mix};
+use wagtail_types::{Rate, Tokens};
+
+pub(crate) fn sample(id: &str, due: u64, got: Got) -> Sample {
+    Sample {
+        id: id.to_owned(),
+        team: 0,
+        class: 0,
+        due: Duration::from_millis(due),
+        latency: Duration::from_millis(20),
+        got,
+        key: None,
+        again: false,
+    }
+}
+
+pub(crate) fn not_run(reason: &str) -> Got {
+    Got::NotRun {
+        reason: reason.to_owned(),
+    }
+}
+
+fn mix() -> Mix {
+    let mut mix = Deployment::Tender.layout().mix();
+    mix.teams[0].limit = Some(Limit {
+        rate: Rate::per_second(1),
+        burst: Tokens::whole(2),
+    });
+    mix
+}
+
+#[test]
+fn refusals_are_judged_by_one_central_bucket() {
+    let over = || not_run("over-rate");
+    // Two at once fit the burst, the third does not; after a second one more fits.
+    let cases = [
+        (
+            vec![(0, Got::Answer), (0, Got::Answer), (0, over())],
+            (2, 2, 0, 0),
+        ),
+        (vec![(0, Got::Answer), (0, over())], (2, 1, 1, 0)),
+        (
+            vec![(0, Got::Answer), (0, over()), (0, Got::Answer)],
+            (2, 2, 1, 0),
+        ),
+        (
+            vec![(0, Got::Answer), (0, not_run("overloaded"))],
+            (2, 2, 0, 1),
+        ),
+        (
+            vec![
+                (0, Got::Answer),
+                (0, Got::Answer),
+                (999, over()),
+                (1_000, over()),
+            ],
+            (3, 2, 1, 0),
+        ),
+    ];
+    for (samples, (within, admitted, over_rate, other)) in cases {
+        let samples = samples.into_iter().map(|(due, got)| sample("r", due, got));
+        let samples: Vec<_> = samples.collect();
+        let expected = Wrongful {
+            within,
+            admitted,
+            over_rate,
+            other,
+        };
+        let measures = measure(&mix(), &samples);
+        assert_eq!(measures.teams[0].wrongful, Some(expected), "{samples:?}");
+    }
+}
+
+#[test]
+fn outcomes_are_counted_by_kind_and_second() {
+    let lost = Got::Lost {
+        reason: "reset".to_owned(),
+    };
+    let unknown = Got::MayHaveRun {
+        reason: "timeout".to_owned(),
+    };
+    let samples = [
+        sample("a", 10, Got::Answer),
+        sample("b", 20, not_run("overloaded")),
+        sample("c", 1_010, lost),
+        sample("d", 1_020, unknown),
+    ];
+    let measures = measure(&mix(), &samples);
+    let line = &measures.classes[0];
+    assert_eq!(
+        (line.sent, line.answered, line.refusals(), line.lost),
+        (4, 1, 1, 1)
+    );
+    assert_eq!(line.unknown["timeout"], 1);
+    assert!((line.latency.p50 - 20.0).abs() < 0.1);
+    let seconds: Vec<_> = measures
+        .seconds
+        .iter()
+        .map(|s| (s.sent, s.answered))
+        .collect();
+    assert_eq!(seconds, [(2, 1), (2, 0)]);
+}
--- /dev/null
+++ b/crates/load/tests/check/promises.rs
@@ -0,0 +1,234 @@
+//! Each promise is seen to break where it is broken, and only that one.
+
+use std::time::Duration;
+
+use wagtail_load::client::Got;
+use wagtail_load::deployment::{Deployment, Layout};
+use wagtail_load::measure::Sample;
+use wagtail_load::promises::{Evidence, Peak, Seen, check};
+use wagtail_standin::endpoint::{Entry, Outcome};
+use wagtail_types::{Rate, Tokens};
+
+use crate::measure::{not_run, sample};
+
+const READS: usize = 0;
+const SUBMISSIONS: usize = 1;
+
+fn layout() -> Layout {
+    let mut layout = Deployment::Tender.layout();
+    layout.teams[0].rate = Rate::per_second(1);
+    layout.teams[0].burst = Tokens::whole(1);
+    layout
+}
+
+fn seen(id: &str, service: usize, at: u64) -> Seen {
+    let layout = layout();
+    Seen {
+        endpoint: "one".to_owned(),
+        service,
+        at: Some(Duration::from_millis(at)),
+        entry: Entry {
+            method: "GET".to_owned(),
+            path: "/read".to_owned(),
+            team: Some(layout.teams[0].name.to_owned()),
+            id: Some(id.to_owned()),
+            digest: String::new(),
+            headers: b"host: one\n".to_vec(),
+            started: Duration::ZERO,
+            ended: None,
+            ran: true,
+            outcome: Outcome::Done,
+        },
+    }
+}
+
+fn peak(inflight: usize, open: usize) -> Peak {
+    Peak {
+        endpoint: "one".to_owned(),
+        slots: 3,
+        connections: 10,
+        inflight,
+        open,
+    }
+}
+
+struct Case {
+    what: &'static str,
+    samples: Vec<Sample>,
+    evidence: Evidence,
+    breaks: &'static [&'static str],
+}
+
+fn case(what: &'static str, samples: Vec<Sample>, seen: Vec<Seen>) -> Case {
+    let evidence = Evidence {
+        seen,
+        ..Evidence::default()
+    };
+    Case {
+        what,
+        samples,
+        evidence,
+        breaks: &[],
+    }
+}
+
+impl Case {
+    fn breaks(mut self, breaks: &'static [&'static str]) -> Self {
+        self.breaks = breaks;
+        self
+    }
+
+    fn with(mut self, change: impl FnOnce(&mut Evidence)) -> Self {
+        change(&mut self.evidence);
+        self
+    }
+}
+
+const NOT_RUN: &str = "a refusal that says not-run is true";
+const ONCE: &str = "a non-idempotent request runs at most once";
+const WHOLE: &str = "every answer is whole and the caller's own; no request is cut";
+const TEAM: &str = "a request runs only for the team of its key";
+const KEY: &str = "no endpoint sees a key";
+const RATE: &str = "no team gets more than its rate and burst over all hosts";
+const OVERLOAD: &str = "no endpoint is sent more than its slots and connections";
+const LEAVING: &str = "a leaving endpoint gets no new work after 3 s";
+const WITHDRAWN: &str = "a withdrawn key stops within 2 s of acceptance";
+
+fn answered(id: &str, due: u64) -> Sample {
+    sample(id, due, Got::Answer)
+}
+
+fn lost() -> Got {
+    Got::Lost {
+        reason: "reset".to_owned(),
+    }
+}
+
+fn basic_cases() -> Vec<Case> {
+    let wrong = Got::Wrong {
+        reason: "crossed".to_owned(),
+    };
+    let unreached = Got::Unreached {
+        reason: "refused".to_owned(),
+    };
+    let again = Sample {
+        again: true,
+        ..answered("a", 5)
+    };
+    vec![
+        case(
+            "all is well",
+            vec![answered("a", 0)],
+            vec![seen("a", READS, 1)],
+        ),
+        case(
+            "a true refusal",
+            vec![sample("a", 0, not_run("over-rate"))],
+            vec![],
+        ),
+        case(
+            "a false refusal",
+            vec![sample("a", 0, not_run("x"))],
+            vec![seen("a", READS, 1)],
+        )
+        .breaks(&[NOT_RUN]),
+        case(
+            "sent although unreached",
+            vec![sample("a", 0, unreached)],
+            vec![seen("a", READS, 1)],
+        )
+        .breaks(&[NOT_RUN]),
+        case(
+            "a refused repetition of a request that ran",
+            vec![
+                answered("a", 0),
+                Sample {
+                    got: not_run("x"),
+                    ..again
+                },
+            ],
+            vec![seen("a", SUBMISSIONS, 1)],
+        ),
+        case(
+            "a submission that ran twice",
+            vec![answered("a", 0)],
+            vec![seen("a", SUBMISSIONS, 1), seen("a", SUBMISSIONS, 2)],
+        )
+        .breaks(&[ONCE]),
+        case(
+            "a read that ran twice",
+            vec![answered("a", 0)],
+            vec![seen("a", READS, 1), seen("a", READS, 2)],
+        ),
+        case("a wrong answer", vec![sample("a", 0, wrong)], vec![]).breaks(&[WHOLE]),
+        case("a lost answer", vec![sample("a", 0, lost())], vec![]).breaks(&[WHOLE]),
+        case(
+            "a lost answer after a crash",
+            vec![sample("a", 0, lost())],
+            vec![],
+        )
+        .with(|e| e.crashed = true),
+    ]
+}
+
+fn evidence_cases() -> Vec<Case> {
+    let one = || (vec![answered("a", 0)], vec![seen("a", READS, 1)]);
+    let from = |what, (samples, seen)| case(what, samples, seen);
+    let late = |at| (vec![answered("a", at)], vec![seen("a", READS, at + 1)]);
+    let told = Duration::from_secs(1);
+    let both = |first, second| {
+        let samples = vec![answered("a", 0), answered("b", 100)];
+        (
+            samples,
+            vec![seen("a", READS, first), seen("b", READS, second)],
+        )
+    };
+    vec![
+        from("another team", one())
+            .with(|e| e.seen[0].entry.team = Some("bangor".to_owned()))
+            .breaks(&[TEAM]),
+        from("a key in a header", one())
+            .with(|e| e.seen[0].entry.headers = layout().teams[3].key().into_bytes())
+            .breaks(&[KEY]),
+        from("a key in the path", one())
+            .with(|e| e.seen[0].entry.path = layout().teams[0].key())
+            .breaks(&[KEY]),
+        from("two within one token", both(1, 200)).breaks(&[RATE]),
+        from("two within a second and a token", both(1, 1_100)),
+        from("full", one()).with(|e| e.peaks = vec![peak(3, 10)]),
+        from("too many at once", one())
+            .with(|e| e.peaks = vec![peak(4, 10)])
+            .breaks(&[OVERLOAD]),
+        from("too many connections", one())
+            .with(|e| e.peaks = vec![peak(3, 11)])
+            .breaks(&[OVERLOAD]),
+        from("shed", one())
+            .with(|e| e.seen[0].entry.outcome = Outcome::Refused)
+            .breaks(&[OVERLOAD]),
+        from("new work within 3 s of leaving", late(3_990))
+            .with(|e| e.leaving = [("one".to_owned(), told)].into()),
+        from("new work later", late(4_010))
+            .with(|e| e.leaving = [("one".to_owned(), told)].into())
+            .breaks(&[LEAVING]),
+        from("withdrawn less than 2 s before", late(2_990))
+            .with(|e| e.withdrawn = [(0, told)].into()),
+        from("withdrawn more than 2 s before", late(3_010))
+            .with(|e| e.withdrawn = [(0, told)].into())
+            .breaks(&[WITHDRAWN]),
+    ]
+}
+
+#[test]
+fn each_promise_breaks_where_it_is_broken() {
+    let mut found = std::collections::BTreeSet::new();
+    for case in basic_cases().into_iter().chain(evidence_cases()) {
+        let promises = check(&layout(), &case.samples, &case.evidence);
+        let broken = promises.iter().filter(|p| p.broken > 0);
+        let broken: Vec<_> = broken.map(|p| p.name).collect();
+        assert_eq!(broken, case.breaks, "{}", case.what);
+        found.extend(case.breaks);
+    }
+    let all = check(&layout(), &[], &Evidence::default());
+    let all: std::collections::BTreeSet<_> = all.iter().map(|p| p.name).collect();
+    assert_eq!(found, all, "every promise has a case that breaks it");
+}
