Bound the pages sent to peers and the bodies put in force

Cause: a page of 256 parts of client blocks can pass 4 MiB, the limit of a message between hosts; it would be dropped, and a host that starts while the platform is out would never get its configuration.

Change: a page for a peer holds at most 256 KiB of bodies; commit() refuses a body over 64 KiB.

Conclusion: every page fits a message.

--- a/crates/config/src/row.rs
+++ b/crates/config/src/row.rs
@@ -22,6 +22,9 @@
 }
 
 impl Row {
+    /// The largest body, in bytes, that may be put in force.
+    pub const MAX_BODY: usize = 64 * 1024;
+
     /// The row that puts `raw` in force at `epoch`.
     ///
     /// # Errors
@@ -104,3 +107,20 @@
     /// Whether rows are left after these.
     pub more: bool,
 }
+
+impl Page {
+    /// Leaves out rows at the end, but never the first, until the bodies together have at most
+    /// `bytes`.
+    pub(crate) fn limit(&mut self, bytes: usize) {
+        let mut left = bytes;
+        let fits = |row: &&Row| {
+            let size = row.body.as_ref().map_or(0, |body| body.len());
+            let fits = size <= left;
+            left = left.saturating_sub(size);
+            fits
+        };
+        let kept = self.rows.iter().take_while(fits).count().max(1);
+        self.more |= kept < self.rows.len();
+        self.rows.truncate(kept);
+    }
+}
--- a/crates/config/src/sync/peers.rs
+++ b/crates/config/src/sync/peers.rs
@@ -56,7 +56,8 @@
                 since,
                 after,
             } => {
-                let page = self.view.page(since, after.as_ref(), self.settings.page);
+                let mut page = self.view.page(since, after.as_ref(), self.settings.page);
+                page.limit(self.settings.page_bytes);
                 let message = Message::Page { request, page };
                 self.effects
                     .push_back(SyncEffect::Send { to: from, message });
--- a/crates/config/src/sync/settings.rs
+++ b/crates/config/src/sync/settings.rs
@@ -20,6 +20,8 @@
     pub fanout: usize,
     /// The most rows in a page.
     pub page: usize,
+    /// The most bytes of bodies in a page sent to a peer, unless one body alone is larger.
+    pub page_bytes: usize,
     /// The most bytes of bodies that are pushed; larger deltas are pulled.
     pub push_bytes: usize,
 }
@@ -34,6 +36,7 @@
             asked: 3,
             fanout: 3,
             page: 256,
+            page_bytes: 256 * 1024,
             push_bytes: 1024,
         }
     }
--- a/crates/config/tests/sync.rs
+++ b/crates/config/tests/sync.rs
@@ -8,7 +8,7 @@
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
 use std::time::Instant;
 use wagtail_config::{
-    ConfigSync, Mutant, Page, Raw, Row, Snapshot, SyncEffect, SyncInput, SyncSettings,
+    ConfigSync, Message, Mutant, Page, Raw, Row, Snapshot, SyncEffect, SyncInput, SyncSettings,
 };
 use wagtail_types::Epoch;
 use world::{Op, World};
@@ -172,3 +172,62 @@
     let page = view.page(Epoch(7), None, 10);
     assert_eq!((page.since, page.rows.len()), (Epoch(7), 1));
 }
+
+#[test]
+fn a_peer_is_sent_pages_of_bounded_size() {
+    let now = Instant::now();
+    let body = serde_json::json!({ "delay_ms": { "a-region-with-quite-a-long-name": 10 } });
+    let page_bytes = 2 * body.to_string().len();
+    let settings = SyncSettings {
+        page_bytes,
+        ..SyncSettings::default()
+    };
+    let mut sync = ConfigSync::new(settings, 1, now);
+    let rows: Vec<Row> = (0..9)
+        .map(|n| Raw {
+            kind: "region".into(),
+            name: format!("r{n}"),
+            schema: 1,
+            body: body.clone(),
+        })
+        .map(|raw| Row::put(&raw, Epoch(1)).unwrap())
+        .collect();
+    let page = Page {
+        since: Epoch(0),
+        head: Epoch(1),
+        floor: Epoch(0),
+        rows,
+        more: false,
+    };
+    let from: wagtail_types::HostId = "peer".parse().unwrap();
+    let push = Message::Push { page };
+    sync.handle(
+        now,
+        SyncInput::Message {
+            from: from.clone(),
+            message: push,
+        },
+    );
+    let pull = Message::Pull {
+        request: 1,
+        since: Epoch(0),
+        after: None,
+    };
+    sync.handle(
+        now,
+        SyncInput::Message {
+            from,
+            message: pull,
+        },
+    );
+    let sent = std::iter::from_fn(|| sync.poll_effect()).filter_map(|effect| match effect {
+        SyncEffect::Send {
+            message: Message::Page { page, .. },
+            ..
+        } => Some(page),
+        _ => None,
+    });
+    let pages: Vec<Page> = sent.collect();
+    assert_eq!(pages.len(), 1);
+    assert_eq!((pages[0].rows.len(), pages[0].more), (2, true));
+}
--- a/crates/config/tests/sync/world.rs
+++ b/crates/config/tests/sync/world.rs
@@ -82,6 +82,7 @@
         let settings = SyncSettings {
             page: PAGE,
             fanout: 2,
+            page_bytes: 30,
             ..SyncSettings::default()
         };
         let mut sync = ConfigSync::new(settings, self.lives, self.now());
--- a/crates/platform/src/config/commit.rs
+++ b/crates/platform/src/config/commit.rs
@@ -117,6 +117,17 @@
     let mut rows = Vec::new();
     for raw in &change.put {
         let row = Row::put(raw, epoch).map_err(|e| CommitError::Refused(e.to_string()))?;
+        if row
+            .body
+            .as_ref()
+            .is_some_and(|body| body.len() > Row::MAX_BODY)
+        {
+            let limit = Row::MAX_BODY;
+            return Err(CommitError::Refused(format!(
+                "{} is over {limit} bytes",
+                row.key
+            )));
+        }
         if rows.iter().any(|r: &Row| r.key == row.key) {
             return Err(CommitError::Refused(format!("{} is put twice", row.key)));
         }
--- a/crates/platform/tests/commit.rs
+++ b/crates/platform/tests/commit.rs
@@ -171,3 +171,18 @@
     assert_eq!((view.epoch(), view.regions().len()), (Epoch(71), 6));
     assert_eq!(body(&view, "r6").unwrap(), r#"{"delay_ms":{"other":69}}"#);
 }
+
+#[tokio::test]
+async fn a_record_over_the_limit_is_refused() {
+    let memory = Memory::default();
+    let body = json!({"text": "x".repeat(64 * 1024)});
+    let raw = Raw {
+        kind: "later".into(),
+        name: "a".into(),
+        schema: 1,
+        body,
+    };
+    let error = put(&memory, 1, &[raw]).await.unwrap_err();
+    assert_eq!(error.to_string(), "later/a is over 65536 bytes");
+    assert_eq!(load_config(&memory).await.unwrap().epoch(), Epoch(0));
+}
