--- a/crates/config/src/sync.rs
+++ b/crates/config/src/sync.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -119,6 +119,7 @@
     pull: Option<Pull>,
     poll_at: Instant,
     pull_at: Option<Instant>,
+    patience: Duration,
     last_request: u64,
     effects: VecDeque<SyncEffect>,
 }
@@ -146,6 +147,7 @@
 impl ConfigSync {
     /// A machine with an empty view that polls at once.
     pub fn new(settings: SyncSettings, seed: u64, now: Instant) -> Self {
+        let patience = settings.pull;
         Self {
             settings,
             mutant: Mutant::None,
@@ -157,6 +159,7 @@
             pull: None,
             poll_at: now,
             pull_at: None,
+            patience,
             last_request: 0,
             effects: VecDeque::new(),
         }
@@ -197,8 +200,11 @@
             self.table = None;
         }
         if let Some(pull) = self.pull.take_if(|p| p.expires <= now) {
-            self.ahead.remove(&pull.from);
+            if self.ahead.len() > 1 {
+                self.ahead.remove(&pull.from);
+            }
             self.pull_at = Some(now);
+            self.patience = (self.patience * 2).min(self.settings.answer);
         }
         if self.table.is_none() && self.poll_at <= now {
             self.poll(now);
@@ -244,6 +250,7 @@
             None => self.view.apply(head, rows),
         };
         self.view = Arc::new(next);
+        self.patience = self.settings.pull;
         self.effects
             .push_back(SyncEffect::Adopted(self.view.clone()));
         self.ahead.retain(|_, epoch| *epoch > head);
--- a/crates/config/src/sync/peers.rs
+++ b/crates/config/src/sync/peers.rs
@@ -131,7 +131,7 @@
             return;
         };
         let request = self.request();
-        let expires = now + self.settings.answer;
+        let expires = now + self.patience;
         self.pull = Some(Pull {
             request,
             from,
@@ -161,7 +161,7 @@
             Step::More => {
                 self.adopt_partial(now, &pull.collect);
                 pull.request = self.request();
-                pull.expires = now + self.settings.answer;
+                pull.expires = now + self.patience;
                 self.pull = Some(pull);
                 self.ask();
                 return;
--- a/crates/config/src/sync/settings.rs
+++ b/crates/config/src/sync/settings.rs
@@ -9,8 +9,11 @@
     pub poll: Duration,
     /// How often the hosts of the fleet together may poll, a second.
     pub polls: u32,
-    /// How long a read may go unanswered before it is given up.
+    /// How long a read of the platform may go unanswered before it is given up.
     pub answer: Duration,
+    /// How long a peer may leave a pull unanswered before another one is asked; doubles with each
+    /// in a row, up to `answer`.
+    pub pull: Duration,
     /// How long a host without configuration waits for further peers before it pulls.
     pub grace: Duration,
     /// How many peers a new host asks.
@@ -32,6 +35,7 @@
             poll: Duration::from_secs(1),
             polls: 200,
             answer: Duration::from_secs(3),
+            pull: Duration::from_millis(150),
             grace: Duration::from_millis(250),
             asked: 3,
             fanout: 3,
