Test the daemon on sockets against faults, and mend what the tests found

Cause: no test drove the daemon over HTTP. Found: a read that failed at an endpoint and then found no place said not-run although it may have run; a retry without budget hid the endpoint's refusal; an endpoint's refusal through a relay counted as a host without slots.

--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -23,15 +23,20 @@
 /// run twice.
 pub(crate) async fn run(host: &Arc<Host>, job: &mut Job) -> Result<Response<Body>, Verdict> {
     let mut attempt = 0;
+    let mut known: Option<Verdict> = None;
     loop {
-        let verdict = match once(host, job, attempt).await {
+        let failure = match once(host, job, attempt).await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
+        // Neither a later refusal nor a place that is not found undoes an earlier attempt.
+        known = match known {
+            Some(earlier) if !failure.attempted || !earlier.is_not_run() => Some(earlier),
+            _ => Some(failure.verdict.clone()),
+        };
         attempt += 1;
-        let retry = verdict.again && attempt < MAX_ATTEMPTS && job.payload.is_there();
-        if !retry {
-            return Err(verdict.verdict);
+        if !(failure.again && attempt < MAX_ATTEMPTS && job.payload.is_there()) {
+            return Err(known.unwrap_or(failure.verdict));
         }
     }
 }
@@ -39,6 +44,8 @@
 /// A failed attempt.
 struct Failure {
     verdict: Verdict,
+    /// Whether an endpoint or another host was tried.
+    attempted: bool,
     /// Whether another attempt may be made.
     again: bool,
 }
@@ -47,13 +54,18 @@
     fn last(verdict: Verdict) -> Self {
         Self {
             verdict,
+            attempted: false,
             again: false,
         }
     }
 
     fn of_attempt(verdict: Verdict, job: &Job) -> Self {
         let again = verdict.is_not_run() || (job.idempotent() && !is_timeout(&verdict));
-        Self { verdict, again }
+        Self {
+            verdict,
+            attempted: true,
+            again,
+        }
     }
 }
 
@@ -309,11 +321,12 @@
     let answer = forward(host, job, &to, head).await;
     passing.end(match &answer {
         Ok(_) | Err(Verdict::MayHaveRun { .. }) => Relayed::Taken,
-        Err(Verdict::NotRun {
-            reason: Reason::ConnectFailed,
-            ..
-        }) => Relayed::Lost,
-        Err(Verdict::NotRun { .. }) => Relayed::NoSlot,
+        Err(Verdict::NotRun { reason, .. }) => match reason {
+            Reason::ConnectFailed => Relayed::Lost,
+            // The host had a slot; what it says concerns the endpoint.
+            Reason::EndpointRefused => Relayed::Taken,
+            _ => Relayed::NoSlot,
+        },
     });
     answer.map_err(|verdict| {
         job.tried.push(zone);
--- /dev/null
+++ b/crates/load/tests/system/keys.rs
@@ -0,0 +1,101 @@
+//! No key byte reaches an endpoint, a log line or a metric.
+
+use std::net::UdpSocket;
+use std::sync::{Arc, Mutex};
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use slog::{Drain, Logger, o};
+use wagtail_load::client::Call;
+
+use crate::world::{KEY, READS, WRITES, World, block_on};
+
+/// Keeps every log line as text.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<String>>);
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(
+        &self,
+        record: &slog::Record<'_>,
+        values: &slog::OwnedKVList,
+    ) -> Result<(), slog::Never> {
+        use slog::KV;
+        struct Text<'a>(&'a mut String);
+        impl slog::Serializer for Text<'_> {
+            fn emit_arguments(
+                &mut self,
+                key: slog::Key,
+                value: &std::fmt::Arguments<'_>,
+            ) -> slog::Result {
+                use std::fmt::Write;
+                let _ = write!(self.0, " {key}={value}");
+                Ok(())
+            }
+        }
+        let mut lines = self.0.lock().expect("not poisoned");
+        lines.push_str(&record.msg().to_string());
+        let _ = record.kv().serialize(record, &mut Text(&mut lines));
+        let _ = values.serialize(record, &mut Text(&mut lines));
+        lines.push('\n');
+        Ok(())
+    }
+}
+
+fn holds(text: &[u8], key: &str) -> bool {
+    text.windows(key.len()).any(|w| w == key.as_bytes())
+}
+
+#[test]
+fn no_key_byte_leaves_the_host() {
+    block_on(async {
+        let metrics = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+        metrics.set_nonblocking(true).expect("a socket");
+        let addr = metrics.local_addr().expect("an address").to_string();
+        let lines = Lines::default();
+        let log = Logger::root(lines.clone().fuse(), o!());
+        let world = World::start(&log, &[("statsd", &addr)]).await;
+        let mut runner = TestRunner::new(Config {
+            rng_seed: RngSeed::Fixed(5),
+            failure_persistence: None,
+            ..Config::with_cases(24)
+        });
+        let strategy = ("[!-~]{8,40}", "[a-z/]{0,12}", any::<bool>(), any::<bool>());
+        let mut keys = vec![KEY.to_owned()];
+        for _ in 0..24 {
+            let tree = strategy.new_tree(&mut runner).expect("a case");
+            let (key, path, known, write) = proptest::strategy::ValueTree::current(&tree);
+            let key = if known { KEY.to_owned() } else { key };
+            let service = if write { WRITES } else { READS };
+            let call = Call {
+                path: format!("/{path}"),
+                ..Call::submit(service, &key, "body")
+            };
+            for addr in world.addrs() {
+                world.caller.call(addr, &call).await;
+            }
+            keys.push(key);
+        }
+        let mut packet = vec![0; 65_536];
+        let mut sent = Vec::new();
+        while let Ok(length) = metrics.recv(&mut packet) {
+            sent.extend_from_slice(&packet[..length]);
+        }
+        assert!(!sent.is_empty(), "metrics were sent");
+        let lines = lines.0.lock().expect("not poisoned").clone();
+        assert!(lines.contains("serving"), "lines were written");
+        for key in keys {
+            assert!(!holds(&sent, &key), "metric");
+            assert!(!holds(lines.as_bytes(), &key), "log line");
+            for endpoint in world.fleet.endpoints.values() {
+                for entry in endpoint.log().entries() {
+                    assert!(!holds(&entry.headers, &key), "header at an endpoint");
+                    assert!(!holds(entry.path.as_bytes(), &key), "path at an endpoint");
+                }
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/load/tests/system/stop.rs
@@ -0,0 +1,49 @@
+//! A planned stop cuts no request.
+
+use std::time::Duration;
+
+use wagtail_entryd::Lookup;
+use wagtail_load::client::{Call, Got};
+use wagtail_standin::endpoint::{Fault, Faults};
+
+use crate::world::{KEY, READS, World, block_on, quiet};
+
+#[test]
+fn a_request_that_runs_is_finished_and_look_ups_forget_the_host() {
+    block_on(async {
+        let mut world = World::start(&quiet(), &[]).await;
+        let [first, second] = world.addrs();
+        let late = Faults::every(Fault::Late { ms: 500 });
+        world.endpoint(READS).set_faults(late);
+        let host = world.fleet.hosts.remove("entry-1").expect("it runs");
+        let call = Call::read(READS, KEY);
+        let (reply, stopped) = tokio::join!(world.caller.call(first, &call), async {
+            while world
+                .endpoint(READS)
+                .log()
+                .count(wagtail_standin::endpoint::Outcome::Running)
+                == 0
+            {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            host.stop().await
+        });
+        assert_eq!(reply.got, Got::Answer);
+        stopped.expect("no request was cut");
+        let lookup: Lookup = world
+            .caller
+            .json(http::Method::GET, second, "/v1/lookup")
+            .await
+            .expect("an answer");
+        assert!(
+            lookup.hosts.iter().all(|h| h.address != first),
+            "still listed"
+        );
+        let refused = world.caller.call(first, &call).await;
+        assert!(
+            matches!(refused.got, Got::Unreached { .. }),
+            "{}",
+            refused.got
+        );
+    });
+}
--- /dev/null
+++ b/crates/load/tests/system/world.rs
@@ -0,0 +1,122 @@
+//! Two hosts in two zones; every endpoint stands in the second zone.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use slog::Logger;
+use wagtail_config::Raw;
+use wagtail_load::client::{Call, Caller, Got};
+use wagtail_load::fleet::{Fleet, digest, plain};
+use wagtail_standin::endpoint::{self, Settings};
+
+/// The key of the only team.
+pub(crate) const KEY: &str = "key-of-the-lead-team";
+/// The service that may run twice.
+pub(crate) const READS: &str = "reads";
+/// The service that may not.
+pub(crate) const WRITES: &str = "writes";
+const DEADLINE_MS: u64 = 800;
+
+const PATIENCE: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A running deployment and a caller.
+pub(crate) struct World {
+    pub(crate) fleet: Fleet,
+    pub(crate) caller: Caller,
+}
+
+impl World {
+    /// Starts everything and waits until both hosts answer both services.
+    pub(crate) async fn start(log: &Logger, flags: &[(&str, &str)]) -> Self {
+        let endpoints = |_: &str, _: &str| Settings::default();
+        let all: Vec<_> = [("lookup-ttl", "200ms")]
+            .iter()
+            .chain(flags)
+            .copied()
+            .collect();
+        let fleet = Fleet::start(records(), &endpoints, &plain(log), &all).await;
+        let world = Self {
+            fleet: fleet.expect("the fleet starts"),
+            caller: Caller::new("test"),
+        };
+        for service in [READS, WRITES] {
+            for addr in world.addrs() {
+                world.until_answered(addr, service).await;
+            }
+        }
+        world
+    }
+
+    async fn until_answered(&self, addr: SocketAddr, service: &str) {
+        let wait = async {
+            while self.caller.call(addr, &Call::read(service, KEY)).await.got != Got::Answer {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        let waited = tokio::time::timeout(PATIENCE, wait).await;
+        waited.expect("the host answers");
+    }
+
+    /// The addresses of both hosts; the first relays everything to the second.
+    pub(crate) fn addrs(&self) -> [SocketAddr; 2] {
+        ["entry-1", "entry-2"].map(|host| self.fleet.addr(host).expect("it runs"))
+    }
+
+    /// The endpoint of a service.
+    pub(crate) fn endpoint(&self, service: &str) -> &endpoint::Running {
+        &self.fleet.endpoints[&format!("{service}-b1")]
+    }
+
+    /// How often requests with this id ran.
+    pub(crate) fn ran(&self, service: &str, id: &str) -> usize {
+        let entries = self.endpoint(service).log().entries();
+        let ran = |e: &&endpoint::Entry| e.ran && e.id.as_deref() == Some(id);
+        entries.iter().filter(ran).count()
+    }
+}
+
+fn records() -> Vec<Raw> {
+    let service = |idempotent: bool| json!({"class": "test", "idempotent": idempotent, "deadline_ms": DEADLINE_MS});
+    let host = |zone: &str| json!({"zone": zone, "api": "127.0.0.1:1", "peer": "127.0.0.1:2"});
+    let endpoint = |service: &str| json!({"service": service, "zone": "east-b", "addr": "127.0.0.1:1", "slots": 8, "connections": 64});
+    let team = json!({
+        "rate": "2000/s", "burst": 2000, "keys": [digest(KEY)], "services": [READS, WRITES],
+    });
+    vec![
+        raw("region", "east", 1, json!({})),
+        raw("zone", "east-a", 1, json!({"region": "east"})),
+        raw("zone", "east-b", 1, json!({"region": "east"})),
+        raw("host", "entry-1", 1, host("east-a")),
+        raw("host", "entry-2", 1, host("east-b")),
+        raw("service", READS, 1, service(true)),
+        raw("service", WRITES, 1, service(false)),
+        raw("endpoint", "reads-b1", 1, endpoint(READS)),
+        raw("endpoint", "writes-b1", 1, endpoint(WRITES)),
+        raw("team", "lead", 2, team),
+    ]
+}
+
+fn raw(kind: &str, name: &str, schema: u32, body: Value) -> Raw {
+    Raw {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        schema,
+        body,
+    }
+}
+
+/// A logger that keeps nothing.
+pub(crate) fn quiet() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
+
+/// A runtime of its own for one test.
+pub(crate) fn block_on(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+        .block_on(test);
+}
