Keep room for the cursor in answers to hosts that catch up

Cause: the fuzz showed a message of 648 bytes against the bound of 640, and an answer without room ended the list too early.

--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -10,6 +10,10 @@
 use crate::{Body, Delta, Effect, Member, Message, Sender, State, Summary};
 
 const SUMMARIES: usize = 2;
+/// What a message with the longest names and one piece of news takes.
+const MESSAGE_MIN: usize = 512;
+/// The longest host name that an answer ends a list with.
+const CURSOR_BYTES: usize = 64;
 /// More than any message of the largest size can hold.
 const DELTAS_MAX: usize = 64;
 
@@ -36,25 +40,34 @@
         let about = view
             .filter(|view| matches!(view.state, State::Suspect | State::Dead))
             .map(delta);
-        let adoption = near.then(|| self.adoption.clone());
+        // A host that catches up needs the room more than summaries do.
+        let zones = match after {
+            Some(_) => Vec::new(),
+            None => self.summaries(now, near),
+        };
         let mut message = Message {
             body,
             sender,
             fresh: self.fresh.share(now),
-            adoption,
-            zones: self.summaries(now, near),
+            adoption: near.then(|| self.adoption.clone()),
+            zones,
             deltas: about.into_iter().collect(),
         };
-        let mut room = self.settings.message_max.saturating_sub(message.size());
-        let news = self.gossip.take(&mut room, &self.roster);
-        message.deltas.extend(news);
+        let mut room = self.room(&message);
         if let (Some(after), Body::Ack { until, .. }) = (after, &mut message.body) {
-            *until = self.fill(&after, room, &mut message.deltas);
+            *until = self.fill(&after, &mut room, &mut message.deltas);
         }
+        let news = self.gossip.take(&mut room, &self.roster);
+        message.deltas.extend(news);
         let to = to.clone();
         self.effects.push_back(Effect::Send { to, message });
     }
 
+    fn room(&self, message: &Message) -> usize {
+        let max = self.settings.message_max.max(MESSAGE_MIN);
+        max.saturating_sub(message.size())
+    }
+
     fn sender(&self, now: Instant) -> Option<Sender> {
         let own = self.roster.get(&self.settings.own.host)?;
         let contact = self.zone_contact();
@@ -82,7 +95,8 @@
     }
 
     /// Adds the states of hosts after `after`; tells the last one where there are more.
-    fn fill(&self, after: &Cursor, mut room: usize, deltas: &mut Vec<Delta>) -> Option<HostId> {
+    fn fill(&self, after: &Cursor, room: &mut usize, deltas: &mut Vec<Delta>) -> Option<HostId> {
+        *room = room.saturating_sub(CURSOR_BYTES);
         let after = match after {
             Cursor::Start => None,
             Cursor::Host(host) => Some(host),
@@ -91,11 +105,10 @@
         for view in self.roster.after(after) {
             if view.state != State::Unknown {
                 let delta = delta(view);
-                // Room for the cursor itself is kept.
-                if delta.size() * 2 > room {
+                if delta.size() > *room {
                     return last;
                 }
-                room -= delta.size();
+                *room -= delta.size();
                 deltas.push(delta);
             }
             last = Some(view.info.host.clone());
--- /dev/null
+++ b/crates/member/tests/fuzz/main.rs
@@ -0,0 +1,298 @@
+//! Stateful fuzzing of a fleet of today's size against simple rules.
+//!
+//! `PROPTEST_CASES` sets how many trials are made.
+
+mod net;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use net::{Net, mode_name};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestError, TestRunner};
+use wagtail_member::{Input, Mutant, Settings, State};
+use wagtail_types::Incarnation;
+
+const SEED: u64 = 30;
+const HOSTS: usize = 12;
+const ZONES: usize = 6;
+/// Time for a host that was wrongly held for dead, or cut off, to be found again.
+const REJOIN: Duration = Duration::from_secs(12);
+
+#[derive(Debug, Clone)]
+enum Op {
+    Crash {
+        host: usize,
+    },
+    Start {
+        host: usize,
+    },
+    Pause {
+        host: usize,
+        seconds: u64,
+    },
+    Leave {
+        host: usize,
+    },
+    Cut {
+        sides: [u8; ZONES],
+    },
+    Heal,
+    Loss {
+        percent: u32,
+    },
+    Table {
+        zones: [bool; ZONES],
+    },
+    Commit,
+    Wait {
+        millis: u64,
+    },
+    /// Waits until all has settled, and checks what must hold then.
+    Settle,
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let host = 0..HOSTS;
+    let table = prop_oneof![
+        Just([false; ZONES]),
+        Just([true; ZONES]),
+        any::<[bool; ZONES]>()
+    ];
+    prop_oneof![
+        3 => host.clone().prop_map(|host| Op::Crash { host }),
+        3 => host.clone().prop_map(|host| Op::Start { host }),
+        2 => (host.clone(), 1u64..15).prop_map(|(host, seconds)| Op::Pause { host, seconds }),
+        1 => host.prop_map(|host| Op::Leave { host }),
+        2 => prop::array::uniform6(0u8..2).prop_map(|sides| Op::Cut { sides }),
+        1 => Just(Op::Heal),
+        1 => (0u32..6).prop_map(|percent| Op::Loss { percent }),
+        2 => table.prop_map(|zones| Op::Table { zones }),
+        3 => Just(Op::Commit),
+        4 => (0u64..4000).prop_map(|millis| Op::Wait { millis }),
+        2 => Just(Op::Settle),
+    ]
+}
+
+type Checked = Result<(), String>;
+
+struct Trial {
+    net: Net,
+    lives: HashMap<(usize, Incarnation, usize), Incarnation>,
+}
+
+impl Trial {
+    fn new(tune: fn(&mut Settings)) -> Self {
+        let net = Net::new(HOSTS, ZONES, 2, 7, tune);
+        let lives = HashMap::new();
+        Self { net, lives }
+    }
+
+    fn apply(&mut self, op: &Op) -> Checked {
+        let net = &mut self.net;
+        match *op {
+            Op::Crash { host } => net.stop(host),
+            Op::Start { host } => net.start(host),
+            Op::Pause { host, seconds } if net.is_up(host) => {
+                net.nodes[host].asleep = Some(net.now + Duration::from_secs(seconds));
+                let before = net.nodes[host].pauses;
+                if seconds > 4 {
+                    self.wake_up(host, before)?;
+                }
+            }
+            Op::Pause { .. } => {}
+            Op::Leave { host } => net.input(host, Input::Leave),
+            Op::Cut { sides } => net.sides = sides.to_vec(),
+            Op::Heal => net.sides = vec![0; ZONES],
+            Op::Loss { percent } => net.loss_percent = percent,
+            Op::Table { zones } => net.table = zones.to_vec(),
+            Op::Commit => net.commit(),
+            Op::Wait { millis } => self.run(Duration::from_millis(millis))?,
+            Op::Settle => self.settle()?,
+        }
+        self.run(Duration::from_millis(50))
+    }
+
+    /// Runs up to the end of a pause and just beyond: nothing may be held for current.
+    fn wake_up(&mut self, host: usize, before: usize) -> Checked {
+        let up = self.net.table.clone();
+        self.net.table = vec![false; ZONES];
+        let until = self.net.nodes[host].asleep.unwrap_or(self.net.now);
+        self.run(until.saturating_duration_since(self.net.now))?;
+        let node = &self.net.nodes[host];
+        let fresh = node
+            .member
+            .as_ref()
+            .and_then(|member| member.freshness(self.net.now));
+        self.net.table = up;
+        if node.pauses == before || fresh.is_some() {
+            return Err(format!("host {host} trusts what it held before a pause"));
+        }
+        Ok(())
+    }
+
+    /// Runs in short steps, with the rules that hold at all times checked at each.
+    fn run(&mut self, time: Duration) -> Checked {
+        const STEP: Duration = Duration::from_millis(200);
+        let end = self.net.now + time;
+        while self.net.now < end {
+            self.net.run(STEP.min(end - self.net.now));
+            self.check_always()?;
+        }
+        Ok(())
+    }
+
+    fn check_always(&mut self) -> Checked {
+        let net = &self.net;
+        for (index, node) in net.nodes.iter().enumerate().filter(|(i, _)| net.is_up(*i)) {
+            let Some(member) = &node.member else { continue };
+            if let Some(age) = member.freshness(net.now) {
+                let at = net.now - age;
+                let own = member.get(&node.info.host).map(|view| view.epoch);
+                if own < Some(net.head(at)) {
+                    return Err(format!("host {index} is not as fresh as it says: {age:?}"));
+                }
+            }
+            for (other, view) in member.members().enumerate() {
+                let held = self.lives.entry((index, node.life, other)).or_default();
+                if view.incarnation < *held {
+                    return Err(format!("a life of {other} went back at {index}"));
+                }
+                *held = view.incarnation;
+            }
+            if node.largest > 640 {
+                return Err(format!("a message of {} bytes", node.largest));
+            }
+        }
+        Ok(())
+    }
+
+    fn settle(&mut self) -> Checked {
+        let settings = Settings::new(self.net.nodes[0].info.clone(), Incarnation(0));
+        let wait = settings.detection(HOSTS).max(settings.contact_limit(HOSTS)) + REJOIN;
+        let wake = self.net.nodes.iter().filter_map(|node| node.asleep).max();
+        let sleep = wake.map_or(Duration::ZERO, |at| {
+            at.saturating_duration_since(self.net.now)
+        });
+        self.run(sleep + wait)?;
+        for index in (0..HOSTS).filter(|index| self.net.is_up(*index)) {
+            self.check_states(index)?;
+            self.check_mode(index)?;
+        }
+        Ok(())
+    }
+
+    fn check_states(&self, index: usize) -> Checked {
+        let net = &self.net;
+        let Some(member) = &net.nodes[index].member else {
+            return Ok(());
+        };
+        for other in (0..HOSTS).filter(|other| net.connected(index, *other)) {
+            let held = member.get(&net.nodes[other].info.host);
+            let state = held.map(|view| view.state);
+            let up = net.is_up(other);
+            let fits = match state {
+                Some(State::Dead) => !up,
+                // A host that nobody has ever heard of in this life is not declared dead.
+                Some(State::Unknown) => !up,
+                Some(_) => up && held.is_some_and(|v| v.incarnation == net.nodes[other].life),
+                None => false,
+            };
+            if !fits {
+                return Err(format!(
+                    "{index} holds {other} for {state:?}, and it is up: {up}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_mode(&self, index: usize) -> Checked {
+        let net = &self.net;
+        let Some(member) = &net.nodes[index].member else {
+            return Ok(());
+        };
+        let mates = (0..HOSTS).filter(|i| net.is_up(*i) && net.connected(index, *i));
+        let mut zones: Vec<usize> = mates.map(|i| net.zone(i)).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let want = if zones.iter().any(|zone| net.table[*zone]) {
+            "current"
+        } else if zones.len() * 2 > ZONES {
+            "platform-out"
+        } else {
+            "cut-off"
+        };
+        let got = mode_name(member.mode());
+        if got == want {
+            return Ok(());
+        }
+        Err(format!(
+            "{index} is {got}, not {want}, with zones {zones:?}"
+        ))
+    }
+}
+
+fn config(cases: Option<u32>) -> Config {
+    let usual = Config::default();
+    Config {
+        cases: cases.unwrap_or(usual.cases.min(if std::env::var("PROPTEST_CASES").is_ok() {
+            u32::MAX
+        } else {
+            48
+        })),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        max_shrink_iters: if cases.is_some() { 0 } else { 64 },
+        ..usual
+    }
+}
+
+fn trial(tune: fn(&mut Settings), ops: &[Op]) -> Result<(), TestCaseError> {
+    let mut trial = Trial::new(tune);
+    let mut run = || {
+        for op in ops {
+            trial.apply(op)?;
+        }
+        trial.settle()
+    };
+    run().map_err(TestCaseError::fail)
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    prop::collection::vec(op(), 1..20)
+}
+
+#[test]
+fn rules_hold() {
+    let result = TestRunner::new(config(None)).run(&ops(), |ops| trial(|_| {}, &ops));
+    assert!(result.is_ok(), "{result:?}");
+}
+
+#[test]
+fn broken_variants_are_found() {
+    const CASES: u32 = 200;
+    let mutants: [(Mutant, fn(&mut Settings)); 8] = [
+        (Mutant::NeverDead, |s| s.mutant = Some(Mutant::NeverDead)),
+        (Mutant::NoRefute, |s| s.mutant = Some(Mutant::NoRefute)),
+        (Mutant::OldLife, |s| s.mutant = Some(Mutant::OldLife)),
+        (Mutant::NoSpread, |s| s.mutant = Some(Mutant::NoSpread)),
+        (Mutant::HalfIsMajority, |s| {
+            s.mutant = Some(Mutant::HalfIsMajority)
+        }),
+        (Mutant::OwnContactOnly, |s| {
+            s.mutant = Some(Mutant::OwnContactOnly)
+        }),
+        (Mutant::IgnorePause, |s| {
+            s.mutant = Some(Mutant::IgnorePause)
+        }),
+        (Mutant::AnyEpoch, |s| s.mutant = Some(Mutant::AnyEpoch)),
+    ];
+    for (mutant, tune) in mutants {
+        let result = TestRunner::new(config(Some(CASES))).run(&ops(), |ops| trial(tune, &ops));
+        assert!(
+            matches!(result, Err(TestError::Fail(..))),
+            "{mutant:?} was not found"
+        );
+    }
+}
--- /dev/null
+++ b/crates/member/tests/fuzz/net.rs
@@ -0,0 +1,292 @@
+//! Hosts on a fake link in virtual time, with a table service that they poll.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use wagtail_member::{Effect, HostInfo, Input, Member, Message, Mode, Settings};
+use wagtail_types::{Epoch, HostId, Incarnation};
+
+/// How long the configuration of a new epoch is under way to a host at most.
+const FETCH_MAX: Duration = Duration::from_secs(3);
+
+pub(crate) struct Node {
+    pub(crate) info: HostInfo,
+    pub(crate) member: Option<Member>,
+    pub(crate) life: Incarnation,
+    pub(crate) asleep: Option<Instant>,
+    pub(crate) sent_bytes: usize,
+    pub(crate) sent: usize,
+    pub(crate) received_bytes: usize,
+    pub(crate) largest: usize,
+    pub(crate) pauses: usize,
+    next_poll: Instant,
+    fetch: Option<(Instant, Epoch)>,
+}
+
+pub(crate) struct Net {
+    pub(crate) now: Instant,
+    pub(crate) nodes: Vec<Node>,
+    /// Zones of different sides do not hear one another.
+    pub(crate) sides: Vec<u8>,
+    /// Zones whose hosts can reach the table service.
+    pub(crate) table: Vec<bool>,
+    pub(crate) loss_percent: u32,
+    pub(crate) heads: Vec<(Instant, Epoch)>,
+    pub(crate) on_change: Vec<(Instant, usize, wagtail_member::MemberChange)>,
+    pub(crate) tune: fn(&mut Settings),
+    queue: BTreeMap<(Instant, u64), (usize, usize, Message)>,
+    sequence: u64,
+    lives: u64,
+    rng: SmallRng,
+    zones: usize,
+}
+
+impl Net {
+    /// A fleet whose zones, `per_region` to a region, have `hosts` hosts in all.
+    pub(crate) fn new(
+        hosts: usize,
+        zones: usize,
+        per_region: usize,
+        seed: u64,
+        tune: fn(&mut Settings),
+    ) -> Self {
+        let now = Instant::now();
+        let mut net = Self {
+            now,
+            nodes: Vec::new(),
+            sides: vec![0; zones],
+            table: vec![true; zones],
+            loss_percent: 0,
+            heads: vec![(now, Epoch(1))],
+            on_change: Vec::new(),
+            tune,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            lives: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            zones,
+        };
+        for index in 0..hosts {
+            let zone = index % zones;
+            let name = |prefix: &str, n: usize| format!("{prefix}{n}");
+            net.nodes.push(Node {
+                info: HostInfo::new(
+                    format!("zone{zone}-h{index:03}").parse().expect("a host"),
+                    name("zone", zone).parse().expect("a zone"),
+                    name("region", zone / per_region).parse().expect("a region"),
+                ),
+                member: None,
+                life: Incarnation(0),
+                asleep: None,
+                sent_bytes: 0,
+                sent: 0,
+                received_bytes: 0,
+                largest: 0,
+                pauses: 0,
+                next_poll: now,
+                fetch: None,
+            });
+        }
+        (0..hosts).for_each(|index| net.start(index));
+        net
+    }
+
+    pub(crate) fn zone(&self, index: usize) -> usize {
+        index % self.zones
+    }
+
+    pub(crate) fn start(&mut self, index: usize) {
+        self.lives += 1;
+        let life = Incarnation(self.lives);
+        let mut settings = Settings::new(self.nodes[index].info.clone(), life);
+        (self.tune)(&mut settings);
+        let mut member = Member::new(settings, self.lives, self.now);
+        let hosts = self.nodes.iter().map(|node| node.info.clone()).collect();
+        member.handle(self.now, Input::Hosts(hosts));
+        let jitter = Duration::from_millis(self.rng.random_range(0..1000));
+        let node = &mut self.nodes[index];
+        node.life = life;
+        node.asleep = None;
+        node.fetch = None;
+        node.next_poll = self.now + jitter;
+        node.member = Some(member);
+        self.drain(index);
+    }
+
+    pub(crate) fn stop(&mut self, index: usize) {
+        self.nodes[index].member = None;
+    }
+
+    /// Whether a host runs now.
+    pub(crate) fn is_up(&self, index: usize) -> bool {
+        self.nodes[index].member.is_some() && self.nodes[index].asleep.is_none()
+    }
+
+    pub(crate) fn input(&mut self, index: usize, input: Input) {
+        let now = self.now;
+        if let Some(member) = self.nodes[index].member.as_mut() {
+            member.handle(now, input);
+        }
+        self.drain(index);
+    }
+
+    pub(crate) fn commit(&mut self) {
+        let last = self.heads.last().map_or(Epoch(0), |head| head.1);
+        self.heads.push((self.now, last.next()));
+    }
+
+    /// The head of the table at `at`.
+    pub(crate) fn head(&self, at: Instant) -> Epoch {
+        let earlier = self.heads.iter().rev().find(|head| head.0 <= at);
+        earlier.map_or(Epoch(0), |head| head.1)
+    }
+
+    pub(crate) fn connected(&self, a: usize, b: usize) -> bool {
+        self.sides[self.zone(a)] == self.sides[self.zone(b)]
+    }
+
+    /// Runs for `time`.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(at) = self.next_event().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.step();
+        }
+        self.now = end;
+    }
+
+    fn wake_of(&self, node: &Node) -> Option<Instant> {
+        let member = node.member.as_ref()?;
+        let due = [
+            member.next_wake(),
+            Some(node.next_poll),
+            node.fetch.map(|f| f.0),
+        ];
+        let due = due.into_iter().flatten().min()?;
+        Some(node.asleep.map_or(due, |until| until))
+    }
+
+    fn next_event(&self) -> Option<Instant> {
+        let wakes = self.nodes.iter().filter_map(|node| self.wake_of(node));
+        let message = self.queue.keys().next().map(|key| key.0);
+        wakes.chain(message).min()
+    }
+
+    fn step(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self
+                .wake_of(&self.nodes[index])
+                .is_some_and(|at| at <= self.now)
+            {
+                self.wake(index);
+            }
+        }
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (from, to, message) = entry.remove();
+            self.deliver(from, to, message);
+        }
+    }
+
+    fn wake(&mut self, index: usize) {
+        let now = self.now;
+        let zone = self.zone(index);
+        let node = &mut self.nodes[index];
+        node.asleep = None;
+        let Some(member) = node.member.as_mut() else {
+            return;
+        };
+        member.tick(now);
+        if let Some((_, epoch)) = node.fetch.take_if(|fetch| fetch.0 <= now) {
+            member.handle(now, Input::Adopted(epoch));
+        }
+        if node.next_poll <= now {
+            node.next_poll = now + Duration::from_secs(1);
+            if self.table[zone] {
+                let head = self.head(now);
+                self.input(index, Input::TableContact { at: now, head });
+            }
+        }
+        self.drain(index);
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, message: Message) {
+        // What comes in during a pause waits in the socket.
+        if let Some(until) = self.nodes[to].asleep {
+            self.enqueue(until, from, to, message);
+            return;
+        }
+        let node = &mut self.nodes[to];
+        let Some(member) = node.member.as_mut() else {
+            return;
+        };
+        node.received_bytes += message.size();
+        // A newer epoch is fetched from the peer.
+        let (own, theirs) = (epoch_of(member, &node.info.host), message.sender.epoch);
+        if theirs > own && node.fetch.is_none() {
+            let wait = self.rng.random_range(Duration::ZERO..FETCH_MAX);
+            node.fetch = Some((self.now + wait, theirs));
+        }
+        let from = self.nodes[from].info.host.clone();
+        self.input(to, Input::Received { from, message });
+    }
+
+    fn enqueue(&mut self, at: Instant, from: usize, to: usize, message: Message) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), (from, to, message));
+    }
+
+    fn drain(&mut self, index: usize) {
+        loop {
+            let node = &mut self.nodes[index];
+            let Some(effect) = node.member.as_mut().and_then(Member::poll_effect) else {
+                return;
+            };
+            match effect {
+                Effect::Send { to, message } => self.transmit(index, &to, message),
+                Effect::Changed(change) => self.on_change.push((self.now, index, change)),
+                Effect::Paused { .. } => node.pauses += 1,
+                Effect::ModeChanged(_) | Effect::Replaced { .. } => {}
+            }
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: &HostId, message: Message) {
+        let size = message.size();
+        let node = &mut self.nodes[from];
+        node.sent += 1;
+        node.sent_bytes += size;
+        node.largest = node.largest.max(size);
+        let Some(to) = self.nodes.iter().position(|node| node.info.host == *to) else {
+            return;
+        };
+        let lost = self.rng.random_range(0..100) < self.loss_percent;
+        if lost || !self.connected(from, to) {
+            return;
+        }
+        let millis = match (&self.nodes[from].info, &self.nodes[to].info) {
+            (a, b) if a.zone == b.zone => 1,
+            (a, b) if a.region == b.region => 2,
+            _ => 20,
+        };
+        let delay = Duration::from_millis(millis + self.rng.random_range(0..=millis / 2));
+        self.enqueue(self.now + delay, from, to, message);
+    }
+}
+
+fn epoch_of(member: &Member, host: &HostId) -> Epoch {
+    member.get(host).map_or(Epoch(0), |view| view.epoch)
+}
+
+/// The mode without its time.
+pub(crate) fn mode_name(mode: Mode) -> &'static str {
+    match mode {
+        Mode::Current => "current",
+        Mode::PlatformOut => "platform-out",
+        Mode::CutOff { .. } => "cut-off",
+    }
+}
