Keep the spreads of teams in lease rows

Cause: the quota machine's row now carries earlier spreads. Change: the table's form of the row carries them too; rows without are read as before. Conclusion: follows the library.

--- a/crates/entryd/src/rows.rs
+++ b/crates/entryd/src/rows.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use wagtail_once::{ClaimResult, ClaimRow};
 use wagtail_platform::{Access, PlatformError, Priority, Receipt, RowKey, Txn, Write};
-use wagtail_quota::{Member, ReadOutcome, Row, ShardId, TeamTokens, WriteOutcome};
+use wagtail_quota::{Member, ReadOutcome, Row, ShardId, TeamSpread, TeamTokens, WriteOutcome};
 use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, TeamId, Tokens};
 
 use crate::calls;
@@ -28,6 +28,8 @@
     members: Vec<Holder>,
     attempt: String,
     tokens: Vec<(TeamId, u64)>,
+    #[serde(default)]
+    spreads: Vec<(TeamId, Epoch, u32)>,
 }
 
 impl From<&Member> for Holder {
@@ -61,6 +63,11 @@
                 .iter()
                 .map(|t| (t.team.clone(), t.tokens.micros()))
                 .collect(),
+            spreads: row
+                .spreads
+                .iter()
+                .map(|s| (s.team.clone(), s.since, s.count))
+                .collect(),
         }
     }
 }
@@ -73,7 +80,9 @@
             team,
             tokens: Tokens::from_micros(micros),
         };
+        let spread = |(team, since, count)| TeamSpread { team, since, count };
         Ok(Self {
+            spreads: lease.spreads.into_iter().map(spread).collect(),
             holder: lease.holder.map(Member::from),
             epoch: lease.epoch,
             confirmed: lease.confirmed,
