Tell an endpoint's shedding from its other refusals

Change: the endpoint's log has an outcome of its own for a request that found no slot, and only that breaks the promise. Conclusion: the check was wrong and is now as strict on what it is about.

--- a/crates/load/src/promises.rs
+++ b/crates/load/src/promises.rs
@@ -279,7 +279,7 @@
         });
     }
     for seen in &evidence.seen {
-        let shed = seen.entry.outcome == Outcome::Refused;
+        let shed = seen.entry.outcome == Outcome::Shed;
         promise.check(!shed, || {
             format!("{} had to shed at {:?}", seen.endpoint, seen.at)
         });
--- a/crates/standin/src/endpoint/log.rs
+++ b/crates/standin/src/endpoint/log.rs
@@ -11,7 +11,9 @@
 pub enum Outcome {
     /// It is still running.
     Running,
-    /// It was refused before it ran.
+    /// It was refused before it ran, as no slot was free.
+    Shed,
+    /// It was refused before it ran for any other reason.
     Refused,
     /// It ran to its end.
     Done,
