Hold slots, bytes and adverts to what routing says

Cause: the daemon ignored a lease's end, the byte budget between regions and the audience of adverts. Change: a request ends by its lease, bodies to and from other regions are paced, adverts go to the audience that the router draws. Conclusion: the router's bounds now hold on sockets too.

--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -18,7 +18,7 @@
 use wagtail_platform::Platform;
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
-use wagtail_types::{AttemptId, Clock, Incarnation};
+use wagtail_types::{AttemptId, Clock, HostId, Incarnation};
 
 use crate::calls::Calls;
 use crate::lifecycle::Watch;
@@ -117,6 +117,16 @@
         }
     }
 
+    /// Whether another host is in another region.
+    pub(crate) fn is_far(&self, other: &HostId) -> bool {
+        let view = self.view.load();
+        let region = view
+            .hosts()
+            .get(other)
+            .and_then(|h| view.region_of(&h.zone));
+        region.is_none_or(|region| *region != self.settings.region)
+    }
+
     /// The connections to other hosts; `None` before they are up.
     pub(crate) fn peer(&self) -> Option<&Peer> {
         self.peer.get()
--- a/crates/entryd/src/keyed.rs
+++ b/crates/entryd/src/keyed.rs
@@ -173,7 +173,8 @@
     to: &HostId,
 ) -> Result<Response<Body>, Verdict> {
     let head = run::head(host, &job, Step::Issuer, Some((key.to_owned(), print.0)));
-    run::forward(host, &mut job, to, head).await
+    let far = host.is_far(to);
+    run::forward(host, &mut job, to, head, far).await
 }
 
 /// Runs the attempt to its end, whether or not its caller stays.
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -14,6 +14,7 @@
 mod lifecycle;
 mod logs;
 mod metrics;
+mod paced;
 mod plan;
 mod relay;
 mod reports;
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::host::Host;
 use crate::job::{Job, Payload};
 use crate::keyed;
+use crate::paced::pace;
 use crate::run;
 
 /// Hands what other hosts send to this one.
@@ -29,7 +30,7 @@
 
     fn relay(
         &self,
-        _: HostId,
+        from: HostId,
         head: RelayHead,
         body: wagtail_peer::Body,
     ) -> BoxFuture<Result<RelayAnswer, Verdict>> {
@@ -40,7 +41,13 @@
                 .watch
                 .enter(host.settings.limits.requests)
                 .ok_or(Verdict::not_run(Reason::Overloaded, None))?;
-            take(&host, head, body).await.map(to_answer)
+            let answer = take(&host, head, body).await?;
+            let answer = if host.is_far(&from) {
+                answer.map(|body| pace(&host, body))
+            } else {
+                answer
+            };
+            Ok(to_answer(answer))
         })
     }
 }
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -14,6 +14,7 @@
 use crate::host::{Host, Start};
 use crate::intake;
 use crate::job::Job;
+use crate::paced::pace;
 use crate::reports;
 use crate::tracked::{End, track};
 
@@ -180,10 +181,6 @@
         }
     }
 
-    fn endpoint(&self) -> Option<EndpointId> {
-        self.lease.as_ref().map(|l| l.endpoint.clone())
-    }
-
     fn finish(mut self, outcome: Outcome) {
         self.end(outcome);
     }
@@ -234,10 +231,9 @@
 
 async fn dispatch(host: &Arc<Host>, job: &mut Job, slot: Slot) -> Result<Response<Body>, Failure> {
     let view = host.view.load_full();
-    let Some(endpoint) = slot
-        .endpoint()
-        .and_then(|id| view.endpoints().get(&id).cloned())
-    else {
+    let lease = slot.lease.as_ref().map(|l| (l.endpoint.clone(), l.until));
+    let known = lease.and_then(|(id, until)| Some((view.endpoints().get(&id)?.clone(), until)));
+    let Some((endpoint, until)) = known else {
         slot.finish(Outcome::Cancelled);
         return Err(Failure::last(Verdict::not_run(Reason::NoEndpoint, None)));
     };
@@ -245,10 +241,9 @@
     let attempt = host.attempt();
     let request = job.request(attempt, now);
     let id = request.headers().get(intake::REQUEST).cloned();
-    let sent = host
-        .upstreams
-        .send(endpoint.addr, request, job.left(now))
-        .await;
+    // Past this time another host may use the slot.
+    let left = job.left(now).min(until.saturating_duration_since(now));
+    let sent = host.upstreams.send(endpoint.addr, request, left).await;
     match sent {
         Ok(response) => judge(host, &endpoint.id, job, slot, id.as_ref(), response),
         Err(verdict) => {
@@ -310,15 +305,15 @@
     job: &mut Job,
     mut passing: Passing,
 ) -> Result<Response<Body>, Failure> {
-    let Some((to, zone)) = passing
+    let Some((to, zone, far)) = passing
         .pass
         .as_ref()
-        .map(|p| (p.host.clone(), p.zone.clone()))
+        .map(|p| (p.host.clone(), p.zone.clone(), p.far))
     else {
         return Err(Failure::last(Verdict::not_run(Reason::Unavailable, None)));
     };
     let head = head(host, job, Step::Owner, None);
-    let answer = forward(host, job, &to, head).await;
+    let answer = forward(host, job, &to, head, far).await;
     passing.end(match &answer {
         Ok(_) | Err(Verdict::MayHaveRun { .. }) => Relayed::Taken,
         Err(Verdict::NotRun { reason, .. }) => match reason {
@@ -359,12 +354,15 @@
     job: &mut Job,
     to: &wagtail_types::HostId,
     head: RelayHead,
+    far: bool,
 ) -> Result<Response<Body>, Verdict> {
     let Some(peer) = host.peer() else {
         return Err(Verdict::not_run(Reason::Unavailable, None));
     };
     let left = job.left(host.now());
-    let body = crate::relay::to_peer(job.payload.take());
+    let body = job.payload.take();
+    let body = if far { pace(host, body) } else { body };
+    let body = crate::relay::to_peer(body);
     let sent = tokio::time::timeout(left, peer.relay(to, head, body)).await;
     let answer = sent.unwrap_or(Err(Verdict::may_have_run(Cause::Timeout)))?;
     Ok(crate::relay::from_peer(answer))
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -3,15 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
 use tokio::task::JoinSet;
 use wagtail_peer::Control;
 use wagtail_platform::{Access, ListedState, Priority};
-use wagtail_types::HostId;
 
 use crate::calls;
 use crate::drive;
-use crate::host::{Host, rng};
+use crate::host::Host;
 use crate::reports;
 
 const ADVERT_PERIOD: Duration = Duration::from_millis(250);
@@ -114,21 +112,19 @@
 
 /// Tells other hosts of the free slots here.
 async fn advertise(host: Arc<Host>) {
-    let mut random = rng(host.settings.seed);
     let mut period = tokio::time::interval(ADVERT_PERIOD);
     loop {
         period.tick().await;
-        let advert = host.routing.lock().machine.advert(host.now());
-        let others: Vec<HostId> = {
-            let membership = host.membership.lock();
-            let others = membership.machine.members().filter(|m| m.is_live());
-            others
-                .map(|m| m.info.host.clone())
-                .filter(|h| *h != host.settings.host)
-                .collect()
+        let now = host.now();
+        let (advert, audience) = {
+            let mut routing = host.routing.lock();
+            (
+                routing.machine.advert(now),
+                routing.machine.audience(ADVERT_FANOUT),
+            )
         };
-        for to in others.choose_multiple(&mut random, ADVERT_FANOUT) {
-            drive::send(&host, to, Control::Advert(advert.clone()));
+        for to in audience {
+            drive::send(&host, &to, Control::Advert(advert.clone()));
         }
     }
 }
