route: tell a deadline that passed from a failure of the endpoint

Cause: a caller with a deadline shorter than the service takes would have had healthy endpoints ejected for everyone, since its time-outs counted as failures.

Change: Outcome::TimedOut counts against the endpoint only where it took longer than is usual for the service (mean and four deviations).

API: Outcome::TimedOut is new; to be used for Cause::Timeout.

--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -152,8 +152,11 @@
     Answered,
     /// The endpoint refused it unrun.
     Refused,
-    /// The connection failed, the answer was broken or the deadline passed.
+    /// The connection failed or the answer was broken.
     Failed,
+    /// The deadline passed while it ran. This counts against the endpoint only where it took
+    /// longer than is usual for the service, so that short deadlines eject nobody.
+    TimedOut,
     /// The caller gave up; this says nothing about the endpoint.
     Cancelled,
 }
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -173,6 +173,7 @@
         let Some(running) = self.leases.remove(lease.key) else {
             return;
         };
+        let late = self.unusual(Duration::ZERO);
         let Some(endpoint) = self.endpoints.get_mut(lease.target) else {
             return;
         };
@@ -185,7 +186,11 @@
             }
             Outcome::Refused => endpoint.refused(),
             Outcome::Failed => endpoint.failures += 1,
-            Outcome::Cancelled => {}
+            Outcome::TimedOut if took > late => {
+                endpoint.learn(now, took);
+                endpoint.failures += 1;
+            }
+            Outcome::TimedOut | Outcome::Cancelled => {}
         }
         self.after(now, lease.target, outcome, effects);
     }
@@ -213,8 +218,12 @@
                 endpoint.renew(now);
                 effects.push(Effect::Restored(endpoint.id.clone()));
             }
-            (Life::Probing, Outcome::Failed) => self.eject(now, key, effects),
-            (Life::Open, Outcome::Failed) if endpoint.failures >= self.settings.failures => {
+            (Life::Probing, Outcome::Failed | Outcome::TimedOut) => {
+                self.eject(now, key, effects);
+            }
+            (Life::Open, Outcome::Failed | Outcome::TimedOut)
+                if endpoint.failures >= self.settings.failures =>
+            {
                 self.eject(now, key, effects);
             }
             _ => {}
--- a/crates/route/src/pool/endpoint.rs
+++ b/crates/route/src/pool/endpoint.rs
@@ -226,11 +226,7 @@
 
     pub(crate) fn answered(&mut self, now: Instant, took: Duration) {
         self.failures = 0;
-        self.answered = now;
-        let took = took.as_secs_f64();
-        let gain = if self.samples == 0 { 1.0 } else { LATENCY_GAIN };
-        self.latency += (took - self.latency) * gain;
-        self.samples = self.samples.saturating_add(1);
+        self.learn(now, took);
         if self.limit.is_finite() {
             self.limit += 1.0 / self.limit.max(1.0);
             if self.limit > f64::from(self.slots) {
@@ -239,6 +235,15 @@
         }
     }
 
+    /// Learns how long a request took, or that it took at least so long.
+    pub(crate) fn learn(&mut self, now: Instant, took: Duration) {
+        self.answered = now;
+        let took = took.as_secs_f64();
+        let gain = if self.samples == 0 { 1.0 } else { LATENCY_GAIN };
+        self.latency += (took - self.latency) * gain;
+        self.samples = self.samples.saturating_add(1);
+    }
+
     pub(crate) fn refused(&mut self) {
         let base = self.limit.min(f64::from(self.running + 1));
         self.limit = (base * REFUSAL_CUT).max(1.0);
--- a/crates/route/tests/route/cases.rs
+++ b/crates/route/tests/route/cases.rs
@@ -153,6 +153,22 @@
     }
 }
 
+#[test]
+fn deadlines_eject_only_endpoints_that_are_slow() {
+    for (took, ejected) in [(ms(1), false), (ms(90), true)] {
+        let mut single = Single::standard(one_zone(6, 2));
+        for _ in 0..200 {
+            single.run(|name| match name {
+                "e0" => (took, Outcome::TimedOut),
+                _ => (ms(5), Outcome::Answered),
+            });
+        }
+        let effects = single.effects();
+        let found = effects.contains(&Effect::Ejected(id("e0")));
+        assert_eq!(found, ejected, "after {took:?}");
+    }
+}
+
 #[test]
 fn reports_that_mislead_or_stop_draw_no_more_work_than_answers_justify() {
     for reports in ["idle", "none", "stale"] {
