--- a/crates/ctl/src/cli/help.rs
+++ b/crates/ctl/src/cli/help.rs
@@ -17,7 +17,8 @@
   drain KIND NAME                Drain an endpoint, zone or region [--cap SHARE] [--stop]
   move SERVICE FROM TO           Move traffic between regions
                                  [--share SHARE] [--cap SHARE] [--ramp SECONDS] [--stop]
-  status                         Show hosts, their epochs and what they measure
+  status                         Show hosts and their epochs; latency and refusals too where --entry is
+                                 the operators' address of a host
   check FILE…                    Check the records of files by themselves
 
 Options:
--- a/crates/platform/tests/contract.rs
+++ b/crates/platform/tests/contract.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use wagtail_platform::{
     HttpClient, HttpSettings, Listed, ListedState, Memory, Place, Platform, PlatformError, RowKey,
-    Scan, Txn, Write,
+    Scan, Table, Txn, Write,
 };
 use wagtail_standin::platform::{Running, start};
 use wagtail_types::AttemptId;
@@ -170,9 +171,7 @@
     let error = client.transact(&put(2, "a", 0)).await.unwrap_err();
     assert!(!matches!(error, PlatformError::Conflict { .. }), "{error}");
     let fresh = HttpClient::new(HttpSettings::new(addr));
-    let error = wagtail_platform::Table::transact(&fresh, &put(3, "a", 0))
-        .await
-        .unwrap_err();
+    let error = Table::transact(&fresh, &put(3, "a", 0)).await.unwrap_err();
     assert!(
         matches!(error, PlatformError::Unavailable { .. }),
         "{error}"
@@ -213,3 +212,75 @@
     running.remove_host("entry-1");
     assert_eq!(client.list().await, Ok(vec![]));
 }
+
+/// An answer that is late, cut short or not understood leaves a write unknown and a read failed.
+#[tokio::test]
+async fn answers_that_tell_nothing() {
+    let table = [
+        ("cut head", "HTTP/1.1 200 OK\r\ncont"),
+        (
+            "cut body",
+            "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n{\"versi",
+        ),
+        (
+            "not JSON",
+            "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+        ),
+        (
+            "another document",
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+        ),
+        ("not HTTP", "SSH-2.0-server\r\n\r\n"),
+        (
+            "server error",
+            "HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n",
+        ),
+        ("nothing", ""),
+    ];
+    for (name, answer) in table {
+        let client = HttpClient::new(HttpSettings::new(says(answer).await));
+        let write = client.transact(&put(1, "a", 0)).await.unwrap_err();
+        assert!(write.may_have_applied(), "{name}: {write}");
+        let client = HttpClient::new(HttpSettings::new(says(answer).await));
+        let read = client
+            .scan(&Scan {
+                space: "s".into(),
+                after: None,
+                limit: 1,
+                with: None,
+            })
+            .await;
+        let read = read.unwrap_err();
+        assert!(
+            matches!(read, PlatformError::Unavailable { .. }),
+            "{name}: {read}"
+        );
+    }
+}
+
+/// A server that reads some of a request, says one thing and closes.
+async fn says(answer: &'static str) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind(any_port()).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 4_096]).await;
+        let _ = stream.write_all(answer.as_bytes()).await;
+    });
+    addr
+}
+
+#[tokio::test]
+async fn a_slow_platform_leaves_a_write_unknown() {
+    let (running, _) = http().await;
+    running.faults.update(|f| f.delay_ms = 3_600_000);
+    let call = std::time::Duration::from_millis(20);
+    let client = HttpClient::new(HttpSettings {
+        call,
+        ..HttpSettings::new(running.addr)
+    });
+    let write = client.transact(&put(1, "a", 0)).await.unwrap_err();
+    assert!(write.may_have_applied(), "{write}");
+    let read = client.read(&key("a")).await.unwrap_err();
+    assert!(matches!(read, PlatformError::Unavailable { .. }), "{read}");
+}
