--- a/crates/config/tests/sync.rs
+++ b/crates/config/tests/sync.rs
@@ -54,6 +54,21 @@
     }
 }
 
+#[test]
+fn hosts_converge_among_themselves_while_the_platform_is_out() {
+    let result = TestRunner::new(config()).run(&ops(), |ops| {
+        let mut world = World::new(Mutant::None);
+        for op in ops {
+            world.apply(op)?;
+        }
+        world.apply(Op::Restart(0))?;
+        world.converge_without_platform()
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
 #[test]
 fn the_oracle_finds_each_mutant() {
     const MUTANTS: [Mutant; 5] = [
--- a/crates/config/tests/sync/world.rs
+++ b/crates/config/tests/sync/world.rs
@@ -249,6 +249,25 @@
         Ok(())
     }
 
+    /// With the platform out and every message delivered, all hosts reach the newest epoch that any
+    /// of them has.
+    pub(crate) fn converge_without_platform(&mut self) -> Result<(), TestCaseError> {
+        const ROUNDS: usize = 60;
+        for _ in 0..ROUNDS {
+            self.advance(500)?;
+            for (host, life, effect) in std::mem::take(&mut self.calls) {
+                self.fail(host, life, &effect)?;
+            }
+            for message in std::mem::take(&mut self.messages) {
+                self.deliver(message)?;
+            }
+        }
+        let epochs: Vec<Epoch> = self.hosts.iter().map(|h| h.view().epoch()).collect();
+        let best = epochs.iter().max();
+        prop_assert!(epochs.iter().all(|e| Some(e) == best), "{:?}", epochs);
+        Ok(())
+    }
+
     /// With every call and message answered, all hosts reach the newest epoch.
     pub(crate) fn converge(&mut self) -> Result<(), TestCaseError> {
         const ROUNDS: usize = 40;
