Remind of one host's state in each message

Cause: the fuzz showed a live host held for dead 16 s after a cut had healed, because news that misses a host is not sent again. Change: each message with room left carries the state of one host in turn.

--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -59,10 +59,19 @@
         }
         let news = self.gossip.take(&mut room, &self.roster);
         message.deltas.extend(news);
+        message.deltas.extend(self.reminder(room));
         let to = to.clone();
         self.effects.push_back(Effect::Send { to, message });
     }
 
+    /// The state of one host in turn, so that news that did not reach everyone still does.
+    fn reminder(&mut self, room: usize) -> Option<Delta> {
+        let views = self.roster.after(None);
+        self.next_reminder = (self.next_reminder + 1).checked_rem(views.len())?;
+        let view = &views[self.next_reminder];
+        Some(delta(view)).filter(|delta| delta.state != State::Unknown && delta.size() <= room)
+    }
+
     fn room(&self, message: &Message) -> usize {
         let max = self.settings.message_max.max(MESSAGE_MIN);
         max.saturating_sub(message.size())
--- a/crates/member/tests/fuzz/net.rs
+++ b/crates/member/tests/fuzz/net.rs
@@ -117,6 +117,7 @@
 
     pub(crate) fn stop(&mut self, index: usize) {
         self.nodes[index].member = None;
+        self.nodes[index].asleep = None;
     }
 
     /// Whether a host runs now.
