Fuzz membership over twelve hosts against rules for states, modes and freshness

Cause: the detection bound, the modes and freshness need an oracle that can fail. Change: stateful fuzz with loss, cuts between zones, pauses, crashes, restarts and table outages; eight broken variants. Conclusion: the bound of Settings::detection is checked for every stop in a settled fleet.

--- a/crates/member/src/merge.rs
+++ b/crates/member/src/merge.rs
@@ -94,9 +94,6 @@
 
     /// Declares the suspects dead whose time is over.
     pub(crate) fn judge(&mut self, now: Instant) {
-        if self.settings.broken(Mutant::NeverDead) {
-            return;
-        }
         let due: Vec<HostId> = self
             .suspects
             .iter()
@@ -105,7 +102,8 @@
             .collect();
         for host in due {
             self.suspects.remove(&host);
-            let Some(view) = self.roster.get(&host) else {
+            let never = self.settings.broken(Mutant::NeverDead);
+            let Some(view) = self.roster.get(&host).filter(|_| !never) else {
                 continue;
             };
             let delta = Delta {
--- a/crates/member/tests/fuzz/main.rs
+++ b/crates/member/tests/fuzz/main.rs
@@ -50,6 +50,10 @@
     },
     /// Waits until all has settled, and checks what must hold then.
     Settle,
+    /// Settles without faults, stops a host, and checks that all know within the bound.
+    Detect {
+        host: usize,
+    },
 }
 
 fn op() -> impl Strategy<Value = Op> {
@@ -71,6 +75,7 @@
         3 => Just(Op::Commit),
         4 => (0u64..4000).prop_map(|millis| Op::Wait { millis }),
         2 => Just(Op::Settle),
+        1 => (0..HOSTS).prop_map(|host| Op::Detect { host }),
     ]
 }
 
@@ -82,8 +87,8 @@
 }
 
 impl Trial {
-    fn new(tune: fn(&mut Settings)) -> Self {
-        let net = Net::new(HOSTS, ZONES, 2, 7, tune);
+    fn new(mutant: Option<Mutant>) -> Self {
+        let net = Net::new(HOSTS, ZONES, 2, 7, mutant);
         let lives = HashMap::new();
         Self { net, lives }
     }
@@ -109,6 +114,7 @@
             Op::Commit => net.commit(),
             Op::Wait { millis } => self.run(Duration::from_millis(millis))?,
             Op::Settle => self.settle()?,
+            Op::Detect { host } => self.detect(host)?,
         }
         self.run(Duration::from_millis(50))
     }
@@ -147,9 +153,9 @@
         for (index, node) in net.nodes.iter().enumerate().filter(|(i, _)| net.is_up(*i)) {
             let Some(member) = &node.member else { continue };
             if let Some(age) = member.freshness(net.now) {
-                let at = net.now - age;
+                let head = net.now.checked_sub(age).map(|at| net.head(at));
                 let own = member.get(&node.info.host).map(|view| view.epoch);
-                if own < Some(net.head(at)) {
+                if own < head {
                     return Err(format!("host {index} is not as fresh as it says: {age:?}"));
                 }
             }
@@ -182,6 +188,18 @@
         Ok(())
     }
 
+    fn detect(&mut self, host: usize) -> Checked {
+        self.net.sides = vec![0; ZONES];
+        self.net.loss_percent = 0;
+        self.settle()?;
+        self.net.stop(host);
+        let settings = Settings::new(self.net.nodes[0].info.clone(), Incarnation(0));
+        self.run(settings.detection(HOSTS))?;
+        let up = (0..HOSTS).filter(|index| self.net.is_up(*index));
+        up.into_iter()
+            .try_for_each(|index| self.check_states(index))
+    }
+
     fn check_states(&self, index: usize) -> Checked {
         let net = &self.net;
         let Some(member) = &net.nodes[index].member else {
@@ -192,9 +210,8 @@
             let state = held.map(|view| view.state);
             let up = net.is_up(other);
             let fits = match state {
-                Some(State::Dead) => !up,
-                // A host that nobody has ever heard of in this life is not declared dead.
-                Some(State::Unknown) => !up,
+                // A host that was never heard of is not declared dead.
+                Some(State::Dead | State::Unknown) => !up,
                 Some(_) => up && held.is_some_and(|v| v.incarnation == net.nodes[other].life),
                 None => false,
             };
@@ -223,12 +240,14 @@
         } else {
             "cut-off"
         };
+        let limit = Settings::new(net.nodes[0].info.clone(), Incarnation(0)).contact_limit(HOSTS);
+        let fresh = member.freshness(net.now).is_some_and(|age| age <= limit);
         let got = mode_name(member.mode());
-        if got == want {
+        if got == want && fresh == (want == "current") {
             return Ok(());
         }
         Err(format!(
-            "{index} is {got}, not {want}, with zones {zones:?}"
+            "{index} is {got}, fresh: {fresh}, not {want}, with zones {zones:?}"
         ))
     }
 }
@@ -248,8 +267,8 @@
     }
 }
 
-fn trial(tune: fn(&mut Settings), ops: &[Op]) -> Result<(), TestCaseError> {
-    let mut trial = Trial::new(tune);
+fn trial(mutant: Option<Mutant>, ops: &[Op]) -> Result<(), TestCaseError> {
+    let mut trial = Trial::new(mutant);
     let mut run = || {
         for op in ops {
             trial.apply(op)?;
@@ -265,31 +284,26 @@
 
 #[test]
 fn rules_hold() {
-    let result = TestRunner::new(config(None)).run(&ops(), |ops| trial(|_| {}, &ops));
+    let result = TestRunner::new(config(None)).run(&ops(), |ops| trial(None, &ops));
     assert!(result.is_ok(), "{result:?}");
 }
 
 #[test]
 fn broken_variants_are_found() {
     const CASES: u32 = 200;
-    let mutants: [(Mutant, fn(&mut Settings)); 8] = [
-        (Mutant::NeverDead, |s| s.mutant = Some(Mutant::NeverDead)),
-        (Mutant::NoRefute, |s| s.mutant = Some(Mutant::NoRefute)),
-        (Mutant::OldLife, |s| s.mutant = Some(Mutant::OldLife)),
-        (Mutant::NoSpread, |s| s.mutant = Some(Mutant::NoSpread)),
-        (Mutant::HalfIsMajority, |s| {
-            s.mutant = Some(Mutant::HalfIsMajority)
-        }),
-        (Mutant::OwnContactOnly, |s| {
-            s.mutant = Some(Mutant::OwnContactOnly)
-        }),
-        (Mutant::IgnorePause, |s| {
-            s.mutant = Some(Mutant::IgnorePause)
-        }),
-        (Mutant::AnyEpoch, |s| s.mutant = Some(Mutant::AnyEpoch)),
+    let mutants = [
+        Mutant::NeverDead,
+        Mutant::NoRefute,
+        Mutant::OldLife,
+        Mutant::NoSpread,
+        Mutant::HalfIsMajority,
+        Mutant::OwnContactOnly,
+        Mutant::IgnorePause,
+        Mutant::AnyEpoch,
     ];
-    for (mutant, tune) in mutants {
-        let result = TestRunner::new(config(Some(CASES))).run(&ops(), |ops| trial(tune, &ops));
+    for mutant in mutants {
+        let result =
+            TestRunner::new(config(Some(CASES))).run(&ops(), |ops| trial(Some(mutant), &ops));
         assert!(
             matches!(result, Err(TestError::Fail(..))),
             "{mutant:?} was not found"
--- a/crates/member/tests/fuzz/net.rs
+++ b/crates/member/tests/fuzz/net.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use wagtail_member::{Effect, HostInfo, Input, Member, Message, Mode, Settings};
+use wagtail_member::{Effect, HostInfo, Input, Member, Message, Mode, Mutant, Settings};
 use wagtail_types::{Epoch, HostId, Incarnation};
 
 /// How long the configuration of a new epoch is under way to a host at most.
@@ -35,7 +35,7 @@
     pub(crate) loss_percent: u32,
     pub(crate) heads: Vec<(Instant, Epoch)>,
     pub(crate) on_change: Vec<(Instant, usize, wagtail_member::MemberChange)>,
-    pub(crate) tune: fn(&mut Settings),
+    mutant: Option<Mutant>,
     queue: BTreeMap<(Instant, u64), (usize, usize, Message)>,
     sequence: u64,
     lives: u64,
@@ -50,7 +50,7 @@
         zones: usize,
         per_region: usize,
         seed: u64,
-        tune: fn(&mut Settings),
+        mutant: Option<Mutant>,
     ) -> Self {
         let now = Instant::now();
         let mut net = Self {
@@ -61,7 +61,7 @@
             loss_percent: 0,
             heads: vec![(now, Epoch(1))],
             on_change: Vec::new(),
-            tune,
+            mutant,
             queue: BTreeMap::new(),
             sequence: 0,
             lives: 0,
@@ -101,7 +101,7 @@
         self.lives += 1;
         let life = Incarnation(self.lives);
         let mut settings = Settings::new(self.nodes[index].info.clone(), life);
-        (self.tune)(&mut settings);
+        settings.mutant = self.mutant;
         let mut member = Member::new(settings, self.lives, self.now);
         let hosts = self.nodes.iter().map(|node| node.info.clone()).collect();
         member.handle(self.now, Input::Hosts(hosts));
@@ -158,7 +158,7 @@
         self.now = end;
     }
 
-    fn wake_of(&self, node: &Node) -> Option<Instant> {
+    fn wake_of(node: &Node) -> Option<Instant> {
         let member = node.member.as_ref()?;
         let due = [
             member.next_wake(),
@@ -170,17 +170,14 @@
     }
 
     fn next_event(&self) -> Option<Instant> {
-        let wakes = self.nodes.iter().filter_map(|node| self.wake_of(node));
+        let wakes = self.nodes.iter().filter_map(Self::wake_of);
         let message = self.queue.keys().next().map(|key| key.0);
         wakes.chain(message).min()
     }
 
     fn step(&mut self) {
         for index in 0..self.nodes.len() {
-            if self
-                .wake_of(&self.nodes[index])
-                .is_some_and(|at| at <= self.now)
-            {
+            if Self::wake_of(&self.nodes[index]).is_some_and(|at| at <= self.now) {
                 self.wake(index);
             }
         }
@@ -209,6 +206,7 @@
             node.next_poll = now + Duration::from_secs(1);
             if self.table[zone] {
                 let head = self.head(now);
+                self.fetch(index, head);
                 self.input(index, Input::TableContact { at: now, head });
             }
         }
@@ -222,20 +220,28 @@
             return;
         }
         let node = &mut self.nodes[to];
-        let Some(member) = node.member.as_mut() else {
+        if node.member.is_none() {
             return;
-        };
-        node.received_bytes += message.size();
-        // A newer epoch is fetched from the peer.
-        let (own, theirs) = (epoch_of(member, &node.info.host), message.sender.epoch);
-        if theirs > own && node.fetch.is_none() {
-            let wait = self.rng.random_range(Duration::ZERO..FETCH_MAX);
-            node.fetch = Some((self.now + wait, theirs));
         }
+        node.received_bytes += message.size();
+        self.fetch(to, message.sender.epoch);
         let from = self.nodes[from].info.host.clone();
         self.input(to, Input::Received { from, message });
     }
 
+    /// Starts to fetch a newer epoch.
+    fn fetch(&mut self, index: usize, epoch: Epoch) {
+        let node = &mut self.nodes[index];
+        let held = node
+            .member
+            .as_ref()
+            .and_then(|member| member.get(&node.info.host));
+        if held.is_some_and(|view| view.epoch < epoch) && node.fetch.is_none() {
+            let wait = self.rng.random_range(Duration::ZERO..FETCH_MAX);
+            node.fetch = Some((self.now + wait, epoch));
+        }
+    }
+
     fn enqueue(&mut self, at: Instant, from: usize, to: usize, message: Message) {
         self.sequence += 1;
         self.queue.insert((at, self.sequence), (from, to, message));
@@ -279,10 +285,6 @@
     }
 }
 
-fn epoch_of(member: &Member, host: &HostId) -> Epoch {
-    member.get(host).map_or(Epoch(0), |view| view.epoch)
-}
-
 /// The mode without its time.
 pub(crate) fn mode_name(mode: Mode) -> &'static str {
     match mode {
