--- a/crates/member/src/merge.rs
+++ b/crates/member/src/merge.rs
@@ -83,13 +83,17 @@
         let Some(view) = self.roster.get(host) else {
             return;
         };
-        if matches!(view.state, State::Alive | State::Leaving) {
-            let delta = Delta {
-                state: State::Suspect,
-                ..crate::gossip::delta(view)
-            };
-            self.learn(now, &delta);
-        }
+        let state = match view.state {
+            State::Alive | State::Leaving => State::Suspect,
+            // It has nothing to refute: any message of it will displace this.
+            State::Unknown => State::Dead,
+            State::Suspect | State::Dead => return,
+        };
+        let delta = Delta {
+            state,
+            ..crate::gossip::delta(view)
+        };
+        self.learn(now, &delta);
     }
 
     /// Declares the suspects dead whose time is over.
--- a/crates/member/src/probe.rs
+++ b/crates/member/src/probe.rs
@@ -113,7 +113,7 @@
     /// Asks other hosts to probe a host that did not answer.
     fn ask(&mut self, now: Instant, mut probing: Probing) {
         let view = self.roster.get(&probing.target);
-        if view.is_none_or(|view| !matches!(view.state, State::Alive | State::Leaving)) {
+        if view.is_none_or(|view| matches!(view.state, State::Suspect | State::Dead)) {
             return;
         }
         let helpers = self.roster.iter().filter(|view| {
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -15,7 +15,7 @@
 pub struct Settings {
     /// This host.
     pub own: HostInfo,
-    /// This life of it, higher than any before.
+    /// This life of it, at least 1 and higher than any before.
     pub incarnation: Incarnation,
     /// The longest estimate of a message's bytes.
     pub message_max: usize,
