Measure what control costs as a fleet grows: wagtail-load slopes

Cause: docs/CAPACITY.md needs slopes counted on the wire with the real code. Change: a peer's counts can be read through the Lines that it was given; experiments note control and relay bytes a host and second; slopes starts idle fleets of several sizes and prints bytes, messages, platform calls, processor time and memory a host.

--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -67,7 +67,7 @@
 #[derive(Debug, Clone)]
 pub struct Team {
     /// The name.
-    pub name: &'static str,
+    pub name: String,
     /// Its share of every service's load.
     pub share: f64,
     /// The region of its callers, by number.
@@ -217,7 +217,7 @@
         // Every second team has a burst of less than a second of its rate.
         let burst = if index % 2 == 0 { rate } else { rate / 4 };
         Team {
-            name,
+            name: name.to_owned(),
             share,
             home: index % 3,
             rate: Rate::per_second(rate),
@@ -284,7 +284,7 @@
     pub fn mix(&self) -> Mix {
         const DEADLINE: Duration = Duration::from_secs(2);
         let team = |team: &Team| mix::Team {
-            name: team.name.to_owned(),
+            name: team.name.clone(),
             key: team.key(),
             share: team.share,
             home: team.home,
--- a/crates/load/src/deployment/records.rs
+++ b/crates/load/src/deployment/records.rs
@@ -45,7 +45,7 @@
         raw(
             2,
             "team",
-            team.name,
+            &team.name,
             json!({
                 "rate": team.rate, "burst": team.burst.micros() / Tokens::ONE.micros(),
                 "keys": keys, "services": services,
--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -11,6 +11,7 @@
 use http::Method;
 use serde::{Deserialize, Serialize};
 use slog::{Discard, Logger, o};
+use wagtail_config::Raw;
 use wagtail_entryd::{Options, Running};
 use wagtail_standin::{endpoint, platform};
 
@@ -82,7 +83,7 @@
 pub async fn run(request: &Request) -> Result<Report, FleetError> {
     let layout = Arc::new(request.deployment.layout());
     let network = Network::new(layout.clone());
-    let fleet = start(&layout, &network, request).await?;
+    let fleet = start(&layout, &network, request.seed, &request.flags, Vec::new()).await?;
     let callers = Callers::new(
         layout.mix(),
         fleet.hosts.values().map(Running::addr).collect(),
@@ -124,7 +125,7 @@
 }
 
 /// Waits until the hosts together hold every slot, and tells how long that took.
-async fn ready(layout: &Layout, fleet: &Fleet) -> Option<Duration> {
+pub(crate) async fn ready(layout: &Layout, fleet: &Fleet) -> Option<Duration> {
     const PAUSE: Duration = Duration::from_millis(50);
     let all: usize = layout.services.iter().map(|s| s.endpoints * s.slots).sum();
     let caller = Caller::new("ready");
@@ -162,10 +163,12 @@
     }
 }
 
-async fn start(
+pub(crate) async fn start(
     layout: &Arc<Layout>,
     network: &Network,
-    request: &Request,
+    seed: u64,
+    flags: &[(String, String)],
+    more: Vec<Raw>,
 ) -> Result<Fleet, FleetError> {
     let platform = platform::start((std::net::Ipv4Addr::LOCALHOST, 0).into()).await?;
     let addr = platform.addr;
@@ -175,11 +178,11 @@
         lines: Some(network.lines(host)),
         ..Options::new(log.clone())
     };
-    let own = request.flags.iter().map(|(n, v)| (n.as_str(), v.as_str()));
+    let own = flags.iter().map(|(n, v)| (n.as_str(), v.as_str()));
     let flags: Vec<_> = FLAGS.iter().copied().chain(own).collect();
-    let endpoints =
-        |name: &str, service: &str| endpoint_settings(layout, request.seed, name, service);
-    Fleet::start_on(platform, layout.records(), &endpoints, &options, &flags).await
+    let endpoints = |name: &str, service: &str| endpoint_settings(layout, seed, name, service);
+    let records = [layout.records(), more].concat();
+    Fleet::start_on(platform, records, &endpoints, &options, &flags).await
 }
 
 fn endpoint_settings(layout: &Layout, seed: u64, name: &str, service: &str) -> endpoint::Settings {
--- a/crates/load/src/experiment/acts.rs
+++ b/crates/load/src/experiment/acts.rs
@@ -12,7 +12,7 @@
 use crate::client::Caller;
 use crate::deployment::{Layout, raw};
 use crate::fleet::{Fleet, FleetError};
-use crate::network::Network;
+use crate::network::{Network, Traffic};
 use crate::promises::Evidence;
 
 /// One thing that happens.
@@ -51,6 +51,7 @@
     network: Network,
     fleet: Fleet,
     start: Instant,
+    traffic: Traffic,
     evidence: Evidence,
     notes: Vec<String>,
     caller: Caller,
@@ -59,6 +60,7 @@
 impl Stage {
     pub(crate) fn new(layout: Arc<Layout>, network: Network, fleet: Fleet, start: Instant) -> Self {
         Self {
+            traffic: network.traffic(),
             layout,
             network,
             fleet,
@@ -239,8 +241,23 @@
         }
     }
 
+    /// Notes what the hosts sent one another, each byte counted at both of its ends.
+    fn note_traffic(&mut self) {
+        let now = self.network.traffic();
+        let spent = self.start.elapsed().as_secs_f64() * self.layout.host_names().len() as f64;
+        let rate = |now: u64, before: u64| now.saturating_sub(before) as f64 / spent;
+        let control = rate(now.control, self.traffic.control);
+        let relay = rate(now.relay, self.traffic.relay);
+        let messages = rate(now.messages, self.traffic.messages);
+        self.note(&format!(
+            "a host and second: {control:.0} bytes of control in {messages:.1} messages sent, \
+             {relay:.0} bytes of relays"
+        ));
+    }
+
     /// Stops the deployment and hands over what is left of it.
     pub(crate) async fn end(mut self) -> Result<(Evidence, Vec<String>), FleetError> {
+        self.note_traffic();
         for (name, running) in &self.fleet.endpoints {
             self.evidence.take(&self.layout, name, running, self.start);
         }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod promises;
 pub mod report;
 pub mod run;
+pub mod slopes;
 pub mod text;
 pub mod tour;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,6 +5,7 @@
 use lexopt::Arg::{Long, Short, Value};
 use wagtail_load::experiment::CommandError;
 use wagtail_load::run::RunError;
+use wagtail_load::slopes::SlopesError;
 
 const USAGE_STATUS: u8 = 2;
 const HELP: &str = "\
@@ -15,6 +16,7 @@
 Commands:
   experiment  One deployment in one process under load and faults, promises checked
   run         An open-loop load against given entry hosts
+  slopes      What control costs each host as a fleet grows
   try         A tour of the whole path in one process, under 30 s
 
 Options of a command: wagtail-load <COMMAND> --help
@@ -31,6 +33,7 @@
         },
         Ok(Some(Value(name))) if name == "experiment" => experiment(args),
         Ok(Some(Value(name))) if name == "run" => run(args),
+        Ok(Some(Value(name))) if name == "slopes" => slopes(args),
         Ok(Some(Long("help") | Short('h'))) => help(),
         Ok(Some(other)) => usage(&other.unexpected()),
         Ok(None) => usage(&"a command is needed"),
@@ -74,6 +77,15 @@
     }
 }
 
+fn slopes(args: lexopt::Parser) -> ExitCode {
+    match runtime().map(|r| r.block_on(wagtail_load::slopes::command(args))) {
+        Ok(Ok(status)) => status,
+        Ok(Err(SlopesError::Arguments(e))) => usage(&e),
+        Ok(Err(e)) => fail(&e),
+        Err(e) => fail(&e),
+    }
+}
+
 fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
     tokio::runtime::Builder::new_multi_thread()
         .enable_all()
--- a/crates/load/src/network.rs
+++ b/crates/load/src/network.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +20,18 @@
     layout: Arc<Layout>,
     zones: Arc<BTreeMap<String, String>>,
     cut: Arc<RwLock<BTreeSet<String>>>,
+    lines: Arc<Mutex<BTreeMap<String, Lines>>>,
+}
+
+/// What hosts have sent and received between them, both directions together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes on control connections.
+    pub control: u64,
+    /// Bytes on relay connections.
+    pub relay: u64,
+    /// Control messages sent.
+    pub messages: u64,
 }
 
 impl Network {
@@ -30,6 +42,7 @@
             layout,
             zones: Arc::new(zones),
             cut: Arc::default(),
+            lines: Arc::default(),
         }
     }
 
@@ -67,7 +80,22 @@
     /// The lines of one host.
     pub fn lines(&self, host: &str) -> Lines {
         let (network, from) = (self.clone(), host.to_owned());
-        Lines::new(move |to| network.line(&from, to.as_str()))
+        let lines = Lines::new(move |to| network.line(&from, to.as_str()));
+        let mut known = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        known.insert(host.to_owned(), lines.clone());
+        lines
+    }
+
+    /// The traffic of all hosts since their start, each counted at both of its ends.
+    pub fn traffic(&self) -> Traffic {
+        let known = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut sum = Traffic::default();
+        for counts in known.values().filter_map(Lines::counts) {
+            sum.control += counts.control_in + counts.control_out;
+            sum.relay += counts.relay_in + counts.relay_out;
+            sum.messages += counts.messages_out;
+        }
+        sum
     }
 
     /// The platform as one host reaches it.
--- a/crates/load/src/promises.rs
+++ b/crates/load/src/promises.rs
@@ -195,7 +195,7 @@
 fn own_team(layout: &Layout, samples: &[Sample], ran: &Ran<'_>) -> Promise {
     let mut promise = Promise::new("a request runs only for the team of its key");
     for sample in samples {
-        let team = layout.teams[sample.team].name;
+        let team = layout.teams[sample.team].name.as_str();
         for seen in ran.get(sample.id.as_str()).into_iter().flatten() {
             promise.check(seen.entry.team.as_deref() == Some(team), || {
                 format!("{} of {team} ran for {:?}", sample.id, seen.entry.team)
--- /dev/null
+++ b/crates/load/src/slopes.rs
@@ -0,0 +1,277 @@
+//! The `slopes` subcommand: what control costs as a fleet grows, measured on the real code.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use derive_more::{Display, Error, From};
+use lexopt::prelude::{Long, Short, ValueExt};
+use serde::Serialize;
+use serde_json::json;
+use wagtail_config::Raw;
+use wagtail_types::{Rate, Tokens};
+
+use crate::deployment::{Deployment, Layout, Team, raw};
+use crate::experiment::{ready, start};
+use crate::fleet::{Fleet, FleetError};
+use crate::network::Network;
+
+const HELP: &str = "\
+Starts idle fleets of several sizes in this process and prints what control costs each host: bytes
+between hosts (each counted at both of its ends), processor time and memory of the whole process,
+stand-ins included, divided by the hosts.
+
+Usage: wagtail-load slopes [OPTIONS]
+
+Options:
+      --seed N      Seed of the hosts [1]
+      --time S      Seconds measured at each size [5]
+      --json        Print the points as JSON
+  -h, --help        Print this help
+";
+
+/// Why the slopes could not be measured.
+#[derive(Debug, Display, Error, From)]
+pub enum SlopesError {
+    /// The arguments do not fit.
+    #[display("{_0}")]
+    Arguments(lexopt::Error),
+    /// A fleet could not be set up.
+    #[display("{_0}")]
+    Fleet(FleetError),
+    /// The system does not tell what the process uses.
+    #[display("{_0}")]
+    System(std::io::Error),
+}
+
+/// A size of a fleet.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Size {
+    hosts: usize,
+    teams: usize,
+    blocks: usize,
+    /// Config changes a second.
+    changes: u32,
+}
+
+/// What a host costs at a size.
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Point {
+    #[serde(flatten)]
+    size: Size,
+    /// Bytes of control a second.
+    control: f64,
+    /// Control messages sent a second.
+    messages: f64,
+    /// Platform reads a second.
+    reads: f64,
+    /// Platform writes a second.
+    writes: f64,
+    /// Share of a core.
+    cpu: f64,
+    /// Growth of the process's memory in MB.
+    memory: f64,
+}
+
+const BASE: Size = Size {
+    hosts: 6,
+    teams: 8,
+    blocks: 0,
+    changes: 0,
+};
+
+const SIZES: [Size; 6] = [
+    BASE,
+    Size { hosts: 12, ..BASE },
+    Size { hosts: 24, ..BASE },
+    Size { teams: 64, ..BASE },
+    Size {
+        blocks: 20_000,
+        ..BASE
+    },
+    Size { changes: 4, ..BASE },
+];
+
+/// Runs the subcommand with the arguments that are left in `args`.
+///
+/// # Errors
+///
+/// Fails where the arguments do not fit or a fleet cannot be set up.
+pub async fn command(mut args: lexopt::Parser) -> Result<ExitCode, SlopesError> {
+    let (mut seed, mut time, mut as_json) = (1, Duration::from_secs(5), false);
+    while let Some(arg) = args.next()? {
+        match arg {
+            Short('h') | Long("help") => {
+                print!("{HELP}");
+                return Ok(ExitCode::SUCCESS);
+            }
+            Long("seed") => seed = args.value()?.parse()?,
+            Long("time") => time = Duration::from_secs(args.value()?.parse::<u64>()?.max(1)),
+            Long("json") => as_json = true,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let mut points = Vec::new();
+    for size in SIZES {
+        points.push(point(size, seed, time).await?);
+    }
+    if as_json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&points).unwrap_or_default()
+        );
+    } else {
+        print(&points);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(points: &[Point]) {
+    println!(
+        "{:>6}{:>7}{:>8}{:>10}{:>14}{:>12}{:>9}{:>9}{:>9}{:>9}",
+        "hosts",
+        "teams",
+        "blocks",
+        "changes/s",
+        "control B/s",
+        "messages/s",
+        "reads/s",
+        "writes/s",
+        "core %",
+        "MB"
+    );
+    for point in points {
+        let size = point.size;
+        println!(
+            "{:>6}{:>7}{:>8}{:>10}{:>14.0}{:>12.1}{:>9.2}{:>9.2}{:>9.2}{:>9.1}",
+            size.hosts,
+            size.teams,
+            size.blocks,
+            size.changes,
+            point.control,
+            point.messages,
+            point.reads,
+            point.writes,
+            100.0 * point.cpu,
+            point.memory
+        );
+    }
+}
+
+async fn point(size: Size, seed: u64, time: Duration) -> Result<Point, SlopesError> {
+    const SETTLE: Duration = Duration::from_secs(2);
+    let memory = resident()?;
+    let layout = Arc::new(layout(size));
+    let network = Network::new(layout.clone());
+    let mut fleet = start(&layout, &network, seed, &[], blocks(size.blocks)).await?;
+    ready(&layout, &fleet).await;
+    tokio::time::sleep(SETTLE).await;
+
+    let (traffic, calls, cpu) = (
+        network.traffic(),
+        fleet.platform.faults.counters(),
+        spent()?,
+    );
+    let begun = Instant::now();
+    change(&mut fleet, &layout, size.changes, time).await?;
+    let (traffic2, calls2, cpu2) = (
+        network.traffic(),
+        fleet.platform.faults.counters(),
+        spent()?,
+    );
+    let elapsed = begun.elapsed().as_secs_f64();
+    let each = |count: u64| count as f64 / elapsed / size.hosts as f64;
+    let point = Point {
+        size,
+        control: each(traffic2.control - traffic.control),
+        messages: each(traffic2.messages - traffic.messages),
+        reads: each(calls2.reads - calls.reads),
+        writes: each(calls2.writes - calls.writes),
+        cpu: (cpu2 - cpu) / elapsed / size.hosts as f64,
+        memory: (resident()? - memory) / size.hosts as f64,
+    };
+    fleet.stop().await?;
+    Ok(point)
+}
+
+/// Changes a team's record at an even rate for a while.
+async fn change(
+    fleet: &mut Fleet,
+    layout: &Layout,
+    rate: u32,
+    time: Duration,
+) -> Result<(), FleetError> {
+    let Some(pause) = Duration::from_secs(1).checked_div(rate) else {
+        tokio::time::sleep(time).await;
+        return Ok(());
+    };
+    let mut ticks = tokio::time::interval(pause);
+    let begun = Instant::now();
+    while begun.elapsed() < time {
+        ticks.tick().await;
+        let mut team = layout.teams[0].clone();
+        team.rate = Rate::per_second(100 + u64::from(begun.elapsed().subsec_millis()));
+        let key = team.key();
+        fleet.put(vec![layout.team(&team, &[key])]).await?;
+    }
+    Ok(())
+}
+
+fn layout(size: Size) -> Layout {
+    let mut layout = Deployment::Tender.layout();
+    layout.hosts = [size.hosts / 6; 6];
+    layout.teams = (0..size.teams)
+        .map(|n| Team {
+            name: format!("team-{n}"),
+            share: 0.0,
+            home: n % 3,
+            rate: Rate::per_second(20),
+            burst: Tokens::whole(20),
+        })
+        .collect();
+    layout
+}
+
+/// Records of so many client blocks.
+fn blocks(count: usize) -> Vec<Raw> {
+    const PART: usize = 1_000;
+    let block = |n: usize| format!("10.{}.{}.{}/30 eire", n >> 14, n >> 6 & 255, (n & 63) << 2);
+    let part = |at: usize| {
+        let list: Vec<_> = (at..count.min(at + PART)).map(block).collect();
+        raw(
+            1,
+            "blocks",
+            &format!("part-{}", at / PART),
+            json!({ "blocks": list }),
+        )
+    };
+    (0..count).step_by(PART).map(part).collect()
+}
+
+/// Processor seconds that this process has used.
+fn spent() -> Result<f64, SlopesError> {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    const USER: usize = 11;
+    const SYSTEM: usize = 12;
+    let text = std::fs::read_to_string("/proc/self/stat").map_err(SlopesError::System)?;
+    let fields = text.rsplit_once(')').map_or("", |(_, fields)| fields);
+    let fields: Vec<_> = fields.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|f| f.parse::<f64>().ok());
+    let sum = ticks(USER)
+        .zip(ticks(SYSTEM))
+        .map(|(user, system)| user + system);
+    let sum = sum.ok_or_else(|| std::io::Error::other("/proc/self/stat is malformed"))?;
+    Ok(sum / TICKS_PER_SECOND)
+}
+
+/// Memory of this process in MB.
+fn resident() -> Result<f64, SlopesError> {
+    const PAGE_MB: f64 = 4_096.0 / 1_000_000.0;
+    let text = std::fs::read_to_string("/proc/self/statm").map_err(SlopesError::System)?;
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|f| f.parse::<f64>().ok());
+    let pages = pages.ok_or_else(|| std::io::Error::other("/proc/self/statm is malformed"))?;
+    Ok(pages * PAGE_MB)
+}
--- a/crates/load/tests/check/promises.rs
+++ b/crates/load/tests/check/promises.rs
@@ -30,7 +30,7 @@
         entry: Entry {
             method: "GET".to_owned(),
             path: "/read".to_owned(),
-            team: Some(layout.teams[0].name.to_owned()),
+            team: Some(layout.teams[0].name.clone()),
             id: Some(id.to_owned()),
             digest: String::new(),
             headers: b"host: one\n".to_vec(),
--- a/crates/peer/src/peer.rs
+++ b/crates/peer/src/peer.rs
@@ -56,6 +56,9 @@
         let (stop, stopping) = watch::channel(false);
         let (running, stopped) = watch::channel(());
         let counters = Arc::new(Counters::default());
+        if let Some(lines) = &settings.lines {
+            lines.count_with(&counters);
+        }
         let peer = Self {
             addr,
             head_limit: settings.limits.head.as_usize(),
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -2,12 +2,13 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use wagtail_types::{Bytes, HostId, Incarnation};
 
-use crate::FleetSecret;
+use crate::counts::Counters;
+use crate::{Counts, FleetSecret};
 
 /// Everything a [`Peer`](crate::Peer) needs to start.
 #[derive(Debug, Clone)]
@@ -101,18 +102,34 @@
 
 type LineFn = dyn Fn(&HostId) -> Line + Send + Sync;
 
-/// A function that tells how the line to another host behaves right now.
+/// A function that tells how the line to another host behaves right now, and a view on what the
+/// peer that uses it has counted.
 #[derive(Clone)]
-pub struct Lines(Arc<LineFn>);
+pub struct Lines {
+    state: Arc<LineFn>,
+    counters: Arc<OnceLock<Arc<Counters>>>,
+}
 
 impl Lines {
     /// Wraps a function; it is asked for every write.
     pub fn new(state: impl Fn(&HostId) -> Line + Send + Sync + 'static) -> Self {
-        Self(Arc::new(state))
+        Self {
+            state: Arc::new(state),
+            counters: Arc::default(),
+        }
+    }
+
+    /// What the peer has counted since its start; `None` before it.
+    pub fn counts(&self) -> Option<Counts> {
+        self.counters.get().map(|counters| counters.read())
+    }
+
+    pub(crate) fn count_with(&self, counters: &Arc<Counters>) {
+        let _ = self.counters.set(counters.clone());
     }
 
     pub(crate) fn state(&self, to: &HostId) -> Line {
-        (self.0)(to)
+        (self.state)(to)
     }
 }
 
--- a/crates/peer/tests/contract/control.rs
+++ b/crates/peer/tests/contract/control.rs
@@ -239,8 +239,10 @@
         ..Limits::default()
     };
     let (line, state) = tokio::sync::watch::channel(Line::Up(Duration::ZERO));
+    let lines = Lines::new(move |_| *state.borrow());
+    assert_eq!(lines.counts(), None);
     let entry = Settings {
-        lines: Some(Lines::new(move |_| *state.borrow())),
+        lines: Some(lines.clone()),
         ..settings("entry", SECRET, quick.clone())
     };
     let fake = Arc::new(Fake::echo());
@@ -250,6 +252,7 @@
     entry.set_addresses(HashMap::from([(host("owner"), owner.addr())]));
     entry.send(&host("owner"), leaving("e1"));
     fake.controls(1).await;
+    assert_eq!(lines.counts(), Some(entry.counts()));
     line.send_replace(Line::Down);
     while entry.counts().connect_failures == 0 {
         entry.send(&host("owner"), leaving("e2"));
