--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
-use wagtail_types::EndpointId;
+use wagtail_types::{EndpointId, ZoneId};
 
 use crate::key::{EndpointKey, LeaseKey, ServiceKey};
 use crate::message::{Effect, Health, Lease, Outcome, Report};
@@ -111,7 +111,7 @@
         for (_, endpoint) in &mut self.endpoints {
             let held = endpoint.mine();
             let known = (!fresh && endpoint.split).then_some(held.as_slice());
-            let slots = owner.slots(now, &endpoint.place(self.longest), known);
+            let slots = owner.slots(&endpoint.place(self.longest), known);
             endpoint.hold(&slots);
             endpoint.split = true;
         }
@@ -173,6 +173,7 @@
         let Some(running) = self.leases.remove(lease.key) else {
             return;
         };
+        let late = self.unusual(Duration::ZERO);
         let Some(endpoint) = self.endpoints.get_mut(lease.target) else {
             return;
         };
@@ -185,7 +186,11 @@
             }
             Outcome::Refused => endpoint.refused(),
             Outcome::Failed => endpoint.failures += 1,
-            Outcome::Cancelled => {}
+            Outcome::TimedOut if took > late => {
+                endpoint.learn(now, took);
+                endpoint.failures += 1;
+            }
+            Outcome::TimedOut | Outcome::Cancelled => {}
         }
         self.after(now, lease.target, outcome, effects);
     }
@@ -213,8 +218,12 @@
                 endpoint.renew(now);
                 effects.push(Effect::Restored(endpoint.id.clone()));
             }
-            (Life::Probing, Outcome::Failed) => self.eject(now, key, effects),
-            (Life::Open, Outcome::Failed) if endpoint.failures >= self.settings.failures => {
+            (Life::Probing, Outcome::Failed | Outcome::TimedOut) => {
+                self.eject(now, key, effects);
+            }
+            (Life::Open, Outcome::Failed | Outcome::TimedOut)
+                if endpoint.failures >= self.settings.failures =>
+            {
                 self.eject(now, key, effects);
             }
             _ => {}
@@ -335,6 +344,17 @@
             .max(guess)
     }
 
+    /// Whether this host holds a slot of the zone that it may not use yet.
+    pub(crate) fn is_waiting(&self, now: Instant, zone: &ZoneId) -> bool {
+        let mut near = self.endpoints.values().filter(|e| e.zone == *zone);
+        near.any(|e| e.usable(now) < e.owned())
+    }
+
+    /// Whether nothing runs on a slot that this host no longer holds.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.endpoints.values().all(Endpoint::is_clean)
+    }
+
     /// Whether requests still run.
     pub(crate) fn is_running(&self) -> bool {
         !self.leases.is_empty()
