--- a/crates/entryd/src/server.rs
+++ b/crates/entryd/src/server.rs
@@ -15,7 +15,8 @@
 use tokio_util::task::TaskTracker;
 use tower::ServiceExt;
 
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Also how long a connection may be idle between requests.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// The least read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -143,9 +143,7 @@
     pub fn new(name: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(connector);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
         Self {
             client,
             next: AtomicU64::new(0),
@@ -166,8 +164,19 @@
 
     /// Sends one request under a request id; a repetition has the id of its first attempt.
     pub async fn call_as(&self, addr: SocketAddr, call: &Call, id: String) -> Reply {
+        let uri = format!("http://{addr}/svc/{}{}", call.service, call.path);
+        self.send_to(uri, call, id).await
+    }
+
+    /// Sends one request to an endpoint, past every entry host.
+    pub async fn call_direct(&self, addr: SocketAddr, call: &Call) -> Reply {
+        let uri = format!("http://{addr}{}", call.path);
+        self.send_to(uri, call, self.id()).await
+    }
+
+    async fn send_to(&self, uri: String, call: &Call, id: String) -> Reply {
         let patience = call.deadline + Duration::from_secs(2);
-        let (got, body) = match tokio::time::timeout(patience, self.send(addr, call, &id)).await {
+        let (got, body) = match tokio::time::timeout(patience, self.send(uri, call, &id)).await {
             Ok(Ok((status, headers, body))) => (judge(&id, status, &headers, &body), body),
             Ok(Err(got)) => (got, Bytes::new()),
             Err(_) => (
@@ -182,7 +191,7 @@
 
     async fn send(
         &self,
-        addr: SocketAddr,
+        uri: String,
         call: &Call,
         id: &str,
     ) -> Result<(StatusCode, HeaderMap, Bytes), Got> {
@@ -191,7 +200,7 @@
         };
         let mut request = Request::builder()
             .method(call.method.clone())
-            .uri(format!("http://{addr}/svc/{}{}", call.service, call.path))
+            .uri(uri)
             .header(header::REQUEST_ID, id)
             .header(header::DEADLINE, call.deadline.as_millis().to_string());
         if let Some(key) = &call.key {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod measure;
 pub mod mix;
 pub mod network;
+pub mod overhead;
 pub mod plot;
 pub mod promises;
 pub mod report;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -8,6 +8,8 @@
 use wagtail_load::slopes::SlopesError;
 
 const USAGE_STATUS: u8 = 2;
+/// Seeds the arrivals.
+const OVERHEAD_SEED: u64 = 1;
 const HELP: &str = "\
 Drives wagtailthread and checks its promises from outside.
 
@@ -15,6 +17,7 @@
 
 Commands:
   experiment  One deployment in one process under load and faults, promises checked
+  overhead    The latency that an entry host adds, against direct calls
   run         An open-loop load against given entry hosts
   slopes      What control costs each host as a fleet grows
   try         A tour of the whole path in one process, under 30 s
@@ -32,6 +35,7 @@
             Err(e) => usage(&e),
         },
         Ok(Some(Value(name))) if name == "experiment" => experiment(args),
+        Ok(Some(Value(name))) if name == "overhead" => overhead(args),
         Ok(Some(Value(name))) if name == "run" => run(args),
         Ok(Some(Value(name))) if name == "slopes" => slopes(args),
         Ok(Some(Long("help") | Short('h'))) => help(),
@@ -96,3 +100,20 @@
     eprintln!("wagtail-load: {error}");
     ExitCode::FAILURE
 }
+
+fn overhead(mut args: lexopt::Parser) -> ExitCode {
+    match args.next() {
+        Ok(None) => {}
+        Ok(Some(Long("help") | Short('h'))) => return help(),
+        Ok(Some(other)) => return usage(&other.unexpected()),
+        Err(e) => return usage(&e),
+    }
+    match runtime().map(|r| r.block_on(wagtail_load::overhead::run(OVERHEAD_SEED))) {
+        Ok(Ok(result)) => {
+            print!("{result}");
+            ExitCode::SUCCESS
+        }
+        Ok(Err(e)) => fail(&e),
+        Err(e) => fail(&e),
+    }
+}
