--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -10,7 +10,7 @@
 pub(crate) use dedupe::{deduping, handle as dedupe_input};
 pub(crate) use limit::{handle as limit_input, limiting};
 pub(crate) use member::{handle as member_input, membership, spread};
-pub(crate) use route::{routing, send};
+pub(crate) use route::{handle as route_input, routing, send};
 
 use std::hash::Hash;
 use std::sync::Arc;
@@ -29,14 +29,14 @@
 pub(crate) async fn timer<M, T, R>(
     host: &Arc<Host>,
     waiting: impl Fn(&Host) -> &Waiting<M, T, R>,
-    next: impl Fn(&M) -> Option<Instant>,
+    next: impl Fn(&M, Instant) -> Option<Instant>,
     tick: impl Fn(&Arc<Host>, Instant),
 ) where
     T: Eq + Hash,
 {
     loop {
-        let wake = next(&waiting(host).lock().machine);
         let now = host.now();
+        let wake = next(&waiting(host).lock().machine, now);
         let sleep = wake.map_or(LONGEST_SLEEP, |at| at.saturating_duration_since(now));
         if sleep > Duration::ZERO {
             let _ = tokio::time::timeout(sleep.min(LONGEST_SLEEP), waiting(host).notified()).await;
@@ -58,17 +58,17 @@
         Control::Quota(message) => {
             limit_input(host, wagtail_quota::Input::Received { from, message });
         }
-        // TMP-CONFIG
+        Control::Config(message) => {
+            sync_input(host, wagtail_config::SyncInput::Message { from, message });
+        }
         Control::Advert(mut advert) => {
             advert.host = from;
-            let input = wagtail_route::Input::Advert(advert);
-            host.routing.lock().machine.handle(host.now(), input);
-            routing(host);
+            route_input(host, wagtail_route::Input::Advert(advert));
         }
         Control::Leaving(endpoint) => {
-            let input = wagtail_route::Input::Leaving(endpoint);
-            host.routing.lock().machine.handle(host.now(), input);
-            routing(host);
+            route_input(host, wagtail_route::Input::Leaving(endpoint));
         }
+        Control::Ask(ask) => route_input(host, wagtail_route::Input::Ask { from, ask }),
+        Control::Agree(agree) => route_input(host, wagtail_route::Input::Agree { from, agree }),
     }
 }
--- a/crates/entryd/src/drive/limit.rs
+++ b/crates/entryd/src/drive/limit.rs
@@ -36,16 +36,27 @@
         Effect::Read { shard } => {
             let host = host.clone();
             tokio::spawn(async move {
-                let outcome = rows::read_lease(&*host.platform, &shard).await;
+                let outcome = rows::read_lease(&host, &shard).await;
                 handle(&host, Input::Row { shard, outcome });
             });
         }
-        Effect::Write { shard, expected, row } => {
+        Effect::Write {
+            shard,
+            expected,
+            row,
+        } => {
             let host = host.clone();
             tokio::spawn(async move {
                 let attempt = row.attempt;
-                let outcome = rows::write_lease(&*host.platform, &shard, expected, &row).await;
-                handle(&host, Input::WriteDone { shard, attempt, outcome });
+                let outcome = rows::write_lease(&host, &shard, expected, &row).await;
+                handle(
+                    &host,
+                    Input::WriteDone {
+                        shard,
+                        attempt,
+                        outcome,
+                    },
+                );
             });
         }
         Effect::Released => {
--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -5,11 +5,13 @@
 use slog::{info, warn};
 use wagtail_member::{Effect, HostView, Input, MemberChange, State};
 use wagtail_peer::Control;
+use wagtail_platform::ScheduleInput;
 use wagtail_quota::PeerInfo;
 use wagtail_route::{HostRow, HostState};
 use wagtail_types::{Incarnation, Share};
 
 use super::route::send;
+use crate::calls;
 use crate::host::Host;
 
 /// Carries out the effects of membership.
@@ -56,26 +58,33 @@
         "from" => label(change.from), "to" => label(change.to));
     let gone = matches!(change.to, None | Some(State::Dead | State::Unknown));
     let incarnation = (!gone).then_some(change.incarnation);
-    super::dedupe_input(host, wagtail_once::Input::Host { host: change.host, incarnation });
+    super::dedupe_input(
+        host,
+        wagtail_once::Input::Host {
+            host: change.host,
+            incarnation,
+        },
+    );
 }
 
 /// Tells the other machines which hosts there are.
 pub(crate) fn spread(host: &Arc<Host>) {
     let views: Vec<HostView> = host.membership.lock().machine.members().cloned().collect();
-    let now = host.now();
     let hosts = views.iter().map(|v| wagtail_route::HostView {
         id: v.info.host.clone(),
         zone: v.info.zone.clone(),
         state: state(host, v),
     });
     let hosts = wagtail_route::Input::Hosts(hosts.collect());
-    host.routing.lock().machine.handle(now, hosts);
-    super::routing(host);
+    super::route_input(host, hosts);
     super::limit_input(host, wagtail_quota::Input::Peers(peers(host, &views)));
     let live = views.iter().filter(|v| is_other(host, v) && v.is_live());
     let live = live.map(|v| v.info.host.clone()).collect();
     super::sync_input(host, wagtail_config::SyncInput::Peers(live));
     rebuild(host, &views);
+    let hosts = u32::try_from(views.len()).unwrap_or(u32::MAX);
+    let hosts = hosts.max(host.settings.fleet);
+    calls::handle(host, ScheduleInput::Fleet { hosts });
 }
 
 fn is_other(host: &Host, view: &HostView) -> bool {
@@ -101,7 +110,9 @@
     let view = host.view.load();
     let own = view.regions().get(&host.settings.region);
     let distance = |v: &HostView| {
-        own.and_then(|r| r.delays.get(&v.info.region)).copied().unwrap_or(ZONE_DELAY)
+        own.and_then(|r| r.delays.get(&v.info.region))
+            .copied()
+            .unwrap_or(ZONE_DELAY)
     };
     views
         .iter()
@@ -128,7 +139,8 @@
         })
         .collect();
     let sites = host.sites.load();
-    host.directory.store(Arc::new(wagtail_route::Directory::new(&rows, &sites.rows)));
+    host.directory
+        .store(Arc::new(wagtail_route::Directory::new(&rows, &sites.rows)));
 }
 
 /// Hands an input to membership.
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -18,8 +18,9 @@
 use wagtail_platform::Platform;
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
-use wagtail_types::{AttemptId, Clock, Incarnation};
+use wagtail_types::{AttemptId, Clock, HostId, Incarnation};
 
+use crate::calls::Calls;
 use crate::lifecycle::Watch;
 use crate::metrics::Metrics;
 use crate::plan::Sites;
@@ -80,6 +81,8 @@
     pub(crate) upstreams: Upstreams,
     /// Connections to other hosts.
     pub(crate) peer: std::sync::OnceLock<Peer>,
+    /// Turns at the platform.
+    pub(crate) calls: Calls,
     /// The platform.
     pub(crate) platform: Arc<dyn Platform>,
     /// Signals that a configuration is in force.
@@ -114,6 +117,16 @@
         }
     }
 
+    /// Whether another host is in another region.
+    pub(crate) fn is_far(&self, other: &HostId) -> bool {
+        let view = self.view.load();
+        let region = view
+            .hosts()
+            .get(other)
+            .and_then(|h| view.region_of(&h.zone));
+        region.is_none_or(|region| *region != self.settings.region)
+    }
+
     /// The connections to other hosts; `None` before they are up.
     pub(crate) fn peer(&self) -> Option<&Peer> {
         self.peer.get()
@@ -122,5 +135,9 @@
 
 /// A seeded source of random numbers; a seed of 0 draws one.
 pub(crate) fn rng(seed: u64) -> StdRng {
-    if seed == 0 { StdRng::from_os_rng() } else { StdRng::seed_from_u64(seed) }
+    if seed == 0 {
+        StdRng::from_os_rng()
+    } else {
+        StdRng::seed_from_u64(seed)
+    }
 }
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod api;
+mod calls;
 mod drive;
 mod host;
 mod intake;
@@ -13,8 +14,8 @@
 mod lifecycle;
 mod logs;
 mod metrics;
+mod paced;
 mod plan;
-mod records;
 mod relay;
 mod reports;
 mod request;
@@ -31,6 +32,8 @@
 
 pub use api::{Keys, Lookup, LookupHost};
 pub use lifecycle::Phase;
-pub use settings::{Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help};
+pub use settings::{
+    Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help,
+};
 pub use start::{Bound, Options, RunError, Running, bind, run, start};
 pub use stats::{Summary, Trend};
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::host::Host;
 use crate::job::{Job, Payload};
 use crate::keyed;
+use crate::paced::pace;
 use crate::run;
 
 /// Hands what other hosts send to this one.
@@ -29,7 +30,7 @@
 
     fn relay(
         &self,
-        _: HostId,
+        from: HostId,
         head: RelayHead,
         body: wagtail_peer::Body,
     ) -> BoxFuture<Result<RelayAnswer, Verdict>> {
@@ -40,7 +41,13 @@
                 .watch
                 .enter(host.settings.limits.requests)
                 .ok_or(Verdict::not_run(Reason::Overloaded, None))?;
-            take(&host, head, body).await.map(to_answer)
+            let answer = take(&host, head, body).await?;
+            let answer = if host.is_far(&from) {
+                answer.map(|body| pace(&host, body))
+            } else {
+                answer
+            };
+            Ok(to_answer(answer))
         })
     }
 }
@@ -53,14 +60,15 @@
     let named = run::named(&host.view.load(), &head)?;
     let limit = host.settings.limits.buffer.as_usize();
     let payload = Payload::read(Body::new(body.map_err(axum::Error::new)), limit).await?;
-    let deadline = head.deadline.unwrap_or(host.settings.times.deadline);
+    let longest = named.service.deadline;
+    let deadline = head.deadline.unwrap_or(longest).min(longest);
     let mut job = Job {
         service: named.service,
         team: named.team,
         method: head.method,
         path: head.path,
         headers: head.headers,
-        deadline: host.now() + deadline.min(host.settings.times.longest),
+        deadline: host.now() + deadline,
         origin: match head.step {
             Step::Owner => Origin::Relayed,
             Step::Issuer => Origin::Local,
@@ -78,12 +86,18 @@
 }
 
 /// Runs a relayed request once, however often its message comes.
+///
+/// A message comes over a connection to this process, so it is for this life of the host.
 async fn once(
     host: &Arc<Host>,
     job: &mut Job,
     attempt: wagtail_types::AttemptId,
 ) -> Result<Response<Body>, Verdict> {
-    let begin = host.deduping.lock().machine.receive_bare(host.now(), attempt);
+    let begin = host
+        .deduping
+        .lock()
+        .machine
+        .receive_bare(host.now(), attempt, host.incarnation);
     drive::deduping(host);
     match begin {
         Begin::Run(permit) => {
@@ -104,7 +118,10 @@
         Err(Verdict::MayHaveRun { cause }) => Outcome::Unknown(*cause),
         Err(verdict) => Outcome::NotRun(verdict.clone()),
     };
-    host.deduping.lock().machine.finish(host.now(), permit, outcome);
+    host.deduping
+        .lock()
+        .machine
+        .finish(host.now(), permit, outcome);
     drive::deduping(host);
 }
 
@@ -123,5 +140,9 @@
 
 fn to_answer(response: Response<Body>) -> RelayAnswer {
     let (parts, body) = response.into_parts();
-    RelayAnswer { status: parts.status, headers: parts.headers, body: to_peer(body) }
+    RelayAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body: to_peer(body),
+    }
 }
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -14,6 +14,7 @@
 use crate::host::{Host, Start};
 use crate::intake;
 use crate::job::Job;
+use crate::paced::pace;
 use crate::reports;
 use crate::tracked::{End, track};
 
@@ -23,15 +24,20 @@
 /// run twice.
 pub(crate) async fn run(host: &Arc<Host>, job: &mut Job) -> Result<Response<Body>, Verdict> {
     let mut attempt = 0;
+    let mut known: Option<Verdict> = None;
     loop {
-        let verdict = match once(host, job, attempt).await {
+        let failure = match once(host, job, attempt).await {
             Ok(response) => return Ok(response),
             Err(failure) => failure,
         };
+        // Neither a later refusal nor a place that is not found undoes an earlier attempt.
+        known = match known {
+            Some(earlier) if !failure.attempted || !earlier.is_not_run() => Some(earlier),
+            _ => Some(failure.verdict.clone()),
+        };
         attempt += 1;
-        let retry = verdict.again && attempt < MAX_ATTEMPTS && job.payload.is_there();
-        if !retry {
-            return Err(verdict.verdict);
+        if !(failure.again && attempt < MAX_ATTEMPTS && job.payload.is_there()) {
+            return Err(known.unwrap_or(failure.verdict));
         }
     }
 }
@@ -39,23 +45,38 @@
 /// A failed attempt.
 struct Failure {
     verdict: Verdict,
+    /// Whether an endpoint or another host was tried.
+    attempted: bool,
     /// Whether another attempt may be made.
     again: bool,
 }
 
 impl Failure {
     fn last(verdict: Verdict) -> Self {
-        Self { verdict, again: false }
+        Self {
+            verdict,
+            attempted: false,
+            again: false,
+        }
     }
 
     fn of_attempt(verdict: Verdict, job: &Job) -> Self {
         let again = verdict.is_not_run() || (job.idempotent() && !is_timeout(&verdict));
-        Self { verdict, again }
+        Self {
+            verdict,
+            attempted: true,
+            again,
+        }
     }
 }
 
 fn is_timeout(verdict: &Verdict) -> bool {
-    matches!(verdict, Verdict::MayHaveRun { cause: Cause::Timeout })
+    matches!(
+        verdict,
+        Verdict::MayHaveRun {
+            cause: Cause::Timeout
+        }
+    )
 }
 
 async fn once(host: &Arc<Host>, job: &mut Job, attempt: u32) -> Result<Response<Body>, Failure> {
@@ -98,7 +119,11 @@
         Placement::Dispatch(lease) => Placed::Now(Slot::new(host, lease)),
         Placement::Queued(ticket) => {
             let start = routing.wait(ticket);
-            Placed::Later(Queued { host: host.clone(), ticket: Some(ticket), start })
+            Placed::Later(Queued {
+                host: host.clone(),
+                ticket: Some(ticket),
+                start,
+            })
         }
         Placement::Relay(pass) => Placed::Elsewhere(Passing::new(host, pass)),
         Placement::Refuse(verdict) => Placed::Nowhere(verdict),
@@ -150,11 +175,10 @@
 
 impl Slot {
     pub(crate) fn new(host: &Arc<Host>, lease: Lease) -> Self {
-        Self { host: host.clone(), lease: Some(lease) }
-    }
-
-    fn endpoint(&self) -> Option<EndpointId> {
-        self.lease.as_ref().map(|l| l.endpoint.clone())
+        Self {
+            host: host.clone(),
+            lease: Some(lease),
+        }
     }
 
     fn finish(mut self, outcome: Outcome) {
@@ -184,7 +208,10 @@
 
 impl Passing {
     fn new(host: &Arc<Host>, pass: Pass) -> Self {
-        Self { host: host.clone(), pass: Some(pass) }
+        Self {
+            host: host.clone(),
+            pass: Some(pass),
+        }
     }
 
     fn end(&mut self, outcome: Relayed) {
@@ -204,7 +231,9 @@
 
 async fn dispatch(host: &Arc<Host>, job: &mut Job, slot: Slot) -> Result<Response<Body>, Failure> {
     let view = host.view.load_full();
-    let Some(endpoint) = slot.endpoint().and_then(|id| view.endpoints().get(&id).cloned()) else {
+    let lease = slot.lease.as_ref().map(|l| (l.endpoint.clone(), l.until));
+    let known = lease.and_then(|(id, until)| Some((view.endpoints().get(&id)?.clone(), until)));
+    let Some((endpoint, until)) = known else {
         slot.finish(Outcome::Cancelled);
         return Err(Failure::last(Verdict::not_run(Reason::NoEndpoint, None)));
     };
@@ -212,11 +241,17 @@
     let attempt = host.attempt();
     let request = job.request(attempt, now);
     let id = request.headers().get(intake::REQUEST).cloned();
-    let sent = host.upstreams.send(endpoint.addr, request, job.left(now)).await;
+    // Past this time another host may use the slot.
+    let left = job.left(now).min(until.saturating_duration_since(now));
+    let sent = host.upstreams.send(endpoint.addr, request, left).await;
     match sent {
         Ok(response) => judge(host, &endpoint.id, job, slot, id.as_ref(), response),
         Err(verdict) => {
-            slot.finish(Outcome::Failed);
+            slot.finish(if is_timeout(&verdict) {
+                Outcome::TimedOut
+            } else {
+                Outcome::Failed
+            });
             Err(Failure::of_attempt(verdict, job))
         }
     }
@@ -234,11 +269,21 @@
     reports::passive(host, endpoint, response.headers());
     if is_crossed(response.headers(), id) {
         slot.finish(Outcome::Failed);
-        return Err(Failure::of_attempt(Verdict::may_have_run(Cause::BadAnswer), job));
+        return Err(Failure::of_attempt(
+            Verdict::may_have_run(Cause::BadAnswer),
+            job,
+        ));
     }
-    if response.headers().get(VERDICT).is_some_and(|v| v == NOT_RUN) {
+    if response
+        .headers()
+        .get(VERDICT)
+        .is_some_and(|v| v == NOT_RUN)
+    {
         slot.finish(Outcome::Refused);
-        return Err(Failure::of_attempt(Verdict::not_run(Reason::EndpointRefused, None), job));
+        return Err(Failure::of_attempt(
+            Verdict::not_run(Reason::EndpointRefused, None),
+            job,
+        ));
     }
     answer::strip(response.headers_mut());
     Ok(response.map(|body| {
@@ -254,19 +299,33 @@
 
 /// Whether the answer names another request.
 fn is_crossed(headers: &HeaderMap, id: Option<&HeaderValue>) -> bool {
-    headers.get(intake::REQUEST).is_some_and(|echo| Some(echo) != id)
+    headers
+        .get(intake::REQUEST)
+        .is_some_and(|echo| Some(echo) != id)
 }
 
-async fn relay(host: &Arc<Host>, job: &mut Job, mut passing: Passing) -> Result<Response<Body>, Failure> {
-    let Some((to, zone)) = passing.pass.as_ref().map(|p| (p.host.clone(), p.zone.clone())) else {
+async fn relay(
+    host: &Arc<Host>,
+    job: &mut Job,
+    mut passing: Passing,
+) -> Result<Response<Body>, Failure> {
+    let Some((to, zone, far)) = passing
+        .pass
+        .as_ref()
+        .map(|p| (p.host.clone(), p.zone.clone(), p.far))
+    else {
         return Err(Failure::last(Verdict::not_run(Reason::Unavailable, None)));
     };
     let head = head(host, job, Step::Owner, None);
-    let answer = forward(host, job, &to, head).await;
+    let answer = forward(host, job, &to, head, far).await;
     passing.end(match &answer {
         Ok(_) | Err(Verdict::MayHaveRun { .. }) => Relayed::Taken,
-        Err(Verdict::NotRun { reason: Reason::ConnectFailed, .. }) => Relayed::Lost,
-        Err(Verdict::NotRun { .. }) => Relayed::NoSlot,
+        Err(Verdict::NotRun { reason, .. }) => match reason {
+            Reason::ConnectFailed => Relayed::Lost,
+            // The host had a slot; what it says concerns the endpoint.
+            Reason::EndpointRefused => Relayed::Taken,
+            _ => Relayed::NoSlot,
+        },
     });
     answer.map_err(|verdict| {
         job.tried.push(zone);
@@ -299,12 +358,15 @@
     job: &mut Job,
     to: &wagtail_types::HostId,
     head: RelayHead,
+    far: bool,
 ) -> Result<Response<Body>, Verdict> {
     let Some(peer) = host.peer() else {
         return Err(Verdict::not_run(Reason::Unavailable, None));
     };
     let left = job.left(host.now());
-    let body = crate::relay::to_peer(job.payload.take());
+    let body = job.payload.take();
+    let body = if far { pace(host, body) } else { body };
+    let body = crate::relay::to_peer(body);
     let sent = tokio::time::timeout(left, peer.relay(to, head, body)).await;
     let answer = sent.unwrap_or(Err(Verdict::may_have_run(Cause::Timeout)))?;
     Ok(crate::relay::from_peer(answer))
@@ -313,12 +375,17 @@
 /// The team and service records that a relayed head names.
 pub(crate) fn named(view: &View, head: &RelayHead) -> Result<Named, Verdict> {
     let service = view.services().get(&head.service);
-    let service = service.ok_or(Verdict::not_run(Reason::UnknownService, None))?.clone();
+    let service = service
+        .ok_or(Verdict::not_run(Reason::UnknownService, None))?
+        .clone();
     let team = match &head.team {
         None => None,
         Some(id) => {
             let team = view.teams().get(id);
-            Some(team.ok_or(Verdict::not_run(Reason::Forbidden, None))?.clone())
+            Some(
+                team.ok_or(Verdict::not_run(Reason::Forbidden, None))?
+                    .clone(),
+            )
         }
     };
     Ok(Named { service, team })
--- a/crates/entryd/src/server.rs
+++ b/crates/entryd/src/server.rs
@@ -15,7 +15,8 @@
 use tokio_util::task::TaskTracker;
 use tower::ServiceExt;
 
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Also how long a connection may be idle between requests.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// The least read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
@@ -40,15 +41,29 @@
 
 impl Server {
     /// Serves `router` on a bound listener until [`Server::stop`].
-    pub(crate) fn start(listener: TcpListener, router: Router, limits: Limits) -> std::io::Result<Self> {
+    pub(crate) fn start(
+        listener: TcpListener,
+        router: Router,
+        limits: Limits,
+    ) -> std::io::Result<Self> {
         let addr = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let tasks = TaskTracker::new();
         let cut = CancellationToken::new();
-        let acceptor =
-            Acceptor { router, limits, stopped, cut: cut.clone(), tasks: tasks.clone() };
+        let acceptor = Acceptor {
+            router,
+            limits,
+            stopped,
+            cut: cut.clone(),
+            tasks: tasks.clone(),
+        };
         tasks.spawn(acceptor.run(listener));
-        Ok(Self { addr, stop, cut, tasks })
+        Ok(Self {
+            addr,
+            stop,
+            cut,
+            tasks,
+        })
     }
 
     /// The address that callers connect to.
@@ -84,7 +99,9 @@
     async fn run(mut self, listener: TcpListener) {
         let slots = Arc::new(Semaphore::new(self.limits.connections));
         loop {
-            let Ok(slot) = slots.clone().acquire_owned().await else { return };
+            let Ok(slot) = slots.clone().acquire_owned().await else {
+                return;
+            };
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = self.stopped.wait_for(|stopped| *stopped) => return,
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -15,12 +15,13 @@
 use wagtail_member::{HostInfo, Member};
 use wagtail_once::Once;
 use wagtail_peer::{FleetSecret, Lines, Peer};
-use wagtail_platform::{HttpClient, HttpSettings, Platform};
+use wagtail_platform::{HttpClient, HttpSettings, Platform, ScheduleSettings, Scheduler};
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
 use wagtail_types::{Clock, Incarnation, SystemClock};
 
 use crate::api;
+use crate::calls::Calls;
 use crate::drive;
 use crate::host::{Host, rng};
 use crate::lifecycle::{Serving, Starting};
@@ -52,7 +53,12 @@
 impl Options {
     /// The operating system's clock and the platform of the settings.
     pub fn new(log: Logger) -> Self {
-        Self { log, clock: Arc::new(SystemClock), platform: None, lines: None }
+        Self {
+            log,
+            clock: Arc::new(SystemClock),
+            platform: None,
+            lines: None,
+        }
     }
 }
 
@@ -123,7 +129,13 @@
     drive::sync_input(&host, SyncInput::Peers(seeds));
     info!(host.log, "started"; "listen" => %callers.addr(), "ops" => %operators.addr(),
         "incarnation" => %host.incarnation);
-    Ok(Bound { host, starting, callers, operators, tasks })
+    Ok(Bound {
+        host,
+        starting,
+        callers,
+        operators,
+        tasks,
+    })
 }
 
 impl Bound {
@@ -144,23 +156,39 @@
 
     /// Waits for a configuration, then enters the look-ups.
     pub async fn serve(self) -> Running {
-        let Self { host, starting, callers, operators, tasks } = self;
+        let Self {
+            host,
+            starting,
+            callers,
+            operators,
+            tasks,
+        } = self;
         host.adopted.notified().await;
         let serving = starting.serve();
         drive::spread(&host);
         info!(host.log, "serving"; "epoch" => %host.view.load().epoch());
-        Running { host, serving, callers, operators, tasks }
+        Running {
+            host,
+            serving,
+            callers,
+            operators,
+            tasks,
+        }
     }
 }
 
 fn build(settings: Settings, options: &Options, starting: &Starting) -> Result<Host, RunError> {
     let clock = options.clock.clone();
     let now = clock.now();
-    let mut random = rng(settings.seed);
     let incarnation = incarnation(&*clock);
-    let platform = options.platform.clone().unwrap_or_else(|| {
-        Arc::new(HttpClient::new(HttpSettings::new(settings.platform)))
-    });
+    // Each life draws anew, also where the seed is set.
+    let mut random = rng(settings.seed.wrapping_mul(incarnation.0));
+    let member = member_settings(&settings, incarnation);
+    let detection = member.detection(settings.fleet as usize);
+    let platform = options
+        .platform
+        .clone()
+        .unwrap_or_else(|| Arc::new(HttpClient::new(HttpSettings::new(settings.platform))));
     let log = options.log.new(o!("host" => settings.host.to_string()));
     let metrics = Metrics::new(settings.statsd, &settings.host, &settings.zone)?;
     Ok(Host {
@@ -173,8 +201,16 @@
         sites: Sites::default().into_swap(),
         directory: Directory::default().into_swap(),
         mode: wagtail_member::Mode::CutOff { since: now }.into_swap(),
-        routing: Waiting::new(Router::new(route_settings(&settings), random.random(), now)),
-        limiting: Waiting::new(Quota::new(quota_settings(&settings, incarnation), random.random(), now)),
+        routing: Waiting::new(Router::new(
+            route_settings(&settings, detection),
+            random.random(),
+            now,
+        )),
+        limiting: Waiting::new(Quota::new(
+            quota_settings(&settings, incarnation),
+            random.random(),
+            now,
+        )),
         deduping: Waiting::new(Once::new(
             once_settings(&settings),
             settings.host.clone(),
@@ -182,12 +218,20 @@
             random.random(),
             now,
         )),
-        membership: Waiting::new(Member::new(
-            member_settings(&settings, incarnation),
+        membership: Waiting::new(Member::new(member, random.random(), now)),
+        syncing: Waiting::new(ConfigSync::new(
+            sync_settings(&settings),
+            random.random(),
+            now,
+        )),
+        calls: Calls::new(Scheduler::new(
+            ScheduleSettings {
+                hosts: settings.fleet,
+                ..ScheduleSettings::default()
+            },
             random.random(),
             now,
         )),
-        syncing: Waiting::new(ConfigSync::new(sync_settings(&settings), random.random(), now)),
         upstreams: Upstreams::new(settings.times.connect),
         peer: OnceLock::new(),
         platform,
@@ -215,12 +259,11 @@
     Incarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
-fn route_settings(settings: &Settings) -> wagtail_route::Settings {
-    wagtail_route::Settings::new(
-        settings.host.clone(),
-        settings.zone.clone(),
-        settings.region.clone(),
-    )
+fn route_settings(settings: &Settings, detection: Duration) -> wagtail_route::Settings {
+    let (zone, region) = (settings.zone.clone(), settings.region.clone());
+    let mut route = wagtail_route::Settings::new(settings.host.clone(), zone, region);
+    route.owner.detection = detection;
+    route
 }
 
 fn quota_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_quota::Settings {
@@ -242,7 +285,11 @@
 }
 
 fn member_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_member::Settings {
-    let own = HostInfo::new(settings.host.clone(), settings.zone.clone(), settings.region.clone());
+    let own = HostInfo::new(
+        settings.host.clone(),
+        settings.zone.clone(),
+        settings.region.clone(),
+    );
     wagtail_member::Settings {
         poll_interval: settings.times.poll,
         ..wagtail_member::Settings::new(own, incarnation)
@@ -250,13 +297,19 @@
 }
 
 fn sync_settings(settings: &Settings) -> SyncSettings {
-    SyncSettings { poll: settings.times.poll, ..SyncSettings::default() }
+    SyncSettings {
+        poll: settings.times.poll,
+        ..SyncSettings::default()
+    }
 }
 
 fn start_peer(host: &Arc<Host>, lines: Option<Lines>) -> Result<Peer, RunError> {
     let settings = &host.settings;
-    let secret: FleetSecret =
-        settings.secret.0.parse().map_err(|e| std::io::Error::other(format!("{e}")))?;
+    let secret: FleetSecret = settings
+        .secret
+        .0
+        .parse()
+        .map_err(|e| std::io::Error::other(format!("{e}")))?;
     let settings = wagtail_peer::Settings {
         lines,
         ..wagtail_peer::Settings::new(
@@ -267,7 +320,11 @@
         )
     };
     let inbox = Arc::new(Inbox(Arc::downgrade(host)));
-    Ok(Peer::start(settings, inbox, tokio::runtime::Handle::current())?)
+    Ok(Peer::start(
+        settings,
+        inbox,
+        tokio::runtime::Handle::current(),
+    )?)
 }
 
 impl Running {
@@ -292,7 +349,13 @@
     ///
     /// Fails where requests still ran when the time for the stop was over.
     pub async fn stop(self) -> Result<(), RunError> {
-        let Self { host, serving, callers, operators, tasks } = self;
+        let Self {
+            host,
+            serving,
+            callers,
+            operators,
+            tasks,
+        } = self;
         let leaving = serving.leave();
         info!(host.log, "leaving"; "running" => host.watch.running());
         drive::member_input(&host, wagtail_member::Input::Leave);
@@ -323,7 +386,13 @@
 
     /// Ends at once, as if the process were killed.
     pub async fn kill(self) {
-        let Self { host, callers, operators, tasks, .. } = self;
+        let Self {
+            host,
+            callers,
+            operators,
+            tasks,
+            ..
+        } = self;
         drop(tasks);
         callers.abort();
         operators.abort();
@@ -337,7 +406,10 @@
     let now = host.now();
     host.limiting.lock().machine.release(now);
     drive::limiting(host);
-    if tokio::time::timeout(RELEASE_TIMEOUT, host.released.notified()).await.is_err() {
+    if tokio::time::timeout(RELEASE_TIMEOUT, host.released.notified())
+        .await
+        .is_err()
+    {
         warn!(host.log, "quota shards could not be handed back");
     }
 }
@@ -349,7 +421,9 @@
 /// As [`start`] and [`Running::stop`].
 pub fn run(settings: Settings) -> Result<(), RunError> {
     let log = crate::logs::to_stderr(settings.logs);
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
     runtime.block_on(async {
         let running = tokio::select! {
             running = start(settings, Options::new(log)) => running?,
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IndexedRandom;
 use tokio::task::JoinSet;
 use wagtail_peer::Control;
-use wagtail_platform::ListedState;
-use wagtail_types::HostId;
+use wagtail_platform::{Access, ListedState, Priority};
 
+use crate::calls;
 use crate::drive;
-use crate::host::{Host, rng};
+use crate::host::Host;
 use crate::reports;
 
 const ADVERT_PERIOD: Duration = Duration::from_millis(250);
@@ -23,47 +22,86 @@
 pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_route::Router::next_wake;
-        drive::timer(&timers, |h| &h.routing, next, |h, now| {
-            h.routing.lock().machine.tick(now);
-            drive::routing(h);
-        })
+        let next = |m: &wagtail_route::Router, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.routing,
+            next,
+            |h, now| {
+                h.routing.lock().machine.tick(now);
+                drive::routing(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_quota::Quota::next_wake;
-        drive::timer(&timers, |h| &h.limiting, next, |h, now| {
-            h.limiting.lock().machine.tick(now);
-            drive::limiting(h);
-        })
+        let next = |m: &wagtail_quota::Quota, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.limiting,
+            next,
+            |h, now| {
+                h.limiting.lock().machine.tick(now);
+                drive::limiting(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_once::Once::next_wake;
-        drive::timer(&timers, |h| &h.deduping, next, |h, now| {
-            h.deduping.lock().machine.tick(now);
-            drive::deduping(h);
-        })
+        let next = |m: &wagtail_once::Once, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.deduping,
+            next,
+            |h, now| {
+                h.deduping.lock().machine.tick(now);
+                drive::deduping(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_member::Member::next_wake;
-        drive::timer(&timers, |h| &h.membership, next, |h, now| {
-            h.membership.lock().machine.tick(now);
-            drive::membership(h);
-        })
+        let next = |m: &wagtail_member::Member, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.membership,
+            next,
+            |h, now| {
+                h.membership.lock().machine.tick(now);
+                drive::membership(h);
+            },
+        )
         .await;
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = wagtail_config::ConfigSync::next_wake;
-        drive::timer(&timers, |h| &h.syncing, next, |h, now| {
-            h.syncing.lock().machine.tick(now);
-            drive::syncing(h);
-        })
+        let next = |m: &wagtail_config::ConfigSync, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.syncing,
+            next,
+            |h, now| {
+                h.syncing.lock().machine.tick(now);
+                drive::syncing(h);
+            },
+        )
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |s: &wagtail_platform::Scheduler, now| s.next_wake(now);
+        drive::timer(
+            &timers,
+            |h| &h.calls.scheduler,
+            next,
+            |h, now| {
+                h.calls.scheduler.lock().machine.tick(now);
+                calls::drive(h);
+            },
+        )
         .await;
     });
     tasks.spawn(reports::poll(host.clone()));
@@ -74,18 +112,19 @@
 
 /// Tells other hosts of the free slots here.
 async fn advertise(host: Arc<Host>) {
-    let mut random = rng(host.settings.seed);
     let mut period = tokio::time::interval(ADVERT_PERIOD);
     loop {
         period.tick().await;
-        let advert = host.routing.lock().machine.advert(host.now());
-        let others: Vec<HostId> = {
-            let membership = host.membership.lock();
-            let others = membership.machine.members().filter(|m| m.is_live());
-            others.map(|m| m.info.host.clone()).filter(|h| *h != host.settings.host).collect()
+        let now = host.now();
+        let (advert, audience) = {
+            let mut routing = host.routing.lock();
+            (
+                routing.machine.advert(now),
+                routing.machine.audience(ADVERT_FANOUT),
+            )
         };
-        for to in others.choose_multiple(&mut random, ADVERT_FANOUT) {
-            drive::send(&host, to, Control::Advert(advert.clone()));
+        for to in audience {
+            drive::send(&host, &to, Control::Advert(advert.clone()));
         }
     }
 }
@@ -95,14 +134,14 @@
     let mut period = tokio::time::interval(LIST_PERIOD);
     loop {
         period.tick().await;
-        let Ok(list) = host.platform.list().await else { continue };
+        let list = calls::call(&host, Priority::Bulk, Access::Read, host.platform.list());
+        let Ok(list) = list.await else { continue };
         for listed in list.iter().filter(|l| l.state == ListedState::Leaving) {
             if let Ok(endpoint) = listed.name.parse() {
                 let input = wagtail_route::Input::Leaving(endpoint);
-                host.routing.lock().machine.handle(host.now(), input);
+                drive::route_input(&host, input);
             }
         }
-        drive::routing(&host);
     }
 }
 
@@ -112,8 +151,10 @@
         period.tick().await;
         let headroom = host.routing.lock().machine.headroom(host.now());
         for row in headroom {
-            host.metrics.gauge(&format!("headroom.{}", row.service), u64::from(row.free));
-            host.metrics.gauge(&format!("queued.{}", row.service), u64::from(row.queued));
+            host.metrics
+                .gauge(&format!("headroom.{}", row.service), u64::from(row.free));
+            host.metrics
+                .gauge(&format!("queued.{}", row.service), u64::from(row.queued));
         }
         host.metrics.gauge("running", host.watch.running() as u64);
     }
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -90,6 +90,12 @@
         /// The cause.
         reason: String,
     },
+    /// The entry host could not be reached; nothing was sent.
+    #[display("unreached ({reason})")]
+    Unreached {
+        /// What happened.
+        reason: String,
+    },
     /// No answer from the entry host, or an aborted one.
     #[display("no whole answer ({reason})")]
     Lost {
@@ -137,35 +143,64 @@
     pub fn new(name: &str) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(connector);
-        Self { client, next: AtomicU64::new(0), name: name.to_owned() }
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self {
+            client,
+            next: AtomicU64::new(0),
+            name: name.to_owned(),
+        }
     }
 
     /// Sends one request to an entry host.
     pub async fn call(&self, addr: SocketAddr, call: &Call) -> Reply {
+        self.call_as(addr, call, self.id()).await
+    }
+
+    /// A new request id.
+    pub fn id(&self) -> String {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let id = format!("{}-{number}", self.name);
+        format!("{}-{number}", self.name)
+    }
+
+    /// Sends one request under a request id; a repetition has the id of its first attempt.
+    pub async fn call_as(&self, addr: SocketAddr, call: &Call, id: String) -> Reply {
+        let uri = format!("http://{addr}/svc/{}{}", call.service, call.path);
+        self.send_to(uri, call, id).await
+    }
+
+    /// Sends one request to an endpoint, past every entry host.
+    pub async fn call_direct(&self, addr: SocketAddr, call: &Call) -> Reply {
+        let uri = format!("http://{addr}{}", call.path);
+        self.send_to(uri, call, self.id()).await
+    }
+
+    async fn send_to(&self, uri: String, call: &Call, id: String) -> Reply {
         let patience = call.deadline + Duration::from_secs(2);
-        let (got, body) = match tokio::time::timeout(patience, self.send(addr, call, &id)).await {
+        let (got, body) = match tokio::time::timeout(patience, self.send(uri, call, &id)).await {
             Ok(Ok((status, headers, body))) => (judge(&id, status, &headers, &body), body),
-            Ok(Err(reason)) => (Got::Lost { reason }, Bytes::new()),
-            Err(_) => (Got::Lost { reason: "no answer by the deadline".to_owned() }, Bytes::new()),
+            Ok(Err(got)) => (got, Bytes::new()),
+            Err(_) => (
+                Got::Lost {
+                    reason: "no answer by the deadline".to_owned(),
+                },
+                Bytes::new(),
+            ),
         };
         Reply { id, got, body }
     }
 
     async fn send(
         &self,
-        addr: SocketAddr,
+        uri: String,
         call: &Call,
         id: &str,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), String> {
-        let text = |e: &dyn std::error::Error| e.to_string();
+    ) -> Result<(StatusCode, HeaderMap, Bytes), Got> {
+        let lost = |e: &dyn std::error::Error| Got::Lost {
+            reason: e.to_string(),
+        };
         let mut request = Request::builder()
             .method(call.method.clone())
-            .uri(format!("http://{addr}/svc/{}{}", call.service, call.path))
+            .uri(uri)
             .header(header::REQUEST_ID, id)
             .header(header::DEADLINE, call.deadline.as_millis().to_string());
         if let Some(key) = &call.key {
@@ -174,10 +209,19 @@
         if let Some(key) = &call.idempotency {
             request = request.header(IDEMPOTENCY, key);
         }
-        let request = request.body(Full::new(call.body.clone())).map_err(|e| text(&e))?;
-        let response = self.client.request(request).await.map_err(|e| text(&e))?;
+        let request = request
+            .body(Full::new(call.body.clone()))
+            .map_err(|e| lost(&e))?;
+        let response = self.client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                return Got::Unreached {
+                    reason: e.to_string(),
+                };
+            }
+            lost(&e)
+        })?;
         let (parts, body) = response.into_parts();
-        let body = body.collect().await.map_err(|e| text(&e))?.to_bytes();
+        let body = body.collect().await.map_err(|e| lost(&e))?.to_bytes();
         Ok((parts.status, parts.headers, body))
     }
 
@@ -192,15 +236,27 @@
         addr: SocketAddr,
         path: &str,
     ) -> Result<T, ClientError> {
-        let fail = |reason: String| ClientError { addr, path: path.to_owned(), reason };
+        let fail = |reason: String| ClientError {
+            addr,
+            path: path.to_owned(),
+            reason,
+        };
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{addr}{path}"))
             .body(Full::default())
             .map_err(|e| fail(e.to_string()))?;
-        let response = self.client.request(request).await.map_err(|e| fail(e.to_string()))?;
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|e| fail(e.to_string()))?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(|e| fail(e.to_string()))?;
+        let body = response
+            .into_body()
+            .collect()
+            .await
+            .map_err(|e| fail(e.to_string()))?;
         if !status.is_success() {
             return Err(fail(format!("status {status}")));
         }
@@ -209,15 +265,25 @@
 }
 
 fn judge(id: &str, status: StatusCode, headers: &HeaderMap, body: &Bytes) -> Got {
-    let get = |name| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned();
+    let get = |name| {
+        headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    };
     let reason = get(REASON);
     match get(header::VERDICT).as_str() {
         NOT_RUN => Got::NotRun { reason },
         MAY_HAVE_RUN => Got::MayHaveRun { reason },
         _ if status.is_success() => match check_answer(id, headers, body) {
             Ok(()) => Got::Answer,
-            Err(wrong) => Got::Wrong { reason: wrong.to_string() },
+            Err(wrong) => Got::Wrong {
+                reason: wrong.to_string(),
+            },
+        },
+        _ => Got::Wrong {
+            reason: format!("status {status} without a verdict"),
         },
-        _ => Got::Wrong { reason: format!("status {status} without a verdict") },
     }
 }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -3,8 +3,8 @@
 # versions understand each other.
 
 interface Peer {
-  control @0 (messages :List(Control)) -> ();
-  # One-way messages, in order. The answer only says that the connection lives.
+  ping @0 () -> ();
+  # Answered at once, to show that the connection lives.
 
   relay @1 (head :RelayHead, body :Chunk, more :Body) -> (outcome :RelayOutcome, body :Chunk, more :Body);
   # Runs a request. The bodies' first bytes come inline, the rest is read through `more`.
@@ -77,6 +77,11 @@
   # Microseconds to wait and one more; 0 where time alone will not help.
 }
 
+struct Batch {
+  # What a frame on a control connection holds, packed: one-way messages, in order.
+  messages @0 :List(Control);
+}
+
 struct Control {
   union {
     leaving @0 :Text;
@@ -85,9 +90,23 @@
     quota @2 :Quota;
     member @3 :Member;
     config @4 :Config;
+    slotAsk @5 :SlotAsk;
+    slotAgree @6 :SlotAgree;
   }
 }
 
+struct SlotAsk {
+  token @0 :UInt64;
+  members @1 :UInt64;
+  life @2 :UInt64;
+  uptime @3 :UInt64;
+  # In microseconds, rounded down.
+}
+
+struct SlotAgree {
+  token @0 :UInt64;
+}
+
 struct Advert {
   host @0 :Text;
   free @1 :List(Free);
@@ -277,6 +296,7 @@
     head @1 :UInt64;
     rows @2 :List(Row);
     more @3 :Bool;
+    floor @4 :UInt64;
   }
 
   struct Row {
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -25,6 +25,12 @@
     Quota(wagtail_quota::Message),
     /// A message of the membership machine.
     Member(wagtail_member::Message),
+    /// A message about the configuration.
+    Config(wagtail_config::Message),
+    /// A question about the slots of the zone.
+    Ask(wagtail_route::Ask),
+    /// The answer to such a question.
+    Agree(wagtail_route::Agree),
 }
 
 /// What the receiver of a relay is asked to do.
--- a/crates/route/src/pool/endpoint.rs
+++ b/crates/route/src/pool/endpoint.rs
@@ -136,6 +136,11 @@
         }
     }
 
+    /// Whether nothing runs on a slot that is no longer held.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.held.iter().all(|held| held.mine || !held.busy)
+    }
+
     /// Slots that are held, whether or not they may be used yet.
     pub(crate) fn owned(&self) -> u32 {
         count(self.held.iter().filter(|held| held.mine))
@@ -221,11 +226,7 @@
 
     pub(crate) fn answered(&mut self, now: Instant, took: Duration) {
         self.failures = 0;
-        self.answered = now;
-        let took = took.as_secs_f64();
-        let gain = if self.samples == 0 { 1.0 } else { LATENCY_GAIN };
-        self.latency += (took - self.latency) * gain;
-        self.samples = self.samples.saturating_add(1);
+        self.learn(now, took);
         if self.limit.is_finite() {
             self.limit += 1.0 / self.limit.max(1.0);
             if self.limit > f64::from(self.slots) {
@@ -234,6 +235,15 @@
         }
     }
 
+    /// Learns how long a request took, or that it took at least so long.
+    pub(crate) fn learn(&mut self, now: Instant, took: Duration) {
+        self.answered = now;
+        let took = took.as_secs_f64();
+        let gain = if self.samples == 0 { 1.0 } else { LATENCY_GAIN };
+        self.latency += (took - self.latency) * gain;
+        self.samples = self.samples.saturating_add(1);
+    }
+
     pub(crate) fn refused(&mut self) {
         let base = self.limit.min(f64::from(self.running + 1));
         self.limit = (base * REFUSAL_CUT).max(1.0);
--- a/crates/route/src/router/input.rs
+++ b/crates/route/src/router/input.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use wagtail_types::Reason;
+use rand::Rng;
+use wagtail_types::{ByteRate, Reason};
 
 use crate::budget::Budget;
 use crate::key::ServiceKey;
@@ -10,7 +11,7 @@
 use crate::pool::Pool;
 use crate::queue::Queue;
 use crate::router::{Router, Service, Team};
-use crate::topology::{Drain, HostView, ServiceSpec, TeamSpec, Topology};
+use crate::topology::{Drain, HostState, HostView, ServiceSpec, TeamSpec, Topology};
 
 impl Router {
     /// Takes in news.
@@ -30,7 +31,14 @@
                 let mut pools = self.services.values_mut().map(|s| &mut s.pool);
                 pools.any(|pool| pool.leaving(now, &endpoint, effects));
             }
+            Input::Ask { from, ask } => self.handover.ask(now, &from, ask),
+            Input::Agree { from, agree } => self.handover.agree(&from, agree),
+            Input::Link(rate) => {
+                self.link = Some(rate);
+                self.share_link(now);
+            }
         }
+        self.hand_over(now);
         self.pump_all(now);
         self.publish();
     }
@@ -46,12 +54,16 @@
         self.plan.configure(now, topology);
         self.set_teams(&topology.teams);
         self.set_services(now, topology);
+        let longest = topology.services.iter().map(|spec| spec.longest).max();
+        self.handover.set_longest(longest.unwrap_or_default());
         let hosts = std::mem::take(&mut self.hosts);
         self.set_hosts(now, hosts);
     }
 
     fn set_hosts(&mut self, now: Instant, hosts: Vec<HostView>) {
         self.owner.set_hosts(now, &hosts);
+        let token = self.rng.random();
+        self.handover.set_hosts(now, &hosts, token);
         let plan = &self.plan;
         let drained = |zone: &_, region: &_| plan.is_drained(zone, region);
         self.spill.set_hosts(&self.settings.host, &hosts, drained);
@@ -59,6 +71,21 @@
             service.pool.split(now, &self.owner, false);
         }
         self.hosts = hosts;
+        self.share_link(now);
+    }
+
+    /// Takes this host's part of the region's link; hosts that are leaving still have theirs.
+    fn share_link(&mut self, now: Instant) {
+        let Some(link) = self.link else {
+            return;
+        };
+        let near = |h: &&HostView| {
+            let region = self.spill.region_of(&h.zone);
+            h.state != HostState::Dead && region == Some(&self.settings.region)
+        };
+        let hosts = self.hosts.iter().filter(near).count().max(1) as u64;
+        let wait = self.settings.owner.detection;
+        self.bytes.set_rate(now, ByteRate(link.0 / hosts), wait);
     }
 
     fn set_teams(&mut self, specs: &[TeamSpec]) {
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -23,6 +23,34 @@
 struct Away {
     within: Duration,
     leave: bool,
+    queue: bool,
+}
+
+impl Away {
+    /// To free slots within a delay.
+    fn free(within: Duration) -> Self {
+        Self {
+            within,
+            leave: false,
+            queue: false,
+        }
+    }
+
+    /// To the queue of a host that holds slots, since this one holds none.
+    fn queue() -> Self {
+        Self {
+            queue: true,
+            ..Self::free(Duration::MAX)
+        }
+    }
+
+    /// To free slots outside this zone.
+    fn zone() -> Self {
+        Self {
+            leave: true,
+            ..Self::free(Duration::MAX)
+        }
+    }
 }
 
 impl Router {
@@ -45,8 +73,12 @@
             .and_then(|pace| self.in_time(now, request, pace));
         if local {
             let within = wait.map_or(Duration::MAX, |wait| wait / 2);
-            let leave = false;
-            if let Some(pass) = self.relay(now, request, Away { within, leave }) {
+            let found = self.relay(now, request, Away::free(within));
+            let found = match found {
+                None if pace.is_none() => self.relay(now, request, Away::queue()),
+                found => found,
+            };
+            if let Some(pass) = found {
                 return Placement::Relay(pass);
             }
         }
@@ -87,15 +119,7 @@
                 *open &= region == target;
             }
         }
-        let within = Duration::MAX;
-        let (pass, region) = self.choose(
-            now,
-            request,
-            Away {
-                within,
-                leave: true,
-            },
-        )?;
+        let (pass, region) = self.choose(now, request, Away::zone())?;
         let service = &self.services.get(request.service)?.id;
         if !self.settings.fault.is(Mutant::UncappedMoves) {
             self.plan.take(now, &region);
@@ -105,7 +129,7 @@
     }
 
     fn dispatch(&mut self, now: Instant, request: &Request<'_>) -> Option<Lease> {
-        if !self.may_run_here(request) {
+        if !self.may_run_here(request) || self.plan.has_left(now) {
             return None;
         }
         let weight = self.weight(request);
@@ -143,6 +167,7 @@
             regions: &self.reach,
             within: away.within,
             away: away.leave,
+            queue: away.queue,
         };
         self.spill.choose(now, &wanted, &mut self.rng)
     }
@@ -163,7 +188,10 @@
         }
     }
 
-    fn pace(&self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+    fn pace(&mut self, now: Instant, request: &Request<'_>) -> Option<Pace> {
+        if self.plan.has_left(now) {
+            return None;
+        }
         let service = self.services.get(request.service)?;
         let pace = service.pool.pace(now, self.settings.queue.guess);
         (!pace.left.is_empty() && self.may_run_here(request)).then_some(pace)
@@ -209,22 +237,24 @@
         self.effects.push_back(effect);
     }
 
-    /// The refusal of a request that cannot wait: a retry is worth while once its wait would
-    /// be short enough.
+    /// The refusal of a request that cannot wait. Where nothing else comes, a retry at the time
+    /// given finds its wait short enough, or a place in the queue.
     fn late(&self, now: Instant, request: &Request<'_>, full: Full, pace: &Pace) -> Verdict {
         let Some(service) = self.services.get(request.service) else {
             return Verdict::not_run(Reason::UnknownService, None);
         };
-        let wait = pace
-            .wait(service.queue.ahead(request.team))
-            .unwrap_or(RETRY_DEFAULT);
-        let room = service.queue.start_by(now, request.deadline, pace.mean);
-        let room = room.saturating_duration_since(now);
-        let least = pace.wait(0).unwrap_or(RETRY_DEFAULT).max(RETRY_LEAST);
+        let queue = &service.queue;
+        let room = queue
+            .start_by(now, request.deadline, pace.mean)
+            .saturating_duration_since(now);
         let retry = match full {
-            Full::Late => wait.saturating_sub(room).max(least),
-            Full::Long => least,
+            Full::Long => pace.wait(queue.ahead_of_first(request.team)),
+            Full::Late if room.is_zero() => pace.wait(queue.len()),
+            Full::Late => pace
+                .wait(queue.ahead(request.team))
+                .map(|wait| wait.saturating_sub(room)),
         };
+        let retry = retry.unwrap_or(RETRY_DEFAULT).max(RETRY_LEAST);
         Verdict::not_run(Reason::Overloaded, retry)
     }
 
@@ -242,6 +272,7 @@
             regions: &regions,
             within: Duration::MAX,
             away: false,
+            queue: true,
         };
         if request.origin == Origin::Local && some_barred && self.spill.has_offer(now, &wanted) {
             return Verdict::not_run(Reason::Capped, RETRY_CAPPED);
--- a/crates/route/src/router/status.rs
+++ b/crates/route/src/router/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use wagtail_types::RegionId;
+use wagtail_types::{HostId, RegionId};
 
 use crate::message::{Advert, Headroom};
 use crate::router::{Router, Service};
@@ -10,14 +10,23 @@
 impl Router {
     /// The free slots to offer to other hosts.
     pub fn advert(&self, now: Instant) -> Advert {
-        let free = |service: &Service| (service.id.clone(), service.pool.counts(now).free);
+        let free = |service: &Service| {
+            let counts = service.pool.counts(now);
+            (counts.slots > 0).then(|| (service.id.clone(), counts.free))
+        };
         Advert {
             host: self.settings.host.clone(),
-            free: self.services.values().map(free).collect(),
+            free: self.services.values().filter_map(free).collect(),
             age: Duration::ZERO,
         }
     }
 
+    /// Other hosts that the next advert should go to, near ones more often, so that what is sent
+    /// does not grow with the fleet.
+    pub fn audience(&mut self, count: usize) -> Vec<HostId> {
+        self.spill.audience(count, &mut self.rng)
+    }
+
     /// Slots of each service on this host and beyond.
     pub fn headroom(&self, now: Instant) -> Vec<Headroom> {
         let row = |service: &Service| self.row(now, service);
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use slotmap::SlotMap;
 use wagtail_types::{HostId, RegionId, ServiceId, ZoneId};
 
@@ -56,6 +57,8 @@
     pub(crate) within: Duration,
     /// Whether the own zone is left out.
     pub(crate) away: bool,
+    /// Whether hosts that hold slots count although none is free now.
+    pub(crate) queue: bool,
 }
 
 impl Spill {
@@ -125,6 +128,7 @@
             .drain(..)
             .map(|peer| (peer.host, (peer.free, peer.at)))
             .collect();
+        let own = self.order.binary_search(&self.region).unwrap_or(usize::MAX);
         let others = |h: &&HostView| h.state == HostState::Serving && h.id != *me;
         for host in hosts.iter().filter(others) {
             let Some(region) = self.regions.get(&host.zone) else {
@@ -144,15 +148,18 @@
                 at,
             });
         }
-        self.peers
-            .sort_by(|a, b| (a.delay, &a.host).cmp(&(b.delay, &b.host)));
+        self.peers.sort_by(|a, b| {
+            let key = |peer: &Peer| (peer.delay, peer.zone != self.zone, peer.region != own);
+            key(a).cmp(&key(b)).then_with(|| a.host.cmp(&b.host))
+        });
     }
 
     fn delay(&self, zone: &ZoneId, region: &RegionId) -> Duration {
         if *zone == self.zone {
             Duration::ZERO
         } else if *region == self.region {
-            self.settings.zone_delay
+            let near = self.settings.zone_delay;
+            self.delays.get(region).copied().unwrap_or(near)
         } else {
             let far = self.settings.far_delay;
             self.delays.get(region).copied().unwrap_or(far)
@@ -192,6 +199,34 @@
         None
     }
 
+    /// Hosts to send an advert to: half of them of the own zone, a quarter of the own region
+    /// and a quarter of others, as far as there are so many.
+    pub(crate) fn audience(&self, count: usize, rng: &mut SmallRng) -> Vec<HostId> {
+        let own = |peer: &Peer| self.order[peer.region] == self.region;
+        let zone = self
+            .peers
+            .iter()
+            .take_while(|p| p.zone == self.zone)
+            .count();
+        let region = zone + self.peers[zone..].iter().take_while(|p| own(p)).count();
+        let (near, rest) = (&self.peers[..region], &self.peers[region..]);
+        let far = rest
+            .len()
+            .min((count / 4).max(count.saturating_sub(near.len())));
+        let left = count - far;
+        let home = zone.min((left - left / 3).max(left.saturating_sub(region - zone)));
+        let parts = [
+            (&near[..zone], home),
+            (&near[zone..], left - home),
+            (rest, far),
+        ];
+        parts
+            .into_iter()
+            .flat_map(|(peers, count)| peers.choose_multiple(rng, count))
+            .map(|peer| peer.host.clone())
+            .collect()
+    }
+
     /// Whether any host offers a slot.
     pub(crate) fn has_offer(&self, now: Instant, wanted: &Wanted<'_>) -> bool {
         self.peers.iter().any(|p| self.offer(now, wanted, p) > 0)
@@ -223,20 +258,17 @@
             || wanted.tried.contains(&peer.zone)
             || (wanted.away && peer.zone == self.zone)
             || !wanted.regions[peer.region];
-        if barred {
-            0
-        } else {
-            self.fresh(now, wanted.service, peer)
+        match self.fresh(now, wanted.service, peer) {
+            Some(free) if !barred => free.max(u32::from(wanted.queue)),
+            _ => 0,
         }
     }
 
-    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> u32 {
+    /// The free slots that a host offers; `None` where it holds none at all or is not heard.
+    fn fresh(&self, now: Instant, service: &ServiceId, peer: &Peer) -> Option<u32> {
         let fresh = |at| now.saturating_duration_since(at) < self.settings.advert_ttl;
-        if peer.at.is_some_and(fresh) {
-            peer.offer(service)
-        } else {
-            0
-        }
+        peer.at.filter(|at| fresh(*at))?;
+        peer.offer(service)
     }
 
     fn send(&mut self, at: usize, service: &ServiceId) -> (Pass, RegionId) {
@@ -277,7 +309,7 @@
     pub(crate) fn offered(&self, now: Instant, service: &ServiceId) -> (u32, u32) {
         let (mut near, mut far) = (0, 0);
         for peer in &self.peers {
-            let free = self.fresh(now, service, peer);
+            let free = self.fresh(now, service, peer).unwrap_or(0);
             if self.order[peer.region] == self.region {
                 near += free;
             } else {
@@ -289,9 +321,9 @@
 }
 
 impl Peer {
-    fn offer(&self, service: &ServiceId) -> u32 {
+    fn offer(&self, service: &ServiceId) -> Option<u32> {
         let entry = self.free.iter().find(|(id, _)| id == service);
-        entry.map_or(0, |(_, free)| *free)
+        entry.map(|(_, free)| *free)
     }
 
     fn give(&mut self, service: &ServiceId) {
--- a/crates/route/tests/route/main.rs
+++ b/crates/route/tests/route/main.rs
@@ -6,6 +6,8 @@
 mod fleet;
 mod lookup;
 mod moves;
+mod plan;
 mod queue;
+mod relay;
 mod slots;
 mod support;
