--- a/crates/member/tests/fuzz/main.rs
+++ b/crates/member/tests/fuzz/main.rs
@@ -213,9 +213,8 @@
             let up = net.is_up(other);
             let fits = match state {
                 Some(State::Dead) => !up,
-                Some(State::Unknown) => false,
+                Some(State::Unknown) | None => false,
                 Some(_) => up && held.is_some_and(|v| v.incarnation == net.nodes[other].life),
-                None => false,
             };
             if !fits {
                 return Err(format!(
