route: try the queue of another host when the wait here is long

Cause: adverts are 250 ms old and requests take 20 ms, so a busy host ran out of offered slots while others had room, and refused.

Change: with a wait of more than two runs and no offer left, a request goes to the queue of a host within half of that wait; the owner decides.

--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -18,6 +18,9 @@
 /// The retry time where a cap on shifted traffic is reached.
 const RETRY_CAPPED: Duration = Duration::from_secs(1);
 
+/// A wait of more runs than this is long enough to try the queue of another host.
+const LONG_WAIT_RUNS: u32 = 2;
+
 /// Where a request that finds no free slot here may go.
 #[derive(Debug, Clone, Copy)]
 struct Away {
@@ -36,11 +39,11 @@
         }
     }
 
-    /// To the queue of a host that holds slots, since this one holds none.
-    fn queue() -> Self {
+    /// To the queue of a host that holds slots, since this one holds none or has a long queue.
+    fn queue(within: Duration) -> Self {
         Self {
             queue: true,
-            ..Self::free(Duration::MAX)
+            ..Self::free(within)
         }
     }
 
@@ -73,11 +76,13 @@
             .and_then(|pace| self.in_time(now, request, pace));
         if local {
             let within = wait.map_or(Duration::MAX, |wait| wait / 2);
+            let long = pace.as_ref().map(|pace| pace.mean * LONG_WAIT_RUNS);
+            let long = wait.is_none() || wait > long;
             let found = self.relay(now, request, Away::free(within));
-            let found = match found {
-                None if pace.is_none() => self.relay(now, request, Away::queue()),
-                found => found,
-            };
+            let found = found.or_else(|| {
+                let away = long.then_some(Away::queue(within))?;
+                self.relay(now, request, away)
+            });
             if let Some(pass) = found {
                 return Placement::Relay(pass);
             }
--- a/crates/route/tests/route/relay.rs
+++ b/crates/route/tests/route/relay.rs
@@ -67,6 +67,18 @@
     );
 }
 
+#[test]
+fn a_long_wait_here_is_a_reason_to_try_the_queue_of_another_host() {
+    let mut single = Single::standard(one_zone(1, 1));
+    far_fleet(&mut single);
+    let _held = single.place();
+    advert(&mut single, "two", 0, Duration::ZERO);
+    let placed: Vec<_> = (0..4).map(|_| single.place()).collect();
+    let queued = |p: &&Placement| matches!(p, Placement::Queued(_));
+    assert_eq!(placed.iter().filter(queued).count(), 2, "{placed:?}");
+    assert!(matches!(&placed[3], Placement::Relay(pass) if pass.host.as_str() == "two"));
+}
+
 #[test]
 fn a_relayed_request_is_not_relayed_again() {
     let mut single = Single::standard(one_zone(1, 1));
