route: advertise only services that can be run here

Cause: a host whose endpoints were all leaving went on listing their service as full, so others sent requests to a queue that did not exist.

Change: an advert lists a service only while requests of it may run here.

--- a/crates/route/src/message.rs
+++ b/crates/route/src/message.rs
@@ -44,7 +44,7 @@
 pub struct Advert {
     /// The host that offers them.
     pub host: HostId,
-    /// Free slots of each service of which the host holds any.
+    /// Free slots of each service of which the host has any in use or free.
     pub free: Vec<(ServiceId, u32)>,
     /// How old the counts are, on the receiver's clock.
     pub age: Duration,
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -329,7 +329,8 @@
         Pace { left, mean }
     }
 
-    fn capacity(&self, now: Instant) -> usize {
+    /// Requests that may run at a time.
+    pub(crate) fn capacity(&self, now: Instant) -> usize {
         let open = self.order.iter().map(|key| &self.endpoints[*key]);
         let slots: u32 = open.map(|e| e.capacity(now, &self.settings)).sum();
         slots as usize
--- a/crates/route/src/router/status.rs
+++ b/crates/route/src/router/status.rs
@@ -12,7 +12,7 @@
     pub fn advert(&self, now: Instant) -> Advert {
         let free = |service: &Service| {
             let counts = service.pool.counts(now);
-            (counts.slots > 0).then(|| (service.id.clone(), counts.free))
+            (service.pool.capacity(now) > 0).then(|| (service.id.clone(), counts.free))
         };
         Advert {
             host: self.settings.host.clone(),
--- a/crates/route/tests/route/relay.rs
+++ b/crates/route/tests/route/relay.rs
@@ -67,6 +67,17 @@
     );
 }
 
+#[test]
+fn a_host_whose_endpoints_all_leave_offers_nothing() {
+    let mut single = Single::standard(one_zone(1, 1));
+    let names = |single: &Single| single.router.advert(single.now).free;
+    assert_eq!(names(&single), [(id("s"), 1)]);
+    let _held = single.place();
+    assert_eq!(names(&single), [(id("s"), 0)], "its queue can take more");
+    single.router.handle(single.now, Input::Leaving(id("e0")));
+    assert_eq!(names(&single), []);
+}
+
 #[test]
 fn a_long_wait_here_is_a_reason_to_try_the_queue_of_another_host() {
     let mut single = Single::standard(one_zone(1, 1));
