route: play the queue forward to tell when a request would start

Change: equal tags go by arrival; the wait is found by playing the queue forward, expiries included.

--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -4,6 +4,9 @@
 //! would start if every team with work had slots in proportion to its weight; the lowest tag
 //! starts first. What cannot start in time is refused when it comes.
 
+mod forecast;
+
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -17,6 +20,7 @@
     flows: Vec<Flow>,
     virtual_time: f64,
     len: usize,
+    arrivals: u64,
     fault: Fault,
 }
 
@@ -33,6 +37,8 @@
     pub(crate) start_by: Instant,
     tag: f64,
     cost: f64,
+    /// The order of arrival, which settles equal tags.
+    number: u64,
 }
 
 /// A request that wants to wait.
@@ -77,6 +83,7 @@
             flows: Vec::new(),
             virtual_time: 0.0,
             len: 0,
+            arrivals: 0,
             fault,
         }
     }
@@ -105,33 +112,6 @@
         self.virtual_time = tag;
     }
 
-    /// Requests that would start before one of this team that came now.
-    pub(crate) fn ahead(&self, team: Option<TeamKey>) -> usize {
-        let own = self.position(team);
-        let finish = own.map_or(0.0, |at| self.flows[at].finish);
-        self.before(
-            finish.max(self.virtual_time),
-            own.unwrap_or(self.flows.len()),
-        )
-    }
-
-    /// Requests that start before the first of this team that waits.
-    pub(crate) fn ahead_of_first(&self, team: Option<TeamKey>) -> usize {
-        let own = self.position(team);
-        let first = own.and_then(|at| Some((at, self.flows[at].waiting.front()?.tag)));
-        first.map_or(0, |(at, tag)| self.before(tag, at))
-    }
-
-    /// Requests that start before one with this tag of the team at this place; of equal tags
-    /// the team that comes first in the list goes first.
-    fn before(&self, tag: f64, place: usize) -> usize {
-        let count = |(at, flow): (usize, &Flow)| {
-            let first = |other: &Waiting| other.tag < tag || (other.tag <= tag && at < place);
-            flow.waiting.partition_point(first)
-        };
-        self.flows.iter().enumerate().map(count).sum()
-    }
-
     /// Lets a request wait. The request that had to make room for it, if any, is returned.
     pub(crate) fn push(
         &mut self,
@@ -140,7 +120,7 @@
         pace: &Pace,
         ticket: impl FnOnce() -> Ticket,
     ) -> Result<(Ticket, Option<Ticket>), Full> {
-        let wait = pace.wait(self.ahead(entry.team)).ok_or(Full::Late)?;
+        let wait = self.start(now, entry.team, pace).ok_or(Full::Late)?;
         if now + wait > entry.start_by {
             return Err(Full::Late);
         }
@@ -156,6 +136,8 @@
 
     fn append(&mut self, entry: &Entry, ticket: Ticket) {
         let start = self.virtual_time;
+        self.arrivals += 1;
+        let number = self.arrivals;
         let flow = self.flow(entry.team);
         let tag = flow.finish.max(start);
         let cost = 1.0 / entry.weight;
@@ -165,6 +147,7 @@
             start_by: entry.start_by,
             tag,
             cost,
+            number,
         });
         self.len += 1;
     }
@@ -188,12 +171,11 @@
 
     /// Takes out the request that is to start next.
     pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        let head = |flow: &Flow| flow.waiting.front().map(|first| first.tag);
-        let flow = self
-            .flows
-            .iter_mut()
-            .filter(|flow| !flow.waiting.is_empty())
-            .min_by(|a, b| head(a).unwrap_or(0.0).total_cmp(&head(b).unwrap_or(0.0)))?;
+        let heads = self.flows.iter().enumerate();
+        let heads = heads.filter_map(|(at, flow)| Some((at, flow.waiting.front()?)));
+        let first = heads.min_by(|(_, a), (_, b)| a.order(b));
+        let at = first.map(|(at, _)| at)?;
+        let flow = &mut self.flows[at];
         let first = flow.waiting.pop_front()?;
         self.virtual_time = self.virtual_time.max(first.tag);
         self.len -= 1;
@@ -261,6 +243,13 @@
     }
 }
 
+impl Waiting {
+    fn order(&self, other: &Self) -> Ordering {
+        let tags = self.tag.total_cmp(&other.tag);
+        tags.then(self.number.cmp(&other.number))
+    }
+}
+
 impl Flow {
     /// Takes a request out; those behind it move up, so that the team does not pay for it.
     fn remove(&mut self, at: usize, now: f64) -> Option<Ticket> {
--- /dev/null
+++ b/crates/route/src/queue/forecast.rs
@@ -0,0 +1,139 @@
+//! When a request would start, were nothing else to come.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::key::TeamKey;
+use crate::queue::{Flow, Pace, Queue};
+
+/// The queue played forward, each run taking the mean time.
+struct Forecast<'a> {
+    now: Instant,
+    flows: &'a [Flow],
+    cursors: Vec<Cursor>,
+    free: VecDeque<Duration>,
+    mean: Duration,
+}
+
+/// How far a team's queue has been played.
+#[derive(Debug, Clone, Copy, Default)]
+struct Cursor {
+    next: usize,
+    /// What the requests that expired have cost, by which the others move up.
+    shift: f64,
+}
+
+/// The request that starts next.
+#[derive(Debug, Clone, Copy)]
+struct Head {
+    place: usize,
+    tag: f64,
+    number: u64,
+}
+
+impl Queue {
+    /// The time until a request of this team that came now would start; `None` where no slot
+    /// will come free.
+    pub(crate) fn start(
+        &self,
+        now: Instant,
+        team: Option<TeamKey>,
+        pace: &Pace,
+    ) -> Option<Duration> {
+        let own = self.position(team);
+        let finish = own.map_or(0.0, |at| self.flows[at].finish);
+        let mut forecast = Forecast::new(self, now, pace);
+        loop {
+            let (time, head) = forecast.peek()?;
+            let shift = own.map_or(0.0, |at| forecast.cursors[at].shift);
+            let tag = (finish - shift).max(self.virtual_time);
+            match head.filter(|head| head.tag <= tag) {
+                Some(head) => forecast.take(head, time),
+                None => return Some(time),
+            }
+        }
+    }
+
+    /// The time until the first request of this team has left the queue.
+    pub(crate) fn first_leaves(
+        &self,
+        now: Instant,
+        team: Option<TeamKey>,
+        pace: &Pace,
+    ) -> Option<Duration> {
+        let own = self.position(team)?;
+        let mut forecast = Forecast::new(self, now, pace);
+        loop {
+            let (time, head) = forecast.peek()?;
+            if forecast.cursors[own].next > 0 {
+                return Some(time);
+            }
+            let head = head?;
+            forecast.take(head, time);
+            if head.place == own {
+                return Some(time);
+            }
+        }
+    }
+
+    /// The time until nothing waits and a slot is free.
+    pub(crate) fn empties(&self, now: Instant, pace: &Pace) -> Option<Duration> {
+        let mut forecast = Forecast::new(self, now, pace);
+        loop {
+            let (time, head) = forecast.peek()?;
+            match head {
+                Some(head) => forecast.take(head, time),
+                None => return Some(time),
+            }
+        }
+    }
+}
+
+impl<'a> Forecast<'a> {
+    fn new(queue: &'a Queue, now: Instant, pace: &Pace) -> Self {
+        Self {
+            now,
+            flows: &queue.flows,
+            cursors: vec![Cursor::default(); queue.flows.len()],
+            free: pace.left.iter().copied().collect(),
+            mean: pace.mean,
+        }
+    }
+
+    /// The next time at which a slot is free, and the request that takes it.
+    fn peek(&mut self) -> Option<(Duration, Option<Head>)> {
+        let time = *self.free.front()?;
+        let at = self.now + time;
+        let flows = self.flows.iter().zip(&mut self.cursors).enumerate();
+        let heads = flows.filter_map(|(place, (flow, cursor))| {
+            let (tag, number) = cursor.head(flow, at)?;
+            Some(Head { place, tag, number })
+        });
+        let order = |a: &Head, b: &Head| {
+            let tags = a.tag.total_cmp(&b.tag);
+            tags.then(a.number.cmp(&b.number))
+        };
+        let head = heads.min_by(order);
+        Some((time, head))
+    }
+
+    fn take(&mut self, head: Head, time: Duration) {
+        self.cursors[head.place].next += 1;
+        self.free.pop_front();
+        self.free.push_back(time + self.mean);
+    }
+}
+
+impl Cursor {
+    /// The tag and number of the first request that has not expired.
+    fn head(&mut self, flow: &Flow, at: Instant) -> Option<(f64, u64)> {
+        while let Some(waiting) = flow.waiting.get(self.next) {
+            if waiting.start_by >= at {
+                return Some((waiting.tag - self.shift, waiting.number));
+            }
+            self.shift += waiting.cost;
+            self.next += 1;
+        }
+        None
+    }
+}
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -205,7 +205,7 @@
     /// The wait in the queue here, where it ends in time.
     fn in_time(&self, now: Instant, request: &Request<'_>, pace: &Pace) -> Option<Duration> {
         let queue = &self.services.get(request.service)?.queue;
-        let wait = pace.wait(queue.ahead(request.team))?;
+        let wait = queue.start(now, request.team, pace)?;
         (now + wait <= queue.start_by(now, request.deadline, pace.mean)).then_some(wait)
     }
 
@@ -253,10 +253,10 @@
             .start_by(now, request.deadline, pace.mean)
             .saturating_duration_since(now);
         let retry = match full {
-            Full::Long => pace.wait(queue.ahead_of_first(request.team)),
-            Full::Late if room.is_zero() => pace.wait(queue.len()),
-            Full::Late => pace
-                .wait(queue.ahead(request.team))
+            Full::Long => queue.first_leaves(now, request.team, pace),
+            Full::Late if room.is_zero() => queue.empties(now, pace),
+            Full::Late => queue
+                .start(now, request.team, pace)
                 .map(|wait| wait.saturating_sub(room)),
         };
         let retry = retry.unwrap_or(RETRY_DEFAULT).max(RETRY_LEAST);
