Lead look-ups by free capacity and by the holders of a team's tokens

Cause: look-ups took every host as equally free and ignored where a team's shards are. Change: hosts tell their free slots with membership; the plan is rebuilt every 2 s with them and with the holders of each team's shards.

--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -9,7 +9,7 @@
 pub(crate) use config::{addresses, handle as sync_input, syncing};
 pub(crate) use dedupe::{deduping, handle as dedupe_input};
 pub(crate) use limit::{handle as limit_input, limiting};
-pub(crate) use member::{handle as member_input, membership, spread};
+pub(crate) use member::{handle as member_input, look_up, membership, spread};
 pub(crate) use route::{handle as route_input, routing, send};
 
 use std::hash::Hash;
--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -1,6 +1,7 @@
 //! Effects of membership.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use slog::{info, warn};
 use wagtail_member::{Effect, HostView, Input, MemberChange, State};
@@ -8,12 +9,14 @@
 use wagtail_platform::ScheduleInput;
 use wagtail_quota::PeerInfo;
 use wagtail_route::{HostRow, HostState};
-use wagtail_types::{Incarnation, Share};
+use wagtail_types::{HostId, Incarnation, Share, TeamId};
 
 use super::route::send;
 use crate::calls;
 use crate::host::Host;
 
+const LOOK_UP_PERIOD: Duration = Duration::from_secs(2);
+
 /// Carries out the effects of membership.
 pub(crate) fn membership(host: &Arc<Host>) {
     let mut effects = Vec::new();
@@ -126,21 +129,58 @@
         .collect()
 }
 
-/// Builds the look-up answers anew.
+/// Builds the look-up answers anew: hosts lead by free capacity, and where callers' teams have
+/// tokens.
 fn rebuild(host: &Host, views: &[HostView]) {
-    let rows: Vec<HostRow> = views
+    let most = views.iter().map(|v| v.free).max().unwrap_or(0);
+    let mut rows: Vec<HostRow> = views
         .iter()
         .map(|v| HostRow {
             id: v.info.host.clone(),
             zone: v.info.zone.clone(),
             state: state(host, v),
-            free: Share::ALL,
+            free: share(v.free, most),
             teams: Vec::new(),
         })
         .collect();
+    for (team, holders) in holders(host) {
+        for row in rows.iter_mut().filter(|r| holders.contains(&r.id)) {
+            row.teams.push(team.clone());
+        }
+    }
     let sites = host.sites.load();
-    host.directory
-        .store(Arc::new(wagtail_route::Directory::new(&rows, &sites.rows)));
+    let directory = wagtail_route::Directory::new(&rows, &sites.rows);
+    host.directory.store(Arc::new(directory));
+}
+
+fn holders(host: &Host) -> Vec<(TeamId, Vec<HostId>)> {
+    let view = host.view.load();
+    let limiting = host.limiting.lock();
+    let teams = view.teams().keys();
+    teams
+        .map(|team| (team.clone(), limiting.machine.holders(team)))
+        .collect()
+}
+
+/// `free` against the host with the most; all where no host has told.
+fn share(free: u32, most: u32) -> Share {
+    let ppm = u64::from(free) * u64::from(Share::ALL.ppm());
+    let ppm = ppm.checked_div(u64::from(most));
+    let ppm = ppm.and_then(|ppm| u32::try_from(ppm).ok());
+    ppm.and_then(Share::from_ppm).unwrap_or(Share::ALL)
+}
+
+/// Tells membership of this host's free slots, and builds the look-up answers anew, for ever.
+pub(crate) async fn look_up(host: Arc<Host>) {
+    let mut period = tokio::time::interval(LOOK_UP_PERIOD);
+    loop {
+        period.tick().await;
+        let headroom = host.routing.lock().machine.headroom(host.now());
+        let free = headroom.iter().map(|h| h.free).sum();
+        handle(&host, Input::Load { free });
+        let views: Vec<_> = host.membership.lock().machine.members().cloned().collect();
+        rebuild(&host, &views);
+    }
 }
 
 /// Hands an input to membership.
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -113,6 +113,7 @@
     tasks.spawn(reports::poll(host.clone()));
     tasks.spawn(advertise(host.clone()));
     tasks.spawn(read_list(host.clone()));
+    tasks.spawn(drive::look_up(host.clone()));
     tasks.spawn(gauges(host.clone()));
 }
 
