--- /dev/null
+++ b/crates/member/tests/cases.rs
@@ -0,0 +1,248 @@
+//! Fault cases of single messages and inputs, in tables.
+
+use std::time::{Duration, Instant};
+
+use wagtail_member::{
+    Adoption, Body, Delta, Effect, Freshness, HostInfo, Input, Member, Message, Mode, Sender,
+    Settings, State, Summary,
+};
+use wagtail_types::{Epoch, HostId, Incarnation};
+
+const LIFE: Incarnation = Incarnation(5);
+
+fn info(name: &str, zone: &str) -> HostInfo {
+    let parse = "a name";
+    HostInfo::new(
+        name.parse().expect(parse),
+        zone.parse().expect(parse),
+        "gulf".parse().expect(parse),
+    )
+}
+
+fn host(name: &str) -> HostId {
+    name.parse().expect("a host name")
+}
+
+fn member(now: Instant) -> Member {
+    let mut member = Member::new(Settings::new(info("h1", "z1"), LIFE), 1, now);
+    let hosts = vec![info("h1", "z1"), info("h2", "z1"), info("h3", "z2")];
+    member.handle(now, Input::Hosts(hosts));
+    member
+}
+
+fn message(body: Body) -> Message {
+    Message {
+        body,
+        sender: Sender {
+            incarnation: Incarnation(3),
+            version: 0,
+            state: State::Alive,
+            epoch: Epoch(1),
+            free: 4,
+            contact: None,
+        },
+        fresh: None,
+        adoption: None,
+        zones: Vec::new(),
+        deltas: Vec::new(),
+    }
+}
+
+fn receive(member: &mut Member, now: Instant, from: &str, message: Message) {
+    let from = host(from);
+    member.handle(now, Input::Received { from, message });
+}
+
+fn news(name: &str, incarnation: u64, version: u32, state: State) -> Message {
+    Message {
+        deltas: vec![Delta {
+            host: host(name),
+            incarnation: Incarnation(incarnation),
+            version,
+            state,
+        }],
+        ..message(Body::News)
+    }
+}
+
+/// The next message to `to`.
+fn sent(member: &mut Member, to: &str) -> Option<Message> {
+    let to = host(to);
+    std::iter::from_fn(|| member.poll_effect()).find_map(|effect| match effect {
+        Effect::Send { to: at, message } if at == to => Some(message),
+        _ => None,
+    })
+}
+
+#[test]
+fn news_displaces_only_what_is_older() {
+    use State::{Alive, Dead, Leaving, Suspect};
+    let table = [
+        ((4, 1, Suspect), Suspect, 4),
+        ((4, 0, Dead), Dead, 4),
+        ((4, 0, Leaving), Leaving, 4),
+        ((4, 1, Alive), Alive, 4),
+        ((3, 9, Dead), Alive, 4),
+        ((6, 0, Alive), Alive, 6),
+        ((6, 0, State::Unknown), Alive, 4),
+        ((u64::MAX, u32::MAX, Dead), Dead, u64::MAX),
+    ];
+    for ((life, version, state), want, want_life) in table {
+        let now = Instant::now();
+        let mut member = member(now);
+        receive(&mut member, now, "h2", news("h3", 4, 0, Alive));
+        receive(&mut member, now, "h2", news("h3", life, version, state));
+        let view = member.get(&host("h3")).expect("h3 is listed");
+        assert_eq!(
+            (view.state, view.incarnation.0),
+            (want, want_life),
+            "{life} {version} {state}"
+        );
+    }
+}
+
+#[test]
+fn bad_messages_change_nothing() {
+    let far = Duration::MAX;
+    let summary = Summary {
+        zone: "z2".parse().expect("a zone"),
+        age: far,
+        live: 1,
+        newest: Epoch(9),
+        oldest: Epoch(9),
+        free: 1,
+        contact: Some(far),
+    };
+    let adoption = Adoption {
+        epoch: Epoch(9),
+        complete: Epoch(0),
+        list: 1,
+        bits: vec![u64::MAX; 1000],
+    };
+    let fresh = Freshness {
+        epoch: Epoch(0),
+        age: Duration::ZERO,
+    };
+    let table = [
+        ("unknown sender", "h9", news("h3", 4, 0, State::Alive)),
+        ("oneself", "h1", news("h3", 4, 0, State::Alive)),
+        ("unknown host", "h2", news("h9", 4, 0, State::Alive)),
+        (
+            "ages without end",
+            "h2",
+            Message {
+                zones: vec![summary],
+                ..message(Body::News)
+            },
+        ),
+        (
+            "another host list",
+            "h2",
+            Message {
+                adoption: Some(adoption),
+                ..message(Body::News)
+            },
+        ),
+        (
+            "an unasked answer",
+            "h2",
+            Message {
+                fresh: Some(fresh),
+                ..message(Body::Ack {
+                    seq: 77,
+                    until: None,
+                })
+            },
+        ),
+        (
+            "an unasked report",
+            "h2",
+            message(Body::Told {
+                seq: 77,
+                target: host("h3"),
+            }),
+        ),
+    ];
+    for (label, from, message) in table {
+        let now = Instant::now();
+        let mut member = member(now);
+        receive(&mut member, now, from, message);
+        assert_eq!(member.state(&host("h3")), Some(State::Unknown), "{label}");
+        assert_eq!(member.freshness(now), None, "{label}");
+        assert!(matches!(member.mode(), Mode::CutOff { .. }), "{label}");
+        assert!(!member.confirmed(Epoch(9), now).is_majority(), "{label}");
+    }
+}
+
+#[test]
+fn a_false_claim_about_oneself_is_refuted() {
+    for state in [State::Suspect, State::Dead] {
+        let now = Instant::now();
+        let mut member = member(now);
+        receive(&mut member, now, "h2", news("h1", LIFE.0, 7, state));
+        receive(
+            &mut member,
+            now,
+            "h2",
+            message(Body::Probe {
+                seq: 1,
+                after: None,
+            }),
+        );
+        let answers = std::iter::from_fn(|| sent(&mut member, "h2"));
+        let answer = answers.last().expect("an answer");
+        assert_eq!(
+            (answer.sender.version, answer.sender.state),
+            (8, State::Alive)
+        );
+    }
+}
+
+#[test]
+fn an_earlier_life_learns_that_it_is_replaced() {
+    let now = Instant::now();
+    let mut member = member(now);
+    receive(
+        &mut member,
+        now,
+        "h2",
+        news("h1", LIFE.0 + 1, 0, State::Alive),
+    );
+    let replaced = Effect::Replaced {
+        incarnation: LIFE.next(),
+    };
+    assert!(std::iter::from_fn(|| member.poll_effect()).any(|effect| effect == replaced));
+    assert_eq!(member.next_wake(), None);
+}
+
+#[test]
+fn contact_from_before_a_pause_does_not_count() {
+    let now = Instant::now();
+    let mut member = member(now);
+    let contact = |at| Input::TableContact { at, head: Epoch(0) };
+    member.handle(now, contact(now));
+    assert_eq!(member.mode(), Mode::Current);
+    let later = now + Duration::from_secs(30);
+    member.handle(later, contact(now));
+    assert_eq!(member.freshness(later), None);
+    assert!(matches!(member.mode(), Mode::CutOff { .. }));
+    member.handle(later, contact(later));
+    assert_eq!(
+        (member.mode(), member.freshness(later)),
+        (Mode::Current, Some(Duration::ZERO))
+    );
+}
+
+#[test]
+fn leaving_hosts_take_no_new_work() {
+    let now = Instant::now();
+    let mut member = member(now);
+    let zone = "z1".parse().expect("a zone");
+    receive(&mut member, now, "h2", message(Body::News));
+    assert_eq!(member.live_in(&zone).count(), 2);
+    while member.poll_effect().is_some() {}
+    member.handle(now, Input::Leave);
+    let told = sent(&mut member, "h2").expect("h2 is told at once");
+    assert_eq!(told.sender.state, State::Leaving);
+    assert_eq!(member.live_in(&zone).count(), 1);
+}
