--- a/crates/member/src/merge.rs
+++ b/crates/member/src/merge.rs
@@ -83,20 +83,21 @@
         let Some(view) = self.roster.get(host) else {
             return;
         };
-        if matches!(view.state, State::Alive | State::Leaving) {
-            let delta = Delta {
-                state: State::Suspect,
-                ..crate::gossip::delta(view)
-            };
-            self.learn(now, &delta);
-        }
+        let state = match view.state {
+            State::Alive | State::Leaving => State::Suspect,
+            // It has nothing to refute: any message of it will displace this.
+            State::Unknown => State::Dead,
+            State::Suspect | State::Dead => return,
+        };
+        let delta = Delta {
+            state,
+            ..crate::gossip::delta(view)
+        };
+        self.learn(now, &delta);
     }
 
     /// Declares the suspects dead whose time is over.
     pub(crate) fn judge(&mut self, now: Instant) {
-        if self.settings.broken(Mutant::NeverDead) {
-            return;
-        }
         let due: Vec<HostId> = self
             .suspects
             .iter()
@@ -105,7 +106,8 @@
             .collect();
         for host in due {
             self.suspects.remove(&host);
-            let Some(view) = self.roster.get(&host) else {
+            let never = self.settings.broken(Mutant::NeverDead);
+            let Some(view) = self.roster.get(&host).filter(|_| !never) else {
                 continue;
             };
             let delta = Delta {
