route: old reports eject nobody, absurd ages and counts do no harm

Cause: a report or advert whose age reaches back before the clock's start was taken as fresh; a report of sickness ejected an endpoint however old it was; an advert of more slots than 32 bits can sum would have stopped the host in a debug build and wrapped in release.

Change: what is too old is dropped; only a fresh report ejects; one advert counts for at most 65,535 slots of a service.

--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -254,16 +254,19 @@
             endpoint.renew(now);
         }
         endpoint.number = report.life;
-        let at = now.checked_sub(report.age).unwrap_or(now);
-        if endpoint.report.is_none_or(|known| known.at < at) {
+        let at = now.checked_sub(report.age);
+        let newer = |at: &Instant| endpoint.report.is_none_or(|known| known.at < *at);
+        if let Some(at) = at.filter(newer) {
             let share = report.load.as_f64();
             let sick = report.health == Health::Sick;
             endpoint.report = Some(Load { share, sick, at });
         }
         match report.health {
             Health::Leaving => endpoint.leave(now, effects),
-            Health::Sick => self.eject(now, key, effects),
-            Health::Serving => {}
+            Health::Sick if endpoint.is_sick(now, self.settings.eject) => {
+                self.eject(now, key, effects);
+            }
+            Health::Sick | Health::Serving => {}
         }
         self.cap_ejected(now);
         true
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -14,6 +14,9 @@
 use crate::settings::SpillSettings;
 use crate::topology::{Delay, HostState, HostView};
 
+/// The most slots that one advert counts for, so that sums over a fleet stay small.
+const OFFER_MAX: u32 = 65_535;
+
 /// Other hosts with the free slots that they offer, nearest first.
 #[derive(Debug)]
 pub(crate) struct Spill {
@@ -168,13 +171,18 @@
 
     /// Takes in an offer; one older than the last is dropped.
     pub(crate) fn advert(&mut self, now: Instant, advert: Advert) {
-        let at = now.checked_sub(advert.age).unwrap_or(now);
+        let Some(at) = now.checked_sub(advert.age) else {
+            return;
+        };
         let peer = self.peers.iter_mut().find(|peer| peer.host == advert.host);
         if let Some(peer) = peer
             && peer.at.is_none_or(|known| known <= at)
         {
             peer.at = Some(at);
             peer.free = advert.free;
+            for (_, free) in &mut peer.free {
+                *free = (*free).min(OFFER_MAX);
+            }
         }
     }
 
--- a/crates/route/tests/route/cases.rs
+++ b/crates/route/tests/route/cases.rs
@@ -153,6 +153,19 @@
     }
 }
 
+#[test]
+fn only_a_fresh_report_ejects_a_sick_endpoint() {
+    for (age, ejected) in [(ms(100), 2), (ms(60_000), 0), (Duration::MAX, 0)] {
+        let mut single = Single::standard(one_zone(4, 2));
+        let Input::Report(report) = report("e0", Health::Sick, 0, 1) else {
+            panic!("a report");
+        };
+        let input = Input::Report(Report { age, ..report });
+        single.router.handle(single.now, input);
+        assert_eq!(single.headroom().ejected, ejected, "{age:?} old");
+    }
+}
+
 #[test]
 fn deadlines_eject_only_endpoints_that_are_slow() {
     for (took, ejected) in [(ms(1), false), (ms(90), true)] {
--- a/crates/route/tests/route/relay.rs
+++ b/crates/route/tests/route/relay.rs
@@ -67,6 +67,18 @@
     );
 }
 
+#[test]
+fn absurd_adverts_count_for_little() {
+    let mut single = Single::standard(one_zone(1, 1));
+    far_fleet(&mut single);
+    advert(&mut single, "two", 7, Duration::MAX);
+    assert_eq!(single.headroom().region, 0, "as old as can be");
+    advert(&mut single, "two", u32::MAX, Duration::ZERO);
+    advert(&mut single, "three", u32::MAX, Duration::ZERO);
+    advert(&mut single, "unknown", 9, Duration::ZERO);
+    assert_eq!(single.headroom().region, 65_535);
+}
+
 #[test]
 fn a_host_whose_endpoints_all_leave_offers_nothing() {
     let mut single = Single::standard(one_zone(1, 1));
