route: keep callers of a team at their shard holder when another is lost

Cause: the holder of a team's quota shards that goes first was drawn by the caller's bucket modulo the holders, so the loss of one moved nearly all callers.

Change: rendezvous among the holders of the zone.

Conclusion: a new test that only the callers of the lost holder move passes; it fails with the draw before by construction (modulo). 56 tests.

--- a/crates/route/src/lookup.rs
+++ b/crates/route/src/lookup.rs
@@ -6,7 +6,7 @@
 use wagtail_types::{HostId, Share, TeamId, ZoneId};
 
 use crate::blocks::SiteKey;
-use crate::rendezvous::{name_hash, weighted};
+use crate::rendezvous::{name_hash, score, weighted};
 use crate::topology::HostState;
 
 const BUCKETS: usize = 256;
@@ -64,7 +64,7 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
-    hosts: Vec<(HostId, ZoneIndex)>,
+    hosts: Vec<Listed>,
     zones: Vec<ZonePlan>,
     sites: Vec<Vec<ZoneIndex>>,
     any: Vec<ZoneIndex>,
@@ -77,6 +77,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct HostIndex(u16);
 
+/// A host that is serving.
+#[derive(Debug, Clone)]
+struct Listed {
+    id: HostId,
+    zone: ZoneIndex,
+    hash: u64,
+}
+
 type Row = [Option<HostIndex>; PER_ZONE];
 
 #[derive(Debug, Clone)]
@@ -137,18 +145,23 @@
         let rest = zones.iter().flat_map(row).flatten();
         let rest = rest.filter(move |host| first != Some(*host));
         let order = first.into_iter().chain(rest);
-        order.map(|host| &self.hosts[usize::from(host.0)].0)
+        order.map(|host| &self.host(host).id)
     }
 
     fn push(&mut self, host: &HostRow, zone: ZoneIndex) -> Candidate {
         let index = HostIndex(small(self.hosts.len()));
-        self.hosts.push((host.id.clone(), zone));
+        let hash = name_hash(host.id.as_str());
+        self.hosts.push(Listed {
+            id: host.id.clone(),
+            zone,
+            hash,
+        });
         for team in &host.teams {
             self.holders.entry(team.clone()).or_default().push(index);
         }
         Candidate {
             index,
-            hash: name_hash(host.id.as_str()),
+            hash,
             weight: weight(host.free),
         }
     }
@@ -156,15 +169,15 @@
     fn lean(&self, team: &TeamId, zones: &[ZoneIndex], bucket: usize) -> Option<HostIndex> {
         let holders = self.holders.get(team)?;
         zones.iter().take(LEAN_ZONES).find_map(|zone| {
-            let near = || {
-                holders
-                    .iter()
-                    .filter(|h| self.hosts[usize::from(h.0)].1 == *zone)
-            };
-            let count = near().count();
-            near().nth(bucket.checked_rem(count)?).copied()
+            let near = holders.iter().filter(|h| self.host(**h).zone == *zone);
+            near.copied()
+                .max_by_key(|h| score(bucket as u64, self.host(*h).hash))
         })
     }
+
+    fn host(&self, index: HostIndex) -> &Listed {
+        &self.hosts[usize::from(index.0)]
+    }
 }
 
 impl ZonePlan {
@@ -178,10 +191,10 @@
 fn row(bucket: u64, hosts: &[Candidate]) -> Row {
     let mut best: [(f64, Option<HostIndex>); PER_ZONE] = [(f64::NEG_INFINITY, None); PER_ZONE];
     for host in hosts {
-        let score = weighted(bucket, host.hash, host.weight);
-        if let Some(at) = best.iter().position(|(other, _)| score > *other) {
+        let chance = weighted(bucket, host.hash, host.weight);
+        if let Some(at) = best.iter().position(|(other, _)| chance > *other) {
             best[at..].rotate_right(1);
-            best[at] = (score, Some(host.index));
+            best[at] = (chance, Some(host.index));
         }
     }
     best.map(|(_, host)| host)
@@ -199,7 +212,7 @@
         IpAddr::V4(addr) => u64::from(addr.to_bits() >> (32 - V4_BLOCK_BITS)),
         IpAddr::V6(addr) => (addr.to_bits() >> (128 - V6_BLOCK_BITS)) as u64 | 1 << 63,
     };
-    let hash = crate::rendezvous::score(block, 0);
+    let hash = score(block, 0);
     (hash >> 32) as usize % BUCKETS
 }
 
--- a/crates/route/tests/route/lookup.rs
+++ b/crates/route/tests/route/lookup.rs
@@ -143,3 +143,26 @@
         assert_eq!(answer.len(), 5, "each host once");
     }
 }
+
+#[test]
+fn only_the_callers_of_a_holder_that_is_lost_move() {
+    let team = id("dyfrdwy");
+    let first = |holders: &[usize]| -> Vec<HostId> {
+        let mut hosts = fleet();
+        for at in holders {
+            hosts[*at].teams.push(id("dyfrdwy"));
+        }
+        let directory = Directory::new(&hosts, &sites());
+        let first = |n: u32| {
+            let caller = Ipv4Addr::from_bits(n << 8).into();
+            let mut answer = directory.answer(Some(SiteKey(0)), caller, Some(&team));
+            answer.next().expect("a host").clone()
+        };
+        (0..CALLERS).map(first).collect()
+    };
+    let (before, after) = (first(&[0, 1, 2]), first(&[0, 2]));
+    assert_eq!(counts(&before).len(), 3, "callers spread over the holders");
+    for (old, new) in before.iter().zip(&after) {
+        assert!(old == new || old.as_str() == "a2", "{old} moved to {new}");
+    }
+}
