route: a service without endpoints in the region is not a shift

Change: the home of a request is the nearest region that has endpoints of its service and that its team may use.

--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -107,6 +107,8 @@
 #[derive(Debug)]
 struct Service {
     id: ServiceId,
+    /// The regions in which it has endpoints.
+    regions: Vec<RegionId>,
     pool: Pool,
     queue: Queue,
     retries: Budget,
--- a/crates/route/src/router/input.rs
+++ b/crates/route/src/router/input.rs
@@ -143,6 +143,12 @@
             let is = |drain: &Drain| matches!(drain, Drain::Endpoint(endpoint) if endpoint == id);
             topology.drains.iter().any(is)
         };
+        let of_service = topology.endpoints.iter().filter(|e| e.service == spec.id);
+        let regions = of_service.filter_map(|e| self.spill.region_of(&e.zone));
+        let mut regions: Vec<_> = regions.cloned().collect();
+        regions.sort();
+        regions.dedup();
+        self.services[key].regions = regions;
         let pool = &mut self.services[key].pool;
         pool.set_endpoints(now, spec.longest, mine, &mut self.scratch);
         pool.set_drains(now, drained, &mut self.scratch);
@@ -155,6 +161,7 @@
             let settings = &self.settings;
             self.services.insert_with_key(|key| Service {
                 id: spec.id.clone(),
+                regions: Vec::new(),
                 pool: Pool::new(settings.pool.clone(), key, now, settings.fault),
                 queue: Queue::new(settings.queue.clone(), settings.fault),
                 retries: Budget::new(settings.budget.retry, settings.budget.burst),
--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -182,7 +182,7 @@
         let team = request.team.and_then(|team| self.teams.get(team));
         let allowed = team.and_then(|team| team.regions.as_deref());
         let bytes = self.bytes.has(now);
-        let home = self.spill.home(allowed).clone();
+        let home = self.home(request).clone();
         self.reach.clear();
         for region in self.spill.regions() {
             let far = *region != self.settings.region;
@@ -288,8 +288,10 @@
     /// The region in which the request runs as long as nothing is shifted.
     fn home(&self, request: &Request<'_>) -> &RegionId {
         let team = request.team.and_then(|team| self.teams.get(team));
-        self.spill
-            .home(team.and_then(|team| team.regions.as_deref()))
+        let allowed = team.and_then(|team| team.regions.as_deref());
+        let service = self.services.get(request.service);
+        let offered = service.map_or(&[][..], |service| &service.regions);
+        self.spill.home(offered, allowed)
     }
 
     fn may_run_here(&self, request: &Request<'_>) -> bool {
--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -83,8 +83,12 @@
         &self.order
     }
 
-    /// The nearest of the regions that a request may run in.
-    pub(crate) fn home<'a>(&'a self, allowed: Option<&'a [RegionId]>) -> &'a RegionId {
+    /// The nearest of the regions that have endpoints and that a request may run in.
+    pub(crate) fn home<'a>(
+        &'a self,
+        offered: &'a [RegionId],
+        allowed: Option<&[RegionId]>,
+    ) -> &'a RegionId {
         let own = &self.region;
         let far = self.settings.far_delay;
         let delay = |region: &&RegionId| {
@@ -95,7 +99,8 @@
                 delay
             }
         };
-        let nearest = allowed.and_then(|list| list.iter().min_by_key(delay));
+        let may = |region: &&RegionId| allowed.is_none_or(|list| list.contains(region));
+        let nearest = offered.iter().filter(may).min_by_key(delay);
         nearest.unwrap_or(own)
     }
 
--- a/crates/route/tests/route/relay.rs
+++ b/crates/route/tests/route/relay.rs
@@ -159,3 +159,20 @@
         assert_eq!((of('a'), of('b'), of('c')), wanted, "{own} {near} {far}");
     }
 }
+
+#[test]
+fn a_service_without_endpoints_in_the_region_is_no_shift() {
+    const REQUESTS: usize = 20;
+    let mut single = Single::standard(one_zone(1, 1));
+    far_fleet(&mut single);
+    let mut topology = one_zone(0, 0);
+    topology.zones.extend([zone("b", "r"), zone("c", "q")]);
+    topology.endpoints = vec![endpoint("far", "s", "c", 40)];
+    single.router.handle(single.now, Input::Topology(topology));
+    advert(&mut single, "three", 40, Duration::ZERO);
+    for n in 0..REQUESTS {
+        let placed = single.place();
+        let to_far = matches!(&placed, Placement::Relay(pass) if pass.host.as_str() == "three");
+        assert!(to_far, "request {n}: {placed:?}");
+    }
+}
