--- /dev/null
+++ b/crates/entryd/src/drive/member.rs
@@ -0,0 +1,191 @@
+//! Effects of membership.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use wagtail_member::{Effect, HostView, Input, MemberChange, State};
+use wagtail_peer::Control;
+use wagtail_platform::ScheduleInput;
+use wagtail_quota::PeerInfo;
+use wagtail_route::{HostRow, HostState};
+use wagtail_types::{HostId, Incarnation, Share, TeamId};
+
+use super::route::send;
+use crate::calls;
+use crate::host::Host;
+
+const LOOK_UP_PERIOD: Duration = Duration::from_secs(2);
+
+/// Carries out the effects of membership.
+pub(crate) fn membership(host: &Arc<Host>) {
+    let mut effects = Vec::new();
+    let mut membership = host.membership.lock();
+    while let Some(effect) = membership.machine.poll_effect() {
+        effects.push(effect);
+    }
+    drop(membership);
+    let changed = effects.iter().any(|e| matches!(e, Effect::Changed(_)));
+    for effect in effects {
+        perform(host, effect);
+    }
+    if changed {
+        spread(host);
+    }
+    host.membership.notify();
+}
+
+fn perform(host: &Arc<Host>, effect: Effect) {
+    match effect {
+        Effect::Send { to, message } => send(host, &to, Control::Member(message)),
+        Effect::Changed(change) => note(host, change),
+        Effect::ModeChanged(mode) => {
+            info!(host.log, "contact changed"; "mode" => %mode);
+            host.metrics.count("contact.changed");
+            host.mode.store(Arc::new(mode));
+        }
+        Effect::Paused { gap } => {
+            warn!(host.log, "the process did not run"; "gap_ms" => gap.as_millis());
+            host.metrics.count("paused");
+        }
+        Effect::Replaced { incarnation } => {
+            warn!(host.log, "a later life of this host is there"; "incarnation" => %incarnation);
+            host.replaced.notify_one();
+        }
+    }
+}
+
+fn note(host: &Arc<Host>, change: MemberChange) {
+    let label = |state: Option<State>| state.map_or("unlisted".to_owned(), |s| s.to_string());
+    info!(host.log, "host changed"; "of" => %change.host, "zone" => %change.zone,
+        "from" => label(change.from), "to" => label(change.to));
+    let gone = matches!(change.to, None | Some(State::Dead | State::Unknown));
+    let incarnation = (!gone).then_some(change.incarnation);
+    super::dedupe_input(
+        host,
+        wagtail_once::Input::Host {
+            host: change.host,
+            incarnation,
+        },
+    );
+}
+
+/// Tells the other machines which hosts there are.
+pub(crate) fn spread(host: &Arc<Host>) {
+    let views: Vec<HostView> = host.membership.lock().machine.members().cloned().collect();
+    let hosts = views.iter().map(|v| wagtail_route::HostView {
+        id: v.info.host.clone(),
+        zone: v.info.zone.clone(),
+        state: state(host, v),
+    });
+    let hosts = wagtail_route::Input::Hosts(hosts.collect());
+    super::route_input(host, hosts);
+    super::limit_input(host, wagtail_quota::Input::Peers(peers(host, &views)));
+    let live = views.iter().filter(|v| is_other(host, v) && v.is_live());
+    let live = live.map(|v| v.info.host.clone()).collect();
+    super::sync_input(host, wagtail_config::SyncInput::Peers(live));
+    rebuild(host, &views);
+    let hosts = u32::try_from(views.len()).unwrap_or(u32::MAX);
+    let hosts = hosts.max(host.settings.fleet);
+    calls::handle(host, ScheduleInput::Fleet { hosts });
+}
+
+fn is_other(host: &Host, view: &HostView) -> bool {
+    view.info.host != host.settings.host
+}
+
+fn state(host: &Host, view: &HostView) -> HostState {
+    if !is_other(host, view) {
+        return match host.watch.phase() {
+            crate::lifecycle::Phase::Serving => HostState::Serving,
+            _ => HostState::Leaving,
+        };
+    }
+    match view.state {
+        State::Alive | State::Suspect => HostState::Serving,
+        State::Leaving => HostState::Leaving,
+        State::Unknown | State::Dead => HostState::Dead,
+    }
+}
+
+fn peers(host: &Host, views: &[HostView]) -> Vec<PeerInfo> {
+    const ZONE_DELAY: std::time::Duration = std::time::Duration::from_millis(1);
+    let view = host.view.load();
+    let own = view.regions().get(&host.settings.region);
+    let distance = |v: &HostView| {
+        own.and_then(|r| r.delays.get(&v.info.region))
+            .copied()
+            .unwrap_or(ZONE_DELAY)
+    };
+    views
+        .iter()
+        .filter(|v| is_other(host, v) && v.is_live() && v.incarnation != Incarnation(0))
+        .map(|v| PeerInfo {
+            host: v.info.host.clone(),
+            incarnation: v.incarnation,
+            zone: v.info.zone.clone(),
+            distance: distance(v),
+        })
+        .collect()
+}
+
+/// Builds the look-up answers anew: hosts lead by free capacity, and where callers' teams have
+/// tokens.
+fn rebuild(host: &Host, views: &[HostView]) {
+    let most = views.iter().map(|v| v.free).max().unwrap_or(0);
+    let mut rows: Vec<HostRow> = views
+        .iter()
+        .map(|v| HostRow {
+            id: v.info.host.clone(),
+            zone: v.info.zone.clone(),
+            state: state(host, v),
+            free: share(v.free, most),
+            teams: Vec::new(),
+        })
+        .collect();
+    for (team, holders) in holders(host) {
+        for row in rows.iter_mut().filter(|r| holders.contains(&r.id)) {
+            row.teams.push(team.clone());
+        }
+    }
+    let sites = host.sites.load();
+    let directory = wagtail_route::Directory::new(&rows, &sites.rows);
+    host.directory.store(Arc::new(directory));
+}
+
+fn holders(host: &Host) -> Vec<(TeamId, Vec<HostId>)> {
+    let view = host.view.load();
+    let limiting = host.limiting.lock();
+    let teams = view.teams().keys();
+    teams
+        .map(|team| (team.clone(), limiting.machine.holders(team)))
+        .collect()
+}
+
+/// `free` against the host with the most; all where no host has told.
+fn share(free: u32, most: u32) -> Share {
+    let ppm = u64::from(free) * u64::from(Share::ALL.ppm());
+    let ppm = ppm.checked_div(u64::from(most));
+    let ppm = ppm.and_then(|ppm| u32::try_from(ppm).ok());
+    ppm.and_then(Share::from_ppm).unwrap_or(Share::ALL)
+}
+
+/// Tells membership of this host's free slots, and builds the look-up answers anew, for ever.
+pub(crate) async fn look_up(host: Arc<Host>) {
+    let mut period = tokio::time::interval(LOOK_UP_PERIOD);
+    loop {
+        period.tick().await;
+        let headroom = host.routing.lock().machine.headroom(host.now());
+        let free = headroom.iter().map(|h| h.free).sum();
+        handle(&host, Input::Load { free });
+        let views: Vec<_> = host.membership.lock().machine.members().cloned().collect();
+        rebuild(&host, &views);
+    }
+}
+
+/// Hands an input to membership.
+pub(crate) fn handle(host: &Arc<Host>, input: Input) {
+    let now = host.now();
+    host.membership.lock().machine.handle(now, input);
+    membership(host);
+}
--- /dev/null
+++ b/crates/entryd/src/settings.rs
@@ -0,0 +1,232 @@
+//! Settings from flags and environment variables, checked before anything binds.
+//!
+//! Every setting has a flag `--name` and a variable `WAGTAIL_NAME`; the flag goes first.
+
+mod raw;
+mod spec;
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use wagtail_types::{Bytes, HostId, ParseError, RegionId, ZoneId};
+
+use raw::Raw;
+use spec::SPECS;
+
+pub use spec::help;
+
+const ENV_PREFIX: &str = "WAGTAIL_";
+
+/// A bad or missing setting.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum SettingsError {
+    /// A flag that does not exist, or a stray word.
+    #[display("{message}; see --help")]
+    Usage {
+        /// What was wrong.
+        message: String,
+    },
+    /// A value that does not parse or is out of range.
+    #[display("--{name}: {message}")]
+    Value {
+        /// The setting's name.
+        name: String,
+        /// What was wrong.
+        message: String,
+    },
+}
+
+impl SettingsError {
+    fn value(name: &str, message: impl Into<String>) -> Self {
+        Self::Value {
+            name: name.to_owned(),
+            message: message.into(),
+        }
+    }
+}
+
+/// What the command line asks for.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Print the help text.
+    Help,
+    /// Check the settings, then exit.
+    Check(Box<Settings>),
+    /// Serve.
+    Run(Box<Settings>),
+}
+
+/// Form of the log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// The secret that entry hosts share. Never shown.
+#[derive(Clone)]
+pub struct Secret(pub(crate) String);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(…)")
+    }
+}
+
+/// A host to ask while the platform is out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seed {
+    /// Its name.
+    pub host: HostId,
+    /// Where other hosts reach it.
+    pub addr: SocketAddr,
+}
+
+impl FromStr for Seed {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let fail = || ParseError::new("seed", text, "a form like NAME@IP:PORT was expected");
+        let (host, addr) = text.split_once('@').ok_or_else(fail)?;
+        Ok(Self {
+            host: host.parse()?,
+            addr: addr.parse().map_err(|_| fail())?,
+        })
+    }
+}
+
+/// Sizes and counts that bound what callers can make the host hold.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Caller connections at one time.
+    pub connections: usize,
+    /// Requests at one time.
+    pub requests: usize,
+    /// Request head.
+    pub header: Bytes,
+    /// Request body.
+    pub body: Bytes,
+    /// Part of a body held so that it can be sent again.
+    pub buffer: Bytes,
+    /// Memory for outcomes under idempotency keys.
+    pub outcomes: Bytes,
+}
+
+/// Intervals and timeouts.
+#[derive(Debug, Clone)]
+pub struct Times {
+    /// How long outcomes are kept.
+    pub outcomes: Duration,
+    /// Connecting to an endpoint or host.
+    pub connect: Duration,
+    /// How long callers may cache a look-up.
+    pub lookup: Duration,
+    /// Longest graceful stop.
+    pub stop: Duration,
+    /// Contact loss after which cut-off settings apply.
+    pub staleness: Duration,
+    /// Term of a quota shard's lease.
+    pub lease: Duration,
+    /// Between polls of the config head.
+    pub poll: Duration,
+}
+
+/// Checked settings of one entry host.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of this host.
+    pub host: HostId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// That zone's region.
+    pub region: RegionId,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub ops: SocketAddr,
+    /// Address for other entry hosts.
+    pub peer: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Hosts to ask while the platform is out.
+    pub seeds: Vec<Seed>,
+    /// Secret shared by all entry hosts.
+    pub secret: Secret,
+    /// Number of entry hosts.
+    pub fleet: u32,
+    /// Where metrics go.
+    pub statsd: Option<SocketAddr>,
+    /// Form of the log lines.
+    pub logs: LogFormat,
+    /// Bounds on what callers can make the host hold.
+    pub limits: Limits,
+    /// Intervals and timeouts.
+    pub times: Times,
+    /// Seed of random choices; 0 draws one.
+    pub seed: u64,
+}
+
+/// Reads the command line (without the program's name) and the environment.
+///
+/// # Errors
+///
+/// The first setting that is unknown, missing, malformed or out of range.
+pub fn from_env<A, E>(args: A, vars: E) -> Result<Action, SettingsError>
+where
+    A: IntoIterator<Item = OsString>,
+    E: IntoIterator<Item = (String, String)>,
+{
+    let mut raw = read_vars(vars)?;
+    let mut check = false;
+    let mut parser = lexopt::Parser::from_args(args);
+    let usage = |e: lexopt::Error| SettingsError::Usage {
+        message: e.to_string(),
+    };
+    while let Some(arg) = parser.next().map_err(usage)? {
+        let name = match arg {
+            lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => return Ok(Action::Help),
+            lexopt::Arg::Long("check") => {
+                check = true;
+                continue;
+            }
+            lexopt::Arg::Long(name) if SPECS.iter().any(|s| s.name == name) => name.to_owned(),
+            other => return Err(usage(other.unexpected())),
+        };
+        let value = parser.value().map_err(usage)?;
+        let value = value
+            .into_string()
+            .map_err(|_| SettingsError::value(&name, "it is not UTF-8 text"))?;
+        raw.insert(name, value);
+    }
+    let settings = Box::new(Settings::try_from(Raw(raw))?);
+    Ok(if check {
+        Action::Check(settings)
+    } else {
+        Action::Run(settings)
+    })
+}
+
+fn read_vars(
+    vars: impl IntoIterator<Item = (String, String)>,
+) -> Result<BTreeMap<String, String>, SettingsError> {
+    let mut raw = BTreeMap::new();
+    for (var, value) in vars {
+        let Some(name) = var.strip_prefix(ENV_PREFIX) else {
+            continue;
+        };
+        let name = name.to_lowercase().replace('_', "-");
+        if !SPECS.iter().any(|s| s.name == name) {
+            return Err(SettingsError::Usage {
+                message: format!("unknown variable {var}"),
+            });
+        }
+        raw.insert(name, value);
+    }
+    Ok(raw)
+}
--- /dev/null
+++ b/crates/entryd/src/tasks.rs
@@ -0,0 +1,178 @@
+//! The host's background tasks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use wagtail_peer::Control;
+use wagtail_platform::{Access, ListedState, Priority};
+
+use crate::calls;
+use crate::drive;
+use crate::host::Host;
+use crate::reports;
+
+/// Between adverts in a small fleet, and the longest that a larger one stretches it to.
+const ADVERT_PERIOD: Duration = Duration::from_millis(250);
+const ADVERT_LONGEST: Duration = Duration::from_secs(2);
+/// The fleet up to which adverts go out at the shortest period.
+const ADVERT_HOSTS: u32 = 24;
+/// An advert counts for so many periods.
+const ADVERT_LIFE: u32 = 4;
+const LIST_PERIOD: Duration = Duration::from_secs(2);
+const GAUGE_PERIOD: Duration = Duration::from_secs(5);
+/// Adverts sent each period; a larger fleet gets them from a random part of its hosts.
+const ADVERT_FANOUT: usize = 12;
+
+/// Starts every task of the host.
+pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |m: &wagtail_route::Router, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.routing,
+            next,
+            |h, now| {
+                h.routing.lock().machine.tick(now);
+                drive::routing(h);
+            },
+        )
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |m: &wagtail_quota::Quota, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.limiting,
+            next,
+            |h, now| {
+                h.limiting.lock().machine.tick(now);
+                drive::limiting(h);
+            },
+        )
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |m: &wagtail_once::Once, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.deduping,
+            next,
+            |h, now| {
+                h.deduping.lock().machine.tick(now);
+                drive::deduping(h);
+            },
+        )
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |m: &wagtail_member::Member, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.membership,
+            next,
+            |h, now| {
+                h.membership.lock().machine.tick(now);
+                drive::membership(h);
+            },
+        )
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |m: &wagtail_config::ConfigSync, _| m.next_wake();
+        drive::timer(
+            &timers,
+            |h| &h.syncing,
+            next,
+            |h, now| {
+                h.syncing.lock().machine.tick(now);
+                drive::syncing(h);
+            },
+        )
+        .await;
+    });
+    let timers = host.clone();
+    tasks.spawn(async move {
+        let next = |s: &wagtail_platform::Scheduler, now| s.next_wake(now);
+        drive::timer(
+            &timers,
+            |h| &h.calls.scheduler,
+            next,
+            |h, now| {
+                h.calls.scheduler.lock().machine.tick(now);
+                calls::drive(h);
+            },
+        )
+        .await;
+    });
+    tasks.spawn(reports::poll(host.clone()));
+    tasks.spawn(advertise(host.clone()));
+    tasks.spawn(read_list(host.clone()));
+    tasks.spawn(drive::look_up(host.clone()));
+    tasks.spawn(gauges(host.clone()));
+}
+
+/// The time between adverts: control traffic must not grow with the fleet.
+fn advert_period(fleet: u32) -> Duration {
+    (ADVERT_PERIOD * fleet.div_ceil(ADVERT_HOSTS)).min(ADVERT_LONGEST)
+}
+
+/// How long an advert counts.
+pub(crate) fn advert_life(fleet: u32) -> Duration {
+    advert_period(fleet) * ADVERT_LIFE
+}
+
+/// Tells other hosts of the free slots here.
+async fn advertise(host: Arc<Host>) {
+    let mut period = tokio::time::interval(advert_period(host.settings.fleet));
+    loop {
+        period.tick().await;
+        let now = host.now();
+        let (advert, audience) = {
+            let mut routing = host.routing.lock();
+            (
+                routing.machine.advert(now),
+                routing.machine.audience(ADVERT_FANOUT),
+            )
+        };
+        for to in audience {
+            drive::send(&host, &to, Control::Advert(advert.clone()));
+        }
+    }
+}
+
+/// Reads the platform's list of hosts and endpoints.
+async fn read_list(host: Arc<Host>) {
+    let mut period = tokio::time::interval(LIST_PERIOD);
+    loop {
+        period.tick().await;
+        let list = calls::call(&host, Priority::Bulk, Access::Read, host.platform.list());
+        let Ok(list) = list.await else { continue };
+        for listed in list.iter().filter(|l| l.state == ListedState::Leaving) {
+            if let Ok(endpoint) = listed.name.parse() {
+                let input = wagtail_route::Input::Leaving(endpoint);
+                drive::route_input(&host, input);
+            }
+        }
+    }
+}
+
+async fn gauges(host: Arc<Host>) {
+    let mut period = tokio::time::interval(GAUGE_PERIOD);
+    loop {
+        period.tick().await;
+        let headroom = host.routing.lock().machine.headroom(host.now());
+        for row in headroom {
+            host.metrics
+                .gauge(&format!("headroom.{}", row.service), u64::from(row.free));
+            host.metrics
+                .gauge(&format!("queued.{}", row.service), u64::from(row.queued));
+        }
+        host.metrics.gauge("running", host.watch.running() as u64);
+    }
+}
