--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -3,12 +3,16 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
-use wagtail_types::{AttemptId, Epoch, HostId};
+use wagtail_types::{AttemptId, Epoch};
 
-use crate::drift::Drift;
-use crate::message::{Member, Row, TeamSpread, TeamTokens};
-use crate::quota::{ReadOutcome, WriteOutcome};
-use crate::settings::{Mutant, Settings};
+use crate::io::{ReadOutcome, WriteOutcome};
+use crate::message::{Member, Row, TeamTokens};
+use crate::settings::Mutant;
+
+mod terms;
+
+use self::terms::{Aim, Round, Seen, Try};
+pub(crate) use self::terms::{Context, Out, Start};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -16,94 +20,6 @@
 const RENEWALS_PER_TERM: u32 = 3;
 const HOLDS_PER_TERM: u32 = 12;
 
-/// What a lease needs to know of its host.
-#[derive(Debug)]
-pub(crate) struct Context<'a> {
-    pub(crate) settings: &'a Settings,
-    pub(crate) drift: Drift,
-    pub(crate) epoch: Epoch,
-    pub(crate) confirmed: Epoch,
-    /// The epoch that the shard's parts of all teams, loans included, have reached.
-    pub(crate) reached: Epoch,
-    /// Earlier spreads that may still be in use.
-    pub(crate) spreads: &'a [TeamSpread],
-    /// The other hosts of the zone.
-    pub(crate) members: &'a [Member],
-    /// How long this host waits before it claims, so that hosts of a zone do not race.
-    pub(crate) patience: Duration,
-}
-
-impl Context<'_> {
-    fn me(&self) -> Member {
-        Member {
-            host: self.settings.me.clone(),
-            incarnation: self.settings.incarnation,
-        }
-    }
-
-    fn term(&self) -> Duration {
-        self.settings.lease_term
-    }
-}
-
-/// With what a newly held shard starts.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Start {
-    /// The whole burst, as nobody ever held the shard.
-    Full,
-    /// Nothing, as its last holder may have spent everything.
-    Empty,
-    /// What the last holder left.
-    Left(Vec<TeamTokens>),
-}
-
-/// What a lease asks of its host.
-#[derive(Debug)]
-pub(crate) enum Out {
-    Read,
-    Write {
-        expected: Option<u64>,
-        row: Row,
-    },
-    Hold {
-        to: HostId,
-        version: u64,
-        id: u64,
-    },
-    /// The shard was taken over, and this is the row that its last holder left.
-    Took(Row),
-    Gained(Start),
-    Lost,
-    Released,
-}
-
-#[derive(Debug)]
-enum Aim {
-    Hold(Start),
-    Release,
-}
-
-#[derive(Debug)]
-struct Try {
-    row: Row,
-    sent: Instant,
-    aim: Aim,
-}
-
-#[derive(Debug)]
-struct Seen {
-    version: Option<u64>,
-    row: Option<Row>,
-    first: Instant,
-}
-
-#[derive(Debug)]
-struct Round {
-    id: u64,
-    sent: Instant,
-    left: Vec<Member>,
-}
-
 /// The lease of one shard as one host sees it.
 #[derive(Debug, Default)]
 pub(crate) struct Lease {
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -49,6 +49,7 @@
 mod demand;
 mod drift;
 mod hints;
+mod io;
 mod lease;
 mod level;
 mod message;
@@ -56,13 +57,14 @@
 mod settings;
 mod shard;
 
+pub use crate::io::{
+    Admission, Counters, Effect, Input, PeerInfo, ReadOutcome, Resolution, TeamLimit, TeamView,
+    Ticket, WriteOutcome,
+};
 pub use crate::message::{
     Hint, LoanId, Member, Message, Row, ShardNote, TeamHint, TeamSpread, TeamTokens,
 };
-pub use crate::quota::{
-    Admission, Counters, Effect, Input, PeerInfo, Quota, ReadOutcome, Resolution, TeamLimit,
-    TeamView, Ticket, WriteOutcome,
-};
+pub use crate::quota::Quota;
 #[cfg(feature = "mutants")]
 pub use crate::settings::Mutant;
 pub use crate::settings::Settings;
