Measure membership with the codec's own bytes

Cause: the estimate of a message's size is of the unpacked layout and about twice the packed bytes. Change: the example counts packed bytes, the answer byte and packet headers.

--- a/crates/member/examples/fleet.rs
+++ b/crates/member/examples/fleet.rs
@@ -10,7 +10,8 @@
 use std::time::{Duration, Instant};
 
 use net::Net;
-use wagtail_member::{Settings, State};
+use wagtail_member::{Message, Settings, State};
+use wagtail_peer::{Control, wire};
 use wagtail_types::{Epoch, Incarnation};
 
 const SETTLE: Duration = Duration::from_secs(120);
@@ -31,7 +32,8 @@
         asked
     };
     println!(
-        "hosts zones interval | quiet: sent B/s msg/s recv B/s worst B/s | changes: sent B/s worst B/s \
+        "bytes: packed by the codec, with answer byte and packet headers\n\
+         hosts zones interval | quiet: sent B/s msg/s recv B/s worst B/s | changes: sent B/s worst B/s \
          | confirmed by all zones | stopped host: p50 p99 max bound | false deaths | zone view age max \
          | run time per virtual host-second"
     );
@@ -40,6 +42,14 @@
     }
 }
 
+/// A packed message and the byte that answers it, each in a packet of its own.
+fn on_wire(message: &Message) -> usize {
+    const PACKET_HEADER_BYTES: usize = 40;
+    const ANSWER_BYTES: usize = 1;
+    let packed = wire::encode(&Control::Member(message.clone())).len();
+    packed + ANSWER_BYTES + 2 * PACKET_HEADER_BYTES
+}
+
 struct Traffic {
     sent: f64,
     messages: f64,
@@ -78,6 +88,7 @@
     let (zones, per_region) = if hosts > 60 { (9, 3) } else { (6, 2) };
     let started = Instant::now();
     let mut net = Net::new(hosts, zones, per_region, 3, None);
+    net.measure = on_wire;
     net.run(SETTLE);
     let quiet = traffic(&mut net, QUIET);
     let false_before = deaths(&net, &[]);
--- a/crates/member/tests/fuzz/net.rs
+++ b/crates/member/tests/fuzz/net.rs
@@ -35,6 +35,8 @@
     pub(crate) loss_percent: u32,
     pub(crate) heads: Vec<(Instant, Epoch)>,
     pub(crate) on_change: Vec<(Instant, usize, wagtail_member::MemberChange)>,
+    /// The bytes of a message on the wire.
+    pub(crate) measure: fn(&Message) -> usize,
     mutant: Option<Mutant>,
     queue: BTreeMap<(Instant, u64), (usize, usize, Message)>,
     sequence: u64,
@@ -61,6 +63,7 @@
             loss_percent: 0,
             heads: vec![(now, Epoch(1))],
             on_change: Vec::new(),
+            measure: Message::size,
             mutant,
             queue: BTreeMap::new(),
             sequence: 0,
@@ -223,7 +226,7 @@
         if node.member.is_none() {
             return;
         }
-        node.received_bytes += message.size();
+        node.received_bytes += (self.measure)(&message);
         self.fetch(to, message.sender.epoch);
         let from = self.nodes[from].info.host.clone();
         self.input(to, Input::Received { from, message });
@@ -263,7 +266,7 @@
     }
 
     fn transmit(&mut self, from: usize, to: &HostId, message: Message) {
-        let size = message.size();
+        let size = (self.measure)(&message);
         let node = &mut self.nodes[from];
         node.sent += 1;
         node.sent_bytes += size;
