--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -9,9 +9,9 @@
 use crate::settings::Mutant;
 use crate::{Body, Delta, Effect, Member, Message, Sender, State, Summary};
 
-const SUMMARIES: usize = 2;
+const SUMMARIES: usize = 4;
 /// What a message with the longest names and one piece of news takes.
-const MESSAGE_MIN: usize = 512;
+const MESSAGE_MIN: usize = 896;
 /// The longest host name that an answer ends a list with.
 const CURSOR_BYTES: usize = 64;
 /// More than any message of the largest size can hold.
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -40,7 +40,7 @@
         Self {
             own,
             incarnation,
-            message_max: 640,
+            message_max: 900,
             helpers: 3,
             round_trip: Duration::from_millis(100),
             suspicion_intervals: 5,
--- a/crates/member/tests/cases.rs
+++ b/crates/member/tests/cases.rs
@@ -246,3 +246,75 @@
     assert_eq!(told.sender.state, State::Leaving);
     assert_eq!(member.live_in(&zone).count(), 1);
 }
+
+#[test]
+fn messages_keep_their_size_with_the_longest_names() {
+    let now = Instant::now();
+    let long = |start: &str| format!("{start:x<48}");
+    let zones = ["a", "b", "c", "d", "e", "f"];
+    let hosts: Vec<HostInfo> = zones
+        .iter()
+        .map(|z| info(&long(&format!("{z}1")), &long(z)))
+        .collect();
+    let settings = Settings::new(hosts[0].clone(), LIFE);
+    let max = settings.message_max;
+    let mut member = Member::new(settings, 1, now);
+    member.handle(now, Input::Hosts(hosts.clone()));
+    let summaries = hosts.iter().map(|host| Summary {
+        zone: host.zone.clone(),
+        age: Duration::ZERO,
+        live: 1,
+        newest: Epoch(1),
+        oldest: Epoch(1),
+        free: 1,
+        contact: None,
+    });
+    for summary in summaries {
+        let zones = vec![summary];
+        let message = Message {
+            zones,
+            ..message(Body::News)
+        };
+        receive(&mut member, now, &long("b1"), message);
+    }
+    for host in &hosts[1..] {
+        receive(
+            &mut member,
+            now,
+            &long("b1"),
+            news(host.host.as_str(), 9, 0, State::Suspect),
+        );
+    }
+    let target = hosts[2].host.clone();
+    receive(
+        &mut member,
+        now,
+        &long("b1"),
+        message(Body::Ask { seq: 1, target }),
+    );
+    receive(
+        &mut member,
+        now,
+        &long("b1"),
+        message(Body::Probe {
+            seq: 2,
+            after: None,
+        }),
+    );
+    let after = Some(wagtail_member::Cursor::Start);
+    receive(
+        &mut member,
+        now,
+        &long("b1"),
+        message(Body::Probe { seq: 3, after }),
+    );
+    let sizes = std::iter::from_fn(|| member.poll_effect()).filter_map(|effect| match effect {
+        Effect::Send { message, .. } => Some(message.size()),
+        _ => None,
+    });
+    let sizes: Vec<usize> = sizes.collect();
+    assert!(
+        sizes.len() >= 3 && sizes.iter().all(|size| *size <= max),
+        "{sizes:?}"
+    );
+}
