Measure the loss of a whole zone, and shorten the fuzz of idempotency

Cause: the bound is for single stops; operators want to know about a zone. Change: the example stops a zone at once; the fake link of the fuzz copies messages by Clone.

--- a/crates/member/examples/fleet.rs
+++ b/crates/member/examples/fleet.rs
@@ -34,7 +34,7 @@
     println!(
         "bytes: packed by the codec, with answer byte and packet headers\n\
          hosts zones interval | quiet: sent B/s msg/s recv B/s worst B/s | changes: sent B/s worst B/s \
-         | confirmed by all zones | stopped host: p50 p99 max bound | false deaths | zone view age max \
+         | confirmed by all zones | stopped host: p50 p99 max bound | stopped zone: p50 p99 max | false deaths | zone view age max \
          | run time per virtual host-second"
     );
     for hosts in sizes {
@@ -99,10 +99,12 @@
     let simulated = (SETTLE + QUIET + BUSY).as_secs_f64() * hosts as f64;
     let (times, wrong) = detection(&mut net, hosts);
     let settings = Settings::new(net.nodes[0].info.clone(), Incarnation(0));
+    let zone = zone_loss(&mut net);
+    let of_zone = |percent: usize| zone[(zone.len() - 1) * percent / 100];
     let at = |percent: usize| times[(times.len() - 1) * percent / 100];
     println!(
         "{hosts} {zones} {:?} | {:.0} {:.1} {:.0} {:.0} | {:.0} {:.0} | {confirm:.1?} \
-         | {:.2?} {:.2?} {:.2?} {:.2?} | {} | {age:.1?} | {:.1?}",
+         | {:.2?} {:.2?} {:.2?} {:.2?} | {:.1?} {:.1?} {:.1?} | {} | {age:.1?} | {:.1?}",
         settings.interval(hosts),
         quiet.sent,
         quiet.messages,
@@ -114,6 +116,9 @@
         at(99),
         at(100),
         settings.detection(hosts),
+        of_zone(50),
+        of_zone(99),
+        of_zone(100),
         false_before + wrong,
         Duration::from_secs_f64(cost.as_secs_f64() / simulated),
     );
@@ -169,6 +174,39 @@
         .count()
 }
 
+/// When each host that runs held each of the stopped for dead.
+fn learned(net: &Net, start: Instant, stopped: &[usize]) -> Vec<Duration> {
+    let mut knew = HashMap::new();
+    for (at, index, change) in &net.on_change {
+        if change.to == Some(State::Dead) {
+            knew.entry((*index, &change.host)).or_insert(*at - start);
+        }
+    }
+    let others = (0..net.nodes.len()).filter(|index| net.is_up(*index));
+    let pairs = others.flat_map(|index| stopped.iter().map(move |victim| (index, *victim)));
+    let time = |(index, victim): (usize, usize)| knew.get(&(index, &net.nodes[victim].info.host));
+    pairs
+        .map(|pair| time(pair).copied().unwrap_or(Duration::MAX))
+        .collect()
+}
+
+/// Stops a whole zone at once; gives the sorted times as for single hosts.
+fn zone_loss(net: &mut Net) -> Vec<Duration> {
+    const LONGEST: Duration = Duration::from_secs(90);
+    let stopped: Vec<usize> = (0..net.nodes.len())
+        .filter(|index| net.zone(*index) == 1)
+        .collect();
+    net.on_change.clear();
+    let start = net.now;
+    for index in &stopped {
+        net.stop(*index);
+    }
+    net.run(LONGEST);
+    let mut times = learned(net, start, &stopped);
+    times.sort_unstable();
+    times
+}
+
 /// Stops hosts one after the other; gives the sorted times until each other host knew.
 fn detection(net: &mut Net, hosts: usize) -> (Vec<Duration>, usize) {
     let bound = Settings::new(net.nodes[0].info.clone(), Incarnation(0)).detection(hosts);
@@ -181,18 +219,7 @@
         net.stop(victim);
         net.run(bound * 2);
         wrong += deaths(net, &[victim]);
-        let name = &net.nodes[victim].info.host;
-        let mut knew: HashMap<usize, Duration> = HashMap::new();
-        for (at, index, change) in &net.on_change {
-            if change.host == *name && change.to == Some(State::Dead) {
-                knew.entry(*index).or_insert(*at - start);
-            }
-        }
-        times.extend(
-            (0..hosts)
-                .filter(|i| *i != victim)
-                .map(|i| knew.get(&i).copied().unwrap_or(Duration::MAX)),
-        );
+        times.extend(learned(net, start, &[victim]));
         net.start(victim);
         net.run(bound);
     }
--- a/crates/once/tests/fuzz/fleet.rs
+++ b/crates/once/tests/fuzz/fleet.rs
@@ -175,6 +175,7 @@
     Broken,
 }
 
+#[derive(Clone)]
 enum Message {
     Relay {
         to: usize,
@@ -191,6 +192,7 @@
     },
 }
 
+#[derive(Clone)]
 struct Flying {
     message: Message,
     sent: Instant,
@@ -484,19 +486,24 @@
         self.attempts.push((id, attempt, call));
         assert!(node.relays.send(now, attempt).is_some());
         if connect {
-            let message = Message::Relay {
+            let from = id;
+            self.fly(Message::Relay {
                 to,
                 life,
-                from: id,
+                from,
                 attempt,
                 call,
-            };
-            self.links.push(Flying { message, sent: now });
+            });
         } else {
             node.relays.unsent(attempt);
         }
     }
 
+    fn fly(&mut self, message: Message) {
+        let sent = self.now;
+        self.links.push(Flying { message, sent });
+    }
+
     fn go_on(&mut self, id: usize, asked: Asked, begin: Begin, connect: bool) -> Checked {
         match begin {
             Begin::Run(permit) => self.run(id, asked, permit),
@@ -544,15 +551,12 @@
         self.judge(asked.call, &end)?;
         match asked.relay {
             Some((to, attempt)) => {
-                let message = Message::Reply {
+                let call = asked.call;
+                self.fly(Message::Reply {
                     to,
                     attempt,
-                    call: asked.call,
+                    call,
                     end,
-                };
-                self.links.push(Flying {
-                    message,
-                    sent: self.now,
                 });
                 Ok(())
             }
@@ -725,36 +729,7 @@
             return Ok(());
         }
         if matches!(fault, LinkFault::Repeat) {
-            let message = match &flying.message {
-                Message::Relay {
-                    to,
-                    life,
-                    from,
-                    attempt,
-                    call,
-                } => Message::Relay {
-                    to: *to,
-                    life: *life,
-                    from: *from,
-                    attempt: *attempt,
-                    call: *call,
-                },
-                Message::Reply {
-                    to,
-                    attempt,
-                    call,
-                    end,
-                } => Message::Reply {
-                    to: *to,
-                    attempt: *attempt,
-                    call: *call,
-                    end: end.clone(),
-                },
-            };
-            self.links.push(Flying {
-                message,
-                sent: flying.sent,
-            });
+            self.links.push(flying.clone());
         }
         match flying.message {
             Message::Relay {
@@ -807,14 +782,14 @@
         if let Some((to, life)) = node.relays.send(now, attempt) {
             let to = to.clone();
             let to = (0..HOSTS).find(|index| host(*index) == to).expect("a host");
-            let message = Message::Relay {
+            let from = id;
+            self.fly(Message::Relay {
                 to,
                 life,
-                from: id,
+                from,
                 attempt,
                 call,
-            };
-            self.links.push(Flying { message, sent: now });
+            });
         }
     }
 
