Say in a report where each region's requests ran

Cause: a planned move showed in no figure. Change: experiments count requests by class, callers' region and the region that served them. Conclusion: the move experiment can be judged.

--- a/crates/load/src/experiment.rs
+++ b/crates/load/src/experiment.rs
@@ -23,6 +23,7 @@
 use crate::measure::{Measures, measure};
 use crate::network::Network;
 use crate::promises::{Evidence, Promise, check};
+use crate::served::{Served, served};
 
 pub use acts::Act;
 pub use catalogue::{Experiment, catalogue, find};
@@ -62,6 +63,8 @@
     pub seed: u64,
     /// The users' measures.
     pub measures: Measures,
+    /// Where requests ran.
+    pub served: Vec<Served>,
     /// What happened when.
     pub notes: Vec<String>,
     /// The promises.
@@ -158,6 +161,7 @@
         deployment: request.deployment.to_string(),
         seed: request.seed,
         measures: measure(&layout.mix(), samples),
+        served: served(layout, samples, evidence),
         notes,
         promises: check(layout, samples, evidence),
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod promises;
 pub mod report;
 pub mod run;
+pub mod served;
 pub mod slopes;
 pub mod text;
 pub mod tour;
--- a/crates/load/src/text.rs
+++ b/crates/load/src/text.rs
@@ -90,6 +90,24 @@
         report.experiment, report.deployment, report.seed
     );
     text.push_str(&tables(&report.measures));
+    text.push('\n');
+    for served in &report.served {
+        let all: u64 = served.regions.iter().map(|(_, count)| count).sum();
+        let share = |(region, count): &(String, u64)| {
+            format!(
+                "{region} {:.1} %",
+                100.0 * *count as f64 / all.max(1) as f64
+            )
+        };
+        let shares: Vec<_> = served.regions.iter().map(share).collect();
+        let _ = writeln!(
+            text,
+            "{} from {} ran in {}",
+            served.class,
+            served.home,
+            shares.join(", ")
+        );
+    }
     if !report.notes.is_empty() {
         text.push('\n');
     }
--- a/crates/load/tests/check/promises.rs
+++ b/crates/load/tests/check/promises.rs
@@ -219,6 +219,25 @@
     ]
 }
 
+#[test]
+fn requests_are_counted_where_they_ran() {
+    let layout = layout();
+    let mut elsewhere = seen("b", READS, 5);
+    elsewhere.endpoint = "substances-2".to_owned();
+    let mut here = seen("a", READS, 1);
+    here.endpoint = "substances-0".to_owned();
+    let evidence = Evidence {
+        seen: vec![here, elsewhere],
+        ..Evidence::default()
+    };
+    let samples = [answered("a", 0), answered("b", 4)];
+    let served = wagtail_load::served::served(&layout, &samples, &evidence);
+    let counts: Vec<_> = served[0].regions.iter().map(|(_, count)| *count).collect();
+    assert_eq!((served[0].home.as_str(), counts), ("cymru", vec![1, 1, 0]));
+    let rest = served[1..].iter().flat_map(|s| &s.regions);
+    assert_eq!(rest.map(|(_, count)| count).sum::<u64>(), 0);
+}
+
 #[test]
 fn each_promise_breaks_where_it_is_broken() {
     let mut found = std::collections::BTreeSet::new();
