Try all hosts that a look-up lists, and count unreached requests apart

Cause: in region-loss on annex 63 requests counted as lost; callers gave up after three hosts, and all three first hosts were in the region that died. Change: callers try up to eight hosts; a request that no host took is counted as refused unreached, as nothing was sent. Conclusion: the count was the tool's fault.

--- a/crates/load/src/callers.rs
+++ b/crates/load/src/callers.rs
@@ -18,7 +18,7 @@
 
 const LOOKUP_EVERY: Duration = Duration::from_millis(500);
 const KEYS_AT_ONCE: usize = 32;
-const TRIES: usize = 3;
+const TRIES: usize = 8;
 
 /// All callers of a run.
 #[derive(Debug, Clone)]
--- a/crates/load/src/measure.rs
+++ b/crates/load/src/measure.rs
@@ -11,6 +11,7 @@
 use crate::mix::{Limit, Mix};
 
 const OVER_RATE: &str = "over-rate";
+const UNREACHED: &str = "unreached";
 
 /// One request as its caller saw it.
 #[derive(Debug, Clone)]
@@ -42,7 +43,7 @@
     pub sent: u64,
     /// Whole answers.
     pub answered: u64,
-    /// Refusals that say not-run, by reason.
+    /// Refusals that say not-run, by reason; `unreached` where no host took the connection.
     pub refused: BTreeMap<String, u64>,
     /// Failures that say may-have-run, by cause.
     pub unknown: BTreeMap<String, u64>,
@@ -109,7 +110,8 @@
             }
             Got::NotRun { reason } => *self.refused.entry(reason.clone()).or_default() += 1,
             Got::MayHaveRun { reason } => *self.unknown.entry(reason.clone()).or_default() += 1,
-            Got::Unreached { .. } | Got::Lost { .. } | Got::Wrong { .. } => self.lost += 1,
+            Got::Unreached { .. } => *self.refused.entry(UNREACHED.to_owned()).or_default() += 1,
+            Got::Lost { .. } | Got::Wrong { .. } => self.lost += 1,
         }
     }
 
