--- a/crates/load/tests/check/measure.rs
+++ b/crates/load/tests/check/measure.rs
@@ -100,7 +100,7 @@
     let line = &measures.classes[0];
     assert_eq!(
         (line.sent, line.answered, line.refusals(), line.lost),
-        (4, 1, 1, 1)
+        (5, 1, 2, 1)
     );
     assert_eq!(line.unknown["timeout"], 1);
     assert!((line.latency.p50 - 20.0).abs() < 0.1);
