Test the handshake byte by byte with a client of its own

Cause: both sides of the tests ran the same code for the proofs. Change: a client in the test computes the codes by the RFC, is taken, and is refused when it repeats its proof or sends the other side's code back.

--- a/crates/peer/tests/contract/control.rs
+++ b/crates/peer/tests/contract/control.rs
@@ -16,7 +16,7 @@
 }
 
 /// Waits until a count is reached, as it is raised on another thread.
-async fn until(peer: &Peer, reached: impl Fn(Counts) -> bool) {
+pub(crate) async fn until(peer: &Peer, reached: impl Fn(Counts) -> bool) {
     while !reached(peer.counts()) {
         tokio::task::yield_now().await;
     }
--- a/crates/peer/tests/contract/main.rs
+++ b/crates/peer/tests/contract/main.rs
@@ -2,4 +2,5 @@
 
 mod control;
 mod fleet;
+mod handshake;
 mod relay;
