--- a/crates/route/src/spill.rs
+++ b/crates/route/src/spill.rs
@@ -14,6 +14,9 @@
 use crate::settings::SpillSettings;
 use crate::topology::{Delay, HostState, HostView};
 
+/// The most slots that one advert counts for, so that sums over a fleet stay small.
+const OFFER_MAX: u32 = 65_535;
+
 /// Other hosts with the free slots that they offer, nearest first.
 #[derive(Debug)]
 pub(crate) struct Spill {
@@ -80,8 +83,12 @@
         &self.order
     }
 
-    /// The nearest of the regions that a request may run in.
-    pub(crate) fn home<'a>(&'a self, allowed: Option<&'a [RegionId]>) -> &'a RegionId {
+    /// The nearest of the regions that have endpoints and that a request may run in.
+    pub(crate) fn home<'a>(
+        &'a self,
+        offered: &'a [RegionId],
+        allowed: Option<&[RegionId]>,
+    ) -> &'a RegionId {
         let own = &self.region;
         let far = self.settings.far_delay;
         let delay = |region: &&RegionId| {
@@ -92,7 +99,8 @@
                 delay
             }
         };
-        let nearest = allowed.and_then(|list| list.iter().min_by_key(delay));
+        let may = |region: &&RegionId| allowed.is_none_or(|list| list.contains(region));
+        let nearest = offered.iter().filter(may).min_by_key(delay);
         nearest.unwrap_or(own)
     }
 
@@ -168,13 +176,18 @@
 
     /// Takes in an offer; one older than the last is dropped.
     pub(crate) fn advert(&mut self, now: Instant, advert: Advert) {
-        let at = now.checked_sub(advert.age).unwrap_or(now);
+        let Some(at) = now.checked_sub(advert.age) else {
+            return;
+        };
         let peer = self.peers.iter_mut().find(|peer| peer.host == advert.host);
         if let Some(peer) = peer
             && peer.at.is_none_or(|known| known <= at)
         {
             peer.at = Some(at);
             peer.free = advert.free;
+            for (_, free) in &mut peer.free {
+                *free = (*free).min(OFFER_MAX);
+            }
         }
     }
 
