Do not wake the timer tasks for every request; hear of epochs by heartbeat

Cause: each request woke the timer tasks of three machines up to five times, and a host behind its peers learnt it from polls and pushes only. Change: timers look every 20 ms at most and requests do not wake them; the epochs in membership reach config adoption.

--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -22,8 +22,9 @@
 use crate::host::Host;
 use crate::waiting::Waiting;
 
-/// The longest sleep of a timer task; clocks that are moved by hand are noticed after it.
-const LONGEST_SLEEP: Duration = Duration::from_millis(200);
+/// The longest sleep of a timer task. Requests do not wake the timers, so this is also how late a
+/// timer that a request has armed may be.
+const LONGEST_SLEEP: Duration = Duration::from_millis(20);
 
 /// Calls `tick` whenever the machine asks for it, for ever.
 pub(crate) async fn timer<M, T, R>(
--- a/crates/entryd/src/drive/dedupe.rs
+++ b/crates/entryd/src/drive/dedupe.rs
@@ -24,7 +24,6 @@
     for effect in rest {
         perform(host, effect);
     }
-    host.deduping.notify();
 }
 
 fn perform(host: &Arc<Host>, effect: Effect) {
--- a/crates/entryd/src/drive/limit.rs
+++ b/crates/entryd/src/drive/limit.rs
@@ -27,7 +27,6 @@
     for effect in rest {
         perform(host, effect);
     }
-    host.limiting.notify();
 }
 
 fn perform(host: &Arc<Host>, effect: Effect) {
--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -180,6 +180,16 @@
         handle(&host, Input::Load { free });
         let views: Vec<_> = host.membership.lock().machine.members().cloned().collect();
         rebuild(&host, &views);
+        hear(&host, &views);
+    }
+}
+
+/// Tells config adoption which hosts have a higher epoch.
+fn hear(host: &Arc<Host>, views: &[HostView]) {
+    let own = host.view.load().epoch();
+    for view in views.iter().filter(|v| v.is_live() && v.epoch > own) {
+        let (from, epoch) = (view.info.host.clone(), view.epoch);
+        super::sync_input(host, wagtail_config::SyncInput::Heard { from, epoch });
     }
 }
 
--- a/crates/entryd/src/drive/route.rs
+++ b/crates/entryd/src/drive/route.rs
@@ -23,7 +23,6 @@
     for effect in rest {
         tell(host, effect);
     }
-    host.routing.notify();
 }
 
 type Inner = crate::waiting::Inner<wagtail_route::Router, Ticket, Start>;
