Cut every team's limit into two shards a zone

Cause: with one shard a zone the burst of a small team lay in few tokens on six hosts, and four of ten hosts held none.

--- a/crates/entryd/src/plan.rs
+++ b/crates/entryd/src/plan.rs
@@ -217,7 +217,7 @@
     )
 }
 
-const SHARDS_PER_ZONE: u32 = 1;
+const SHARDS_PER_ZONE: u32 = 2;
 
 fn since(view: &View, team: &wagtail_config::Team) -> Epoch {
     wagtail_config::RecordKey::new("team", team.id.as_str())
