--- a/crates/quota/src/quota/lend.rs
+++ b/crates/quota/src/quota/lend.rs
@@ -13,8 +13,6 @@
 
 /// Less than this is not worth a message.
 const LEAST_TOKENS: Tokens = Tokens::from_micros(50_000);
-/// A loan of rate brings at least this much room, and leaves as much.
-const LEAST_ROOM: Tokens = Tokens::ONE;
 /// The rate that a host keeps for itself, over its demand.
 const KEPT_DEMAND: f64 = 1.02;
 /// The demand that a host keeps tokens for.
@@ -46,9 +44,9 @@
         let Some(team) = self.teams.get_mut(id) else {
             return;
         };
-        if terms.life.is_zero() {
+        if terms.life.is_zero() && wish.need >= LEAST_TOKENS {
             team.owed.insert(from.clone());
-        } else {
+        } else if !terms.life.is_zero() {
             self.counters.loans += 1;
         }
         let message = Message::Loan {
@@ -154,9 +152,10 @@
     /// How long a loan from a source may last on the borrower's clock.
     fn life(&self, now: Instant, id: &TeamId, source: &Source) -> Duration {
         if self.settings.has(Mutant::LoanOutlivesLease) {
-            return self.settings.loan_term * 4;
+            return self.settings.loan_term;
         }
         let end = match source {
+            Source::Shard(shard) if self.is_found(shard) => None,
             Source::Shard(shard) => self.leases.get(shard).and_then(Lease::until),
             Source::Loan { .. } => self.teams.get(id).and_then(|team| {
                 let part = team.bucket.parts().iter().find(|p| p.source == *source)?;
@@ -172,7 +171,7 @@
     /// The state of the bucket, for other hosts.
     pub(super) fn hint(&mut self, now: Instant) -> Hint {
         self.bucket.advance(now);
-        let kept = rate_of(self.bucket.demand.at(now)).over(KEPT_TIME);
+        let kept = self.kept(now);
         Hint {
             level: self.bucket.level().saturating_sub(kept),
             spare: self.spare(now, KEPT_DEMAND),
@@ -180,6 +179,16 @@
         }
     }
 
+    /// Whole tokens for this host's own demand.
+    fn kept(&self, now: Instant) -> Tokens {
+        let kept = rate_of(self.bucket.demand.at(now)).over(KEPT_TIME);
+        if kept < Tokens::ONE {
+            Tokens::ZERO
+        } else {
+            kept
+        }
+    }
+
     fn spare(&self, now: Instant, factor: f64) -> Rate {
         let spare = per_second(self.bucket.rate()) - factor * self.bucket.demand.at(now);
         rate_of(spare.max(0.0))
@@ -195,7 +204,12 @@
     ) -> Option<Terms> {
         let bucket = &self.bucket;
         let (free_rate, free_cap) = bucket.free(source);
-        let kept = rate_of(bucket.demand.at(now)).over(KEPT_TIME);
+        let urgent = wish.hint.level < Tokens::ONE;
+        let kept = if urgent {
+            self.kept(now)
+        } else {
+            self.ahead(now, settings.prefetch_horizon)
+        };
         let tokens = bucket
             .level()
             .saturating_sub(kept)
@@ -204,7 +218,13 @@
         let rate = wish.rate.min(self.spare(now, KEPT_DEMAND)).min(free_rate);
         let cap = free_cap.part(rate.micros(), free_rate.micros());
         let left = bucket.cap().saturating_sub(cap);
-        let roomy = cap >= LEAST_ROOM && (left >= LEAST_ROOM || left == Tokens::ZERO);
+        let outlives = settings.has(Mutant::LoanOutlivesLease);
+        let lasting_life = if outlives {
+            life * 4
+        } else {
+            life.min(settings.loan_term)
+        };
+        let roomy = cap >= settings.min_loan && (left >= settings.min_loan || left == Tokens::ZERO);
         let lasting = matches!(source, Source::Shard(_)) && life >= settings.loan_term / 2;
         if roomy && lasting && rate > Rate::ZERO {
             let share = bucket.level().part(cap.micros(), bucket.cap().micros());
@@ -218,7 +238,7 @@
                 rate,
                 cap,
                 tokens,
-                life: life.min(settings.loan_term),
+                life: lasting_life,
             });
         }
         let life = life.min(settings.gather_timeout);
