--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -10,7 +10,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use wagtail_config::{ConfigSync, View};
 use wagtail_member::{Member, Mode};
 use wagtail_once::Once;
@@ -84,6 +84,8 @@
     pub(crate) upstreams: Upstreams,
     /// Connections to other hosts.
     pub(crate) peer: std::sync::OnceLock<Peer>,
+    /// Memory for bodies that are held whole, in units.
+    pub(crate) bodies: Arc<Semaphore>,
     /// Turns at the platform.
     pub(crate) calls: Calls,
     /// The platform.
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -6,6 +6,7 @@
 use axum::body::Body;
 use axum::extract::State;
 use http::{Request, Response};
+use tokio::sync::OwnedSemaphorePermit;
 use wagtail_config::{CutOff, Service, Team, View};
 use wagtail_quota::{Admission, Resolution};
 use wagtail_route::Origin;
@@ -23,6 +24,8 @@
 use crate::tracked::{End, track};
 
 const RETRY_CUT_OFF: std::time::Duration = std::time::Duration::from_secs(1);
+/// The unit in which memory for whole bodies is counted.
+pub(crate) const BODY_UNIT_BYTES: u64 = 1_024;
 const RETRY_BUSY: std::time::Duration = std::time::Duration::from_millis(200);
 
 /// A refusal with a text for the caller.
@@ -59,7 +62,7 @@
         Err(detail) => return refuse(&host, &bad(detail)),
     };
     let series = series(&host, &intake);
-    let result = admit_and_run(&host, intake, body).await;
+    let result = admit_and_run(&host, intake, body, length.exact()).await;
     conclude(&host, series, start, running, result)
 }
 
@@ -99,6 +102,7 @@
     host: &Arc<Host>,
     intake: Intake,
     body: Body,
+    length: Option<u64>,
 ) -> Result<Response<Body>, Refusal> {
     let view = host.view.load_full();
     let (service, team) = entitle(host, &view, &intake.service, intake.digest.as_ref())?;
@@ -110,7 +114,12 @@
     let limits = &host.settings.limits;
     let body = Body::new(http_body_util::Limited::new(body, limits.body.as_usize()));
     let deadline = host.now() + given;
-    let payload = tokio::time::timeout(given, Payload::read(body, limits.buffer.as_usize()));
+    // The fingerprint of a keyed request covers its whole body, so that is read first.
+    let (buffer, _room) = match &intake.idempotency {
+        Some(_) => (limits.body.as_usize(), Some(room(host, length)?)),
+        None => (limits.buffer.as_usize(), None),
+    };
+    let payload = tokio::time::timeout(given, Payload::read(body, buffer));
     let payload = payload
         .await
         .map_err(|_| Verdict::not_run(Reason::DeadlinePassed, None))??;
@@ -132,6 +141,14 @@
     Ok(run::run(host, &mut job).await?)
 }
 
+/// Takes memory for a body that is held whole.
+fn room(host: &Host, length: Option<u64>) -> Result<OwnedSemaphorePermit, Verdict> {
+    let bytes = length.unwrap_or(host.settings.limits.body.0);
+    let units = u32::try_from(bytes.div_ceil(BODY_UNIT_BYTES)).unwrap_or(u32::MAX);
+    let room = host.bodies.clone().try_acquire_many_owned(units);
+    room.map_err(|_| Verdict::not_run(Reason::Overloaded, RETRY_BUSY))
+}
+
 /// Finds the records that a request may use.
 fn entitle(
     host: &Host,
--- a/crates/entryd/src/settings.rs
+++ b/crates/entryd/src/settings.rs
@@ -114,6 +114,8 @@
     pub body: Bytes,
     /// Part of a body held so that it can be sent again.
     pub buffer: Bytes,
+    /// Memory for bodies of requests under idempotency keys.
+    pub keyed: Bytes,
     /// Memory for outcomes under idempotency keys.
     pub outcomes: Bytes,
 }
--- a/crates/entryd/src/settings/raw.rs
+++ b/crates/entryd/src/settings/raw.rs
@@ -36,8 +36,16 @@
         T::Err: std::fmt::Display,
     {
         let text = self.text(name)?;
-        text.parse()
-            .map_err(|e| SettingsError::value(name, format!("{text:?}: {e}")))
+        text.parse().map_err(|e: T::Err| {
+            let message = e.to_string();
+            let named = message.starts_with(&format!("{text:?}"));
+            let message = if named {
+                message
+            } else {
+                format!("{text:?}: {message}")
+            };
+            SettingsError::value(name, message)
+        })
     }
 
     fn count(&self, name: &str) -> Result<usize, SettingsError> {
@@ -114,6 +122,10 @@
                 "it must not exceed --max-body",
             ));
         }
+        if self.limits.body > self.limits.keyed {
+            let message = "it must be at least --max-body";
+            return Err(SettingsError::value("keyed-memory", message));
+        }
         if self.times.stop <= self.times.lookup {
             return Err(SettingsError::value(
                 "stop-timeout",
@@ -171,6 +183,7 @@
         header: raw.size("max-header")?,
         body: raw.size("max-body")?,
         buffer: raw.size("buffer-body")?,
+        keyed: raw.size("keyed-memory")?,
         outcomes: raw.size("outcome-memory")?,
     })
 }
--- a/crates/entryd/src/settings/spec.rs
+++ b/crates/entryd/src/settings/spec.rs
@@ -107,6 +107,12 @@
         Some("64KiB"),
         "part of a body held so that it can be sent again",
     ),
+    spec(
+        "keyed-memory",
+        "SIZE",
+        Some("64MiB"),
+        "bodies of requests under idempotency keys, held whole",
+    ),
     spec(
         "outcome-memory",
         "SIZE",
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
 use wagtail_config::{ConfigSync, SyncInput, SyncSettings, View};
 use wagtail_member::{HostInfo, Member};
@@ -18,7 +18,7 @@
 use wagtail_platform::{HttpClient, HttpSettings, Platform, ScheduleSettings, Scheduler};
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
-use wagtail_types::{Clock, Incarnation, SystemClock};
+use wagtail_types::{Bytes, Clock, Incarnation, SystemClock};
 
 use crate::api;
 use crate::calls::Calls;
@@ -29,6 +29,7 @@
 use crate::plan::Sites;
 use crate::relay::Inbox;
 use crate::reports::Heard;
+use crate::request::BODY_UNIT_BYTES;
 use crate::server::{self, Server};
 use crate::settings::Settings;
 use crate::stats::Stats;
@@ -225,6 +226,7 @@
             random.random(),
             now,
         )),
+        bodies: Arc::new(Semaphore::new(body_units(settings.limits.keyed))),
         calls: Calls::new(Scheduler::new(
             ScheduleSettings {
                 hosts: settings.fleet,
@@ -247,6 +249,11 @@
     })
 }
 
+fn body_units(memory: Bytes) -> usize {
+    let units = usize::try_from(memory.0 / BODY_UNIT_BYTES).unwrap_or(usize::MAX);
+    units.min(Semaphore::MAX_PERMITS)
+}
+
 trait IntoSwap: Sized {
     fn into_swap(self) -> arc_swap::ArcSwap<Self> {
         arc_swap::ArcSwap::from_pointee(self)
--- a/crates/load/tests/system/faults.rs
+++ b/crates/load/tests/system/faults.rs
@@ -128,3 +128,30 @@
         assert_eq!(world.endpoint(WRITES).log().ran(), before);
     });
 }
+
+#[test]
+fn long_bodies_under_one_key_are_told_apart() {
+    const BYTES: usize = 300_000;
+    block_on(async {
+        let world = World::start(&quiet(), &[]).await;
+        let [first, second] = world.addrs();
+        let keys = world
+            .caller
+            .json(http::Method::POST, first, "/v1/keys?count=1");
+        let keys: wagtail_entryd::Keys = keys.await.expect("keys");
+        let key = &keys.keys[0];
+        let call = Call::submit(WRITES, KEY, &"a".repeat(BYTES)).under(key);
+        let (a, b) = (
+            world.caller.call(first, &call).await,
+            world.caller.call(second, &call).await,
+        );
+        assert_eq!(a.got, Got::Answer);
+        assert_eq!(a.body, b.body, "{}", b.got);
+        let other = Call::submit(WRITES, KEY, &"b".repeat(BYTES)).under(key);
+        for addr in [first, second] {
+            let reply = world.caller.call(addr, &other).await;
+            let reason = "bad-request".to_owned();
+            assert_eq!(reply.got, Got::NotRun { reason });
+        }
+    });
+}
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -94,12 +94,17 @@
 
     /// Without the feature there are no faults to switch on.
     #[cfg(not(feature = "mutants"))]
+    #[expect(clippy::unused_self, reason = "the same call as with the feature")]
     pub(crate) const fn broken(&self, _: Mutant) -> bool {
         false
     }
 }
 
 /// A deliberate fault that tests must find.
+#[cfg_attr(
+    not(feature = "mutants"),
+    expect(unreachable_pub, reason = "public for tests only")
+)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mutant {
     /// A suspect is never declared dead.
