--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -24,6 +24,7 @@
 mod gossip;
 mod keep;
 mod lend;
+mod limits;
 mod seek;
 mod shards;
 mod spread;
