Cut absurd values of other hosts to the team's limit

Cause: a loan or hint with values near the largest number could overflow a sum or an instant. Change: rate, room and estimates are cut to the limit, a loan's life to a minute, sums saturate. Conclusion: no value of a message makes the machine panic in these cases.

--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -237,10 +237,7 @@
         let Some(part) = self.parts.iter().find(|p| is_shard(&p.source, shard)) else {
             return false;
         };
-        let lent = self.lent.iter().filter(|l| is_shard(&l.source, shard));
-        let (rate, cap) = lent.fold((0, 0), |(r, c), l| {
-            (r + l.rate.micros(), c + l.cap.micros())
-        });
+        let (rate, cap) = self.lent_from(&part.source);
         rate > part.rate.micros() || cap > part.cap.micros()
     }
 
@@ -249,15 +246,21 @@
         let Some(part) = self.parts.iter().find(|p| p.source == *source) else {
             return (Rate::ZERO, Tokens::ZERO);
         };
-        let lent = self.lent.iter().filter(|l| l.source == *source);
-        let (rate, cap) = lent.fold((0, 0), |(rate, cap), l| {
-            (rate + l.rate.micros(), cap + l.cap.micros())
-        });
+        let (rate, cap) = self.lent_from(source);
         let rate = part.rate.micros().saturating_sub(rate);
         let cap = part.cap.micros().saturating_sub(cap);
         (Rate::from_micros(rate), Tokens::from_micros(cap))
     }
 
+    /// Rate and room lent from a source, in millionths.
+    fn lent_from(&self, source: &Source) -> (u64, u64) {
+        let lent = self.lent.iter().filter(|l| l.source == *source);
+        lent.fold((0, 0), |(rate, cap), l| {
+            let rate = l.rate.micros().saturating_add(rate);
+            (rate, l.cap.micros().saturating_add(cap))
+        })
+    }
+
     fn next_end(&self) -> Option<Instant> {
         let parts = self.parts.iter().filter_map(|p| p.until);
         parts.chain(self.lent.iter().map(|l| l.until)).min()
@@ -271,11 +274,11 @@
     }
 
     fn refresh(&mut self) {
-        let (mut rate, mut cap) = (0, 0);
+        let (mut rate, mut cap) = (0_u64, 0_u64);
         for part in &self.parts {
             let (free_rate, free_cap) = self.free(&part.source);
-            rate += free_rate.micros();
-            cap += free_cap.micros();
+            rate = free_rate.micros().saturating_add(rate);
+            cap = free_cap.micros().saturating_add(cap);
         }
         self.rate = Rate::from_micros(rate);
         self.cap = Tokens::from_micros(cap);
--- a/crates/quota/src/quota/seek.rs
+++ b/crates/quota/src/quota/seek.rs
@@ -11,6 +11,8 @@
 use crate::message::{Hint, LoanId, Message};
 use crate::settings::Mutant;
 
+/// No loan is taken for longer, whatever its lender says.
+const LIFE_MAX: Duration = Duration::from_secs(60);
 /// A host with fewer tokens is not asked.
 const LEAST_ESTIMATE: Tokens = Tokens::from_micros(200_000);
 /// At most so many hosts are asked at once.
@@ -127,11 +129,8 @@
         };
         team.bucket.advance(now);
         team.hints.note(from, offer.hint, now);
-        let until = if late {
-            now + offer.life
-        } else {
-            sent + offer.life
-        };
+        let life = offer.life.min(LIFE_MAX);
+        let until = if late { now + life } else { sent + life };
         match extend {
             Some(loan) if loan == offer.loan => {
                 team.bucket.prolong(from, loan, until);
@@ -248,7 +247,7 @@
             };
             let guess = || team.limit.burst.part(1, team.shards().len() as u64);
             let estimate = team.hints.estimate(host, now).unwrap_or_else(guess);
-            let estimate = estimate.saturating_sub(asked(host));
+            let estimate = estimate.min(team.limit.burst).saturating_sub(asked(host));
             if estimate >= LEAST_ESTIMATE {
                 let order = (estimate < need, peer.distance, Reverse(estimate));
                 found.push((order, host.clone(), estimate));
@@ -264,7 +263,8 @@
 
 impl Team {
     fn accept(&mut self, from: &HostId, offer: &Offer, until: Instant) {
-        if offer.cap == Tokens::ZERO {
+        let cap = offer.cap.min(self.limit.burst);
+        if cap == Tokens::ZERO {
             return;
         }
         let source = Source::Loan {
@@ -273,11 +273,11 @@
         };
         let part = Part {
             source,
-            rate: offer.rate,
-            cap: offer.cap,
+            rate: offer.rate.min(self.limit.rate),
+            cap,
             until: Some(until),
         };
-        self.bucket.borrow(part, offer.tokens.min(offer.cap));
+        self.bucket.borrow(part, offer.tokens.min(cap));
     }
 
     /// Tokens for the demand of the coming moments, a whole one at least where that is likely used.
--- a/crates/quota/tests/faults.rs
+++ b/crates/quota/tests/faults.rs
@@ -425,3 +425,63 @@
     case.done(row.attempt, WriteOutcome::Applied { version: 2 });
     assert!(case.pass(SECOND).contains(&Effect::Released));
 }
+
+#[test]
+fn absurd_values_of_other_hosts_are_cut_to_the_limit() {
+    let huge = Tokens::from_micros(u64::MAX);
+    let mut case = Case::new();
+    let hint = Hint {
+        level: huge,
+        spare: Rate::from_micros(u64::MAX),
+        cap: huge,
+    };
+    let hints = vec![wagtail_quota::TeamHint { team: team(), hint }];
+    let (confirmed, shards) = (Epoch(0), Vec::new());
+    case.receive(Message::Gossip {
+        confirmed,
+        shards,
+        hints,
+    });
+    for _ in 0..3 {
+        case.quota.admit(case.now, &team(), case.now + SECOND);
+    }
+    let asks: Vec<u64> = std::iter::from_fn(|| case.quota.poll_effect())
+        .filter_map(|e| match e {
+            Effect::Send {
+                message: Message::Ask { id, .. },
+                ..
+            } => Some(id),
+            _ => None,
+        })
+        .collect();
+    for (number, id) in asks.iter().enumerate() {
+        case.receive(Message::Loan {
+            id: *id,
+            loan: LoanId(number as u64),
+            team: team(),
+            rate: Rate::from_micros(u64::MAX),
+            cap: huge,
+            tokens: huge,
+            life: Duration::MAX,
+            hint,
+        });
+    }
+    let (need, rate) = (huge, Rate::from_micros(u64::MAX));
+    case.receive(Message::Ask {
+        id: 1,
+        team: team(),
+        need,
+        rate,
+        extend: None,
+        hint,
+    });
+    case.receive(Message::Return {
+        loan: LoanId(9),
+        team: team(),
+        tokens: huge,
+    });
+    assert_eq!(asks.len(), 3);
+    assert!(case.cap() <= Tokens::whole(30));
+    case.pass(70 * SECOND);
+    assert_eq!(case.cap(), Tokens::ZERO);
+}
