Let three hosts of a zone watch a lease row, not all of them

Cause: each host of a zone read each of its rows every 2 s; 60 hosts a zone and 8 shards would have taken the table's 2,000 reads/s alone. A row read rarely must also be read again before a claim. Change: the first three in a shard's order read it three times a term, the others once in five terms; a claim needs a read that found the row unchanged after the whole wait. Conclusion: reads grow with shards, hardly with hosts.

--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -17,6 +17,10 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// So many hosts of a zone read a shard's row all the time.
+const WATCHERS: usize = 3;
+/// The others read it once in so many terms.
+const TERMS_UNWATCHED: u32 = 5;
 const TRIES_KEPT: usize = 32;
 const RENEWALS_PER_TERM: u32 = 3;
 
@@ -105,6 +109,7 @@
                     version: None,
                     row: None,
                     first: now,
+                    last: now,
                 });
             }
             ReadOutcome::Found { version, row } => self.on_found(now, cx, version, row, out),
@@ -176,7 +181,8 @@
             return;
         }
         self.unsure = false;
-        if known == Some(version) {
+        if let Some(seen) = self.seen.as_mut().filter(|_| known == Some(version)) {
+            seen.last = now;
             return;
         }
         let mine = self.tries.drain(..).find(|t| t.row.attempt == row.attempt);
@@ -185,6 +191,7 @@
             version: Some(version),
             row: Some(row),
             first: now,
+            last: now,
         });
         if let Some(last) = last
             .and_then(|s| s.row)
@@ -302,7 +309,7 @@
         } else {
             Start::Empty
         };
-        (now >= seen.first + wait + cx.patience).then_some(Aim::Hold(start))
+        (seen.last >= seen.first + wait + cx.patience).then_some(Aim::Hold(start))
     }
 
     /// How long a row must stand unchanged before this host may claim it.
@@ -319,6 +326,13 @@
         cx.drift.stretch(wait)
     }
 
+    /// When another holder's row may be claimed, if it does not change before.
+    fn claim_at(&self, cx: &Context<'_>) -> Option<Instant> {
+        let seen = self.seen.as_ref()?;
+        let row = seen.row.as_ref().filter(|row| row.holder.is_some())?;
+        Some(seen.first + Self::claim_wait(cx, row) + cx.patience)
+    }
+
     fn is_mine(&self, cx: &Context<'_>) -> bool {
         let row = self.seen.as_ref().and_then(|s| s.row.as_ref());
         row.is_some_and(|row| row.holder.as_ref() == Some(&cx.me()))
@@ -354,10 +368,16 @@
         self.busy = Some(now);
         let pause = if self.unsure || self.until.is_some() || self.leaving.is_some() {
             RETRY_PAUSE
-        } else {
+        } else if cx.rank < WATCHERS {
             cx.term() / RENEWALS_PER_TERM
+        } else {
+            cx.term() * TERMS_UNWATCHED
         };
-        self.next = Some(now + pause);
+        let claim = self
+            .claim_at(cx)
+            .filter(|at| *at > now && cx.rank < WATCHERS);
+        let next = now + pause;
+        self.next = Some(claim.map_or(next, |at| at.min(next)));
         out.push(Out::Read);
     }
 }
--- a/crates/quota/src/lease/terms.rs
+++ b/crates/quota/src/lease/terms.rs
@@ -21,6 +21,8 @@
     pub(crate) spreads: &'a [TeamSpread],
     /// The other hosts of the zone.
     pub(crate) members: &'a [Member],
+    /// How many hosts of the zone come before this one for the shard.
+    pub(crate) rank: usize,
     /// How long this host waits before it claims, so that hosts of a zone do not race.
     pub(crate) patience: Duration,
 }
@@ -87,6 +89,8 @@
     pub(super) version: Option<u64>,
     pub(super) row: Option<Row>,
     pub(super) first: Instant,
+    /// When a read last found the row like this.
+    pub(super) last: Instant,
 }
 
 #[derive(Debug)]
--- a/crates/quota/src/quota/shards.rs
+++ b/crates/quota/src/quota/shards.rs
@@ -190,7 +190,8 @@
         call: impl FnOnce(&mut Lease, &Context<'_>, &mut rand::rngs::SmallRng, &mut Vec<Out>),
     ) {
         let members = self.members(&shard.zone);
-        let patience = self.patience(shard, &members);
+        let rank = self.rank(shard, &members);
+        let patience = self.patience(shard, rank);
         let spreads = self.past_spreads();
         let reached = if self.is_overlent(shard) {
             Epoch(0)
@@ -208,6 +209,7 @@
             reached,
             spreads: &spreads,
             members: &members,
+            rank,
             patience,
         };
         let mut out = Vec::new();
@@ -227,11 +229,14 @@
             .collect()
     }
 
-    fn patience(&self, shard: &ShardId, members: &[Member]) -> Duration {
+    fn rank(&self, shard: &ShardId, members: &[Member]) -> usize {
         let rank = |host: &HostId| score(host.as_str(), shard.zone.as_str(), shard.index.into());
         let mine = rank(&self.settings.me);
-        let ahead = members.iter().filter(|m| rank(&m.host) > mine).count();
-        let ahead = ahead + self.held().filter(|held| *held != shard).count();
+        members.iter().filter(|m| rank(&m.host) > mine).count()
+    }
+
+    fn patience(&self, shard: &ShardId, rank: usize) -> Duration {
+        let ahead = rank + self.held().filter(|held| *held != shard).count();
         let foreign = shard.zone != self.settings.zone;
         let wait = if foreign {
             self.settings.lease_term
--- a/crates/quota/tests/handover.rs
+++ b/crates/quota/tests/handover.rs
@@ -91,3 +91,20 @@
     run_for(&mut world, 10);
     assert_eq!(holders(&world, 0).len(), 2);
 }
+
+#[test]
+fn reads_do_not_grow_with_the_hosts_of_a_zone() {
+    let reads = |hosts: usize| {
+        let mut world = World::new(&vec![0; hosts], 2, &[(10, 10)], 3, |_| {});
+        run_for(&mut world, 60);
+        let before = world.reads;
+        run_for(&mut world, 60);
+        world.reads - before
+    };
+    // Three hosts read a row every 2 s; the others, one in 30 s each.
+    let (few, many) = (reads(4), reads(24));
+    assert!(
+        few > 0 && many <= few + 2 * 20 * 3,
+        "{few} reads, then {many}"
+    );
+}
