--- a/crates/quota/tests/fuzz.rs
+++ b/crates/quota/tests/fuzz.rs
@@ -9,6 +9,7 @@
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use rand::Rng;
 use wagtail_quota::{Mutant, Settings};
+use wagtail_types::{Share, Tokens};
 
 use oracle::Oracle;
 use world::{Faults, MS, SECOND, World};
@@ -90,6 +91,7 @@
     All,
     Links,
     Leases,
+    Lenders,
     Releases,
     Changes,
 }
@@ -105,6 +107,7 @@
         delay,
     });
     let isolate = host().prop_map(|host| Op::Isolate { host });
+    let skew = (500..2500u64).prop_map(|ms| Op::Run { ms, greed: 1 });
     let unplug = host().prop_map(|host| Op::Unplug { host });
     let hand_over = (host(), 0..1000u32).prop_map(|(host, lost)| Op::HandOver { host, lost });
     let boot = host().prop_map(|host| Op::Boot { host });
@@ -116,10 +119,11 @@
     let configure = host().prop_map(|host| Op::Configure { host });
     match focus {
         Focus::All => any_op(),
-        Focus::Links => prop_oneof![4 => run, 1 => link, 1 => nap, 1 => quiet].boxed(),
+        Focus::Links => prop_oneof![3 => run, 3 => skew, 2 => link, 1 => quiet].boxed(),
         Focus::Leases => {
             prop_oneof![2 => run, 2 => unplug, 2 => isolate, 1 => Just(Op::Heal), 1 => nap].boxed()
         }
+        Focus::Lenders => prop_oneof![3 => skew, 1 => isolate, 1 => Just(Op::Heal)].boxed(),
         Focus::Releases => prop_oneof![1 => run, 2 => hand_over, 1 => boot].boxed(),
         Focus::Changes => prop_oneof![2 => run, 1 => change, 4 => configure].boxed(),
     }
@@ -181,9 +185,11 @@
 
 impl Run {
     fn new(plan: &Plan, mutant: Option<Mutant>) -> Self {
-        let drift = wagtail_types::Share::from_ppm(plan.bound).unwrap();
+        let drift = Share::from_ppm(plan.bound).unwrap();
         let tune = move |settings: &mut Settings| {
             settings.drift = drift;
+            settings.min_part = Tokens::whole(4);
+            settings.min_loan = Tokens::ONE;
             settings.mutant = mutant;
             settings.outage_term = std::time::Duration::from_secs(20);
         };
@@ -234,7 +240,10 @@
             Op::Run { ms, greed } => self.spend(ms, greed)?,
             Op::Quiet { ms } => world.run(world.now + ms * MS),
             Op::Pause { host, ms } => world.hosts[host].paused = world.now + ms * MS,
-            Op::Crash { host } => world.crash(host),
+            Op::Crash { host } => {
+                world.crash(host);
+                (0..HOSTS).for_each(|h| world.tell_peers(h));
+            }
             Op::Boot { host } => world.boot(host),
             Op::Release { host } => world.release(host),
             Op::Group { host, group } => world.hosts[host].group = group,
@@ -356,6 +365,6 @@
     finds_unknown_taken_as_failure: UnknownIsFailure in Releases,
     finds_broken_promise: BreakPromise in Leases,
     finds_double_return: ReturnTwice in All,
-    finds_loan_outliving_lease: LoanOutlivesLease in Leases,
+    finds_loan_outliving_lease: LoanOutlivesLease in Lenders,
     finds_hasty_spread: HastySpread in Changes,
 }
