Halve the adverts twice, and read the host list less often in large fleets

Change: adverts every 500 ms to 6 hosts, not every 250 ms to 12; the list period stretches with the fleet.

--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -13,16 +13,16 @@
 use crate::reports;
 
 /// Between adverts in a small fleet, and the longest that a larger one stretches it to.
-const ADVERT_PERIOD: Duration = Duration::from_millis(250);
+const ADVERT_PERIOD: Duration = Duration::from_millis(500);
 const ADVERT_LONGEST: Duration = Duration::from_secs(2);
-/// The fleet up to which adverts go out at the shortest period.
-const ADVERT_HOSTS: u32 = 24;
+/// The fleet up to which the shortest periods apply.
+const SMALL_FLEET: u32 = 24;
 /// An advert counts for so many periods.
 const ADVERT_LIFE: u32 = 4;
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 const GAUGE_PERIOD: Duration = Duration::from_secs(5);
 /// Adverts sent each period; a larger fleet gets them from a random part of its hosts.
-const ADVERT_FANOUT: usize = 12;
+const ADVERT_FANOUT: usize = 6;
 
 /// Starts every task of the host.
 pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
@@ -119,7 +119,12 @@
 
 /// The time between adverts: control traffic must not grow with the fleet.
 fn advert_period(fleet: u32) -> Duration {
-    (ADVERT_PERIOD * fleet.div_ceil(ADVERT_HOSTS)).min(ADVERT_LONGEST)
+    stretched(ADVERT_PERIOD, fleet).min(ADVERT_LONGEST)
+}
+
+/// A period that grows with the fleet.
+fn stretched(period: Duration, fleet: u32) -> Duration {
+    period * fleet.div_ceil(SMALL_FLEET)
 }
 
 /// How long an advert counts.
@@ -148,7 +153,7 @@
 
 /// Reads the platform's list of hosts and endpoints.
 async fn read_list(host: Arc<Host>) {
-    let mut period = tokio::time::interval(LIST_PERIOD);
+    let mut period = tokio::time::interval(stretched(LIST_PERIOD, host.settings.fleet));
     loop {
         period.tick().await;
         let list = calls::call(&host, Priority::Bulk, Access::Read, host.platform.list());
