--- a/crates/entryd/tests/settings.rs
+++ b/crates/entryd/tests/settings.rs
@@ -1,6 +1,7 @@
 //! Settings: texts of help and errors, and every bad value found before anything binds.
 
 use std::ffi::OsString;
+use std::fmt::Write as _;
 
 use wagtail_entryd::{Action, from_env, help};
 
@@ -56,7 +57,7 @@
     for more in table {
         let error = parse(more, &[]).expect_err("a bad setting");
         assert!(!error.contains('\n'), "{error}");
-        lines.push_str(&format!("{}\n    {error}\n", more.join(" ")));
+        let _ = writeln!(lines, "{}\n    {error}", more.join(" "));
     }
     insta::assert_snapshot!(lines);
 }
--- a/crates/once/tests/fuzz/fleet.rs
+++ b/crates/once/tests/fuzz/fleet.rs
@@ -1,134 +1,26 @@
 //! A few hosts over a fake table and fake links, with an oracle that counts runs.
 
+mod link;
+mod op;
+mod table;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use proptest::prelude::*;
 use wagtail_once::{
-    Answer, Begin, ClaimResult, ClaimRow, Effect, Fingerprint, Input, IssuedKey, Key, Mutant, Once,
-    Outcome, Permit, Relays, Reply, Request, Resolution, Settings, Ticket,
+    Answer, Begin, ClaimRow, Effect, Fingerprint, Input, IssuedKey, Key, Mutant, Once, Outcome,
+    Permit, Relays, Request, Resolution, Settings, Ticket,
 };
 use wagtail_types::{AttemptId, Bytes, Cause, HostId, Incarnation, Reason, Verdict};
 
+pub(crate) use op::{How, Op, op};
+
 const HOSTS: usize = 3;
 const KEEP: Duration = Duration::from_secs(20);
 const KEY_LIFE: Duration = Duration::from_secs(10);
 const RELAY_LIFE: Duration = Duration::from_secs(5);
 const SEED: u64 = 11;
 
-/// One step of a trial; numbers pick from what is there.
-#[derive(Debug, Clone)]
-pub(crate) enum Op {
-    Issue {
-        host: u8,
-    },
-    Begin {
-        host: u8,
-        key: u8,
-        other: bool,
-        connect: bool,
-    },
-    Bare {
-        from: u8,
-        to: u8,
-    },
-    Finish {
-        permit: u8,
-        how: How,
-    },
-    Table {
-        op: u8,
-        fault: TableFault,
-    },
-    LateWrite,
-    Deliver {
-        message: u8,
-        fault: LinkFault,
-    },
-    Resend {
-        attempt: u8,
-    },
-    GiveUp {
-        attempt: u8,
-    },
-    Cancel {
-        call: u8,
-    },
-    Crash {
-        host: u8,
-    },
-    Replace {
-        host: u8,
-    },
-    News {
-        host: u8,
-        about: u8,
-        dead: bool,
-    },
-    Advance {
-        seconds: u8,
-    },
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum How {
-    Answer,
-    Large,
-    NotRun,
-    Unknown,
-    Drop,
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum TableFault {
-    None,
-    Repeat,
-    LostAnswer,
-    LostCall,
-    Late,
-    Down,
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum LinkFault {
-    None,
-    Repeat,
-    Lose,
-}
-
-pub(crate) fn op() -> impl Strategy<Value = Op> {
-    let n = any::<u8>;
-    let how = prop_oneof![
-        4 => Just(How::Answer), 1 => Just(How::Large), 3 => Just(How::NotRun),
-        2 => Just(How::Unknown), 1 => Just(How::Drop),
-    ];
-    let table = prop_oneof![
-        6 => Just(TableFault::None), 1 => Just(TableFault::Repeat), 2 => Just(TableFault::LostAnswer),
-        2 => Just(TableFault::LostCall), 2 => Just(TableFault::Late), 2 => Just(TableFault::Down),
-    ];
-    let link = prop_oneof![
-        4 => Just(LinkFault::None), 3 => Just(LinkFault::Repeat), 1 => Just(LinkFault::Lose),
-    ];
-    prop_oneof![
-        2 => n().prop_map(|host| Op::Issue { host }),
-        10 => (n(), n(), prop::bool::weighted(0.1), prop::bool::weighted(0.9))
-            .prop_map(|(host, key, other, connect)| Op::Begin { host, key, other, connect }),
-        1 => (n(), n()).prop_map(|(from, to)| Op::Bare { from, to }),
-        6 => (n(), how).prop_map(|(permit, how)| Op::Finish { permit, how }),
-        8 => (n(), table).prop_map(|(op, fault)| Op::Table { op, fault }),
-        1 => Just(Op::LateWrite),
-        8 => (n(), link).prop_map(|(message, fault)| Op::Deliver { message, fault }),
-        2 => n().prop_map(|attempt| Op::Resend { attempt }),
-        1 => n().prop_map(|attempt| Op::GiveUp { attempt }),
-        1 => n().prop_map(|call| Op::Cancel { call }),
-        1 => n().prop_map(|host| Op::Crash { host }),
-        1 => n().prop_map(|host| Op::Replace { host }),
-        3 => (n(), n(), prop::bool::weighted(0.2))
-            .prop_map(|(host, about, dead)| Op::News { host, about, dead }),
-        3 => (0u8..16).prop_map(|seconds| Op::Advance { seconds }),
-    ]
-}
-
 struct Node {
     life: Incarnation,
     once: Once,
@@ -669,142 +561,6 @@
         assert_eq!(verdict, Ok(()), "the runner's own verdict");
     }
 
-    fn write(&mut self, claim: AttemptId, row: &ClaimRow) -> ClaimResult {
-        let key = format!("{}/{}/{}", row.team, row.service, row.key);
-        let held = self
-            .rows
-            .entry(key)
-            .or_insert_with(|| (claim, row.host.clone(), row.incarnation));
-        result(claim, held)
-    }
-
-    fn table(&mut self, op: u8, fault: TableFault) {
-        if self.table_ops.is_empty() {
-            return;
-        }
-        let at = usize::from(op) % self.table_ops.len();
-        let TableOp {
-            node,
-            claim,
-            row,
-            read,
-        } = self.table_ops.swap_remove(at);
-        let key = format!("{}/{}/{}", row.team, row.service, row.key);
-        let serve = |fleet: &mut Self| {
-            if read {
-                let held = fleet.rows.get(&key);
-                held.map_or(ClaimResult::Absent, |held| result(claim, held))
-            } else {
-                fleet.write(claim, &row)
-            }
-        };
-        let results = match fault {
-            TableFault::None => vec![serve(self)],
-            TableFault::Repeat => vec![serve(self); 2],
-            TableFault::LostAnswer => {
-                serve(self);
-                vec![ClaimResult::Unknown]
-            }
-            TableFault::LostCall => vec![ClaimResult::Unknown],
-            TableFault::Late => {
-                self.late.extend((!read).then_some((claim, row)));
-                vec![ClaimResult::Unknown]
-            }
-            TableFault::Down => vec![ClaimResult::Unavailable],
-        };
-        for result in results {
-            if let Some(node) = self.nodes[node].as_mut() {
-                node.once.handle(self.now, Input::Claimed { claim, result });
-            }
-        }
-    }
-
-    fn deliver(&mut self, message: u8, fault: LinkFault) -> Checked {
-        if self.links.is_empty() {
-            return Ok(());
-        }
-        let at = usize::from(message) % self.links.len();
-        let flying = self.links.swap_remove(at);
-        if matches!(fault, LinkFault::Lose) {
-            return Ok(());
-        }
-        if matches!(fault, LinkFault::Repeat) {
-            self.links.push(flying.clone());
-        }
-        match flying.message {
-            Message::Relay {
-                to,
-                life,
-                from,
-                attempt,
-                call,
-            } => {
-                let Some(id) = self.node_at(to) else {
-                    return Ok(());
-                };
-                let node = self.nodes[id].as_mut().expect("a live node");
-                let begin = match &self.calls[call].request {
-                    Some(request) => node.once.receive(self.now, attempt, life, request),
-                    None => node.once.receive_bare(self.now, attempt, life),
-                };
-                let asked = Asked {
-                    call,
-                    relay: Some((from, attempt)),
-                };
-                self.go_on(id, asked, begin, true)
-            }
-            Message::Reply {
-                to,
-                attempt,
-                call,
-                end,
-            } => {
-                let Some(node) = self.nodes[to].as_mut() else {
-                    return Ok(());
-                };
-                match node.relays.answered(attempt) {
-                    Reply::First => self.tell(call, &end),
-                    Reply::Late => Ok(()),
-                }
-            }
-        }
-    }
-
-    fn resend(&mut self, attempt: u8) {
-        if self.attempts.is_empty() {
-            return;
-        }
-        let (id, attempt, call) = self.attempts[usize::from(attempt) % self.attempts.len()];
-        let now = self.now;
-        let Some(node) = self.nodes[id].as_mut() else {
-            return;
-        };
-        if let Some((to, life)) = node.relays.send(now, attempt) {
-            let to = to.clone();
-            let to = (0..HOSTS).find(|index| host(*index) == to).expect("a host");
-            let from = id;
-            self.fly(Message::Relay {
-                to,
-                life,
-                from,
-                attempt,
-                call,
-            });
-        }
-    }
-
-    fn give_up(&mut self, attempt: u8) -> Checked {
-        if self.attempts.is_empty() {
-            return Ok(());
-        }
-        let (id, attempt, call) = self.attempts[usize::from(attempt) % self.attempts.len()];
-        let verdict = self.nodes[id]
-            .as_mut()
-            .and_then(|node| node.relays.lost(attempt));
-        let asked = Asked { call, relay: None };
-        verdict.map_or(Ok(()), |verdict| self.end(asked, End::Refused(verdict)))
-    }
-
     fn cancel(&mut self, pick: u8) {
         let waiting = self.nodes.iter_mut().flatten().flat_map(|node| {
             let tickets: Vec<_> = node.tickets.keys().copied().collect();
@@ -886,15 +642,3 @@
         Ok(())
     }
 }
-
-fn result(claim: AttemptId, held: &(AttemptId, HostId, Incarnation)) -> ClaimResult {
-    let (by, host, incarnation) = held;
-    if *by == claim {
-        ClaimResult::Applied
-    } else {
-        ClaimResult::AlreadyHeldBy {
-            host: host.clone(),
-            incarnation: *incarnation,
-        }
-    }
-}
