Measure the added latency at half load of a service too

Change: wagtail-load overhead runs at half load of a service of today's size (300/s) and at half of the host's capacity.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -109,8 +109,10 @@
         Err(e) => return usage(&e),
     }
     match runtime().map(|r| r.block_on(wagtail_load::overhead::run(OVERHEAD_SEED))) {
-        Ok(Ok(result)) => {
-            print!("{result}");
+        Ok(Ok(results)) => {
+            for result in results {
+                println!("{result}");
+            }
             ExitCode::SUCCESS
         }
         Ok(Err(e)) => fail(&e),
--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -22,6 +22,8 @@
 const HOST: &str = "entry-1";
 const ENDPOINTS: usize = 4;
 const SLOTS: usize = 16;
+/// Requests a second of 12 endpoints with 3 slots and a service time of 60 ms.
+const SERVICE_RATE: f64 = 600.0;
 const ROUNDS: usize = 5;
 const ROUND: Duration = Duration::from_millis(1_500);
 const CAPACITY_RUN: Duration = Duration::from_secs(1);
@@ -44,9 +46,11 @@
     Unanswered(#[error(not(source))] Got),
 }
 
-/// Latencies of both ways.
+/// Latencies of both ways at one rate.
 #[derive(Debug)]
 pub struct Overhead {
+    /// What the rate is.
+    pub load: &'static str,
     /// Requests a second.
     pub rate: f64,
     /// Requests that the host refused.
@@ -56,6 +60,16 @@
 }
 
 impl Overhead {
+    fn new(load: &'static str, rate: f64) -> Self {
+        Self {
+            load,
+            rate,
+            refused: 0,
+            direct: histogram(),
+            through: histogram(),
+        }
+    }
+
     /// The latency that the host adds at a quantile, in microseconds.
     pub fn added(&self, quantile: f64) -> f64 {
         let at = |h: &Histogram<u64>| h.value_at_quantile(quantile) as f64;
@@ -67,7 +81,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:.0} requests/s, half of what one host carried; {} of {} refused",
+            "{}: {:.0} requests/s; {} of {} refused",
+            self.load,
             self.rate,
             self.refused,
             self.refused + self.through.len()
@@ -92,12 +107,13 @@
     }
 }
 
-/// Measures direct calls and calls through one host in turns, at half of the host's capacity.
+/// Measures direct calls and calls through one host in turns: at half load of a service of today's
+/// size, and at half of what one host carries.
 ///
 /// # Errors
 ///
 /// Fails where the fleet cannot be set up or a request is not answered.
-pub async fn run(seed: u64) -> Result<Overhead, OverheadError> {
+pub async fn run(seed: u64) -> Result<[Overhead; 2], OverheadError> {
     let log = Logger::root(Discard, o!());
     let endpoints = |_: &str, _: &str| Settings::default();
     let fleet = Fleet::start(records(), &endpoints, &plain(&log), &[]).await?;
@@ -107,22 +123,23 @@
     let caller = Arc::new(Caller::new("overhead"));
     settle(&caller, entry).await?;
     tokio::time::sleep(RAMP).await;
-    let rate = capacity(&caller, entry).await / 2.0;
+    let most = capacity(&caller, entry).await / 2.0;
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut result = Overhead {
-        rate,
-        refused: 0,
-        direct: histogram(),
-        through: histogram(),
-    };
-    for _ in 0..ROUNDS {
-        let way = Way::Direct(direct.clone());
-        open_loop(&caller, &way, rate, &mut rng, &mut result.direct).await?;
-        let way = Way::Through(entry);
-        result.refused += open_loop(&caller, &way, rate, &mut rng, &mut result.through).await?;
+    let mut results = [
+        Overhead::new("half load of a service", SERVICE_RATE / 2.0),
+        Overhead::new("half of the host's capacity", most),
+    ];
+    for result in &mut results {
+        let (rate, direct) = (result.rate, Way::Direct(direct.clone()));
+        for _ in 0..ROUNDS {
+            open_loop(&caller, &direct, rate, &mut rng, &mut result.direct).await?;
+            let way = Way::Through(entry);
+            let latency = &mut result.through;
+            result.refused += open_loop(&caller, &way, rate, &mut rng, latency).await?;
+        }
     }
     fleet.stop().await?;
-    Ok(result)
+    Ok(results)
 }
 
 #[derive(Debug, Clone)]
