--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -16,16 +16,20 @@
 use crate::fleet::{Fleet, FleetError};
 use crate::network::Network;
 
+pub mod units;
+
 const HELP: &str = "\
 Starts idle fleets of several sizes in this process and prints what control costs each host: bytes
 between hosts (each counted at both of its ends), processor time and memory of the whole process,
-stand-ins included, divided by the hosts.
+stand-ins included, divided by the hosts. With --units: what one event of each control machine costs
+at up to 540 hosts, in one thread and in virtual time, for a host.
 
 Usage: wagtail-load slopes [OPTIONS]
 
 Options:
       --seed N      Seed of the hosts [1]
       --time S      Seconds measured at each size [5]
+      --units       Measure the machines alone, without sockets
       --json        Print the points as JSON
   -h, --help        Print this help
 ";
@@ -99,6 +103,7 @@
 /// Fails where the arguments do not fit or a fleet cannot be set up.
 pub async fn command(mut args: lexopt::Parser) -> Result<ExitCode, SlopesError> {
     let (mut seed, mut time, mut as_json) = (1, Duration::from_secs(5), false);
+    let mut alone = false;
     while let Some(arg) = args.next()? {
         match arg {
             Short('h') | Long("help") => {
@@ -108,24 +113,37 @@
             Long("seed") => seed = args.value()?.parse()?,
             Long("time") => time = Duration::from_secs(args.value()?.parse::<u64>()?.max(1)),
             Long("json") => as_json = true,
+            Long("units") => alone = true,
             _ => return Err(arg.unexpected().into()),
         }
     }
+    if alone {
+        if as_json {
+            let mut all = Vec::new();
+            units::measure(seed, |unit| all.push(unit))?;
+            print_json(&all);
+        } else {
+            units::print_head();
+            units::measure(seed, |unit| units::print(&unit))?;
+        }
+        return Ok(ExitCode::SUCCESS);
+    }
     let mut points = Vec::new();
     for size in SIZES {
         points.push(point(size, seed, time).await?);
     }
     if as_json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&points).unwrap_or_default()
-        );
+        print_json(&points);
     } else {
         print(&points);
     }
     Ok(ExitCode::SUCCESS)
 }
 
+fn print_json(rows: &impl Serialize) {
+    println!("{}", serde_json::to_string_pretty(rows).unwrap_or_default());
+}
+
 fn print(points: &[Point]) {
     println!(
         "{:>6}{:>7}{:>8}{:>10}{:>14}{:>12}{:>9}{:>9}{:>9}{:>9}",
--- /dev/null
+++ b/crates/load/src/slopes/units/route.rs
@@ -0,0 +1,125 @@
+//! Routing: adverts between hosts and the plan of look-ups.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use wagtail_peer::{Control, wire};
+use wagtail_route::{
+    Directory, EndpointSpec, HostRow, HostState, HostView, Input, Router, ServiceSpec, Settings,
+    SiteRow, Topology, ZoneSpec,
+};
+use wagtail_types::Share;
+
+use super::{Size, Tally, Unit, host, id, region, zone};
+
+const SERVICES: usize = 4;
+const ENDPOINTS_PER_ZONE: usize = 60;
+const SITES: usize = 63;
+/// Events timed of each source.
+const EVENTS: u32 = 200;
+/// Adverts that a host sends in each period, as entry hosts have it.
+const FANOUT: usize = 12;
+/// Between two plans of look-ups, as entry hosts have it.
+const PLAN_PERIOD: Duration = Duration::from_secs(2);
+
+/// The time between adverts, as entry hosts have it.
+fn period(hosts: usize) -> f64 {
+    const SHORTEST: f64 = 0.25;
+    const LONGEST: f64 = 2.0;
+    const STRETCHED_BY: usize = 24;
+    (SHORTEST * hosts.div_ceil(STRETCHED_BY) as f64).min(LONGEST)
+}
+
+pub(super) fn units(size: Size, seed: u64) -> [Unit; 3] {
+    let now = Instant::now();
+    let mut router = router(size, seed, now);
+    let later = now + Duration::from_secs(4);
+    router.tick(later);
+    let sent = FANOUT.min(size.hosts - 1) as f64 / period(size.hosts);
+    let mut making = Tally::default();
+    for _ in 0..EVENTS {
+        making.events += 1;
+        let advert = making.run(|| black_box(router.advert(later)));
+        let audience = making.run(|| router.audience(FANOUT));
+        black_box(audience);
+        making.bytes += wire::encode(&Control::Advert(advert)).len();
+    }
+    let mut taking = Tally::default();
+    for n in 1..=EVENTS as usize {
+        let mut advert = router.advert(later);
+        advert.host = host(1 + n % (size.hosts - 1));
+        taking.events += 1;
+        taking.run(|| router.handle(later, Input::Advert(advert)));
+        while router.poll_effect().is_some() {}
+    }
+    let each = |tally: Tally, source, events| Unit {
+        events,
+        ..tally.unit(source, size, Duration::from_secs(1))
+    };
+    // One advert is made for all that get it.
+    let made = each(making, "adverts sent", 1.0 / period(size.hosts));
+    [
+        Unit {
+            bytes: made.bytes * sent * period(size.hosts),
+            ..made
+        },
+        each(taking, "adverts received", sent),
+        each(plans(size), "look-up plan", 1.0 / PLAN_PERIOD.as_secs_f64()),
+    ]
+}
+
+fn router(size: Size, seed: u64, now: Instant) -> Router {
+    let settings = Settings::new(host(0), zone(0, size), region(0, size));
+    let mut router = Router::new(settings, seed, now);
+    let endpoint = |n: usize| EndpointSpec {
+        id: id(&format!("endpoint-{n}")),
+        service: id(&format!("service-{}", n % SERVICES)),
+        zone: zone(n / ENDPOINTS_PER_ZONE, size),
+        slots: 6,
+        connections: 300,
+    };
+    let service = |n| ServiceSpec {
+        id: id(&format!("service-{n}")),
+        longest: Duration::from_millis(500),
+    };
+    let topology = Topology {
+        zones: (0..size.zones)
+            .map(|n| ZoneSpec {
+                id: zone(n, size),
+                region: region(n, size),
+            })
+            .collect(),
+        services: (0..SERVICES).map(service).collect(),
+        endpoints: (0..size.zones * ENDPOINTS_PER_ZONE).map(endpoint).collect(),
+        ..Topology::default()
+    };
+    router.handle(now, Input::Topology(topology));
+    let view = |n| HostView {
+        id: host(n),
+        zone: zone(n, size),
+        state: HostState::Serving,
+    };
+    router.handle(now, Input::Hosts((0..size.hosts).map(view).collect()));
+    router
+}
+
+fn plans(size: Size) -> Tally {
+    let row = |n| HostRow {
+        id: host(n),
+        zone: zone(n, size),
+        state: HostState::Serving,
+        free: Share::ALL,
+        teams: Vec::new(),
+    };
+    let rows: Vec<_> = (0..size.hosts).map(row).collect();
+    let site = |site: usize| SiteRow {
+        zones: (0..3).map(|n| zone(site + n, size)).collect(),
+    };
+    let sites: Vec<_> = (0..SITES).map(site).collect();
+    let mut tally = Tally::default();
+    for _ in 0..EVENTS {
+        tally.events += 1;
+        tally.run(|| black_box(Directory::new(&rows, &sites)));
+    }
+    tally
+}
--- a/crates/load/tests/check/main.rs
+++ b/crates/load/tests/check/main.rs
@@ -4,3 +4,4 @@
 mod command;
 mod measure;
 mod promises;
+mod units;
