--- a/crates/load/src/slopes/units.rs
+++ b/crates/load/src/slopes/units.rs
@@ -83,13 +83,17 @@
 ///
 /// Fails where the system does not tell how much memory the process uses.
 pub fn measure(seed: u64, mut found: impl FnMut(Unit)) -> Result<(), SlopesError> {
+    // Memory that is given back would be used again and hide the growth of the next fleet.
+    let mut kept = Kept::new();
     for size in SIZES {
         // Membership and routing do not know teams.
         if size.teams == BASE.teams {
-            found(member::unit(size, seed)?);
+            found(member::unit(size, seed, &mut kept)?);
             route::units(size, seed).into_iter().for_each(&mut found);
         }
-        quota::units(size, seed)?.into_iter().for_each(&mut found);
+        quota::units(size, seed, &mut kept)?
+            .into_iter()
+            .for_each(&mut found);
     }
     Ok(())
 }
@@ -132,6 +136,8 @@
     );
 }
 
+type Kept = Vec<Box<dyn std::any::Any>>;
+
 /// A count of events with their bytes and time.
 #[derive(Debug, Clone, Copy, Default)]
 struct Tally {
--- a/crates/load/src/slopes/units/member.rs
+++ b/crates/load/src/slopes/units/member.rs
@@ -8,7 +8,7 @@
 use wagtail_types::{Epoch, HostId, Incarnation};
 
 use super::super::{SlopesError, resident};
-use super::{Size, Tally, Unit, host, memory_each, region, zone};
+use super::{Kept, Size, Tally, Unit, host, memory_each, region, zone};
 
 const STEP: Duration = Duration::from_millis(10);
 const SETTLE: Duration = Duration::from_secs(30);
@@ -24,12 +24,13 @@
 }
 
 /// An event is a message sent, with the ticks and the messages received that led to it.
-pub(super) fn unit(size: Size, seed: u64) -> Result<Unit, SlopesError> {
+pub(super) fn unit(size: Size, seed: u64, kept: &mut Kept) -> Result<Unit, SlopesError> {
     let memory = resident()?;
     let mut fleet = Fleet::new(size, seed);
     fleet.run(SETTLE);
     let tally = fleet.run(TIME);
     let memory = memory_each(memory, size.hosts)?;
+    kept.push(Box::new(fleet));
     Ok(Unit {
         memory: Some(memory),
         ..tally.unit("membership", size, TIME)
--- a/crates/load/src/slopes/units/quota.rs
+++ b/crates/load/src/slopes/units/quota.rs
@@ -11,7 +11,7 @@
 use wagtail_types::{Epoch, HostId, Incarnation, Rate, Tokens};
 
 use super::super::{SlopesError, resident};
-use super::{Size, Tally, Unit, host, id, memory_each, zone};
+use super::{Kept, Size, Tally, Unit, host, id, memory_each, zone};
 
 const STEP: Duration = Duration::from_millis(10);
 const SETTLE: Duration = Duration::from_secs(14);
@@ -32,23 +32,26 @@
 struct Tallies {
     messages: Tally,
     ticks: Tally,
-    calls: Tally,
+    reads: Tally,
+    writes: Tally,
 }
 
-/// Messages sent with the work of receiving them, ticks, and calls to the table.
-pub(super) fn units(size: Size, seed: u64) -> Result<[Unit; 3], SlopesError> {
+/// Messages sent with the work of receiving them, ticks, and reads and writes of the table.
+pub(super) fn units(size: Size, seed: u64, kept: &mut Kept) -> Result<[Unit; 4], SlopesError> {
     let memory = resident()?;
     let mut fleet = Fleet::new(size, seed);
     fleet.run(SETTLE);
     let tallies = fleet.run(TIME);
     let memory = memory_each(memory, size.hosts)?;
+    kept.push(Box::new(fleet));
     Ok([
         tallies.messages.unit("quota messages", size, TIME),
         Unit {
             memory: Some(memory),
             ..tallies.ticks.unit("quota ticks", size, TIME)
         },
-        tallies.calls.unit("lease calls", size, TIME),
+        tallies.reads.unit("lease reads", size, TIME),
+        tallies.writes.unit("lease writes", size, TIME),
     ])
 }
 
@@ -134,8 +137,12 @@
                 Effect::Resolve { .. } | Effect::Released => continue,
             };
             let (now, machine) = (self.now, &mut self.machines[from]);
-            tallies.calls.events += 1;
-            tallies.calls.run(|| machine.handle(now, answer));
+            let tally = match &answer {
+                Input::Row { .. } => &mut tallies.reads,
+                _ => &mut tallies.writes,
+            };
+            tally.events += 1;
+            tally.run(|| machine.handle(now, answer));
         }
         self.wakes[from] = self.machines[from].next_wake();
     }
--- a/crates/load/src/slopes/units/route.rs
+++ b/crates/load/src/slopes/units/route.rs
@@ -112,10 +112,10 @@
         teams: Vec::new(),
     };
     let rows: Vec<_> = (0..size.hosts).map(row).collect();
-    let site = |site: usize| SiteRow {
+    let served = |site: usize| SiteRow {
         zones: (0..3).map(|n| zone(site + n, size)).collect(),
     };
-    let sites: Vec<_> = (0..SITES).map(site).collect();
+    let sites: Vec<_> = (0..SITES).map(served).collect();
     let mut tally = Tally::default();
     for _ in 0..EVENTS {
         tally.events += 1;
