--- a/crates/load/tests/check/main.rs
+++ b/crates/load/tests/check/main.rs
@@ -4,4 +4,5 @@
 mod command;
 mod measure;
 mod promises;
+mod run;
 mod units;
--- a/crates/quota/src/lease.rs
+++ b/crates/quota/src/lease.rs
@@ -3,106 +3,26 @@
 use std::time::{Duration, Instant};
 
 use rand::Rng;
-use wagtail_types::{AttemptId, Epoch, HostId};
+use wagtail_types::{AttemptId, Epoch};
 
-use crate::drift::Drift;
-use crate::message::{Member, Row, TeamSpread, TeamTokens};
-use crate::quota::{ReadOutcome, WriteOutcome};
-use crate::settings::{Mutant, Settings};
+use crate::io::{ReadOutcome, WriteOutcome};
+use crate::message::{Row, TeamTokens};
+use crate::settings::Mutant;
+
+mod hold;
+mod terms;
+
+use self::terms::{Aim, Round, Seen, Try};
+pub(crate) use self::terms::{Context, Out, Start};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// So many hosts of a zone read a shard's row all the time.
+const WATCHERS: usize = 3;
+/// The others read it once in so many terms.
+const TERMS_UNWATCHED: u32 = 5;
 const TRIES_KEPT: usize = 32;
 const RENEWALS_PER_TERM: u32 = 3;
-const HOLDS_PER_TERM: u32 = 12;
-
-/// What a lease needs to know of its host.
-#[derive(Debug)]
-pub(crate) struct Context<'a> {
-    pub(crate) settings: &'a Settings,
-    pub(crate) drift: Drift,
-    pub(crate) epoch: Epoch,
-    pub(crate) confirmed: Epoch,
-    /// The epoch that the shard's parts of all teams, loans included, have reached.
-    pub(crate) reached: Epoch,
-    /// Earlier spreads that may still be in use.
-    pub(crate) spreads: &'a [TeamSpread],
-    /// The other hosts of the zone.
-    pub(crate) members: &'a [Member],
-    /// How long this host waits before it claims, so that hosts of a zone do not race.
-    pub(crate) patience: Duration,
-}
-
-impl Context<'_> {
-    fn me(&self) -> Member {
-        Member {
-            host: self.settings.me.clone(),
-            incarnation: self.settings.incarnation,
-        }
-    }
-
-    fn term(&self) -> Duration {
-        self.settings.lease_term
-    }
-}
-
-/// With what a newly held shard starts.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Start {
-    /// The whole burst, as nobody ever held the shard.
-    Full,
-    /// Nothing, as its last holder may have spent everything.
-    Empty,
-    /// What the last holder left.
-    Left(Vec<TeamTokens>),
-}
-
-/// What a lease asks of its host.
-#[derive(Debug)]
-pub(crate) enum Out {
-    Read,
-    Write {
-        expected: Option<u64>,
-        row: Row,
-    },
-    Hold {
-        to: HostId,
-        version: u64,
-        id: u64,
-    },
-    /// The shard was taken over, and this is the row that its last holder left.
-    Took(Row),
-    Gained(Start),
-    Lost,
-    Released,
-}
-
-#[derive(Debug)]
-enum Aim {
-    Hold(Start),
-    Release,
-}
-
-#[derive(Debug)]
-struct Try {
-    row: Row,
-    sent: Instant,
-    aim: Aim,
-}
-
-#[derive(Debug)]
-struct Seen {
-    version: Option<u64>,
-    row: Option<Row>,
-    first: Instant,
-}
-
-#[derive(Debug)]
-struct Round {
-    id: u64,
-    sent: Instant,
-    left: Vec<Member>,
-}
 
 /// The lease of one shard as one host sees it.
 #[derive(Debug, Default)]
@@ -189,6 +109,7 @@
                     version: None,
                     row: None,
                     first: now,
+                    last: now,
                 });
             }
             ReadOutcome::Found { version, row } => self.on_found(now, cx, version, row, out),
@@ -230,34 +151,6 @@
         }
     }
 
-    /// Answers whether this host promises not to claim for one term.
-    pub(crate) fn promise(&mut self, now: Instant, cx: &Context<'_>, version: u64) -> bool {
-        let passed = self
-            .seen
-            .as_ref()
-            .and_then(|s| s.version)
-            .is_some_and(|v| v > version);
-        if passed || self.until.is_some() || self.tried.is_some_and(|tried| tried >= version) {
-            return false;
-        }
-        let until = now + cx.drift.stretch(cx.term());
-        self.promised = Some(self.promised.map_or(until, |p| p.max(until)));
-        true
-    }
-
-    /// Takes in a promise.
-    pub(crate) fn on_held(&mut self, now: Instant, cx: &Context<'_>, id: u64, from: &Member) {
-        let Some(round) = self.round.as_mut().filter(|r| r.id == id) else {
-            return;
-        };
-        round.left.retain(|m| m != from);
-        if round.left.is_empty() {
-            let sent = round.sent;
-            self.round = None;
-            self.prolong(now, cx, sent);
-        }
-    }
-
     /// Has the row read at once, as its holder said that it was released.
     pub(crate) fn on_released(&mut self) {
         if self.until.is_none() {
@@ -288,7 +181,8 @@
             return;
         }
         self.unsure = false;
-        if known == Some(version) {
+        if let Some(seen) = self.seen.as_mut().filter(|_| known == Some(version)) {
+            seen.last = now;
             return;
         }
         let mine = self.tries.drain(..).find(|t| t.row.attempt == row.attempt);
@@ -297,6 +191,7 @@
             version: Some(version),
             row: Some(row),
             first: now,
+            last: now,
         });
         if let Some(last) = last
             .and_then(|s| s.row)
@@ -414,7 +309,7 @@
         } else {
             Start::Empty
         };
-        (now >= seen.first + wait + cx.patience).then_some(Aim::Hold(start))
+        (seen.last >= seen.first + wait + cx.patience).then_some(Aim::Hold(start))
     }
 
     /// How long a row must stand unchanged before this host may claim it.
@@ -431,6 +326,13 @@
         cx.drift.stretch(wait)
     }
 
+    /// When another holder's row may be claimed, if it does not change before.
+    fn claim_at(&self, cx: &Context<'_>) -> Option<Instant> {
+        let seen = self.seen.as_ref()?;
+        let row = seen.row.as_ref().filter(|row| row.holder.is_some())?;
+        Some(seen.first + Self::claim_wait(cx, row) + cx.patience)
+    }
+
     fn is_mine(&self, cx: &Context<'_>) -> bool {
         let row = self.seen.as_ref().and_then(|s| s.row.as_ref());
         row.is_some_and(|row| row.holder.as_ref() == Some(&cx.me()))
@@ -466,56 +368,16 @@
         self.busy = Some(now);
         let pause = if self.unsure || self.until.is_some() || self.leaving.is_some() {
             RETRY_PAUSE
-        } else {
+        } else if cx.rank < WATCHERS {
             cx.term() / RENEWALS_PER_TERM
+        } else {
+            cx.term() * TERMS_UNWATCHED
         };
-        self.next = Some(now + pause);
+        let claim = self
+            .claim_at(cx)
+            .filter(|at| *at > now && cx.rank < WATCHERS);
+        let next = now + pause;
+        self.next = Some(claim.map_or(next, |at| at.min(next)));
         out.push(Out::Read);
     }
-
-    fn hold_on(&mut self, now: Instant, cx: &Context<'_>, rng: &mut impl Rng, out: &mut Vec<Out>) {
-        let Some(until) = self.until else {
-            return;
-        };
-        if self.leaving.is_some() || now + cx.term() / 2 < until {
-            return;
-        }
-        let pause = cx.term() / HOLDS_PER_TERM;
-        if self.round.as_ref().is_some_and(|r| now < r.sent + pause) {
-            return;
-        }
-        let Some((version, left)) = self.row().map(|(v, row)| (v, row.members.clone())) else {
-            return;
-        };
-        if left.is_empty() {
-            self.prolong(now, cx, now);
-            return;
-        }
-        let id = rng.random();
-        for member in &left {
-            out.push(Out::Hold {
-                to: member.host.clone(),
-                version,
-                id,
-            });
-        }
-        self.round = Some(Round {
-            id,
-            sent: now,
-            left,
-        });
-    }
-
-    /// Moves the end of a lease that has not ended yet.
-    fn prolong(&mut self, now: Instant, cx: &Context<'_>, from: Instant) {
-        let limit = self
-            .written
-            .map(|w| w + cx.settings.outage_term.max(cx.term()));
-        let (Some(until), Some(limit)) = (self.until, limit) else {
-            return;
-        };
-        if now < until {
-            self.until = Some(until.max((from + cx.term()).min(limit)));
-        }
-    }
 }
--- a/crates/quota/src/quota/seek.rs
+++ b/crates/quota/src/quota/seek.rs
@@ -1,5 +1,6 @@
 //! Asking other hosts for tokens and rate.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use wagtail_types::{HostId, Rate, TeamId, Tokens};
@@ -10,6 +11,8 @@
 use crate::message::{Hint, LoanId, Message};
 use crate::settings::Mutant;
 
+/// No loan is taken for longer, whatever its lender says.
+const LIFE_MAX: Duration = Duration::from_secs(60);
 /// A host with fewer tokens is not asked.
 const LEAST_ESTIMATE: Tokens = Tokens::from_micros(200_000);
 /// At most so many hosts are asked at once.
@@ -17,13 +20,15 @@
 /// At most so many hosts are asked ahead of demand.
 const FANOUT_AHEAD: usize = 2;
 /// The pause between asks ahead of demand.
-const AHEAD_PAUSE: Duration = Duration::from_millis(50);
+const AHEAD_PAUSE: Duration = Duration::from_millis(20);
+/// Hosts keep ready at most this part of the time in which the burst fills.
+const AHEAD_PARTS: u32 = 10;
+/// With demand for this much in the coming moments, a whole token is kept ready.
+const LEAST_AHEAD: Tokens = Tokens::from_micros(250_000);
+/// The pause between asks for rate alone.
+const RATE_PAUSE: Duration = Duration::from_secs(1);
 /// The rate that a host asks for, over its demand.
-const WANTED_DEMAND: f64 = 1.1;
-/// A borrowed rate is given back when the rest is this much over the demand.
-const SURPLUS_DEMAND: f64 = 1.5;
-/// Tokens about to lose their room are given back this long before.
-const RETURN_AHEAD: Duration = Duration::from_millis(150);
+pub(super) const WANTED_DEMAND: f64 = 1.1;
 
 /// What a loan message brings.
 #[derive(Debug)]
@@ -72,21 +77,29 @@
 
     /// Asks ahead of demand where tokens or rate run short.
     pub(super) fn prefetch(&mut self, now: Instant, id: &TeamId) {
+        let coming = self.coming(id);
         let Some(team) = self.teams.get_mut(id) else {
             return;
         };
-        if now < team.next_ask || team.asking > 0 {
+        if now < team.next_ask {
             return;
         }
         let wanted = team.ahead(now, self.settings.prefetch_horizon);
-        let low = team.bucket.level() < wanted;
-        let slow = team.wanted_rate(now) > Rate::ZERO;
-        if !low && !slow {
+        let slow = team.wanted_rate(now) > Rate::ZERO && now >= team.next_rate_ask;
+        if team.bucket.level().saturating_add(coming) >= wanted && !slow {
             return;
         }
         team.next_ask = now + AHEAD_PAUSE;
-        let need = (wanted + wanted).saturating_sub(team.bucket.level());
-        let found = self.candidates(now, id, need);
+        if slow {
+            team.next_rate_ask = now + RATE_PAUSE;
+        }
+        let need = (wanted + wanted)
+            .saturating_sub(team.bucket.level())
+            .saturating_sub(coming);
+        let mut found = self.candidates(now, id, need);
+        if slow && let Some(team) = self.teams.get(id) {
+            found.sort_by_key(|(host, _)| Reverse(team.hints.spare(host)));
+        }
         for (host, estimate) in found.into_iter().take(FANOUT_AHEAD) {
             self.ask(now, id, host, need, estimate.min(need), None);
         }
@@ -116,11 +129,8 @@
         };
         team.bucket.advance(now);
         team.hints.note(from, offer.hint, now);
-        let until = if late {
-            now + offer.life
-        } else {
-            sent + offer.life
-        };
+        let life = offer.life.min(LIFE_MAX);
+        let until = if late { now + life } else { sent + life };
         match extend {
             Some(loan) if loan == offer.loan => {
                 team.bucket.prolong(from, loan, until);
@@ -135,7 +145,8 @@
 
     /// Drops asks that had no answer in time.
     pub(super) fn step_asks(&mut self, now: Instant) {
-        let timeout = self.settings.gather_timeout;
+        let late = self.settings.has(Mutant::LateCredit);
+        let timeout = self.settings.gather_timeout * if late { 4 } else { 1 };
         let over = self
             .asks
             .iter()
@@ -154,45 +165,6 @@
         }
     }
 
-    /// Keeps up loans, returns what is not needed, and tells hosts that asked in vain.
-    pub(super) fn step_teams(&mut self, now: Instant) {
-        let ids: Vec<TeamId> = self.teams.keys().cloned().collect();
-        for id in ids {
-            if let Some(team) = self.teams.get_mut(&id) {
-                team.bucket.advance(now);
-            }
-            self.keep_loans(now, &id);
-            self.serve(now, &id);
-            self.tell_owed(now, &id);
-            let active = self
-                .teams
-                .get(&id)
-                .is_some_and(|t| t.bucket.demand.at(now) > 0.1);
-            if active {
-                self.prefetch(now, &id);
-            }
-        }
-    }
-
-    /// Returns everything borrowed.
-    pub(super) fn return_all(&mut self) {
-        let ids: Vec<TeamId> = self.teams.keys().cloned().collect();
-        for id in ids {
-            let Some(team) = self.teams.get(&id) else {
-                continue;
-            };
-            let sources: Vec<Source> = team
-                .bucket
-                .parts()
-                .iter()
-                .map(|p| p.source.clone())
-                .collect();
-            for source in sources {
-                self.give_back(&id, &source);
-            }
-        }
-    }
-
     fn answered(&mut self, now: Instant, id: &TeamId) {
         let Some(team) = self.teams.get_mut(id) else {
             return;
@@ -205,76 +177,7 @@
         self.serve(now, id);
     }
 
-    fn keep_loans(&mut self, now: Instant, id: &TeamId) {
-        let Some(team) = self.teams.get(id) else {
-            return;
-        };
-        let demand = team.bucket.demand.at(now);
-        let rate = per_second(team.bucket.rate());
-        let mut parts: Vec<Part> = team.bucket.parts().to_vec();
-        parts.retain(|p| p.until.is_some());
-        for part in parts {
-            let Source::Loan { from, loan } = &part.source else {
-                continue;
-            };
-            let left = part
-                .until
-                .map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
-            let rest = rate - per_second(part.rate);
-            let lasting = part.rate > Rate::ZERO;
-            if lasting && rest > SURPLUS_DEMAND * demand {
-                self.give_back(id, &part.source);
-            } else if lasting && left < self.settings.loan_term / 2 && rest < demand * WANTED_DEMAND
-            {
-                self.ask_more(now, id, from, *loan);
-            } else if left < RETURN_AHEAD && self.is_excess(id, part.cap) {
-                self.give_back(id, &part.source);
-            }
-        }
-    }
-
-    fn is_excess(&self, id: &TeamId, cap: Tokens) -> bool {
-        self.teams.get(id).is_some_and(|team| {
-            let rest = team.bucket.cap().saturating_sub(cap);
-            team.waiting.is_empty() && team.bucket.level() > rest
-        })
-    }
-
-    fn give_back(&mut self, id: &TeamId, source: &Source) {
-        let Source::Loan { from, loan } = source else {
-            return;
-        };
-        let Some(team) = self.teams.get_mut(id) else {
-            return;
-        };
-        if let Some(tokens) = team.bucket.give_back(source) {
-            let message = Message::Return {
-                loan: *loan,
-                team: id.clone(),
-                tokens,
-            };
-            self.send(from.clone(), message);
-        }
-    }
-
-    fn ask_more(&mut self, now: Instant, id: &TeamId, from: &HostId, loan: LoanId) {
-        let asked = self
-            .asks
-            .values()
-            .any(|a| a.extend == Some(loan) && a.to == *from);
-        if !asked {
-            self.ask(
-                now,
-                id,
-                from.clone(),
-                Tokens::ZERO,
-                Tokens::ZERO,
-                Some(loan),
-            );
-        }
-    }
-
-    fn ask(
+    pub(super) fn ask(
         &mut self,
         now: Instant,
         id: &TeamId,
@@ -333,19 +236,20 @@
         hosts.sort();
         hosts.dedup();
         let asked = |host: &HostId| {
-            self.asks
-                .values()
-                .any(|a| a.to == *host && a.team == *id && a.extend.is_none())
+            let asks = self.asks.values();
+            let asks = asks.filter(|a| a.to == *host && a.team == *id && a.extend.is_none());
+            asks.fold(Tokens::ZERO, |sum, ask| sum + ask.need)
         };
         let mut found = Vec::new();
         for host in hosts {
-            let Some(peer) = self.peers.get(host).filter(|_| !asked(host)) else {
+            let Some(peer) = self.peers.get(host) else {
                 continue;
             };
             let guess = || team.limit.burst.part(1, team.shards().len() as u64);
             let estimate = team.hints.estimate(host, now).unwrap_or_else(guess);
+            let estimate = estimate.min(team.limit.burst).saturating_sub(asked(host));
             if estimate >= LEAST_ESTIMATE {
-                let order = (estimate < need, peer.distance, std::cmp::Reverse(estimate));
+                let order = (estimate < need, peer.distance, Reverse(estimate));
                 found.push((order, host.clone(), estimate));
             }
         }
@@ -355,26 +259,12 @@
             .map(|(_, host, estimate)| (host, estimate))
             .collect()
     }
-
-    /// Tells hosts that asked in vain once there are tokens for them.
-    fn tell_owed(&mut self, now: Instant, id: &TeamId) {
-        let Some(team) = self.teams.get_mut(id).filter(|team| !team.owed.is_empty()) else {
-            return;
-        };
-        if team.hint(now).level < Tokens::ONE {
-            return;
-        }
-        let owed = std::mem::take(&mut team.owed);
-        for host in owed {
-            let message = self.gossip_about(now, std::slice::from_ref(id));
-            self.send(host, message);
-        }
-    }
 }
 
 impl Team {
     fn accept(&mut self, from: &HostId, offer: &Offer, until: Instant) {
-        if offer.cap == Tokens::ZERO {
+        let cap = offer.cap.min(self.limit.burst);
+        if cap == Tokens::ZERO {
             return;
         }
         let source = Source::Loan {
@@ -383,20 +273,40 @@
         };
         let part = Part {
             source,
-            rate: offer.rate,
-            cap: offer.cap,
+            rate: offer.rate.min(self.limit.rate),
+            cap,
             until: Some(until),
         };
-        self.bucket.borrow(part, offer.tokens.min(offer.cap));
+        self.bucket.borrow(part, offer.tokens.min(cap));
     }
 
-    /// Tokens for the demand of the coming moments.
-    fn ahead(&self, now: Instant, horizon: Duration) -> Tokens {
-        rate_of(self.bucket.demand.at(now)).over(horizon)
+    /// Tokens for the demand of the coming moments, a whole one at least where that is likely used.
+    ///
+    /// What all hosts keep ready together must be small against the burst, and nothing is kept away
+    /// from the only holder for less than a request.
+    pub(super) fn ahead(&self, now: Instant, horizon: Duration) -> Tokens {
+        let full = self
+            .limit
+            .rate
+            .time_for(self.limit.burst)
+            .unwrap_or_default();
+        let horizon = horizon.min(full / AHEAD_PARTS);
+        let ahead = rate_of(self.bucket.demand.at(now)).over(horizon);
+        let alone = self.shards().len() == 1 && ahead < Tokens::ONE;
+        if alone {
+            Tokens::ZERO
+        } else if ahead >= LEAST_AHEAD {
+            ahead.max(Tokens::ONE)
+        } else {
+            ahead
+        }
     }
 
     /// The rate that this host lacks for its demand.
     fn wanted_rate(&self, now: Instant) -> Rate {
+        if self.shards().len() == 1 {
+            return Rate::ZERO;
+        }
         let demand = self.bucket.demand.at(now) * WANTED_DEMAND;
         rate_of((demand - per_second(self.bucket.rate())).max(0.0))
     }
--- a/crates/quota/src/quota/shards.rs
+++ b/crates/quota/src/quota/shards.rs
@@ -1,18 +1,15 @@
 //! The shards that this host holds, and the parts of every team's bucket that rest on them.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, Rate, TeamId, Tokens};
+use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, TeamId, Tokens, ZoneId};
 
-use super::spread::Spread;
-use super::{Effect, Phase, Quota, ReadOutcome, Team, TeamLimit, WriteOutcome};
-use crate::bucket::{Bucket, Source};
-use crate::hints::Hints;
+use super::{Effect, Phase, Quota, ReadOutcome, WriteOutcome};
+use crate::bucket::Source;
 use crate::lease::{Context, Lease, Out, Start};
 use crate::message::{Member, Message, ShardNote, TeamTokens};
 use crate::settings::Mutant;
-use crate::shard::{ShardId, ShardMap, score};
+use crate::shard::{ShardId, score};
 
 /// How much longer the next host in the order of a shard waits before it claims it.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -27,99 +24,6 @@
         }
     }
 
-    pub(super) fn on_config(
-        &mut self,
-        now: Instant,
-        epoch: Epoch,
-        teams: Vec<TeamLimit>,
-        map: ShardMap,
-    ) {
-        if epoch < self.epoch {
-            return;
-        }
-        self.epoch = epoch;
-        if self.map != map {
-            self.set_map(map);
-        }
-        if self.first == Epoch(0) {
-            self.first = epoch;
-        }
-        let mut limits: BTreeMap<TeamId, TeamLimit> = teams
-            .into_iter()
-            .map(|limit| (limit.team.clone(), limit))
-            .collect();
-        for id in self.teams.keys() {
-            limits.entry(id.clone()).or_insert_with(|| TeamLimit {
-                team: id.clone(),
-                rate: Rate::ZERO,
-                burst: Tokens::ZERO,
-                since: epoch,
-            });
-        }
-        for (id, limit) in limits {
-            self.set_limit(now, &id, limit);
-        }
-    }
-
-    fn set_map(&mut self, map: ShardMap) {
-        let zone = &self.settings.zone;
-        for shard in map.of_zone(zone) {
-            self.leases.entry(shard.clone()).or_default();
-        }
-        for team in self.teams.values_mut() {
-            team.order = map.order(&team.limit.team);
-        }
-        self.map = map;
-    }
-
-    fn set_limit(&mut self, now: Instant, id: &TeamId, limit: TeamLimit) {
-        let count = self.map.spread(limit.burst, self.settings.min_part);
-        let spread = Spread {
-            since: limit.since,
-            count,
-        };
-        let hasty = self.is_hasty();
-        match self.teams.get_mut(id) {
-            Some(team) if team.limit == limit => return,
-            Some(team) => {
-                team.bucket.advance(now);
-                team.limit = limit;
-                team.adopt(spread, hasty);
-            }
-            None => {
-                let team = self.new_team(now, limit, spread);
-                self.teams.insert(id.clone(), team);
-            }
-        }
-        self.resize(now, id);
-    }
-
-    fn new_team(&self, now: Instant, limit: TeamLimit, spread: Spread) -> Team {
-        Team {
-            order: self.map.order(&limit.team),
-            spreads: vec![spread],
-            bucket: Bucket::new(now, self.drift),
-            waiting: std::collections::VecDeque::new(),
-            hints: Hints::default(),
-            owed: std::collections::BTreeSet::new(),
-            asking: 0,
-            next_ask: now,
-            limit,
-        }
-    }
-
-    /// Brings a team's parts on held shards in line with its limit and spread.
-    pub(super) fn resize(&mut self, now: Instant, id: &TeamId) {
-        let held: Vec<ShardId> = self.held().cloned().collect();
-        let Some(team) = self.teams.get_mut(id) else {
-            return;
-        };
-        team.bucket.advance(now);
-        for shard in held {
-            team.resize(&shard);
-        }
-    }
-
     /// Ends leases whose time is over, before anything is spent.
     pub(super) fn expire(&mut self, now: Instant) {
         if self.settings.has(Mutant::SpendExpired) {
@@ -142,10 +46,12 @@
         if self.epoch == Epoch(0) {
             return;
         }
+        self.watch_lost();
         let shards: Vec<ShardId> = self.leases.keys().cloned().collect();
         for shard in shards {
             self.step_lease(now, &shard);
         }
+        self.give_up_found(now);
         self.confirm(now);
     }
 
@@ -154,7 +60,7 @@
             return;
         };
         let active = lease.until().is_some() || lease.is_leaving();
-        if active || self.phase == Phase::Serving {
+        if active || self.is_ours(shard) {
             self.with_lease(now, shard, |lease, cx, rng, out| {
                 lease.step(now, cx, rng, out);
             });
@@ -224,14 +130,14 @@
     }
 
     /// Gives up what no loan rests on any more, and reports once nothing is left.
-    pub(super) fn step_release(&mut self) {
+    pub(super) fn step_release(&mut self, now: Instant) {
         if self.phase != Phase::Leaving {
             return;
         }
         let held: Vec<ShardId> = self.held().cloned().collect();
         for shard in held {
             if !self.leases[&shard].is_leaving() && !self.has_lent(&shard) {
-                self.release_shard(&shard);
+                self.release_shard(now, &shard);
             }
         }
         let done = self
@@ -245,7 +151,7 @@
         }
     }
 
-    fn has_lent(&self, shard: &ShardId) -> bool {
+    pub(super) fn has_lent(&self, shard: &ShardId) -> bool {
         let on = |source: &Source| matches!(source, Source::Shard(s) if s == shard);
         self.teams
             .values()
@@ -259,9 +165,10 @@
             .any(|team| team.bucket.is_overlent(shard))
     }
 
-    fn release_shard(&mut self, shard: &ShardId) {
+    pub(super) fn release_shard(&mut self, now: Instant, shard: &ShardId) {
         let mut left = Vec::new();
         for (id, team) in &mut self.teams {
+            team.bucket.advance(now);
             let tokens = team.bucket.drop_shard(shard);
             if tokens > Tokens::ZERO {
                 left.push(TeamTokens {
@@ -282,8 +189,9 @@
         shard: &ShardId,
         call: impl FnOnce(&mut Lease, &Context<'_>, &mut rand::rngs::SmallRng, &mut Vec<Out>),
     ) {
-        let members = self.members();
-        let patience = self.patience(shard, &members);
+        let members = self.members(&shard.zone);
+        let rank = self.rank(shard, &members);
+        let patience = self.patience(shard, rank);
         let spreads = self.past_spreads();
         let reached = if self.is_overlent(shard) {
             Epoch(0)
@@ -301,6 +209,7 @@
             reached,
             spreads: &spreads,
             members: &members,
+            rank,
             patience,
         };
         let mut out = Vec::new();
@@ -310,8 +219,7 @@
         }
     }
 
-    fn members(&self) -> Vec<Member> {
-        let zone = &self.settings.zone;
+    fn members(&self, zone: &ZoneId) -> Vec<Member> {
         let peers = self.peers.iter().filter(|(_, peer)| peer.zone == *zone);
         peers
             .map(|(host, peer)| Member {
@@ -321,12 +229,21 @@
             .collect()
     }
 
-    fn patience(&self, shard: &ShardId, members: &[Member]) -> Duration {
+    fn rank(&self, shard: &ShardId, members: &[Member]) -> usize {
         let rank = |host: &HostId| score(host.as_str(), shard.zone.as_str(), shard.index.into());
         let mine = rank(&self.settings.me);
-        let ahead = members.iter().filter(|m| rank(&m.host) > mine).count();
-        let ahead = ahead + self.held().filter(|held| *held != shard).count();
-        PATIENCE * u32::try_from(ahead).unwrap_or(u32::MAX)
+        members.iter().filter(|m| rank(&m.host) > mine).count()
+    }
+
+    fn patience(&self, shard: &ShardId, rank: usize) -> Duration {
+        let ahead = rank + self.held().filter(|held| *held != shard).count();
+        let foreign = shard.zone != self.settings.zone;
+        let wait = if foreign {
+            self.settings.lease_term
+        } else {
+            Duration::ZERO
+        };
+        wait + PATIENCE * u32::try_from(ahead).unwrap_or(u32::MAX)
     }
 
     fn apply(&mut self, now: Instant, shard: &ShardId, out: Out) {
@@ -352,7 +269,7 @@
             Out::Gained(start) => self.gain(now, &shard, &start),
             Out::Lost => self.lose(now, &shard),
             Out::Released => {
-                for member in self.members() {
+                for member in self.members(&shard.zone) {
                     self.send(
                         member.host,
                         Message::Released {
@@ -367,7 +284,7 @@
     fn gain(&mut self, now: Instant, shard: &ShardId, start: &Start) {
         for team in self.teams.values_mut() {
             team.bucket.advance(now);
-            team.resize(shard);
+            team.resize_part(shard);
             let (_, room) = team.bucket.free(&Source::Shard(shard.clone()));
             team.bucket.credit(start.tokens(&team.limit.team, room));
         }
@@ -409,16 +326,3 @@
         }
     }
 }
-
-impl Team {
-    fn resize(&mut self, shard: &ShardId) {
-        match self.parts_of(shard) {
-            Some(parts) => {
-                let rate = self.limit.rate.part(1, parts);
-                let cap = self.limit.burst.part(1, parts);
-                self.bucket.set_shard(shard, rate, cap);
-            }
-            None => self.bucket.set_shard(shard, Rate::ZERO, Tokens::ZERO),
-        }
-    }
-}
