--- a/crates/load/tests/check/main.rs
+++ b/crates/load/tests/check/main.rs
@@ -5,3 +5,4 @@
 mod measure;
 mod promises;
 mod run;
+mod units;
