--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -1,7 +1,6 @@
 //! Effects of membership.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use slog::{info, warn};
 use wagtail_member::{Effect, HostView, Input, MemberChange, State};
@@ -14,8 +13,7 @@
 use super::route::send;
 use crate::calls;
 use crate::host::Host;
-
-const LOOK_UP_PERIOD: Duration = Duration::from_secs(2);
+use crate::periods;
 
 /// Carries out the effects of membership.
 pub(crate) fn membership(host: &Arc<Host>) {
@@ -172,7 +170,7 @@
 
 /// Tells membership of this host's free slots, and builds the look-up answers anew, for ever.
 pub(crate) async fn look_up(host: Arc<Host>) {
-    let mut period = tokio::time::interval(LOOK_UP_PERIOD);
+    let mut period = tokio::time::interval(periods::PLAN);
     loop {
         period.tick().await;
         let headroom = host.routing.lock().machine.headroom(host.now());
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod metrics;
 mod paced;
+pub mod periods;
 mod plan;
 mod relay;
 mod reports;
--- a/crates/entryd/src/plan.rs
+++ b/crates/entryd/src/plan.rs
@@ -10,6 +10,8 @@
 };
 use wagtail_types::{Epoch, RegionId, SiteId};
 
+use crate::periods;
+
 /// The client blocks and sites of a view.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Sites {
@@ -209,7 +211,7 @@
     let shards = view
         .zones()
         .keys()
-        .map(|zone| (zone.clone(), SHARDS_PER_ZONE))
+        .map(|zone| (zone.clone(), periods::SHARDS_PER_ZONE))
         .collect();
     (
         view.teams().values().map(limit).collect(),
@@ -217,8 +219,6 @@
     )
 }
 
-const SHARDS_PER_ZONE: u32 = 2;
-
 fn since(view: &View, team: &wagtail_config::Team) -> Epoch {
     wagtail_config::RecordKey::new("team", team.id.as_str())
         .ok()
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -26,6 +26,7 @@
 use crate::host::{Host, rng};
 use crate::lifecycle::{Serving, Starting};
 use crate::metrics::Metrics;
+use crate::periods;
 use crate::plan::Sites;
 use crate::relay::Inbox;
 use crate::reports::Heard;
@@ -272,7 +273,7 @@
     let (zone, region) = (settings.zone.clone(), settings.region.clone());
     let mut route = wagtail_route::Settings::new(settings.host.clone(), zone, region);
     route.owner.detection = detection;
-    route.spill.advert_ttl = tasks::advert_life(settings.fleet);
+    route.spill.advert_ttl = periods::advert_life(settings.fleet);
     route
 }
 
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -10,19 +10,10 @@
 use crate::calls;
 use crate::drive;
 use crate::host::Host;
+use crate::periods;
 use crate::reports;
 
-/// Between adverts in a small fleet, and the longest that a larger one stretches it to.
-const ADVERT_PERIOD: Duration = Duration::from_millis(500);
-const ADVERT_LONGEST: Duration = Duration::from_secs(2);
-/// The fleet up to which the shortest periods apply.
-const SMALL_FLEET: u32 = 24;
-/// An advert counts for so many periods.
-const ADVERT_LIFE: u32 = 4;
-const LIST_PERIOD: Duration = Duration::from_secs(2);
 const GAUGE_PERIOD: Duration = Duration::from_secs(5);
-/// Adverts sent each period; a larger fleet gets them from a random part of its hosts.
-const ADVERT_FANOUT: usize = 6;
 
 /// Starts every task of the host.
 pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
@@ -117,24 +108,9 @@
     tasks.spawn(gauges(host.clone()));
 }
 
-/// The time between adverts: control traffic must not grow with the fleet.
-fn advert_period(fleet: u32) -> Duration {
-    stretched(ADVERT_PERIOD, fleet).min(ADVERT_LONGEST)
-}
-
-/// A period that grows with the fleet.
-fn stretched(period: Duration, fleet: u32) -> Duration {
-    period * fleet.div_ceil(SMALL_FLEET)
-}
-
-/// How long an advert counts.
-pub(crate) fn advert_life(fleet: u32) -> Duration {
-    advert_period(fleet) * ADVERT_LIFE
-}
-
 /// Tells other hosts of the free slots here.
 async fn advertise(host: Arc<Host>) {
-    let mut period = tokio::time::interval(advert_period(host.settings.fleet));
+    let mut period = tokio::time::interval(periods::advert(host.settings.fleet));
     loop {
         period.tick().await;
         let now = host.now();
@@ -142,7 +118,7 @@
             let mut routing = host.routing.lock();
             (
                 routing.machine.advert(now),
-                routing.machine.audience(ADVERT_FANOUT),
+                routing.machine.audience(periods::ADVERT_FANOUT),
             )
         };
         for to in audience {
@@ -153,7 +129,7 @@
 
 /// Reads the platform's list of hosts and endpoints.
 async fn read_list(host: Arc<Host>) {
-    let mut period = tokio::time::interval(stretched(LIST_PERIOD, host.settings.fleet));
+    let mut period = tokio::time::interval(periods::list(host.settings.fleet));
     loop {
         period.tick().await;
         let list = calls::call(&host, Priority::Bulk, Access::Read, host.platform.list());
--- a/crates/load/src/slopes/units/quota.rs
+++ b/crates/load/src/slopes/units/quota.rs
@@ -16,8 +16,6 @@
 const STEP: Duration = Duration::from_millis(10);
 const SETTLE: Duration = Duration::from_secs(14);
 const TIME: Duration = Duration::from_secs(6);
-/// As entry hosts have it.
-const SHARDS_PER_ZONE: u32 = 1;
 
 struct Fleet {
     now: Instant,
@@ -59,7 +57,8 @@
     fn new(size: Size, seed: u64) -> Self {
         let now = Instant::now();
         let teams: Vec<_> = (0..size.teams).map(team).collect();
-        let zones = (0..size.zones).map(|n| (zone(n, size), SHARDS_PER_ZONE));
+        let zones =
+            (0..size.zones).map(|n| (zone(n, size), wagtail_entryd::periods::SHARDS_PER_ZONE));
         let shards = ShardMap::new(zones.collect());
         let peers: Vec<_> = (0..size.hosts).map(|n| peer(n, size)).collect();
         let machine = |(n, own): (u64, &PeerInfo)| {
--- a/crates/load/src/slopes/units/route.rs
+++ b/crates/load/src/slopes/units/route.rs
@@ -3,6 +3,7 @@
 use std::hint::black_box;
 use std::time::{Duration, Instant};
 
+use wagtail_entryd::periods;
 use wagtail_peer::{Control, wire};
 use wagtail_route::{
     Directory, EndpointSpec, HostRow, HostState, HostView, Input, Router, ServiceSpec, Settings,
@@ -17,17 +18,9 @@
 const SITES: usize = 63;
 /// Events timed of each source.
 const EVENTS: u32 = 200;
-/// Adverts that a host sends in each period, as entry hosts have it.
-const FANOUT: usize = 12;
-/// Between two plans of look-ups, as entry hosts have it.
-const PLAN_PERIOD: Duration = Duration::from_secs(2);
-
-/// The time between adverts, as entry hosts have it.
+/// The time between adverts, in seconds.
 fn period(hosts: usize) -> f64 {
-    const SHORTEST: f64 = 0.25;
-    const LONGEST: f64 = 2.0;
-    const STRETCHED_BY: usize = 24;
-    (SHORTEST * hosts.div_ceil(STRETCHED_BY) as f64).min(LONGEST)
+    periods::advert(u32::try_from(hosts).unwrap_or(u32::MAX)).as_secs_f64()
 }
 
 pub(super) fn units(size: Size, seed: u64) -> [Unit; 3] {
@@ -35,12 +28,12 @@
     let mut router = router(size, seed, now);
     let later = now + Duration::from_secs(4);
     router.tick(later);
-    let sent = FANOUT.min(size.hosts - 1) as f64 / period(size.hosts);
+    let sent = periods::ADVERT_FANOUT.min(size.hosts - 1) as f64 / period(size.hosts);
     let mut making = Tally::default();
     for _ in 0..EVENTS {
         making.events += 1;
         let advert = making.run(|| black_box(router.advert(later)));
-        let audience = making.run(|| router.audience(FANOUT));
+        let audience = making.run(|| router.audience(periods::ADVERT_FANOUT));
         black_box(audience);
         making.bytes += wire::encode(&Control::Advert(advert)).len();
     }
@@ -64,7 +57,11 @@
             ..made
         },
         each(taking, "adverts received", sent),
-        each(plans(size), "look-up plan", 1.0 / PLAN_PERIOD.as_secs_f64()),
+        each(
+            plans(size),
+            "look-up plan",
+            1.0 / periods::PLAN.as_secs_f64(),
+        ),
     ]
 }
 
