quota: let a host that has lent its whole rate extend the loan

Cause: a lender refused to extend a loan when it had no spare rate, and a host that has lent all of it has none; after 3 s the rate fell back to hosts without calls, and these gossiped no hints, so they were not asked again. Seen first as the sender over its rate getting 88 to 95 % in the surge experiments, where half the hosts get none of a team's calls. Change: an extension is refused only where the lender lacks rate itself; a host gossips its state of a team for 10 s after it was asked; the comparison has a case with calls at four of ten hosts.

--- a/crates/quota/examples/compare.rs
+++ b/crates/quota/examples/compare.rs
@@ -41,6 +41,8 @@
     limit: (u64, u64),
     /// The share of calls that the busiest host gets.
     skew: f64,
+    /// Hosts that get calls at all.
+    callers: usize,
     fault: Fault,
     /// The margin for clocks.
     drift: Share,
@@ -117,17 +119,17 @@
     clippy::cast_sign_loss,
     reason = "a positive number of nanoseconds"
 )]
-fn arrivals(rng: &mut SmallRng, team: usize, rate: f64, skew: f64, end: u64) -> Vec<Arrival> {
+fn arrivals(rng: &mut SmallRng, team: usize, rate: f64, case: Case, end: u64) -> Vec<Arrival> {
     let mut at = 0;
     let mut list = Vec::new();
     while at < end {
         let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
         at += (gap * SECOND as f64) as u64 + 1;
-        let busiest = rng.random::<f64>() < skew;
+        let busiest = rng.random::<f64>() < case.skew;
         let host = if busiest {
             0
         } else {
-            rng.random_range(1..ZONES.len())
+            rng.random_range(1..case.callers)
         };
         list.push(Arrival { at, host, team });
     }
@@ -178,8 +180,8 @@
     world.table_distance = 10 * MS;
     let mut rng = SmallRng::seed_from_u64(seed);
     let end = WARM_UP + MEASURED;
-    let mut calls = arrivals(&mut rng, 0, rate as f64 * LOAD, case.skew, end);
-    calls.extend(arrivals(&mut rng, 1, LOUD.0 as f64 * SURGE, case.skew, end));
+    let mut calls = arrivals(&mut rng, 0, rate as f64 * LOAD, case, end);
+    calls.extend(arrivals(&mut rng, 1, LOUD.0 as f64 * SURGE, case, end));
     calls.sort_by_key(|c| c.at);
     let mut central = Central::new(rate as f64, burst as f64);
     let mut derated = Central::new(rate as f64 / (1.0 + case.drift.as_f64()), burst as f64);
@@ -316,18 +318,30 @@
                 report(Case {
                     limit,
                     skew,
+                    callers: ZONES.len(),
                     fault: Fault::None,
                     drift,
                 });
             }
         }
     }
+    println!("clocks within {wide}, calls at four hosts only");
+    for limit in [(100, 100), (100, 20), (20, 20), (2, 3)] {
+        report(Case {
+            limit,
+            skew: 0.6,
+            callers: 4,
+            fault: Fault::None,
+            drift: wide,
+        });
+    }
     println!("clocks within {wide}, a fault after a quarter of the time");
     for fault in [Fault::Stop, Fault::Crash, Fault::ZoneLost] {
         for limit in [(100, 100), (100, 20), (2, 3)] {
             report(Case {
                 limit,
                 skew: 0.6,
+                callers: ZONES.len(),
                 fault,
                 drift: wide,
             });
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -47,6 +47,8 @@
     hints: Hints,
     /// Hosts that asked in vain and are told when there are tokens again.
     owed: BTreeSet<HostId>,
+    /// When another host last asked.
+    asked: Option<Instant>,
     /// Asks under way.
     asking: usize,
     next_ask: Instant,
--- a/crates/quota/src/quota/gossip.rs
+++ b/crates/quota/src/quota/gossip.rs
@@ -1,17 +1,19 @@
 //! Hints about shards and buckets, spread at random.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::seq::{IndexedRandom, IteratorRandom};
 use wagtail_types::{Epoch, HostId, TeamId};
 
-use super::{Peer, PeerInfo, Quota};
+use super::{Peer, PeerInfo, Quota, Team};
 use crate::message::{Message, ShardNote, TeamHint};
 
 const NOTES_MAX: usize = 12;
 const HINTS_MAX: usize = 8;
 /// A team with less demand, in requests per second, is not worth a hint.
-const QUIET: f64 = 0.05;
+pub(super) const QUIET: f64 = 0.05;
+/// How long a team is worth a hint after another host has asked for its tokens.
+const ASKED_TIME: Duration = Duration::from_secs(10);
 
 impl Quota {
     pub(super) fn on_peers(&mut self, peers: Vec<PeerInfo>) {
@@ -81,7 +83,7 @@
         let active = self
             .teams
             .iter()
-            .filter(|(_, t)| t.bucket.demand.at(now) > QUIET);
+            .filter(|(_, t)| t.bucket.demand.at(now) > QUIET || t.is_asked_for(now));
         let active: Vec<TeamId> = active.map(|(id, _)| id.clone()).collect();
         let teams: Vec<TeamId> = active
             .choose_multiple(&mut self.rng, HINTS_MAX)
@@ -113,3 +115,10 @@
         }
     }
 }
+
+impl Team {
+    fn is_asked_for(&self, now: Instant) -> bool {
+        let age = |at| now.saturating_duration_since(at);
+        self.asked.is_some_and(|at| age(at) < ASKED_TIME)
+    }
+}
--- a/crates/quota/src/quota/lend.rs
+++ b/crates/quota/src/quota/lend.rs
@@ -4,6 +4,7 @@
 
 use wagtail_types::{HostId, Rate, TeamId, Tokens};
 
+use super::gossip::QUIET;
 use super::{Phase, Quota, Team};
 use crate::bucket::{Lent, Part, Source};
 use crate::demand::{per_second, rate_of};
@@ -87,6 +88,7 @@
             return Terms::default();
         };
         team.hints.note(from, wish.hint, now);
+        team.asked = Some(now);
         team.bucket.advance(now);
         if !serving || !team.waiting.is_empty() {
             return Terms::default();
@@ -99,13 +101,15 @@
 
     fn extend(&mut self, now: Instant, from: &HostId, id: &TeamId, loan: LoanId) -> Terms {
         let found = self.teams.get(id).and_then(|team| {
-            let spare = team.spare(now, 1.0);
+            // What is lent has left the bucket's rate, so a host that lent all has none to spare and
+            // yet lacks none.
+            let lacks = team.bucket.demand.at(now) > per_second(team.bucket.rate()) + QUIET;
             let lent = team
                 .bucket
                 .lent()
                 .iter()
                 .find(|l| l.loan == loan && l.to == *from)?;
-            (spare > Rate::ZERO && lent.rate > Rate::ZERO).then(|| lent.source.clone())
+            (!lacks && lent.rate > Rate::ZERO).then(|| lent.source.clone())
         });
         let Some(source) = found else {
             return Terms::default();
--- a/crates/quota/src/quota/limits.rs
+++ b/crates/quota/src/quota/limits.rs
@@ -87,6 +87,7 @@
             waiting: std::collections::VecDeque::new(),
             hints: Hints::default(),
             owed: std::collections::BTreeSet::new(),
+            asked: None,
             asking: 0,
             next_ask: now,
             next_rate_ask: now,
