Count requests that get no answer in the overhead run

Cause: at half of a host's capacity a burst of direct calls can pass the 300 connections of an endpoint, which closes further ones; the run ended there. Change: such requests are counted and shown for both ways.

--- a/crates/load/src/overhead.rs
+++ b/crates/load/src/overhead.rs
@@ -53,7 +53,7 @@
     pub load: &'static str,
     /// Requests a second.
     pub rate: f64,
-    /// Requests that the host refused.
+    /// Requests of both ways that were not answered.
     pub refused: u64,
     direct: Histogram<u64>,
     through: Histogram<u64>,
@@ -81,11 +81,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{}: {:.0} requests/s; {} of {} refused",
+            "{}: {:.0} requests/s; {} of {} not answered",
             self.load,
             self.rate,
             self.refused,
-            self.refused + self.through.len()
+            self.refused + self.through.len() + self.direct.len()
         )?;
         writeln!(f, "{:<10} {:>9} {:>9} {:>9}", "us", "p50", "p90", "p99")?;
         for (name, h) in [("direct", &self.direct), ("through", &self.through)] {
@@ -132,7 +132,8 @@
     for result in &mut results {
         let (rate, direct) = (result.rate, Way::Direct(direct.clone()));
         for _ in 0..ROUNDS {
-            open_loop(&caller, &direct, rate, &mut rng, &mut result.direct).await?;
+            let latency = &mut result.direct;
+            result.refused += open_loop(&caller, &direct, rate, &mut rng, latency).await?;
             let way = Way::Through(entry);
             let latency = &mut result.through;
             result.refused += open_loop(&caller, &way, rate, &mut rng, latency).await?;
@@ -223,7 +224,8 @@
                 let micros = u64::try_from(taken.as_micros()).unwrap_or(HIGHEST_MICROS);
                 latency.saturating_record(micros);
             }
-            Got::NotRun { .. } => refused += 1,
+            // Refused, or over the connections that an endpoint takes.
+            Got::NotRun { .. } | Got::Lost { .. } | Got::Unreached { .. } => refused += 1,
             got => return Err(OverheadError::Unanswered(got)),
         }
     }
