--- a/crates/entryd/src/settings.rs
+++ b/crates/entryd/src/settings.rs
@@ -135,6 +135,8 @@
     pub staleness: Duration,
     /// Term of a quota shard's lease.
     pub lease: Duration,
+    /// How long a zone without the table keeps its quota shards.
+    pub outage: Duration,
     /// Between polls of the config head.
     pub poll: Duration,
 }
--- a/crates/entryd/src/settings/raw.rs
+++ b/crates/entryd/src/settings/raw.rs
@@ -126,6 +126,12 @@
             let message = "it must be at least --max-body";
             return Err(SettingsError::value("keyed-memory", message));
         }
+        if self.times.outage <= self.times.lease {
+            return Err(SettingsError::value(
+                "outage-term",
+                "it must exceed --lease-term",
+            ));
+        }
         if self.times.stop <= self.times.lookup {
             return Err(SettingsError::value(
                 "stop-timeout",
@@ -196,6 +202,7 @@
         stop: raw.time("stop-timeout")?,
         staleness: raw.time("key-staleness")?,
         lease: raw.time("lease-term")?,
+        outage: raw.time("outage-term")?,
         poll: raw.time("poll-interval")?,
     })
 }
--- a/crates/entryd/src/settings/spec.rs
+++ b/crates/entryd/src/settings/spec.rs
@@ -155,6 +155,12 @@
         Some("6s"),
         "term of a quota shard's lease",
     ),
+    spec(
+        "outage-term",
+        "DURATION",
+        Some("10m"),
+        "how long a zone without the table keeps its quota shards",
+    ),
     spec(
         "poll-interval",
         "DURATION",
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -281,6 +281,7 @@
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
     wagtail_quota::Settings {
         lease_term: settings.times.lease,
+        outage_term: settings.times.outage,
         ..wagtail_quota::Settings::new(host, zone, incarnation)
     }
 }
--- a/crates/entryd/tests/settings.rs
+++ b/crates/entryd/tests/settings.rs
@@ -49,6 +49,7 @@
         &["--lookup-ttl", "3"],
         &["--lookup-ttl", "0s"],
         &["--stop-timeout", "1s"],
+        &["--outage-term", "6s"],
         &["--log-format", "xml"],
         &["--seeds", "entry-2"],
         &["--statsd", "host:port"],
