Put views in force one after the other; refuse a malformed relayed path

Cause: two tasks that carried out adoptions at once could both pass the check of the epoch, and the later store could put the older view in force: the epoch would have fallen. A relayed path that is no path became '/'. Change: a lock held over check and store, taken before any machine; membership gets the view that is last in force; a malformed path is not-run bad-request. No test forces the interleaving yet.

--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -1,7 +1,7 @@
 //! Effects of config adoption.
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use slog::info;
 use wagtail_config::{SyncEffect, SyncInput, View};
@@ -75,9 +75,27 @@
 
 /// Puts a view in force on this host.
 fn adopt(host: &Arc<Host>, view: &Arc<View>) {
+    if !put_in_force(host, view) {
+        return;
+    }
+    // A later view may be in force by now; membership gets whichever is the last.
+    let view = host.view.load_full();
+    super::member_input(host, wagtail_member::Input::Hosts(infos(&view)));
+    super::member_input(host, wagtail_member::Input::Adopted(view.epoch()));
+    super::spread(host);
+    host.heard.retain(|id| view.endpoints().contains_key(id));
+    host.upstreams
+        .retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
+    host.adopted.notify_one();
+}
+
+/// Hands a view to all that work with it; `false` where no lower one is in force.
+fn put_in_force(host: &Arc<Host>, view: &Arc<View>) -> bool {
+    // Two tasks may carry out adoptions at once; one after the other, the epoch never falls.
+    let _turn = host.adopting.lock().unwrap_or_else(PoisonError::into_inner);
     let old = host.view.load_full();
     if view.epoch() <= old.epoch() {
-        return;
+        return false;
     }
     info!(host.log, "config adopted"; "epoch" => %view.epoch(), "issues" => view.issues().len());
     host.metrics.gauge("config.epoch", view.epoch().0);
@@ -103,13 +121,7 @@
     if let Some(peer) = host.peer() {
         peer.set_addresses(addresses(host, view));
     }
-    super::member_input(host, wagtail_member::Input::Hosts(infos(view)));
-    super::member_input(host, wagtail_member::Input::Adopted(epoch));
-    super::spread(host);
-    host.heard.retain(|id| view.endpoints().contains_key(id));
-    host.upstreams
-        .retain(|addr| view.endpoints().values().any(|e| e.addr == *addr));
-    host.adopted.notify_one();
+    true
 }
 
 /// Addresses of the other hosts: of the records, and of the seeds that no record names.
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -1,9 +1,9 @@
 //! What the parts of one entry host share.
 //!
-//! Lock order: at most one machine is locked at a time, and no lock is held over an `await`.
+//! Lock order: `adopting` before a machine; at most one machine is locked at a time, and no lock is held over an `await`.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -60,6 +60,8 @@
     pub(crate) stats: Stats,
     /// The life cycle.
     pub(crate) watch: Watch,
+    /// Held while a view is put in force, before any machine is locked.
+    pub(crate) adopting: Mutex<()>,
     /// The configuration in force.
     pub(crate) view: ArcSwap<View>,
     /// Client blocks and sites of that configuration.
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -58,6 +58,9 @@
     body: wagtail_peer::Body,
 ) -> Result<Response<Body>, Verdict> {
     let named = run::named(&host.view.load(), &head)?;
+    if head.path.parse::<http::Uri>().is_err() {
+        return Err(Verdict::not_run(Reason::BadRequest, None));
+    }
     let limit = host.settings.limits.buffer.as_usize();
     let payload = Payload::read(Body::new(body.map_err(axum::Error::new)), limit).await?;
     let longest = named.service.deadline;
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -200,6 +200,7 @@
         metrics,
         stats: Stats::new(now),
         watch: starting.watch(),
+        adopting: std::sync::Mutex::new(()),
         view: View::empty().into_swap(),
         sites: Sites::default().into_swap(),
         directory: Directory::default().into_swap(),
