Serve callers on the users' platform through an adapter

Cause: the product had no way to run on the platform: its daemon relays between hosts and speaks its own interface only. Change: wagtail-steer (decisions without I/O), wagtail-gateway (one thread, direct dispatch) and platform/ (translation). The trait crate for the store is now wagtail-store, so that platform/ is the only platform.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -14,7 +14,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use wagtail_platform::{HttpClient, HttpSettings};
+use wagtail_store::{HttpClient, HttpSettings};
 
 use crate::{CtlError, Operator};
 use args::{Invocation, Parsed};
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, Error, From};
 use wagtail_config::ConfigError;
-use wagtail_platform::{CommitError, PlatformError};
+use wagtail_store::{CommitError, PlatformError};
 
 /// The failure of a command.
 #[derive(Debug, Display, Error, From)]
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use serde_json::{Map, Value};
 use wagtail_config::{Acceptance, HostStatus, Raw, RecordKey, View};
-use wagtail_platform::{Change, CommitError, Committed, Platform, commit, load_config};
+use wagtail_store::{Change, CommitError, Committed, Platform, commit, load_config};
 use wagtail_types::{Epoch, HostId, KeyDigest, TeamId, ZoneId};
 
 use crate::{CtlError, DrainSpec, MoveSpec, watch};
--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use wagtail_config::{Acceptance, Confirmation, HostStatus, MemberState, View, acceptance};
-use wagtail_platform::{HttpClient, HttpSettings, PlatformError};
+use wagtail_store::{HttpClient, HttpSettings, PlatformError};
 use wagtail_types::{Epoch, HostId, ZoneId};
 
 const STATUS_PATH: &str = "/v1/status";
--- a/crates/entryd/src/calls.rs
+++ b/crates/entryd/src/calls.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use wagtail_platform::{
+use wagtail_store::{
     Access, Outcome, PlatformError, Priority, ScheduleEffect, ScheduleInput, Scheduler,
 };
 
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -7,7 +7,7 @@
 use wagtail_config::{SyncEffect, SyncInput, View};
 use wagtail_member::HostInfo;
 use wagtail_peer::Control;
-use wagtail_platform::{Access, Priority, fetch_snapshot, scan_config};
+use wagtail_store::{Access, Priority, fetch_snapshot, scan_config};
 
 use super::route::send;
 use crate::calls;
--- a/crates/entryd/src/rows.rs
+++ b/crates/entryd/src/rows.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use wagtail_once::{ClaimResult, ClaimRow};
-use wagtail_platform::{Access, PlatformError, Priority, Receipt, RowKey, Txn, Write};
+use wagtail_store::{Access, PlatformError, Priority, Receipt, RowKey, Txn, Write};
 use wagtail_quota::{Member, ReadOutcome, Row, ShardId, TeamSpread, TeamTokens, WriteOutcome};
 use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, TeamId, Tokens};
 
@@ -97,7 +97,7 @@
     host: &Arc<Host>,
     priority: Priority,
     key: &RowKey,
-) -> Result<Option<wagtail_platform::Row>, PlatformError> {
+) -> Result<Option<wagtail_store::Row>, PlatformError> {
     calls::call(host, priority, Access::Read, host.platform.read(key)).await
 }
 
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -5,7 +5,7 @@
 
 use tokio::task::JoinSet;
 use wagtail_peer::Control;
-use wagtail_platform::{Access, ListedState, Priority};
+use wagtail_store::{Access, ListedState, Priority};
 
 use crate::calls;
 use crate::drive;
@@ -89,7 +89,7 @@
     });
     let timers = host.clone();
     tasks.spawn(async move {
-        let next = |s: &wagtail_platform::Scheduler, now| s.next_wake(now);
+        let next = |s: &wagtail_store::Scheduler, now| s.next_wake(now);
         drive::timer(
             &timers,
             |h| &h.calls.scheduler,
--- /dev/null
+++ b/crates/gateway/src/check.rs
@@ -0,0 +1,70 @@
+//! Health checks of endpoints that could not be reached, and upkeep of the endpoints.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Uri, header};
+use http_body_util::Full;
+use slog::info;
+use wagtail_steer::EndpointKey;
+
+use crate::connect::Client;
+use crate::conventions::Conventions;
+use crate::host::Core;
+use crate::pool::Pool;
+
+/// The period of the upkeep; small against the time in which endpoints come and go.
+const PERIOD: Duration = Duration::from_millis(300);
+/// The time that a check may take; a queue at the endpoint delays it.
+const CHECK_MAX: Duration = Duration::from_millis(600);
+
+/// Checks endpoints that are due and ends what has lapsed.
+pub(crate) async fn upkeep(core: Rc<Core>, pool: Rc<Pool>, conventions: Rc<dyn Conventions>) {
+    loop {
+        let now = core.now();
+        let due = {
+            let mut steer = core.steer.borrow_mut();
+            steer.end_lapsed(now);
+            steer.due_checks(now)
+        };
+        pool.prune(now);
+        for key in due {
+            tokio::task::spawn_local(check(core.clone(), conventions.clone(), key));
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+async fn check(core: Rc<Core>, conventions: Rc<dyn Conventions>, key: EndpointKey) {
+    let target = {
+        let steer = core.steer.borrow();
+        steer.endpoint(key).and_then(|e| {
+            let service = steer.catalog()?.service(&e.record.service)?;
+            Some((e.record.id.clone(), e.record.addr, service.health.clone()))
+        })
+    };
+    let Some((id, addr, path)) = target else {
+        return;
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = path.parse().unwrap_or_else(|_| Uri::from_static("/"));
+    let host = HeaderValue::try_from(addr.to_string()).expect("an address is a header value");
+    request.headers_mut().insert(header::HOST, host);
+    core.metrics.count("checks", "health");
+    let cold = match Client::new(addr).call(request, CHECK_MAX).await {
+        Ok(answer) => {
+            let health = conventions.health(&answer.into_parts().0);
+            let same = health.endpoint.as_ref().is_none_or(|e| *e == id);
+            (health.well && same).then_some(health.cold)
+        }
+        // The endpoint stays out of use and is asked again.
+        Err(_) => None,
+    };
+    if let Some(cold) = cold {
+        info!(core.log, "endpoint usable again"; "endpoint" => %id,
+            "cold_ms" => cold.as_millis() as u64);
+    }
+    let now = core.now();
+    core.steer.borrow_mut().checked(key, cold, now);
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! An entry host that sends callers' requests straight to endpoints.
+//!
+//! [`run`] serves one host on one thread. What callers, endpoints and the registry speak is given
+//! by [`Conventions`] and [`Registry`]; all decisions are those of `wagtail-steer`.
+
+mod admin;
+mod check;
+mod connect;
+mod conventions;
+mod exchange;
+mod follow;
+mod host;
+mod logs;
+mod metrics;
+mod pool;
+mod registry;
+mod request;
+mod run;
+mod server;
+mod settings;
+mod stop;
+
+pub use connect::{CallError, Client};
+pub use conventions::{Answer, Caller, Conventions, Dispatch, Health, Refusal};
+pub use logs::stdout_logger;
+pub use registry::{Entry, Fetched, Registry, RegistryError, Topic};
+pub use run::{RunError, run};
+pub use settings::{Listen, Settings};
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -238,7 +238,7 @@
     /// Fails where the platform does not take them.
     pub async fn put(&mut self, records: Vec<Raw>) -> Result<wagtail_types::Epoch, FleetError> {
         use wagtail_config::{Head, Row};
-        use wagtail_platform::{HttpClient, HttpSettings, RowKey, Table, Txn, Write};
+        use wagtail_store::{HttpClient, HttpSettings, RowKey, Table, Txn, Write};
         let fail = |e: &dyn std::error::Error| FleetError::Commit(e.to_string());
         let client = HttpClient::new(HttpSettings::new(self.platform.addr));
         let key = RowKey::new("head", "config");
--- a/crates/load/src/network.rs
+++ b/crates/load/src/network.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use wagtail_peer::{Line, Lines};
-use wagtail_platform::{
+use wagtail_store::{
     BoxFuture, Hosts, HttpClient, HttpSettings, Listed, Objects, Page, Platform, PlatformError,
     Receipt, Row, RowKey, Scan, Table, Txn,
 };
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -16,7 +16,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use wagtail_platform::{Listed, Memory};
+use wagtail_store::{Listed, Memory};
 
 pub use faults::{Counters, FaultTable, Faults};
 
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use serde::{Deserialize, Serialize};
-use wagtail_platform::Memory;
+use wagtail_store::Memory;
 use wagtail_types::Share;
 
 /// The faults of the stand-in; none by default.
--- a/crates/standin/src/platform/gate.rs
+++ b/crates/standin/src/platform/gate.rs
@@ -5,7 +5,7 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use wagtail_platform::PlatformError;
+use wagtail_store::PlatformError;
 
 use super::{Counters, FaultTable};
 
--- a/crates/standin/src/platform/hosts.rs
+++ b/crates/standin/src/platform/hosts.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use wagtail_platform::Listed;
+use wagtail_store::Listed;
 
 /// Every change of the list with its time.
 #[derive(Debug, Default)]
--- a/crates/standin/src/platform/routes.rs
+++ b/crates/standin/src/platform/routes.rs
@@ -10,7 +10,7 @@
 use axum::{Json, Router};
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
-use wagtail_platform::{
+use wagtail_store::{
     BoxFuture, FailKind, Failure, Listed, ListedState, Objects, PlatformError, RowKey, Scan, Table,
     Txn,
 };
--- a/crates/standin/tests/platform_command.rs
+++ b/crates/standin/tests/platform_command.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::process::Command;
 
-use wagtail_platform::{HttpClient, HttpSettings};
+use wagtail_store::{HttpClient, HttpSettings};
 use wagtail_standin::platform::{Faults, start_with};
 
 fn run(args: &[&str]) -> (Option<i32>, String) {
--- /dev/null
+++ b/crates/steer/src/place.rs
@@ -0,0 +1,182 @@
+//! Which endpoint runs a request, or why none does.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use wagtail_types::{RegionId, ServiceId, ZoneId};
+
+use crate::config::Route;
+use crate::endpoint::{Endpoint, EndpointKey};
+use crate::estimate::Estimates;
+use crate::hash::score;
+
+/// The part of a request's worth that bytes between zones of a region cost.
+const ZONE_COST: f64 = 0.02;
+/// The part of a request's worth that bytes between regions cost.
+const REGION_COST: f64 = 0.06;
+/// The time there and back within a zone, between zones and between regions, before any was
+/// measured.
+const TRIPS: [f64; 3] = [0.001, 0.004, 0.045];
+/// The spread of running times around their estimate, as a part of it.
+const SPREAD: f64 = 0.2;
+/// Weight of an object's preferred endpoint against others that are equal.
+const PREFER: f64 = 0.05;
+/// The price of the time a request takes, for each aim.
+const TIME_PRICE: f64 = 0.1;
+/// The use of slots above which slot time has a price.
+const FREE_USE: f64 = 0.5;
+/// The price of slot time at full use, for each running time of a warm request.
+const SLOT_PRICE: f64 = 0.35;
+/// The chance to be in time below which a request is only accepted where it delays no other.
+const LIKELY: f64 = 0.3;
+/// The least time to say to a caller that is refused.
+const LEAST_WAIT: Duration = Duration::from_millis(150);
+
+/// A request that looks for an endpoint.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// Its route.
+    pub route: &'a Rc<Route>,
+    /// The service that it is for.
+    pub service: &'a ServiceId,
+    /// The object that it concerns, if the route is sticky.
+    pub object: Option<u64>,
+    /// The regions that may run it; empty allows all.
+    pub homes: &'a [RegionId],
+    /// Endpoints that it was sent to before.
+    pub tried: &'a [EndpointKey],
+    /// The time since it arrived.
+    pub gone: Duration,
+    /// The time until it must have its answer.
+    pub left: Duration,
+}
+
+/// Why a request found no endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Miss {
+    /// No endpoint of the service may be used.
+    NoEndpoint,
+    /// Every endpoint is too busy to answer in time.
+    Full,
+    /// No endpoint can answer before the deadline.
+    TooLate,
+}
+
+/// An endpoint for a request.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// The endpoint.
+    pub key: EndpointKey,
+    /// The time that the answer is expected to take from now.
+    pub expected: Duration,
+    /// Whether the endpoint is taken to know the object.
+    pub warm: bool,
+    /// Requests at the endpoint before this one.
+    pub queue: f64,
+    /// Whether no wait for a slot is expected.
+    pub free: bool,
+}
+
+/// The outcome of looking for an endpoint.
+#[derive(Debug, Clone)]
+pub enum Placement {
+    /// Send it there.
+    Send(Choice),
+    /// Refuse it.
+    Refuse {
+        /// Why.
+        miss: Miss,
+        /// When room is expected.
+        retry: Duration,
+    },
+}
+
+/// What placement reads besides the endpoints.
+pub(crate) struct View<'a> {
+    pub(crate) zone: &'a ZoneId,
+    pub(crate) region: &'a RegionId,
+    pub(crate) estimates: &'a Estimates,
+    pub(crate) late_worth: f64,
+    /// The use of the service's slots in all regions, 0 to 1 and more.
+    pub(crate) used: f64,
+    pub(crate) now: Instant,
+}
+
+struct Candidate {
+    choice: Choice,
+    worth: f64,
+    chance: f64,
+    wait: f64,
+}
+
+/// Picks the best of the usable endpoints.
+pub(crate) fn place<'e>(
+    ask: &Ask<'_>,
+    view: &View<'_>,
+    endpoints: impl Iterator<Item = (EndpointKey, &'e Endpoint)>,
+) -> Placement {
+    let mut best: Option<Candidate> = None;
+    let mut soonest = f64::INFINITY;
+    let mut any = false;
+    let left = ask.left.as_secs_f64();
+    for (key, endpoint) in endpoints {
+        any = true;
+        let candidate = weigh(ask, view, key, endpoint);
+        soonest = soonest.min(candidate.wait);
+        if candidate.choice.expected.as_secs_f64() > left || !accepts(ask, &candidate) {
+            continue;
+        }
+        if best.as_ref().is_none_or(|b| candidate.worth > b.worth) {
+            best = Some(candidate);
+        }
+    }
+    match best {
+        Some(candidate) => Placement::Send(candidate.choice),
+        None if !any => Placement::Refuse { miss: Miss::NoEndpoint, retry: Duration::from_secs(1) },
+        None => {
+            let miss = if soonest < left { Miss::Full } else { Miss::TooLate };
+            let retry = Duration::from_secs_f64(soonest.clamp(0.0, 10.0)).max(LEAST_WAIT);
+            Placement::Refuse { miss, retry }
+        }
+    }
+}
+
+/// Whether a request may join an endpoint's queue: in time, or at once on a free slot.
+fn accepts(ask: &Ask<'_>, candidate: &Candidate) -> bool {
+    let aim = ask.route.aim.as_secs_f64();
+    candidate.chance >= LIKELY || candidate.choice.free || candidate.wait < aim * 0.25
+}
+
+fn weigh(ask: &Ask<'_>, view: &View<'_>, key: EndpointKey, endpoint: &Endpoint) -> Candidate {
+    let route = ask.route;
+    let aim = route.aim.as_secs_f64();
+    let warm = ask.object.is_some_and(|o| endpoint.warm.has(o, view.now));
+    let slow = endpoint.slowness(view.now) * if endpoint.is_cold(view.now) { 2.0 } else { 1.0 };
+    let base = view.estimates.running(&route.id, route.aim, true);
+    let run = view.estimates.running(&route.id, route.aim, warm) * slow;
+    let slots = f64::from(endpoint.record.slots.max(1));
+    let queue = endpoint.outstanding();
+    let free = queue + 1.0 <= slots;
+    let wait = if free { 0.0 } else { (queue - slots + 1.0) / slots * base * slow };
+    let near = &endpoint.record.zone == view.zone;
+    let home = &endpoint.region == view.region;
+    let (trip, crossing) = match (near, home) {
+        (true, _) => (TRIPS[0], 0.0),
+        (false, true) => (TRIPS[1], ZONE_COST),
+        (false, false) => (TRIPS[2], REGION_COST),
+    };
+    let total = wait + run + trip;
+    let slack = aim - ask.gone.as_secs_f64();
+    let spread = SPREAD * (run + wait) + 0.01;
+    let chance = (0.5 + (slack - total) / (2.0 * spread)).clamp(0.0, 1.0);
+    let credit = chance + (1.0 - chance) * view.late_worth;
+    let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 2.0);
+    let prefer = ask.object.map_or(0.0, |o| score(o, u64::from(endpoint.hash)));
+    let worth = credit * (1.0 - endpoint.failing(view.now))
+        - crossing
+        - TIME_PRICE * total / aim
+        - SLOT_PRICE * pressure * run / base
+        + PREFER * prefer;
+    let expected = Duration::from_secs_f64(total.min(3_600.0));
+    Candidate { choice: Choice { key, expected, warm, queue, free }, worth, chance, wait }
+}
--- /dev/null
+++ b/crates/steer/src/settings.rs
@@ -0,0 +1,48 @@
+//! Bounds and weights of the decisions.
+
+use std::time::Duration;
+
+/// Bounds that a deployment gives, and weights of the placement.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Further attempts a service may get for each request to it; from the deployment.
+    pub retry_ratio: f64,
+    /// Further attempts beyond the ratio in one window, over all hosts; from the deployment.
+    pub retry_slack: f64,
+    /// The window of the retry budget; from the deployment.
+    pub retry_window: Duration,
+    /// What cold endpoints bear beyond their rate, as a factor; from the deployment.
+    pub cold_overage: f64,
+    /// Requests that a cold endpoint bears beyond its rate in a second; from the deployment.
+    pub cold_slack: f64,
+    /// The share of a region's requests that may change their region in a window; from the
+    /// deployment.
+    pub max_shift: f64,
+    /// The window of `max_shift`; from the deployment's rules.
+    pub shift_window: Duration,
+    /// The time after which a host that is not heard is taken as lost; twice the slowest period of
+    /// the exchange and a lost datagram.
+    pub host_silence: Duration,
+    /// The longest time that a lost host's demand counts against limits; longer than most cuts.
+    pub lost_demand: Duration,
+    /// The worth of an answer past its aim against one within it; between the deployments' late
+    /// credit alone and that with the weight of being served at all.
+    pub late_worth: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window: Duration::from_secs(10),
+            cold_overage: 1.5,
+            cold_slack: 5.0,
+            max_shift: 0.15,
+            shift_window: Duration::from_secs(2),
+            host_silence: Duration::from_millis(2_600),
+            lost_demand: Duration::from_secs(20),
+            late_worth: 0.3,
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/split.rs
@@ -0,0 +1,32 @@
+//! Shares of a split route, without the noise of random draws.
+
+use wagtail_types::ServiceId;
+
+use crate::config::Part;
+
+/// Picks the parts of one route in proportion to their weights, in an even sequence.
+#[derive(Debug, Default)]
+pub struct Split {
+    credit: Vec<(ServiceId, f64)>,
+}
+
+impl Split {
+    /// The next part. Weights may differ from call to call.
+    pub fn next(&mut self, parts: &[Part]) -> Option<ServiceId> {
+        let total: f64 = parts.iter().map(|p| f64::from(p.weight)).sum();
+        if total <= 0.0 {
+            return None;
+        }
+        self.credit.retain(|(s, _)| parts.iter().any(|p| p.service == *s));
+        for part in parts {
+            let share = f64::from(part.weight) / total;
+            match self.credit.iter_mut().find(|(s, _)| *s == part.service) {
+                Some((_, credit)) => *credit += share,
+                None => self.credit.push((part.service.clone(), share)),
+            }
+        }
+        let best = self.credit.iter_mut().max_by(|a, b| a.1.total_cmp(&b.1))?;
+        best.1 -= 1.0;
+        Some(best.0.clone())
+    }
+}
--- /dev/null
+++ b/crates/steer/src/steer.rs
@@ -0,0 +1,551 @@
+//! All decisions of one host, over one state.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use slotmap::SlotMap;
+use wagtail_types::{EndpointId, HostId, RegionId, ServiceId, TeamId, ZoneId};
+
+use crate::budget::Budget;
+use crate::catalog::Catalog;
+use crate::cold::is_sender;
+use crate::config::{Config, ConfigVersion, ContentError, Part, Route, RouteId, Team};
+use crate::digest::{Digest, HostState};
+use crate::endpoint::{CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
+use crate::estimate::Estimates;
+use crate::hash::{name_hash, short_hash};
+use crate::hosts::{HostRecord, Hosts};
+use crate::place::{Ask, Choice, Placement, View, place};
+use crate::quota::{Quota, QuotaLimits, Taken};
+use crate::settings::Settings;
+use crate::shares::Shares;
+use crate::split::Split;
+
+/// The time for which a loss of endpoints lifts the bound on moves between regions.
+const LIFT_TIME: Duration = Duration::from_secs(6);
+/// The time after a return of the registry within which registrations that lapsed meanwhile may
+/// come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+
+/// This host.
+#[derive(Debug, Clone)]
+pub struct Us {
+    /// The registration.
+    pub record: HostRecord,
+    /// The region.
+    pub region: RegionId,
+    /// The regions of all zones.
+    pub zones: HashMap<ZoneId, RegionId>,
+    /// The start of the process in milliseconds of wall-clock time.
+    pub started: u64,
+}
+
+/// The end of a request at an endpoint.
+#[derive(Debug)]
+pub struct End<'a> {
+    /// Where it was.
+    pub choice: &'a Choice,
+    /// Its route.
+    pub route: &'a Route,
+    /// The object that it concerns.
+    pub object: Option<u64>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The time to its answer, where that says how long it ran.
+    pub taken: Option<Duration>,
+    /// The endpoint's own count of requests.
+    pub load: Option<Load>,
+}
+
+/// The state that all decisions of one host share.
+#[derive(Debug)]
+pub struct Steer {
+    us: Us,
+    settings: Settings,
+    catalog: Option<Rc<Catalog>>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    names: HashMap<EndpointId, EndpointKey>,
+    services: HashMap<ServiceId, Vec<EndpointKey>>,
+    evacuated: HashSet<ZoneId>,
+    hosts: Hosts,
+    quota: Quota,
+    budgets: HashMap<ServiceId, Budget>,
+    splits: HashMap<RouteId, Split>,
+    estimates: Estimates,
+    shares: Shares,
+    number: u32,
+    registry_back: Option<Instant>,
+}
+
+impl Steer {
+    /// A host that knows nothing yet.
+    pub fn new(us: Us, settings: Settings) -> Self {
+        let shares = Shares::new(settings.shift_window);
+        Self {
+            us,
+            settings,
+            catalog: None,
+            endpoints: SlotMap::with_key(),
+            names: HashMap::new(),
+            services: HashMap::new(),
+            evacuated: HashSet::new(),
+            hosts: Hosts::default(),
+            quota: Quota::default(),
+            budgets: HashMap::new(),
+            splits: HashMap::new(),
+            estimates: Estimates::default(),
+            shares,
+            number: 0,
+            registry_back: None,
+        }
+    }
+
+    /// This host.
+    pub fn us(&self) -> &Us {
+        &self.us
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Option<&Rc<Catalog>> {
+        self.catalog.as_ref()
+    }
+
+    /// The other hosts.
+    pub fn hosts(&self) -> &Hosts {
+        &self.hosts
+    }
+
+    /// An endpoint, unless it has left.
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// The number of endpoints known.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Puts a configuration in force if it is later than the one before.
+    ///
+    /// # Errors
+    ///
+    /// [`ContentError`] if its parts do not fit together; the one before stays in force.
+    pub fn configure(&mut self, config: Config) -> Result<Option<ConfigVersion>, ContentError> {
+        let version = config.version;
+        if self.catalog.as_ref().is_some_and(|c| c.version() >= version) {
+            return Ok(None);
+        }
+        self.catalog = Some(Rc::new(Catalog::try_from(config)?));
+        Ok(Some(version))
+    }
+
+    /// Starts or ends the evacuation of a zone. `false` if nothing changed.
+    pub fn evacuate(&mut self, zone: &ZoneId, on: bool, now: Instant) -> bool {
+        if on {
+            self.shares.lift(now + LIFT_TIME);
+            return self.evacuated.insert(zone.clone());
+        }
+        let ended = self.evacuated.remove(zone);
+        if ended {
+            self.shares.lift(now + LIFT_TIME);
+            // Endpoints of the zone may have come back cold: each is asked before its first use.
+            for endpoint in self.endpoints.values_mut().filter(|e| &e.record.zone == zone) {
+                endpoint.check_at = Some(now);
+            }
+        }
+        ended
+    }
+
+    /// Replaces the set of evacuated zones after a whole read of the registry.
+    pub fn set_evacuated(&mut self, zones: &HashSet<ZoneId>, now: Instant) {
+        let ended: Vec<_> = self.evacuated.difference(zones).cloned().collect();
+        for zone in ended {
+            self.evacuate(&zone, false, now);
+        }
+        for zone in zones {
+            self.evacuate(zone, true, now);
+        }
+    }
+
+    /// Takes a registration of an endpoint.
+    pub fn register(&mut self, record: EndpointRecord, now: Instant) -> Option<EndpointKey> {
+        let region = self.us.zones.get(&record.zone)?.clone();
+        if let Some(&key) = self.names.get(&record.id) {
+            let endpoint = &mut self.endpoints[key];
+            let moved = endpoint.record.service != record.service;
+            if moved && let Some(list) = self.services.get_mut(&endpoint.record.service) {
+                list.retain(|k| *k != key);
+            }
+            let service = record.service.clone();
+            endpoint.update(record, now);
+            if moved {
+                self.services.entry(service).or_default().push(key);
+            }
+            return Some(key);
+        }
+        let id = record.id.clone();
+        let service = record.service.clone();
+        let key = self.endpoints.insert(Endpoint::new(record, region, now));
+        self.names.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+        Some(key)
+    }
+
+    /// Takes the end of a registration. Soon after the registry came back the endpoint is kept
+    /// for the time in which a live one registers again.
+    pub fn unregister(&mut self, id: &EndpointId, now: Instant) {
+        let Some(&key) = self.names.get(id) else {
+            return;
+        };
+        let back = self.registry_back.filter(|&at| now.duration_since(at) < LAPSE_GRACE);
+        match back {
+            Some(at) if self.endpoints[key].record.state == EndpointState::Ready => {
+                self.endpoints[key].lapses_at = Some(at + LAPSE_GRACE);
+            }
+            _ => self.remove(key, now),
+        }
+    }
+
+    /// Ends the registrations that a whole read of the registry did not show.
+    pub fn keep_only(&mut self, ids: &HashSet<EndpointId>, now: Instant) {
+        let gone: Vec<_> = self.names.keys().filter(|id| !ids.contains(id)).cloned().collect();
+        for id in gone {
+            self.unregister(&id, now);
+        }
+    }
+
+    fn remove(&mut self, key: EndpointKey, now: Instant) {
+        if let Some(endpoint) = self.endpoints.remove(key) {
+            if endpoint.record.state == EndpointState::Ready {
+                self.shares.lift(now + LIFT_TIME);
+            }
+            self.names.remove(&endpoint.record.id);
+            if let Some(list) = self.services.get_mut(&endpoint.record.service) {
+                list.retain(|k| *k != key);
+            }
+        }
+    }
+
+    /// Notes that the registry answers again after it did not.
+    pub fn registry_returned(&mut self, now: Instant) {
+        self.registry_back = Some(now);
+    }
+
+    /// Takes the registration of another host.
+    pub fn register_host(&mut self, record: HostRecord, now: Instant) {
+        if record.id == self.us.record.id {
+            return;
+        }
+        if let Some(region) = self.us.zones.get(&record.zone).cloned() {
+            self.hosts.register(record, region, now);
+        }
+    }
+
+    /// Takes a digest; `false` if it is out of date or from an unknown zone.
+    pub fn hear(&mut self, digest: Digest, now: Instant) -> bool {
+        if digest.host == self.us.record.id {
+            return false;
+        }
+        let Some(region) = self.us.zones.get(&digest.zone).cloned() else {
+            return false;
+        };
+        if !self.hosts.hear(digest, region, now) {
+            return false;
+        }
+        let silence = self.settings.host_silence;
+        for endpoint in self.endpoints.values_mut() {
+            let loads = self.hosts.alive(silence, now).filter_map(|p| p.loads.get(&endpoint.hash));
+            let count: u32 = loads.map(|&l| u32::from(l)).sum();
+            endpoint.note_others(f64::from(count), now);
+        }
+        true
+    }
+
+    /// This host's next digest.
+    pub fn digest(&mut self, state: HostState, now: Instant) -> Digest {
+        self.number += 1;
+        let tenths = |rate: f64| (rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
+        let demand = self.quota.demand(now);
+        Digest {
+            host: self.us.record.id.clone(),
+            started: self.us.started,
+            number: self.number,
+            zone: self.us.record.zone.clone(),
+            front: self.us.record.front,
+            peer: self.us.record.peer,
+            state,
+            loads: self
+                .endpoints
+                .values()
+                .filter(|e| e.own > 0)
+                .map(|e| (e.hash, u16::try_from(e.own).unwrap_or(u16::MAX)))
+                .collect(),
+            demand: demand
+                .into_iter()
+                .map(|(team, rate)| (short_hash(team.as_str()), tenths(rate)))
+                .filter(|&(_, rate)| rate > 0)
+                .collect(),
+        }
+    }
+
+    /// The hosts that are heard.
+    pub fn alive_hosts(&self, now: Instant) -> HashSet<HostId> {
+        let alive = self.hosts.alive(self.settings.host_silence, now);
+        alive.map(|p| p.record.id.clone()).collect()
+    }
+
+    /// Drops hosts that have been silent for long.
+    pub fn prune_hosts(&mut self, now: Instant) -> Vec<HostId> {
+        self.hosts.prune(self.settings.lost_demand, now)
+    }
+
+    /// The addresses for callers of a zone: hosts of the zone, else of its region, else all.
+    pub fn directory(&self, zone: Option<&ZoneId>, ready: bool, now: Instant) -> Vec<SocketAddr> {
+        let silence = self.settings.host_silence;
+        let mut found: Vec<(&ZoneId, &RegionId, SocketAddr)> = self
+            .hosts
+            .alive(silence, now)
+            .filter(|p| p.state == Some(HostState::Ready))
+            .map(|p| (&p.record.zone, &p.region, p.record.front))
+            .collect();
+        if ready {
+            found.push((&self.us.record.zone, &self.us.region, self.us.record.front));
+        }
+        let zone = zone.unwrap_or(&self.us.record.zone);
+        let region = self.us.zones.get(zone);
+        let pick = |near: &dyn Fn(&ZoneId, &RegionId) -> bool| -> Vec<SocketAddr> {
+            found.iter().filter(|(z, r, _)| near(z, r)).map(|&(.., addr)| addr).collect()
+        };
+        let in_zone = pick(&|z, _| z == zone);
+        if in_zone.len() > 1 {
+            return in_zone;
+        }
+        let in_region = pick(&|_, r| Some(r) == region);
+        if in_region.is_empty() { pick(&|_, _| true) } else { in_region }
+    }
+
+    /// The number of hosts that are alive, with this one.
+    pub fn host_count(&self, now: Instant) -> usize {
+        self.hosts.alive(self.settings.host_silence, now).count() + 1
+    }
+
+    /// Takes a token of a team's limit.
+    pub fn take_quota(&mut self, team: &Team, now: Instant) -> Taken {
+        let Some(rate) = team.rate else {
+            return Taken::Yes;
+        };
+        let hash = short_hash(team.id.as_str());
+        let others = self.hosts.all().filter_map(|p| p.demand.get(&hash)).sum();
+        let hosts = self.hosts.all().count() + 1;
+        let limits = QuotaLimits {
+            rate: rate.micros() as f64 / 1e6,
+            burst: f64::from(team.burst),
+        };
+        self.quota.take(&team.id, limits, others, hosts, now)
+    }
+
+    /// Gives a token back for a request that no endpoint ran.
+    pub fn return_quota(&mut self, team: &TeamId) {
+        self.quota.give_back(team);
+    }
+
+    /// The service that runs the next request of a route.
+    pub fn split(&mut self, route: &Route) -> Option<ServiceId> {
+        if let [Part { service, .. }] = &*route.parts {
+            return Some(service.clone());
+        }
+        self.splits.entry(route.id.clone()).or_default().next(&route.parts)
+    }
+
+    /// Counts a request for a service in its retry budget.
+    pub fn count_request(&mut self, service: &ServiceId, now: Instant) {
+        let window = self.settings.retry_window;
+        let budget = self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(window));
+        budget.request(now);
+    }
+
+    /// Takes a further attempt from the service's budget.
+    pub fn take_retry(&mut self, service: &ServiceId, now: Instant) -> bool {
+        let hosts = self.hosts.all().count() + 1;
+        let Settings { retry_ratio, retry_slack, .. } = self.settings;
+        let budget = self.budgets.get_mut(service);
+        budget.is_some_and(|b| b.take(retry_ratio, retry_slack, hosts, now))
+    }
+
+    /// Whether [`take_retry`](Self::take_retry) would succeed.
+    pub fn may_retry(&self, service: &ServiceId, now: Instant) -> bool {
+        let hosts = self.hosts.all().count() + 1;
+        let Settings { retry_ratio, retry_slack, .. } = self.settings;
+        let budget = self.budgets.get(service);
+        budget.is_some_and(|b| b.allows(retry_ratio, retry_slack, hosts, now))
+    }
+
+    /// Looks for an endpoint and counts the request there if one is found.
+    pub fn place(&mut self, ask: &Ask<'_>, now: Instant) -> Placement {
+        let usable = self.usable(ask, now);
+        let (busy, slots) = usable.iter().map(|&k| &self.endpoints[k]).fold((0.0, 0.0), |(b, s), e| {
+            let slots = f64::from(e.record.slots);
+            (b + e.outstanding().min(slots), s + slots)
+        });
+        let view = View {
+            zone: &self.us.record.zone,
+            region: &self.us.region,
+            estimates: &self.estimates,
+            late_worth: self.settings.late_worth,
+            used: if slots > 0.0 { busy / slots } else { 1.0 },
+            now,
+        };
+        let allowed: HashSet<&RegionId> = self
+            .us
+            .zones
+            .values()
+            .filter(|r| self.shares.allows(r, self.settings.max_shift, now))
+            .collect();
+        let endpoints = |only: bool| {
+            let endpoints = &self.endpoints;
+            let allowed = &allowed;
+            usable
+                .iter()
+                .map(move |&k| (k, &endpoints[k]))
+                .filter(move |(_, e)| !only || allowed.contains(&e.region))
+        };
+        let mut placement = place(ask, &view, endpoints(true));
+        let none_near = || endpoints(true).next().is_none();
+        if matches!(placement, Placement::Refuse { .. }) && none_near() {
+            placement = place(ask, &view, endpoints(false));
+        }
+        if let Placement::Send(choice) = &placement {
+            self.sent(choice, ask, now);
+        }
+        placement
+    }
+
+    fn sent(&mut self, choice: &Choice, ask: &Ask<'_>, now: Instant) {
+        let endpoint = &mut self.endpoints[choice.key];
+        endpoint.own += 1;
+        if endpoint.is_cold(now) {
+            endpoint.cold.take();
+        }
+        if ask.tried.is_empty() {
+            self.shares.note(&endpoint.region, now);
+        }
+    }
+
+    /// The endpoints that may run a request now.
+    fn usable(&mut self, ask: &Ask<'_>, now: Instant) -> Vec<EndpointKey> {
+        let Some(keys) = self.services.get(ask.service).cloned() else {
+            return Vec::new();
+        };
+        let cold_rate = self.catalog.as_ref().and_then(|c| c.service(ask.service)).map_or(1.0, |s| s.cold_rate);
+        keys.into_iter().filter(|&k| self.is_usable(k, ask, cold_rate, now)).collect()
+    }
+
+    fn is_usable(&mut self, key: EndpointKey, ask: &Ask<'_>, cold_rate: f64, now: Instant) -> bool {
+        let endpoint = &mut self.endpoints[key];
+        let record = &endpoint.record;
+        if record.state != EndpointState::Ready
+            || endpoint.check_at.is_some()
+            || ask.tried.contains(&key)
+            || self.evacuated.contains(&record.zone)
+            || !(ask.homes.is_empty() || ask.homes.contains(&endpoint.region))
+        {
+            return false;
+        }
+        if !endpoint.is_cold(now) {
+            return true;
+        }
+        let silence = self.settings.host_silence;
+        let region = &endpoint.region;
+        let others = self
+            .hosts
+            .alive(silence, now)
+            .filter(|p| &p.region == region && p.state == Some(HostState::Ready))
+            .map(|p| p.record.id.as_str());
+        let near = *region == self.us.region;
+        near && is_sender(record.id.as_str(), self.us.record.id.as_str(), others)
+            && endpoint.cold.allows(cold_rate, now)
+    }
+
+    /// Takes the end of a request at an endpoint.
+    pub fn finish(
+        &mut self,
+        end: &End<'_>,
+        now: Instant,
+    ) {
+        let &End { choice, route, object, outcome, taken, load } = end;
+        let Some(endpoint) = self.endpoints.get_mut(choice.key) else {
+            return;
+        };
+        endpoint.own = endpoint.own.saturating_sub(1);
+        endpoint.note_outcome(outcome, now);
+        if let Some(load) = load {
+            endpoint.note_load(load, now);
+        }
+        if outcome == Outcome::Replaced {
+            self.remove(choice.key, now);
+            return;
+        }
+        if outcome == Outcome::Answered && let Some(object) = object {
+            endpoint.warm.note(object, now);
+        }
+        if let Some(taken) = taken.filter(|_| outcome == Outcome::Answered && choice.free) {
+            let taken = taken.as_secs_f64();
+            let expected = self.estimates.running(&route.id, route.aim, choice.warm);
+            endpoint.note_pace(taken / expected, now);
+            if !endpoint.is_cold(now) {
+                self.estimates.learn(&route.id, route.aim, choice.warm, taken);
+            }
+        }
+    }
+
+    /// Notes the region that runs nothing any more for want of endpoints.
+    pub fn lift_shares(&mut self, now: Instant) {
+        self.shares.lift(now + LIFT_TIME);
+    }
+
+    /// Endpoints that are due for a check: not reached, or back from an evacuation.
+    pub fn due_checks(&mut self, now: Instant) -> Vec<EndpointKey> {
+        let mut due = Vec::new();
+        for (key, endpoint) in &mut self.endpoints {
+            let evacuated = self.evacuated.contains(&endpoint.record.zone);
+            if let Some(at) = endpoint.check_at
+                && at <= now
+                && !evacuated
+            {
+                endpoint.check_at = Some(now + CHECK_EVERY);
+                due.push(key);
+            }
+        }
+        due
+    }
+
+    /// Takes the result of a check: `None` where the endpoint was not reached or is not well,
+    /// else the time for which it stays cold.
+    pub fn checked(&mut self, key: EndpointKey, cold: Option<Duration>, now: Instant) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if let Some(cold) = cold {
+            endpoint.check_at = None;
+            if !cold.is_zero() {
+                endpoint.cold_until = Some(now + cold);
+            }
+        }
+    }
+
+    /// Ends registrations that lapsed while the registry was away and did not come back.
+    pub fn end_lapsed(&mut self, now: Instant) {
+        let over = |e: &Endpoint| e.lapses_at.is_some_and(|at| at <= now);
+        let keys: Vec<_> = self.endpoints.iter().filter(|(_, e)| over(e)).map(|(k, _)| k).collect();
+        for key in keys {
+            self.remove(key, now);
+        }
+    }
+
+    /// The hash by which placement knows an object.
+    pub fn object_hash(name: &str) -> u64 {
+        name_hash(name)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,7 +6,7 @@
 //! # Example
 //!
 //! ```
-//! use wagtail_platform::{Memory, RowKey, Table, Txn, Write};
+//! use wagtail_store::{Memory, RowKey, Table, Txn, Write};
 //! use wagtail_types::AttemptId;
 //!
 //! # let rt = tokio::runtime::Builder::new_current_thread().build()?;
@@ -17,7 +17,7 @@
 //!
 //! table.transact(&txn).await?;
 //! assert_eq!(table.read(&key).await?.expect("written").attempt, AttemptId(7));
-//! # Ok::<(), wagtail_platform::PlatformError>(())
+//! # Ok::<(), wagtail_store::PlatformError>(())
 //! # })?;
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
--- a/crates/platform/tests/commit.rs
+++ b/crates/store/tests/commit.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use serde_json::json;
 use wagtail_config::{Raw, RecordKey, View};
-use wagtail_platform::{
+use wagtail_store::{
     BoxFuture, Change, CommitError, Hosts, Listed, Memory, Objects, Page, Platform, PlatformError,
     Receipt, Row, RowKey, Scan, Table, Txn, commit, load_config,
 };
@@ -163,7 +163,7 @@
     commit(&memory, &mut rng, |_| Ok(gone.clone()))
         .await
         .unwrap();
-    let (page, snapshot) = wagtail_platform::scan_config(&memory, Epoch(0), None, 0)
+    let (page, snapshot) = wagtail_store::scan_config(&memory, Epoch(0), None, 0)
         .await
         .unwrap();
     assert_eq!((page.head, snapshot.unwrap().epoch), (Epoch(71), Epoch(64)));
--- a/crates/platform/tests/commit_faults.rs
+++ b/crates/store/tests/commit_faults.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 use serde_json::json;
 use wagtail_config::{Raw, RecordKey};
-use wagtail_platform::{
+use wagtail_store::{
     BoxFuture, Change, CommitError, Hosts, Listed, Memory, Objects, Page, PlatformError, Receipt,
     Row, RowKey, Scan, Table, Txn, commit, load_config,
 };
--- a/crates/platform/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use wagtail_platform::{
+use wagtail_store::{
     HttpClient, HttpSettings, Listed, ListedState, Memory, Place, Platform, PlatformError, RowKey,
     Scan, Table, Txn, Write,
 };
--- a/crates/platform/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use wagtail_platform::{
+use wagtail_store::{
     Access, Outcome, Priority, ScheduleEffect, ScheduleInput, ScheduleSettings, Scheduler,
 };
 use wagtail_types::{Clock, ManualClock};
--- a/crates/platform/tests/settle.rs
+++ b/crates/store/tests/settle.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestCaseError, TestError, TestRunner};
-use wagtail_platform::{
+use wagtail_store::{
     Memory, PlatformError, Receipt, Row, RowKey, Settle, SettleMutant, SettleSettings, SettleStep,
     Table, Txn, Write,
 };
