Tell warm objects in digests; share limits with the promise's slack

Cause: 679 requests were refused with 429 below the limits, as a host's part of a small burst was under one token; hosts did not know what others had warmed; endpoints that joined got nothing from some hosts.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -25,7 +25,7 @@
     pub(crate) route: Rc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) team: Option<Rc<Team>>,
-    pub(crate) object: Option<u64>,
+    pub(crate) object: Option<u32>,
     pub(crate) homes: Vec<RegionId>,
     pub(crate) body_max: usize,
     pub(crate) arrived: Instant,
@@ -51,6 +51,7 @@
         Err(refusal) => return Err(Reply::fail(StatusCode::BAD_REQUEST, refusal.reason)),
     };
     story.id.clone_from(&caller.id);
+    story.object.clone_from(&caller.object);
     let mut steer = front.core.steer.borrow_mut();
     let Some(catalog) = steer.catalog().cloned() else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -102,7 +103,7 @@
 }
 
 /// Objects of different routes are different, whatever their names.
-fn object(route: &Route, name: &str) -> u64 {
+fn object(route: &Route, name: &str) -> u32 {
     Steer::object_hash(&format!("{}{}{name}", route.host, route.prefix))
 }
 
--- a/crates/gateway/src/request/flight.rs
+++ b/crates/gateway/src/request/flight.rs
@@ -12,12 +12,12 @@
     core: Rc<Core>,
     pub(crate) choice: Choice,
     route: Rc<Route>,
-    object: Option<u64>,
+    object: Option<u32>,
     ended: bool,
 }
 
 impl Flight {
-    pub(crate) fn new(core: Rc<Core>, choice: Choice, route: Rc<Route>, object: Option<u64>) -> Self {
+    pub(crate) fn new(core: Rc<Core>, choice: Choice, route: Rc<Route>, object: Option<u32>) -> Self {
         Self { core, choice, route, object, ended: false }
     }
 
--- a/crates/gateway/src/request/story.rs
+++ b/crates/gateway/src/request/story.rs
@@ -15,7 +15,7 @@
 /// Lines a second on requests that failed or were tried again.
 const FAILED_LINES: f64 = 30.0;
 /// Lines a second on requests that were answered at once.
-const ANSWERED_LINES: f64 = 1.0;
+const ANSWERED_LINES: f64 = 100.0;
 
 /// Bounds the lines on requests.
 #[derive(Debug)]
@@ -55,6 +55,7 @@
     pub(crate) version: u64,
     pub(crate) route: Option<RouteId>,
     pub(crate) team: Option<TeamId>,
+    pub(crate) object: Option<String>,
     /// Whether the request may have run.
     pub(crate) ran: bool,
     attempts: Vec<String>,
@@ -71,6 +72,7 @@
             version: 0,
             route: None,
             team: None,
+            object: None,
             ran: false,
             attempts: Vec::new(),
             miss: None,
@@ -139,6 +141,7 @@
             "request" => &self.id,
             "route" => route,
             "team" => team,
+            "object" => &self.object,
             "config" => self.version,
             "attempts" => self.attempts.join("; "),
             "miss" => miss,
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -39,6 +39,8 @@
     pub state: HostState,
     /// Requests that the sender has at endpoints: hash of the endpoint's name, count.
     pub loads: Vec<(u32, u16)>,
+    /// Objects that endpoints have handled lately: hash of the endpoint's name, of the object's.
+    pub warm: Vec<(u32, u32)>,
     /// What teams ask of the sender: hash of the team's name, tenths of a request a second.
     pub demand: Vec<(u32, u16)>,
 }
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -115,6 +115,10 @@
     pub region: RegionId,
     pub(crate) hash: u32,
     pub(crate) own: u32,
+    /// Whether this host has sent it a request.
+    pub(crate) used: bool,
+    /// Whether this host should be the one to try it first.
+    pub(crate) untried: bool,
     pub(crate) cold_until: Option<Instant>,
     pub(crate) cold: ColdLimit,
     pub(crate) warm: WarmSet,
@@ -137,6 +141,8 @@
             cold: ColdLimit::new(now),
             warm: WarmSet::new(WARM_OBJECTS),
             own: 0,
+            used: false,
+            untried: false,
             check_at: None,
             lapses_at: None,
             others: 0.0,
--- a/crates/steer/src/estimate.rs
+++ b/crates/steer/src/estimate.rs
@@ -3,54 +3,94 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use wagtail_types::ServiceId;
+
 use crate::config::RouteId;
 
-/// The weight of a new measurement of a route.
+/// The least weight of a new measurement; the first ones weigh more.
 const GAIN: f64 = 0.05;
+/// Samples after which an estimate is steady.
+const STEADY: u32 = 5;
+/// The most that one sample counts, as a multiple of a steady estimate.
+const OUTLIER: f64 = 2.0;
 /// Guess of the time of an unknown route on an endpoint that has not handled the object, as a
 /// part of the route's aim.
 const COLD_GUESS: f64 = 1.5;
 /// The same guess for an endpoint that has handled the object.
 const WARM_GUESS: f64 = 0.55;
 
+/// A mean that follows its samples.
+#[derive(Debug, Clone, Copy)]
+struct Mean {
+    value: f64,
+    samples: u32,
+}
+
+impl Mean {
+    fn guess(value: f64) -> Self {
+        Self { value, samples: 0 }
+    }
+
+    fn learn(&mut self, sample: f64) {
+        self.samples = self.samples.saturating_add(1);
+        let gain = (1.0 / f64::from(self.samples)).max(GAIN);
+        self.value += gain * (sample - self.value);
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Times {
-    plain: f64,
-    warm: f64,
+    plain: Mean,
+    warm: Mean,
 }
 
-/// The running time of each route, with and without a warm object.
+/// The running time of each route, with and without a warm object, and of each service.
 #[derive(Debug, Default)]
 pub struct Estimates {
     routes: HashMap<RouteId, Times>,
+    services: HashMap<ServiceId, Mean>,
 }
 
 impl Estimates {
     fn times(&self, route: &RouteId, aim: Duration) -> Times {
         let aim = aim.as_secs_f64();
-        let guess = Times { plain: aim * COLD_GUESS, warm: aim * WARM_GUESS };
+        let guess =
+            Times { plain: Mean::guess(aim * COLD_GUESS), warm: Mean::guess(aim * WARM_GUESS) };
         self.routes.get(route).copied().unwrap_or(guess)
     }
 
+    /// Whether answers of the route have been seen.
+    pub fn is_known(&self, route: &RouteId) -> bool {
+        self.routes.contains_key(route)
+    }
+
     /// The expected running time in seconds.
     pub fn running(&self, route: &RouteId, aim: Duration, warm: bool) -> f64 {
         let times = self.times(route, aim);
-        if warm { times.warm } else { times.plain }
+        if warm { times.warm.value } else { times.plain.value }
     }
 
-    /// Whether a running time looks like that of a warm object.
-    pub fn looks_warm(&self, route: &RouteId, aim: Duration, taken: f64) -> bool {
-        let times = self.times(route, aim);
-        taken < f64::midpoint(times.warm, times.plain)
+    /// The mean running time of what a service runs, in seconds.
+    pub fn service(&self, service: &ServiceId) -> Option<f64> {
+        self.services.get(service).map(|m| m.value)
     }
 
     /// Learns from an answer that met no queue.
-    pub fn learn(&mut self, route: &RouteId, aim: Duration, warm: bool, taken: f64) {
+    pub fn learn(
+        &mut self,
+        route: &RouteId,
+        service: &ServiceId,
+        aim: Duration,
+        warm: bool,
+        taken: f64,
+    ) {
         let mut times = self.times(route, aim);
-        let slot = if warm { &mut times.warm } else { &mut times.plain };
+        let mean = if warm { &mut times.warm } else { &mut times.plain };
         // A single endpoint in trouble must not spoil the estimate of all.
-        let bounded = taken.clamp(*slot * 0.5, *slot * 2.0);
-        *slot += GAIN * (bounded - *slot);
+        let most = if mean.samples < STEADY { f64::INFINITY } else { mean.value * OUTLIER };
+        mean.learn(taken.min(most));
         self.routes.insert(route.clone(), times);
+        let all = self.services.entry(service.clone()).or_insert(Mean::guess(taken));
+        all.learn(taken.min(most));
     }
 }
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -21,6 +21,8 @@
 const SPREAD: f64 = 0.2;
 /// Weight of an object's preferred endpoint against others that are equal.
 const PREFER: f64 = 0.05;
+/// The worth of the first request to an endpoint: what it shows serves all later ones.
+const FIRST_USE: f64 = 0.5;
 /// The price of the time a request takes, for each aim.
 const TIME_PRICE: f64 = 0.1;
 /// The use of slots above which slot time has a price.
@@ -40,7 +42,7 @@
     /// The service that it is for.
     pub service: &'a ServiceId,
     /// The object that it concerns, if the route is sticky.
-    pub object: Option<u64>,
+    pub object: Option<u32>,
     /// The regions that may run it; empty allows all.
     pub homes: &'a [RegionId],
     /// Endpoints that it was sent to before.
@@ -123,7 +125,10 @@
         any = true;
         let candidate = weigh(ask, view, key, endpoint);
         soonest = soonest.min(candidate.wait);
-        if candidate.choice.expected.as_secs_f64() > left || !accepts(ask, &candidate) {
+        // A mere guess is no reason to refuse where a slot is free.
+        let late = candidate.choice.expected.as_secs_f64() > left;
+        let known = view.estimates.is_known(&ask.route.id) || !candidate.choice.free;
+        if late && known || !accepts(ask, &candidate) {
             continue;
         }
         if best.as_ref().is_none_or(|b| candidate.worth > b.worth) {
@@ -157,7 +162,8 @@
     let slots = f64::from(endpoint.record.slots.max(1));
     let queue = endpoint.outstanding();
     let free = queue + 1.0 <= slots;
-    let wait = if free { 0.0 } else { (queue - slots + 1.0) / slots * base * slow };
+    let each = view.estimates.service(ask.service).unwrap_or(base);
+    let wait = if free { 0.0 } else { (queue - slots + 1.0) / slots * each * slow };
     let near = &endpoint.record.zone == view.zone;
     let home = &endpoint.region == view.region;
     let (trip, crossing) = match (near, home) {
@@ -171,12 +177,13 @@
     let chance = (0.5 + (slack - total) / (2.0 * spread)).clamp(0.0, 1.0);
     let credit = chance + (1.0 - chance) * view.late_worth;
     let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 2.0);
-    let prefer = ask.object.map_or(0.0, |o| score(o, u64::from(endpoint.hash)));
+    let prefer = ask.object.map_or(0.0, |o| score(u64::from(o), u64::from(endpoint.hash)));
     let worth = credit * (1.0 - endpoint.failing(view.now))
         - crossing
         - TIME_PRICE * total / aim
-        - SLOT_PRICE * pressure * run / base
-        + PREFER * prefer;
+        - SLOT_PRICE * pressure * run / each
+        + PREFER * prefer
+        + if endpoint.untried && !endpoint.used { FIRST_USE } else { 0.0 };
     let expected = Duration::from_secs_f64(total.min(3_600.0));
     Candidate { choice: Choice { key, expected, warm, queue, free }, worth, chance, wait }
 }
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -9,13 +9,17 @@
 
 use wagtail_types::TeamId;
 
-/// The time over which demand is averaged.
-const DEMAND_TIME: Duration = Duration::from_millis(1_500);
-/// The part of a new process's burst that is at hand at its start: other processes of the host may
+use crate::settings::Settings;
+
+/// The time over which demand is averaged; long enough to see a team of one request a second.
+const DEMAND_TIME: Duration = Duration::from_secs(3);
+/// The part of a new process's tokens that is at hand at its start: other processes of the host may
 /// have used the rest just before.
-const FIRST_PART: f64 = 0.25;
-/// The least part of a limit that a host holds, so that a first request is not refused.
-const LEAST: f64 = 1.0;
+const FIRST_PART: f64 = 0.6;
+/// The part of what may be used at once that hosts use, so that unequal views stay within it.
+const USED_PART: f64 = 0.85;
+/// The part of the tokens that all hosts get alike; the rest goes by demand.
+const EVEN_PART: f64 = 0.5;
 
 /// A team's limit over the fleet.
 #[derive(Debug, Clone, Copy)]
@@ -24,6 +28,22 @@
     pub rate: f64,
     /// Requests at once.
     pub burst: f64,
+    /// Requests at once beyond the burst that still keep the promise, over one window.
+    pub slack: f64,
+}
+
+impl QuotaLimits {
+    /// A limit with the slack that a promise over `window` leaves: `(rate x window + burst) x
+    /// (1 + overage) + slack`.
+    pub fn new(rate: f64, burst: f64, settings: &Settings) -> Self {
+        let beyond = (rate * settings.quota_window.as_secs_f64() + burst) * settings.quota_overage;
+        Self { rate, burst, slack: beyond + settings.quota_slack }
+    }
+
+    /// The tokens that all hosts together may hold.
+    fn pool(&self) -> f64 {
+        (self.burst + self.slack) * USED_PART
+    }
 }
 
 /// The answer to a request for a token.
@@ -78,16 +98,15 @@
     ) -> Taken {
         let hosts = hosts.max(1) as f64;
         let bucket = self.buckets.entry(team.clone()).or_insert_with(|| Bucket {
-            level: (limits.burst / hosts * FIRST_PART).max(LEAST),
+            level: limits.pool() / hosts * FIRST_PART,
             filled: now,
             asked: 0.0,
             decayed: now,
         });
-        let own = bucket.demand(now);
         bucket.asked += 1.0;
+        let own = bucket.demand(now);
         let share = share(limits.rate, own, others, hosts);
-        let part = if limits.rate > 0.0 { share / limits.rate } else { 1.0 / hosts };
-        let cap = (limits.burst * part).max(LEAST);
+        let cap = limits.pool() * (EVEN_PART / hosts + (1.0 - EVEN_PART) * own / (own + others));
         let gone = now.duration_since(bucket.filled).as_secs_f64();
         bucket.level = (bucket.level + gone * share).min(cap);
         bucket.filled = now;
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -15,6 +15,12 @@
     pub cold_overage: f64,
     /// Requests that a cold endpoint bears beyond its rate in a second; from the deployment.
     pub cold_slack: f64,
+    /// The window over which teams' limits are promised; from the deployment.
+    pub quota_window: Duration,
+    /// What teams may use beyond their limits in a window, as a part; from the deployment.
+    pub quota_overage: f64,
+    /// Requests that teams may use beyond that in a window; from the deployment.
+    pub quota_slack: f64,
     /// The share of a region's requests that may change their region in a window; from the
     /// deployment.
     pub max_shift: f64,
@@ -38,6 +44,9 @@
             retry_window: Duration::from_secs(10),
             cold_overage: 1.5,
             cold_slack: 5.0,
+            quota_window: Duration::from_secs(5),
+            quota_overage: 0.0,
+            quota_slack: 0.0,
             max_shift: 0.15,
             shift_window: Duration::from_secs(2),
             host_silence: Duration::from_millis(2_600),
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -1,6 +1,6 @@
 //! All decisions of one host, over one state.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,7 +15,7 @@
 use crate::digest::{Digest, HostState};
 use crate::endpoint::{CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 use crate::estimate::Estimates;
-use crate::hash::{name_hash, short_hash};
+use crate::hash::short_hash;
 use crate::hosts::{HostRecord, Hosts};
 use crate::place::{Ask, Choice, Placement, View, place};
 use crate::quota::{Quota, QuotaLimits, Taken};
@@ -29,6 +29,9 @@
 /// come back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
+/// The time for which digests repeat that an object is warm; two periods between regions.
+const WARM_TOLD: Duration = Duration::from_millis(2_200);
+
 /// This host.
 #[derive(Debug, Clone)]
 pub struct Us {
@@ -50,7 +53,7 @@
     /// Its route.
     pub route: &'a Route,
     /// The object that it concerns.
-    pub object: Option<u64>,
+    pub object: Option<u32>,
     /// How it ended.
     pub outcome: Outcome,
     /// The time to its answer, where that says how long it ran.
@@ -77,6 +80,8 @@
     shares: Shares,
     number: u32,
     registry_back: Option<Instant>,
+    /// Objects that became warm lately, to tell the other hosts.
+    warmed: VecDeque<(Instant, u32, u32)>,
 }
 
 impl Steer {
@@ -99,6 +104,7 @@
             shares,
             number: 0,
             registry_back: None,
+            warmed: VecDeque::new(),
         }
     }
 
@@ -244,18 +250,22 @@
     }
 
     /// Takes a digest; `false` if it is out of date or from an unknown zone.
-    pub fn hear(&mut self, digest: Digest, now: Instant) -> bool {
+    pub fn hear(&mut self, mut digest: Digest, now: Instant) -> bool {
         if digest.host == self.us.record.id {
             return false;
         }
         let Some(region) = self.us.zones.get(&digest.zone).cloned() else {
             return false;
         };
+        let warm = std::mem::take(&mut digest.warm);
         if !self.hosts.hear(digest, region, now) {
             return false;
         }
         let silence = self.settings.host_silence;
         for endpoint in self.endpoints.values_mut() {
+            for &(_, object) in warm.iter().filter(|(hash, _)| *hash == endpoint.hash) {
+                endpoint.warm.note(object, now);
+            }
             let loads = self.hosts.alive(silence, now).filter_map(|p| p.loads.get(&endpoint.hash));
             let count: u32 = loads.map(|&l| u32::from(l)).sum();
             endpoint.note_others(f64::from(count), now);
@@ -266,6 +276,9 @@
     /// This host's next digest.
     pub fn digest(&mut self, state: HostState, now: Instant) -> Digest {
         self.number += 1;
+        while self.warmed.front().is_some_and(|w| now.duration_since(w.0) >= WARM_TOLD) {
+            self.warmed.pop_front();
+        }
         let tenths = |rate: f64| (rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
         let demand = self.quota.demand(now);
         Digest {
@@ -282,6 +295,7 @@
                 .filter(|e| e.own > 0)
                 .map(|e| (e.hash, u16::try_from(e.own).unwrap_or(u16::MAX)))
                 .collect(),
+            warm: self.warmed.iter().map(|&(_, endpoint, object)| (endpoint, object)).collect(),
             demand: demand
                 .into_iter()
                 .map(|(team, rate)| (short_hash(team.as_str()), tenths(rate)))
@@ -339,10 +353,8 @@
         let hash = short_hash(team.id.as_str());
         let others = self.hosts.all().filter_map(|p| p.demand.get(&hash)).sum();
         let hosts = self.hosts.all().count() + 1;
-        let limits = QuotaLimits {
-            rate: rate.micros() as f64 / 1e6,
-            burst: f64::from(team.burst),
-        };
+        let rate = rate.micros() as f64 / 1e6;
+        let limits = QuotaLimits::new(rate, f64::from(team.burst), &self.settings);
         self.quota.take(&team.id, limits, others, hosts, now)
     }
 
@@ -425,6 +437,7 @@
     fn sent(&mut self, choice: &Choice, ask: &Ask<'_>, now: Instant) {
         let endpoint = &mut self.endpoints[choice.key];
         endpoint.own += 1;
+        endpoint.used = true;
         if endpoint.is_cold(now) {
             endpoint.cold.take();
         }
@@ -453,7 +466,7 @@
         {
             return false;
         }
-        if !endpoint.is_cold(now) {
+        if !endpoint.is_cold(now) && endpoint.used {
             return true;
         }
         let silence = self.settings.host_silence;
@@ -464,8 +477,11 @@
             .filter(|p| &p.region == region && p.state == Some(HostState::Ready))
             .map(|p| p.record.id.as_str());
         let near = *region == self.us.region;
-        near && is_sender(record.id.as_str(), self.us.record.id.as_str(), others)
-            && endpoint.cold.allows(cold_rate, now)
+        let sender = near && is_sender(record.id.as_str(), self.us.record.id.as_str(), others);
+        if !endpoint.used && sender {
+            endpoint.untried = true;
+        }
+        !endpoint.is_cold(now) || sender && endpoint.cold.allows(cold_rate, now)
     }
 
     /// Takes the end of a request at an endpoint.
@@ -487,15 +503,19 @@
             self.remove(choice.key, now);
             return;
         }
-        if outcome == Outcome::Answered && let Some(object) = object {
-            endpoint.warm.note(object, now);
+        if outcome == Outcome::Answered
+            && let Some(object) = object
+            && endpoint.warm.note(object, now)
+        {
+            self.warmed.push_back((now, endpoint.hash, object));
         }
         if let Some(taken) = taken.filter(|_| outcome == Outcome::Answered && choice.free) {
             let taken = taken.as_secs_f64();
             let expected = self.estimates.running(&route.id, route.aim, choice.warm);
             endpoint.note_pace(taken / expected, now);
             if !endpoint.is_cold(now) {
-                self.estimates.learn(&route.id, route.aim, choice.warm, taken);
+                let service = &endpoint.record.service;
+                self.estimates.learn(&route.id, service, route.aim, choice.warm, taken);
             }
         }
     }
@@ -545,7 +565,7 @@
     }
 
     /// The hash by which placement knows an object.
-    pub fn object_hash(name: &str) -> u64 {
-        name_hash(name)
+    pub fn object_hash(name: &str) -> u32 {
+        short_hash(name)
     }
 }
