--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -26,6 +26,7 @@
         let due = {
             let mut steer = core.steer.borrow_mut();
             steer.end_lapsed(now);
+            steer.balance(now);
             steer.due_checks(now)
         };
         pool.prune(now);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -161,6 +161,7 @@
                         _ => {}
                     }
                 }
+                core.steer.borrow_mut().hosts_read();
                 tokio::time::sleep(READ_PERIOD).await;
             }
             Err(e) => {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -53,10 +53,9 @@
     }
 
     pub(crate) fn state(&self) -> HostState {
-        let steer = self.steer.borrow();
         if self.is_leaving() {
             HostState::Leaving
-        } else if steer.catalog().is_some() && steer.endpoint_count() > 0 {
+        } else if self.steer.borrow().is_informed() {
             HostState::Ready
         } else {
             HostState::Starting
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -53,9 +53,10 @@
     story.id.clone_from(&caller.id);
     story.object.clone_from(&caller.object);
     let mut steer = front.core.steer.borrow_mut();
-    let Some(catalog) = steer.catalog().cloned() else {
+    let catalog = steer.catalog().filter(|_| steer.is_informed()).cloned();
+    let Some(catalog) = catalog else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Reply::refuse(status, "no configuration yet", UNREADY_WAIT));
+        return Err(Reply::refuse(status, "the host is starting", UNREADY_WAIT));
     };
     story.version = catalog.version().0;
     let Some(route) = catalog.route(&caller.host, head.uri.path()) else {
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -15,8 +15,6 @@
     pub struct EndpointKey;
 }
 
-/// Objects that an endpoint is taken to keep warm.
-const WARM_OBJECTS: usize = 32;
 /// The weight of one outcome in the share of failures.
 const FAIL_GAIN: f64 = 0.2;
 /// The weight of one answer in the slowness.
@@ -139,7 +137,7 @@
             hash: short_hash(record.id.as_str()),
             cold_until: (!record.cold.is_zero()).then(|| now + record.cold),
             cold: ColdLimit::new(now),
-            warm: WarmSet::new(WARM_OBJECTS),
+            warm: WarmSet::default(),
             own: 0,
             used: false,
             untried: false,
--- a/crates/steer/src/estimate.rs
+++ b/crates/steer/src/estimate.rs
@@ -70,6 +70,13 @@
         if warm { times.warm.value } else { times.plain.value }
     }
 
+    /// Whether a running time is nearer to that of a warm object; `None` before both are known.
+    pub fn looks_warm(&self, route: &RouteId, aim: Duration, taken: f64) -> Option<bool> {
+        let times = self.times(route, aim);
+        let known = times.warm.samples >= STEADY && times.plain.samples >= STEADY;
+        known.then(|| taken < f64::midpoint(times.warm.value, times.plain.value))
+    }
+
     /// The mean running time of what a service runs, in seconds.
     pub fn service(&self, service: &ServiceId) -> Option<f64> {
         self.services.get(service).map(|m| m.value)
--- a/crates/steer/src/hosts.rs
+++ b/crates/steer/src/hosts.rs
@@ -36,6 +36,7 @@
     number: u32,
     pub(crate) loads: HashMap<u32, u16>,
     pub(crate) demand: HashMap<u32, f64>,
+    pub(crate) arrivals: HashMap<u32, f64>,
 }
 
 impl Peer {
@@ -70,6 +71,7 @@
                         number: 0,
                         loads: HashMap::new(),
                         demand: HashMap::new(),
+                        arrivals: HashMap::new(),
                     },
                 );
             }
@@ -100,8 +102,11 @@
         peer.started = digest.started;
         peer.number = digest.number;
         peer.loads = digest.loads.into_iter().collect();
-        peer.demand =
-            digest.demand.into_iter().map(|(t, d)| (t, f64::from(d) / 10.0)).collect();
+        let rates = |list: Vec<(u32, u16)>| -> HashMap<u32, f64> {
+            list.into_iter().map(|(name, tenths)| (name, f64::from(tenths) / 10.0)).collect()
+        };
+        peer.demand = rates(digest.demand);
+        peer.arrivals = rates(digest.arrivals);
         true
     }
 
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -9,6 +9,7 @@
 use crate::endpoint::{Endpoint, EndpointKey};
 use crate::estimate::Estimates;
 use crate::hash::score;
+use crate::warm::Kept;
 
 /// The part of a request's worth that bytes between zones of a region cost.
 const ZONE_COST: f64 = 0.02;
@@ -21,6 +22,8 @@
 const SPREAD: f64 = 0.2;
 /// Weight of an object's preferred endpoint against others that are equal.
 const PREFER: f64 = 0.05;
+/// The price of running a request in another region than the one that its object belongs to.
+const OFF_PRIMARY: f64 = 0.15;
 /// The worth of the first request to an endpoint: what it shows serves all later ones.
 const FIRST_USE: f64 = 0.5;
 /// The price of the time a request takes, for each aim.
@@ -73,6 +76,8 @@
     pub expected: Duration,
     /// Whether the endpoint is taken to know the object.
     pub warm: bool,
+    /// How many objects the endpoint handled since this one, if it handled it.
+    pub rank: Option<usize>,
     /// Requests at the endpoint before this one.
     pub queue: f64,
     /// Whether no wait for a slot is expected.
@@ -97,6 +102,9 @@
 pub(crate) struct View<'a> {
     pub(crate) zone: &'a ZoneId,
     pub(crate) region: &'a RegionId,
+    /// The region that should run the request.
+    pub(crate) primary: &'a RegionId,
+    pub(crate) kept: Option<&'a Kept>,
     pub(crate) estimates: &'a Estimates,
     pub(crate) late_worth: f64,
     /// The use of the service's slots in all regions, 0 to 1 and more.
@@ -155,7 +163,10 @@
 fn weigh(ask: &Ask<'_>, view: &View<'_>, key: EndpointKey, endpoint: &Endpoint) -> Candidate {
     let route = ask.route;
     let aim = route.aim.as_secs_f64();
-    let warm = ask.object.is_some_and(|o| endpoint.warm.has(o, view.now));
+    let rank = ask.object.and_then(|o| endpoint.warm.rank(o));
+    let first = Kept::default();
+    let kept = view.kept.unwrap_or(&first);
+    let warm = rank.is_some_and(|r| kept.keeps(r));
     let slow = endpoint.slowness(view.now) * if endpoint.is_cold(view.now) { 2.0 } else { 1.0 };
     let base = view.estimates.running(&route.id, route.aim, true);
     let run = view.estimates.running(&route.id, route.aim, warm) * slow;
@@ -178,12 +189,14 @@
     let credit = chance + (1.0 - chance) * view.late_worth;
     let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 2.0);
     let prefer = ask.object.map_or(0.0, |o| score(u64::from(o), u64::from(endpoint.hash)));
+    let away = if &endpoint.region == view.primary { 0.0 } else { OFF_PRIMARY };
     let worth = credit * (1.0 - endpoint.failing(view.now))
         - crossing
+        - away
         - TIME_PRICE * total / aim
-        - SLOT_PRICE * pressure * run / each
+        - SLOT_PRICE * pressure * run / base
         + PREFER * prefer
         + if endpoint.untried && !endpoint.used { FIRST_USE } else { 0.0 };
     let expected = Duration::from_secs_f64(total.min(3_600.0));
-    Candidate { choice: Choice { key, expected, warm, queue, free }, worth, chance, wait }
+    Candidate { choice: Choice { key, expected, warm, rank, queue, free }, worth, chance, wait }
 }
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -4,7 +4,7 @@
 //! nobody asks for. Hosts learn each other's demand from digests. A host that falls silent keeps
 //! its part for a while, so that a host that is cut off and the others do not both use it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use wagtail_types::TeamId;
@@ -13,6 +13,9 @@
 
 /// The time over which demand is averaged; long enough to see a team of one request a second.
 const DEMAND_TIME: Duration = Duration::from_secs(3);
+/// The time after which every other host has heard of a demand: the period between regions and the
+/// way.
+const HEARD_AFTER: Duration = Duration::from_millis(1_100);
 /// The part of a new process's tokens that is at hand at its start: other processes of the host may
 /// have used the rest just before.
 const FIRST_PART: f64 = 0.6;
@@ -61,6 +64,8 @@
     filled: Instant,
     asked: f64,
     decayed: Instant,
+    /// The demands told to other hosts, oldest first.
+    told: VecDeque<(Instant, f64)>,
 }
 
 impl Bucket {
@@ -70,6 +75,17 @@
         self.decayed = now;
     }
 
+    /// The demand that all other hosts have heard of, or a lower one now. With a demand that only
+    /// this host knows, the parts of all hosts would add up to more than the limit.
+    fn known_demand(&mut self, now: Instant) -> f64 {
+        let heard = |&(at, _): &(Instant, f64)| now.duration_since(at) >= HEARD_AFTER;
+        while self.told.get(1).is_some_and(heard) {
+            self.told.pop_front();
+        }
+        let known = self.told.front().filter(|t| heard(t)).map_or(0.0, |t| t.1);
+        self.demand(now).min(known)
+    }
+
     /// Requests a second asked for.
     fn demand(&mut self, now: Instant) -> f64 {
         self.decay(now);
@@ -102,11 +118,13 @@
             filled: now,
             asked: 0.0,
             decayed: now,
+            told: VecDeque::new(),
         });
         bucket.asked += 1.0;
-        let own = bucket.demand(now);
+        let own = bucket.known_demand(now);
         let share = share(limits.rate, own, others, hosts);
-        let cap = limits.pool() * (EVEN_PART / hosts + (1.0 - EVEN_PART) * own / (own + others));
+        let part = if own > 0.0 { own / (own + others) } else { 0.0 };
+        let cap = limits.pool() * (EVEN_PART / hosts + (1.0 - EVEN_PART) * part);
         let gone = now.duration_since(bucket.filled).as_secs_f64();
         bucket.level = (bucket.level + gone * share).min(cap);
         bucket.filled = now;
@@ -125,15 +143,20 @@
         }
     }
 
-    /// What this host's callers ask for, in requests a second, by team.
-    pub fn demand(&mut self, now: Instant) -> Vec<(TeamId, f64)> {
-        self.buckets.iter_mut().map(|(t, b)| (t.clone(), b.demand(now))).collect()
+    /// What this host's callers ask for, in requests a second, by team, to tell other hosts.
+    pub fn tell(&mut self, now: Instant) -> Vec<(TeamId, f64)> {
+        let tell = |(team, bucket): (&TeamId, &mut Bucket)| {
+            let demand = bucket.demand(now);
+            bucket.told.push_back((now, demand));
+            (team.clone(), demand)
+        };
+        self.buckets.iter_mut().map(tell).collect()
     }
 }
 
 fn share(rate: f64, own: f64, others: f64, hosts: f64) -> f64 {
     let all = own + others;
-    if all <= rate {
+    if all <= rate || all <= 0.0 {
         own + (rate - all) / hosts
     } else {
         // A host whose callers ask for little still gets an equal part of a tenth, so that
--- /dev/null
+++ b/crates/steer/src/regions.rs
@@ -0,0 +1,105 @@
+//! Which region runs what: slow weights from demand and capacity.
+//!
+//! Every region keeps what fits its own slots; what does not goes to regions with slots to spare.
+//! An object belongs to one region at a time, so that its requests meet endpoints that know it.
+//! Weights move slowly, as a move of many requests meets endpoints that know nothing of them.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use wagtail_types::{RegionId, ServiceId};
+
+/// The use of a region's slots up to which its own requests stay.
+const FULL_USE: f64 = 0.75;
+
+/// Demand and capacity of one region, in slots.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RegionLoad {
+    /// Slots that the region's callers would keep busy.
+    pub demand: f64,
+    /// Slots of usable endpoints.
+    pub slots: f64,
+}
+
+/// The shares of regions in running this region's requests for one service.
+#[derive(Debug)]
+struct Weights {
+    shares: Vec<(RegionId, f64)>,
+    at: Instant,
+}
+
+/// The weights of all services.
+#[derive(Debug, Default)]
+pub struct Regions {
+    services: HashMap<ServiceId, Weights>,
+}
+
+impl Regions {
+    /// Moves the weights of a service towards what demand and capacity ask for.
+    ///
+    /// `most` is the share that may move in `window`; a region without any slots is left at once.
+    pub fn update(
+        &mut self,
+        service: &ServiceId,
+        home: &RegionId,
+        loads: &HashMap<RegionId, RegionLoad>,
+        most: f64,
+        window: Duration,
+        now: Instant,
+    ) {
+        let target = target(home, loads);
+        let weights = self.services.entry(service.clone()).or_insert_with(|| Weights {
+            shares: vec![(home.clone(), 1.0)],
+            at: now,
+        });
+        let gone = now.duration_since(weights.at).as_secs_f64();
+        weights.at = now;
+        let step = most * (gone / window.as_secs_f64()).min(1.0);
+        let old = |region: &RegionId| {
+            weights.shares.iter().find(|(r, _)| r == region).map_or(0.0, |s| s.1)
+        };
+        let dead: f64 = loads.iter().filter(|(_, l)| l.slots <= 0.0).map(|(r, _)| old(r)).sum();
+        let moved: f64 = target.iter().map(|(r, t)| (t - old(r)).max(0.0)).sum();
+        let part = if moved > 0.0 { (step.max(dead) / moved).min(1.0) } else { 0.0 };
+        let shares = target.iter().map(|(r, t)| (r.clone(), old(r) + (t - old(r)) * part));
+        weights.shares = shares.collect();
+    }
+
+    /// The region of a point in 0 to 1; as weights move, few points change their region.
+    pub fn pick(&self, service: &ServiceId, point: f64) -> Option<&RegionId> {
+        let shares = &self.services.get(service)?.shares;
+        let mut sum = 0.0;
+        for (region, share) in shares {
+            sum += share;
+            if point < sum {
+                return Some(region);
+            }
+        }
+        shares.first().map(|(r, _)| r)
+    }
+}
+
+/// The shares that demand and capacity ask for, the home region first.
+fn target(home: &RegionId, loads: &HashMap<RegionId, RegionLoad>) -> Vec<(RegionId, f64)> {
+    let room = |l: &RegionLoad| (l.slots * FULL_USE - l.demand).max(0.0);
+    let excess = |l: &RegionLoad| (l.demand - l.slots * FULL_USE).max(0.0);
+    let spare: f64 = loads.values().map(room).sum();
+    let wanted: f64 = loads.values().map(excess).sum();
+    let own = loads.get(home).copied().unwrap_or_default();
+    let granted = if wanted > 0.0 { (spare / wanted).min(1.0) } else { 0.0 };
+    let mut away = if own.demand > 0.0 { excess(&own) * granted / own.demand } else { 0.0 };
+    if own.slots <= 0.0 && loads.values().any(|l| l.slots > 0.0) {
+        away = 1.0;
+    }
+    let slots: f64 = loads.iter().filter(|(r, _)| *r != home).map(|(_, l)| l.slots).sum();
+    let mut others: Vec<_> = loads.iter().filter(|(r, _)| *r != home).collect();
+    others.sort_by(|a, b| a.0.cmp(b.0));
+    let part = |l: &RegionLoad| match (spare > 0.0, slots > 0.0) {
+        (true, _) => room(l) / (spare - room(&own)).max(f64::MIN_POSITIVE),
+        (false, true) => l.slots / slots,
+        (false, false) => 0.0,
+    };
+    let mut shares = vec![(home.clone(), 1.0 - away)];
+    shares.extend(others.into_iter().map(|(r, l)| (r.clone(), away * part(l).min(1.0))));
+    shares
+}
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -19,9 +19,11 @@
 use crate::hosts::{HostRecord, Hosts};
 use crate::place::{Ask, Choice, Placement, View, place};
 use crate::quota::{Quota, QuotaLimits, Taken};
+use crate::regions::{RegionLoad, Regions};
 use crate::settings::Settings;
 use crate::shares::Shares;
 use crate::split::Split;
+use crate::warm::Kept;
 
 /// The time for which a loss of endpoints lifts the bound on moves between regions.
 const LIFT_TIME: Duration = Duration::from_secs(6);
@@ -32,6 +34,11 @@
 /// The time for which digests repeat that an object is warm; two periods between regions.
 const WARM_TOLD: Duration = Duration::from_millis(2_200);
 
+/// The time over which the arrivals at a host are averaged.
+const ARRIVAL_TIME: Duration = Duration::from_secs(3);
+/// The part of the allowed shift that weights use; spills use the rest.
+const WEIGHTS_PART: f64 = 0.6;
+
 /// This host.
 #[derive(Debug, Clone)]
 pub struct Us {
@@ -78,7 +85,12 @@
     splits: HashMap<RouteId, Split>,
     estimates: Estimates,
     shares: Shares,
+    regions: Regions,
+    kept: HashMap<ServiceId, Kept>,
+    /// Counts requests that concern no object.
+    plain: u32,
     number: u32,
+    hosts_known: bool,
     registry_back: Option<Instant>,
     /// Objects that became warm lately, to tell the other hosts.
     warmed: VecDeque<(Instant, u32, u32)>,
@@ -102,7 +114,11 @@
             splits: HashMap::new(),
             estimates: Estimates::default(),
             shares,
+            regions: Regions::default(),
+            kept: HashMap::new(),
+            plain: 0,
             number: 0,
+            hosts_known: false,
             registry_back: None,
             warmed: VecDeque::new(),
         }
@@ -239,6 +255,17 @@
         self.registry_back = Some(now);
     }
 
+    /// Notes that all registered hosts were read.
+    pub fn hosts_read(&mut self) {
+        self.hosts_known = true;
+    }
+
+    /// Whether this host knows enough to serve callers: the configuration, the endpoints, and how
+    /// many hosts share the limits.
+    pub fn is_informed(&self) -> bool {
+        self.catalog.is_some() && self.hosts_known && !self.endpoints.is_empty()
+    }
+
     /// Takes the registration of another host.
     pub fn register_host(&mut self, record: HostRecord, now: Instant) {
         if record.id == self.us.record.id {
@@ -280,7 +307,11 @@
             self.warmed.pop_front();
         }
         let tenths = |rate: f64| (rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
-        let demand = self.quota.demand(now);
+        let demand = self.quota.tell(now);
+        let arrivals = self.budgets.iter().map(|(service, budget)| {
+            (short_hash(service.as_str()), tenths(budget.rate(ARRIVAL_TIME, now)))
+        });
+        let arrivals = arrivals.filter(|&(_, rate)| rate > 0).collect();
         Digest {
             host: self.us.record.id.clone(),
             started: self.us.started,
@@ -296,6 +327,7 @@
                 .map(|e| (e.hash, u16::try_from(e.own).unwrap_or(u16::MAX)))
                 .collect(),
             warm: self.warmed.iter().map(|&(_, endpoint, object)| (endpoint, object)).collect(),
+            arrivals,
             demand: demand
                 .into_iter()
                 .map(|(team, rate)| (short_hash(team.as_str()), tenths(rate)))
@@ -397,6 +429,8 @@
     /// Looks for an endpoint and counts the request there if one is found.
     pub fn place(&mut self, ask: &Ask<'_>, now: Instant) -> Placement {
         let usable = self.usable(ask, now);
+        let point = self.point(ask);
+        let primary = self.regions.pick(ask.service, point).unwrap_or(&self.us.region);
         let (busy, slots) = usable.iter().map(|&k| &self.endpoints[k]).fold((0.0, 0.0), |(b, s), e| {
             let slots = f64::from(e.record.slots);
             (b + e.outstanding().min(slots), s + slots)
@@ -404,6 +438,8 @@
         let view = View {
             zone: &self.us.record.zone,
             region: &self.us.region,
+            primary,
+            kept: self.kept.get(ask.service),
             estimates: &self.estimates,
             late_worth: self.settings.late_worth,
             used: if slots > 0.0 { busy / slots } else { 1.0 },
@@ -434,6 +470,49 @@
         placement
     }
 
+    /// The point that decides on the region of a request: the same for all of an object.
+    fn point(&mut self, ask: &Ask<'_>) -> f64 {
+        /// Multiples of the golden ratio fill the unit interval evenly.
+        const GOLDEN: f64 = 0.618_033_988_749_895;
+        match ask.object {
+            Some(object) => f64::from(object) / f64::from(u32::MAX),
+            None => {
+                self.plain = self.plain.wrapping_add(1);
+                (f64::from(self.plain) * GOLDEN).fract()
+            }
+        }
+    }
+
+    /// Moves the weights of the regions towards demand and capacity.
+    pub fn balance(&mut self, now: Instant) {
+        let silence = self.settings.host_silence;
+        let most = self.settings.max_shift * WEIGHTS_PART;
+        for (service, keys) in &self.services {
+            let hash = short_hash(service.as_str());
+            let each = self.estimates.service(service).unwrap_or(0.0);
+            let mut loads: HashMap<RegionId, RegionLoad> = HashMap::new();
+            for region in self.us.zones.values() {
+                loads.entry(region.clone()).or_default();
+            }
+            for peer in self.hosts.alive(silence, now) {
+                let rate = peer.arrivals.get(&hash).copied().unwrap_or(0.0);
+                loads.entry(peer.region.clone()).or_default().demand += rate * each;
+            }
+            let own = self.budgets.get(service).map_or(0.0, |b| b.rate(ARRIVAL_TIME, now));
+            loads.entry(self.us.region.clone()).or_default().demand += own * each;
+            for endpoint in keys.iter().map(|&k| &self.endpoints[k]) {
+                let record = &endpoint.record;
+                let out = self.evacuated.contains(&record.zone) || endpoint.is_down();
+                if record.state == EndpointState::Ready && !out {
+                    let slots = f64::from(record.slots) / endpoint.slowness(now).max(1.0);
+                    loads.entry(endpoint.region.clone()).or_default().slots += slots;
+                }
+            }
+            let window = self.settings.shift_window;
+            self.regions.update(service, &self.us.region, &loads, most, window, now);
+        }
+    }
+
     fn sent(&mut self, choice: &Choice, ask: &Ask<'_>, now: Instant) {
         let endpoint = &mut self.endpoints[choice.key];
         endpoint.own += 1;
@@ -511,11 +590,16 @@
         }
         if let Some(taken) = taken.filter(|_| outcome == Outcome::Answered && choice.free) {
             let taken = taken.as_secs_f64();
-            let expected = self.estimates.running(&route.id, route.aim, choice.warm);
+            let looks = self.estimates.looks_warm(&route.id, route.aim, taken);
+            let warm = looks.unwrap_or(choice.warm);
+            let expected = self.estimates.running(&route.id, route.aim, warm);
             endpoint.note_pace(taken / expected, now);
+            let service = endpoint.record.service.clone();
+            if let (Some(rank), Some(warm)) = (choice.rank, looks) {
+                self.kept.entry(service.clone()).or_default().learn(rank, warm);
+            }
             if !endpoint.is_cold(now) {
-                let service = &endpoint.record.service;
-                self.estimates.learn(&route.id, service, route.aim, choice.warm, taken);
+                self.estimates.learn(&route.id, &service, route.aim, choice.warm, taken);
             }
         }
     }
--- a/crates/steer/src/warm.rs
+++ b/crates/steer/src/warm.rs
@@ -1,36 +1,36 @@
-//! Which objects an endpoint has handled recently.
+//! Which objects an endpoint has handled recently, and how many endpoints of a service keep.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// How long an object is taken to stay warm; entries older than this are dropped.
-const KEPT: Duration = Duration::from_secs(60);
-
+/// Objects that are remembered of an endpoint, more than it keeps.
+const REMEMBERED: usize = 64;
+/// Objects that endpoints are taken to keep until answers show more or fewer.
+const KEPT_FIRST: f64 = 24.0;
+/// The fewest objects that endpoints are taken to keep.
+const KEPT_LEAST: f64 = 8.0;
+/// How much one wrong expectation lowers the number of objects kept.
+const KEPT_STEP: f64 = 0.5;
 /// The time after which other hosts are told again that an object is warm.
-pub const TELL_EVERY: Duration = Duration::from_secs(5);
+pub(crate) const TELL_EVERY: Duration = Duration::from_secs(5);
 
-/// The most recent objects of one endpoint, least recently used out first.
-#[derive(Debug)]
+/// The most recent objects of one endpoint.
+#[derive(Debug, Default)]
 pub struct WarmSet {
-    cap: usize,
     seen: HashMap<u32, Instant>,
 }
 
 impl WarmSet {
-    /// An empty set that holds `cap` objects.
-    pub fn new(cap: usize) -> Self {
-        Self { cap, seen: HashMap::new() }
-    }
-
-    /// Whether the object was handled recently.
-    pub fn has(&self, object: u32, now: Instant) -> bool {
-        self.seen.get(&object).is_some_and(|&at| now.duration_since(at) < KEPT)
+    /// How many objects the endpoint handled since this one, or `None` if it did not handle it.
+    pub fn rank(&self, object: u32) -> Option<usize> {
+        let at = self.seen.get(&object)?;
+        Some(self.seen.values().filter(|other| *other > at).count())
     }
 
     /// Notes that the object was handled; `true` if that was not known for [`TELL_EVERY`].
     pub fn note(&mut self, object: u32, now: Instant) -> bool {
         let before = self.seen.insert(object, now);
-        if self.seen.len() > self.cap {
+        if self.seen.len() > REMEMBERED {
             let oldest = self.seen.iter().min_by_key(|(_, at)| **at).map(|(&o, _)| o);
             if let Some(oldest) = oldest {
                 self.seen.remove(&oldest);
@@ -38,9 +38,30 @@
         }
         before.is_none_or(|at| now.duration_since(at) >= TELL_EVERY)
     }
+}
+
+/// How many objects endpoints of one service keep, learned from how long answers took.
+#[derive(Debug)]
+pub struct Kept(f64);
 
-    /// Forgets an object that turned out not to be warm.
-    pub fn forget(&mut self, object: u32) {
-        self.seen.remove(&object);
+impl Default for Kept {
+    fn default() -> Self {
+        Self(KEPT_FIRST)
+    }
+}
+
+impl Kept {
+    /// Whether an object of this rank is still kept.
+    pub fn keeps(&self, rank: usize) -> bool {
+        (rank as f64) < self.0
+    }
+
+    /// Learns from an object of this rank that was found warm or not.
+    pub fn learn(&mut self, rank: usize, warm: bool) {
+        if warm {
+            self.0 = self.0.max(rank as f64 + 1.0);
+        } else if self.keeps(rank) {
+            self.0 = (self.0 - KEPT_STEP).max(KEPT_LEAST);
+        }
     }
 }
