Send requests of an object to its own two endpoints under load

Ruled out: a time limit on warmth (runs stay fast after 16 s) and wrong region weights. Conclusion: slot time is the currency; refuse what would waste it.

--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -20,8 +20,14 @@
 const TRIPS: [f64; 3] = [0.001, 0.004, 0.045];
 /// The spread of running times around their estimate, as a part of it.
 const SPREAD: f64 = 0.2;
-/// Weight of an object's preferred endpoint against others that are equal.
-const PREFER: f64 = 0.05;
+/// The worth of an object's first and second endpoint against others that are equal.
+const PREFER: [f64; 2] = [0.05, 0.025];
+/// The price of a run at an endpoint that does not know the object, beyond a warm run's: at the
+/// object's first and second endpoint, which learn it for later, and elsewhere, where it displaces
+/// an object that belongs there.
+const COLD_PRICE: [f64; 3] = [0.2, 0.7, 2.0];
+/// The wait, in aims, up to which a request joins its first endpoint to make it learn the object.
+const LEARN_WAIT: f64 = 0.5;
 /// The price of running a request in another region than the one that its object belongs to.
 const OFF_PRIMARY: f64 = 0.15;
 /// The worth of the first request to an endpoint: what it shows serves all later ones.
@@ -32,8 +38,6 @@
 const FREE_USE: f64 = 0.5;
 /// The price of slot time at full use, for each running time of a warm request.
 const SLOT_PRICE: f64 = 0.35;
-/// The chance to be in time below which a request is only accepted where it delays no other.
-const LIKELY: f64 = 0.3;
 /// The least time to say to a caller that is refused.
 const LEAST_WAIT: Duration = Duration::from_millis(150);
 
@@ -115,23 +119,46 @@
 struct Candidate {
     choice: Choice,
     worth: f64,
-    chance: f64,
     wait: f64,
+    /// Whether the request makes the object's first endpoint learn it.
+    learns: bool,
+}
+
+/// An object's first and second endpoint among the usable ones of its region.
+fn preferred<'e>(
+    ask: &Ask<'_>,
+    view: &View<'_>,
+    endpoints: impl Iterator<Item = (EndpointKey, &'e Endpoint)>,
+) -> [Option<EndpointKey>; 2] {
+    let Some(object) = ask.object else {
+        return [None; 2];
+    };
+    let mut best: [Option<(f64, EndpointKey)>; 2] = [None; 2];
+    for (key, endpoint) in endpoints.filter(|(_, e)| &e.region == view.primary) {
+        let score = score(u64::from(object), u64::from(endpoint.hash));
+        if best[0].is_none_or(|b| score > b.0) {
+            best = [Some((score, key)), best[0]];
+        } else if best[1].is_none_or(|b| score > b.0) {
+            best[1] = Some((score, key));
+        }
+    }
+    best.map(|b| b.map(|(_, key)| key))
 }
 
 /// Picks the best of the usable endpoints.
 pub(crate) fn place<'e>(
     ask: &Ask<'_>,
     view: &View<'_>,
-    endpoints: impl Iterator<Item = (EndpointKey, &'e Endpoint)>,
+    endpoints: impl Iterator<Item = (EndpointKey, &'e Endpoint)> + Clone,
 ) -> Placement {
+    let preferred = preferred(ask, view, endpoints.clone());
     let mut best: Option<Candidate> = None;
     let mut soonest = f64::INFINITY;
     let mut any = false;
     let left = ask.left.as_secs_f64();
     for (key, endpoint) in endpoints {
         any = true;
-        let candidate = weigh(ask, view, key, endpoint);
+        let candidate = weigh(ask, view, &preferred, key, endpoint);
         soonest = soonest.min(candidate.wait);
         // A mere guess is no reason to refuse where a slot is free.
         let late = candidate.choice.expected.as_secs_f64() > left;
@@ -154,21 +181,27 @@
     }
 }
 
-/// Whether a request may join an endpoint's queue: in time, or at once on a free slot.
+/// Whether a request may join an endpoint's queue: it is worth its slot time, or makes the object's
+/// first endpoint learn it.
 fn accepts(ask: &Ask<'_>, candidate: &Candidate) -> bool {
     let aim = ask.route.aim.as_secs_f64();
-    candidate.chance >= LIKELY || candidate.choice.free || candidate.wait < aim * 0.25
+    candidate.worth > 0.0 || candidate.learns && candidate.wait < aim * LEARN_WAIT
 }
 
-fn weigh(ask: &Ask<'_>, view: &View<'_>, key: EndpointKey, endpoint: &Endpoint) -> Candidate {
+fn weigh(
+    ask: &Ask<'_>,
+    view: &View<'_>,
+    preferred: &[Option<EndpointKey>; 2],
+    key: EndpointKey,
+    endpoint: &Endpoint,
+) -> Candidate {
     let route = ask.route;
     let aim = route.aim.as_secs_f64();
     let rank = ask.object.and_then(|o| endpoint.warm.rank(o));
     let first = Kept::default();
-    let kept = view.kept.unwrap_or(&first);
-    let warm = rank.is_some_and(|r| kept.keeps(r));
+    let warm = rank.is_some_and(|r| view.kept.unwrap_or(&first).keeps(r));
     let slow = endpoint.slowness(view.now) * if endpoint.is_cold(view.now) { 2.0 } else { 1.0 };
-    let base = view.estimates.running(&route.id, route.aim, true);
+    let base = view.estimates.running(&route.id, route.aim, ask.object.is_some());
     let run = view.estimates.running(&route.id, route.aim, warm) * slow;
     let slots = f64::from(endpoint.record.slots.max(1));
     let queue = endpoint.outstanding();
@@ -187,16 +220,19 @@
     let spread = SPREAD * (run + wait) + 0.01;
     let chance = (0.5 + (slack - total) / (2.0 * spread)).clamp(0.0, 1.0);
     let credit = chance + (1.0 - chance) * view.late_worth;
-    let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 2.0);
-    let prefer = ask.object.map_or(0.0, |o| score(u64::from(o), u64::from(endpoint.hash)));
+    let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 1.0);
+    let place = preferred.iter().position(|p| *p == Some(key));
+    let cold = if ask.object.is_some() && !warm { COLD_PRICE[place.unwrap_or(2)] } else { 1.0 };
     let away = if &endpoint.region == view.primary { 0.0 } else { OFF_PRIMARY };
+    let untried = endpoint.untried && !endpoint.used;
     let worth = credit * (1.0 - endpoint.failing(view.now))
         - crossing
         - away
         - TIME_PRICE * total / aim
-        - SLOT_PRICE * pressure * run / base
-        + PREFER * prefer
-        + if endpoint.untried && !endpoint.used { FIRST_USE } else { 0.0 };
+        - SLOT_PRICE * pressure * (1.0 + (run / base - 1.0) * cold)
+        + place.map_or(0.0, |p| PREFER[p])
+        + if untried { FIRST_USE } else { 0.0 };
     let expected = Duration::from_secs_f64(total.min(3_600.0));
-    Candidate { choice: Choice { key, expected, warm, rank, queue, free }, worth, chance, wait }
+    let choice = Choice { key, expected, warm, rank, queue, free };
+    Candidate { choice, worth, wait, learns: place == Some(0) && !warm }
 }
--- a/crates/steer/src/warm.rs
+++ b/crates/steer/src/warm.rs
@@ -12,7 +12,7 @@
 /// How much one wrong expectation lowers the number of objects kept.
 const KEPT_STEP: f64 = 0.5;
 /// The time after which other hosts are told again that an object is warm.
-pub(crate) const TELL_EVERY: Duration = Duration::from_secs(5);
+pub(crate) const TELL_EVERY: Duration = Duration::from_secs(2);
 
 /// The most recent objects of one endpoint.
 #[derive(Debug, Default)]
