--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -20,7 +20,7 @@
 /// The part of its expected time after which a safe request is asked for elsewhere.
 const PATIENCE: f64 = 3.0;
 /// The least time before a safe request is asked for elsewhere.
-const PATIENCE_MIN: Duration = Duration::from_millis(400);
+const PATIENCE_MIN: Duration = Duration::from_millis(700);
 /// The time past the end for which the endpoint's own answer to its deadline is awaited.
 const LAST_WAIT: Duration = Duration::from_millis(40);
 /// The wait that is advised after a failure that says nothing of when room is expected.
@@ -66,25 +66,27 @@
         Err(reply) => return reply,
     };
     let mut progress = Progress::default();
+    let mut moved: Option<Flight> = None;
     loop {
-        if !progress.tried.is_empty() && !may_go_on(front, job, &progress) {
+        if moved.is_none() && !progress.tried.is_empty() && !may_go_on(front, job, &progress) {
             return conclude(progress, None, head);
         }
-        let choice = match look(front, job, &progress.tried) {
-            Placement::Send(choice) => choice,
-            Placement::Refuse { miss, retry } => {
+        let flight = match moved.take().map_or_else(|| look(front, job, &progress.tried), Ok) {
+            Ok(flight) => flight,
+            Err((miss, retry)) => {
                 story.missed(miss, retry);
                 return conclude(progress, Some((miss, retry)), head);
             }
         };
-        progress.tried.push(choice.key);
+        progress.tried.push(flight.choice.key);
         let began = front.core.now();
-        let flight =
-            Flight::new(front.core.clone(), choice.clone(), job.route.clone(), job.object);
-        let result = wait(front, job, head, &body, &choice, &progress).await;
+        let mut waited = wait(front, job, head, &body, &flight.choice, &progress).await;
         let taken = front.core.now().duration_since(began);
-        story.attempt(front, &choice, &result, taken);
-        if let Some(reply) = settle(front, job, head, flight, result, taken, &mut progress) {
+        story.attempt(front, &flight.choice, &waited, taken);
+        if let Waited::Overdue(next) = &mut waited {
+            moved = next.take();
+        }
+        if let Some(reply) = settle(front, job, head, flight, waited, taken, &mut progress) {
             story.ran = true;
             return reply;
         }
@@ -104,7 +106,8 @@
     }
 }
 
-fn look(front: &Front, job: &Job, tried: &[EndpointKey]) -> Placement {
+/// Looks for an endpoint, and counts the request there.
+fn look(front: &Front, job: &Job, tried: &[EndpointKey]) -> Result<Flight, (Miss, Duration)> {
     let now = front.core.now();
     let ask = Ask {
         route: &job.route,
@@ -115,7 +118,13 @@
         gone: now.duration_since(job.arrived),
         left: job.end.saturating_duration_since(now),
     };
-    front.core.steer.borrow_mut().place(&ask, now)
+    let placement = front.core.steer.borrow_mut().place(&ask, now);
+    match placement {
+        Placement::Send(choice) => {
+            Ok(Flight::new(front.core.clone(), choice, job.route.clone(), job.object))
+        }
+        Placement::Refuse { miss, retry } => Err((miss, retry)),
+    }
 }
 
 /// Whether a further endpoint may be tried.
@@ -133,12 +142,11 @@
 }
 
 /// The end of waiting for an attempt.
-#[derive(Debug)]
 pub(crate) enum Waited {
     /// The attempt ended.
     Ended(Result<Delivered, Fault>),
-    /// It took too long.
-    Overdue,
+    /// It took too long; the request goes on at another endpoint, or its time is over.
+    Overdue(Option<Flight>),
 }
 
 async fn wait(
@@ -157,21 +165,24 @@
         if let Ok(result) = tokio::time::timeout(patience, &mut attempt).await {
             return Waited::Ended(result);
         }
-        if other_is_better(front, job, choice) {
-            return Waited::Overdue;
+        if let Some(next) = elsewhere(front, job, &progress.tried) {
+            return Waited::Overdue(Some(next));
         }
     }
     match tokio::time::timeout(left(LAST_WAIT), &mut attempt).await {
         Ok(result) => Waited::Ended(result),
-        Err(_) => Waited::Overdue,
+        Err(_) => Waited::Overdue(None),
     }
 }
 
-/// Whether an endpoint that is overdue should be given up for another.
-fn other_is_better(front: &Front, job: &Job, choice: &Choice) -> bool {
-    let now = front.core.now();
-    let left = job.end.saturating_duration_since(now);
-    choice.expected < left && front.core.steer.borrow().may_retry(&job.service, now)
+/// A free endpoint for a request whose endpoint is overdue. Without one it is better to wait on.
+fn elsewhere(front: &Front, job: &Job, tried: &[EndpointKey]) -> Option<Flight> {
+    // A host that stops must not add failures of its own to requests that are at work.
+    if front.core.is_leaving() || !front.core.steer.borrow().may_retry(&job.service, front.core.now()) {
+        return None;
+    }
+    let next = look(front, job, tried).ok().filter(|flight| flight.choice.free)?;
+    front.core.steer.borrow_mut().take_retry(&job.service, front.core.now()).then_some(next)
 }
 
 /// Takes the end of an attempt; a reply if it is the last one.
@@ -187,7 +198,7 @@
     let key = flight.choice.key;
     let result = match waited {
         Waited::Ended(result) => result,
-        Waited::Overdue => {
+        Waited::Overdue(_) => {
             progress.sends += 1;
             progress.ran = true;
             flight.end(Outcome::Overdue, None, None);
--- a/crates/gateway/src/request/story.rs
+++ b/crates/gateway/src/request/story.rs
@@ -89,7 +89,7 @@
         taken: Duration,
     ) {
         let end = match waited {
-            Waited::Overdue => "overdue".to_owned(),
+            Waited::Overdue(_) => "overdue".to_owned(),
             Waited::Ended(Ok(delivered)) => delivered.head.status.as_u16().to_string(),
             Waited::Ended(Err(fault)) => fault.to_string(),
         };
