Keep each team's limit at one host a region

Change: the team's keeper in each region, by rendezvous hashing over live hosts, hands out tokens; keepers of three regions share by demand.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,24 +1,24 @@
-//! Digests between hosts, and the upkeep of the table of hosts.
+//! Messages between hosts: digests, demand and tokens, and the upkeep of the table of hosts.
 
-use std::cell::RefCell;
-use std::collections::HashSet;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use slog::{debug, error, info, warn};
 use tokio::net::UdpSocket;
-use wagtail_steer::{Digest, HostState};
+use tokio::sync::oneshot;
+use wagtail_steer::{Digest, HostState, Message, Steer, Taken, Team, Token};
 use wagtail_types::HostId;
 
 use crate::host::Core;
 use crate::registry::{Entry, Registry, Topic};
-use crate::settings::Settings;
 
 /// The largest datagram; digests of large fleets stay well below.
 const DATAGRAM_MAX: usize = 60_000;
-/// The most hosts of the region, and as many of the others, that get one digest.
-const FAN_OUT: usize = 8;
+/// The wait for a keeper's answer: several ways within a region, and little of any request's time.
+const TOKEN_WAIT: Duration = Duration::from_millis(40);
 /// The pause after a failed registration of this host.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(400);
 /// Time between two reads of the hosts' registrations, for hosts whose digests do not arrive.
@@ -31,11 +31,21 @@
     socket: UdpSocket,
     next: RefCell<[usize; 2]>,
     alive: RefCell<HashSet<HostId>>,
+    /// Requests that wait for a token.
+    asked: RefCell<HashMap<u32, oneshot::Sender<Taken>>>,
+    numbers: Cell<u32>,
 }
 
 impl Exchange {
     pub(crate) fn new(core: Rc<Core>, socket: UdpSocket) -> Self {
-        Self { core, socket, next: RefCell::default(), alive: RefCell::default() }
+        Self {
+            core,
+            socket,
+            next: RefCell::default(),
+            alive: RefCell::default(),
+            asked: RefCell::default(),
+            numbers: Cell::new(0),
+        }
     }
 
     /// Receives digests.
@@ -54,10 +64,80 @@
                 buffer.resize(DATAGRAM_MAX, 0);
                 continue;
             }
-            match Digest::decode(&buffer[..size]) {
-                Ok(digest) => self.hear(digest),
-                Err(e) => warn!(self.core.log, "bad digest"; "from" => %from, "error" => %e),
+            match Message::decode(&buffer[..size]) {
+                Ok(message) => self.take(message, from),
+                Err(e) => warn!(self.core.log, "bad message"; "from" => %from, "error" => %e),
+            }
+        }
+    }
+
+    fn take(&self, message: Message, from: SocketAddr) {
+        let now = self.core.now();
+        match message {
+            Message::Digest(digest) => self.hear(digest),
+            Message::Demand { zone, teams } => {
+                self.core.steer.borrow_mut().hear_demand(&zone, &teams, now);
+            }
+            Message::Ask { number, team } => {
+                let taken = self.core.steer.borrow_mut().token_for(team, now);
+                let wait_ms = match taken {
+                    Some(Taken::Yes) => None,
+                    Some(Taken::No(wait)) => Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)),
+                    // Without an answer the other host decides by itself.
+                    None => return,
+                };
+                self.post(&Message::Token { number, wait_ms }, from);
+            }
+            Message::Token { number, wait_ms } => {
+                let waiting = self.asked.borrow_mut().remove(&number);
+                if let Some(waiting) = waiting {
+                    // A request that no longer waits needs no token.
+                    let _ = waiting.send(wait_ms.map_or(Taken::Yes, Steer::refused_for));
+                }
             }
+            Message::Unused { team } => self.core.steer.borrow_mut().return_token(team),
+        }
+    }
+
+    /// Sends a message if that needs no wait; all of them may be lost anyway.
+    fn post(&self, message: &Message, to: SocketAddr) {
+        let sent = match message.encode() {
+            Ok(bytes) => self.socket.try_send_to(&bytes, to).map_err(|e| e.to_string()),
+            Err(e) => Err(e.to_string()),
+        };
+        if let Err(e) = sent {
+            debug!(self.core.log, "message not sent"; "to" => %to, "error" => e);
+        }
+    }
+
+    /// Takes a token of a team's limit, here or from its keeper.
+    pub(crate) async fn token(&self, team: &Team) -> Taken {
+        let token = self.core.steer.borrow_mut().token(team, self.core.now());
+        let (keeper, hash) = match token {
+            Token::Here(taken) => return taken,
+            Token::Ask { keeper, team } => (keeper, team),
+        };
+        let number = self.numbers.get().wrapping_add(1);
+        self.numbers.set(number);
+        let (sender, answer) = oneshot::channel();
+        self.asked.borrow_mut().insert(number, sender);
+        self.post(&Message::Ask { number, team: hash }, keeper);
+        if let Ok(Ok(taken)) = tokio::time::timeout(TOKEN_WAIT, answer).await {
+            return taken;
+        }
+        self.asked.borrow_mut().remove(&number);
+        self.core.metrics.count("tokens", "unanswered");
+        self.core.steer.borrow_mut().token_alone(team, self.core.now())
+    }
+
+    /// Gives a token back for a request that no endpoint ran.
+    pub(crate) fn give_back(&self, team: &Team) {
+        let now = self.core.now();
+        let hash = Steer::object_hash(team.id.as_str());
+        let keeper = self.core.steer.borrow().keeper_addr(team, now);
+        match keeper {
+            Some(keeper) => self.post(&Message::Unused { team: hash }, keeper),
+            None => self.core.steer.borrow_mut().return_token(hash),
         }
     }
 
@@ -74,13 +154,15 @@
     }
 
     /// Sends digests each period: often within the region, seldom to other regions.
-    pub(crate) async fn send(self: Rc<Self>, settings: Settings) {
+    pub(crate) async fn send(self: Rc<Self>) {
+        let settings = self.core.steer.borrow().settings().clone();
         let mut far_at = self.core.now();
         loop {
             let now = self.core.now();
             let far = now >= far_at;
             if far {
                 far_at = now + settings.far_period;
+                self.spread_demand(now);
             }
             self.note_silent(now);
             self.spread(far).await;
@@ -100,11 +182,20 @@
         }
     }
 
+    /// Tells the other regions' keepers what is asked of this one.
+    fn spread_demand(&self, now: Instant) {
+        let zone = self.core.steer.borrow().us().record.zone.clone();
+        let demands = self.core.steer.borrow_mut().demands(now);
+        for (keeper, teams) in demands {
+            self.post(&Message::Demand { zone: zone.clone(), teams }, keeper);
+        }
+    }
+
     /// Sends a digest to the next hosts of the region and, if asked, of other regions.
     pub(crate) async fn spread(&self, far: bool) {
         let state = self.core.state();
         let digest = self.core.steer.borrow_mut().digest(state, self.core.now());
-        let bytes = match digest.encode() {
+        let bytes = match Message::Digest(digest).encode() {
             Ok(bytes) => bytes,
             Err(e) => {
                 error!(self.core.log, "digest not encoded"; "error" => %e);
@@ -121,13 +212,14 @@
     fn targets(&self, far: bool) -> Vec<SocketAddr> {
         let steer = self.core.steer.borrow();
         let region = &steer.us().region;
+        let fan_out = steer.settings().fan_out;
         let (mut near, mut away): (Vec<_>, Vec<_>) =
             steer.hosts().all().partition(|p| p.region == *region);
         near.sort_by(|a, b| a.record.id.cmp(&b.record.id));
         away.sort_by(|a, b| a.record.id.cmp(&b.record.id));
         let mut next = self.next.borrow_mut();
         let mut pick = |list: &[&wagtail_steer::Peer], at: usize| -> Vec<SocketAddr> {
-            let count = list.len().min(FAN_OUT);
+            let count = list.len().min(fan_out);
             let start = next[at];
             next[at] = start.wrapping_add(count);
             (0..count).map(|i| list[(start.wrapping_add(i)) % list.len()].record.peer).collect()
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -9,6 +9,7 @@
 use wagtail_types::Clock;
 
 use crate::conventions::Conventions;
+use crate::exchange::Exchange;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::request::LogBudget;
@@ -66,6 +67,7 @@
 /// What a request needs.
 pub(crate) struct Front {
     pub(crate) core: Rc<Core>,
+    pub(crate) exchange: Rc<Exchange>,
     pub(crate) pool: Rc<Pool>,
     pub(crate) conventions: Rc<dyn Conventions>,
     pub(crate) lines: RefCell<LogBudget>,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -24,7 +24,7 @@
     let arrived = front.core.now();
     let (head, body) = request.into_parts();
     let mut story = story::Story::new(front.clone(), arrived);
-    let reply = match admit::admit(&front, &head, arrived, &mut story) {
+    let reply = match admit::admit(&front, &head, arrived, &mut story).await {
         Ok(job) => attempt::run(&front, &job, &head, body, &mut story).await,
         Err(reply) => reply,
     };
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -40,7 +40,22 @@
 }
 
 /// Checks a request and takes a token of its team.
-pub(crate) fn admit(
+pub(crate) async fn admit(
+    front: &Front,
+    head: &request::Parts,
+    arrived: Instant,
+    story: &mut Story,
+) -> Result<Job, Reply> {
+    let job = check(front, head, arrived, story)?;
+    if let Some(team) = &job.team
+        && let Taken::No(wait) = front.exchange.token(team).await
+    {
+        return Err(Reply::refuse(StatusCode::TOO_MANY_REQUESTS, "over the team's limit", wait));
+    }
+    Ok(job)
+}
+
+fn check(
     front: &Front,
     head: &request::Parts,
     arrived: Instant,
@@ -79,11 +94,6 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Reply::refuse(status, "no region may serve it", UNREADY_WAIT));
     };
-    if let Some(team) = &team
-        && let Taken::No(wait) = steer.take_quota(team, arrived)
-    {
-        return Err(Reply::refuse(StatusCode::TOO_MANY_REQUESTS, "over the team's limit", wait));
-    }
     let Some(service) = steer.split(route) else {
         return Err(Reply::fail(StatusCode::NOT_FOUND, "the route has no service"));
     };
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -49,7 +49,7 @@
 ) -> Reply {
     let reply = drive(front, job, head, body, story).await;
     if !story.ran && let Some(team) = &job.team {
-        front.core.steer.borrow_mut().return_quota(&team.id);
+        front.exchange.give_back(team);
     }
     reply
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -57,19 +57,21 @@
     let core = Rc::new(Core::new(steer, log, Rc::new(SystemClock)));
     let pool = Rc::new(Pool::default());
     let lines = RefCell::new(LogBudget::new(core.now()));
+    let listen = settings.listen.clone();
+    let at = |addr| move |source| RunError::Listen { addr, source };
+    let peer = UdpSocket::bind(listen.peer).await.map_err(at(listen.peer))?;
+    let exchange = Rc::new(Exchange::new(core.clone(), peer));
     let front = Rc::new(Front {
         core: core.clone(),
+        exchange: exchange.clone(),
         pool: pool.clone(),
         conventions: conventions.clone(),
         lines,
     });
     let (stage, stages) = watch::channel(Stage::Open);
-    let listen = settings.listen.clone();
     info!(core.log, "starting"; "host" => %core.steer.borrow().us().record.id,
         "front" => %listen.front, "peer" => %listen.peer);
 
-    let at = |addr| move |source| RunError::Listen { addr, source };
-    let peer = UdpSocket::bind(listen.peer).await.map_err(at(listen.peer))?;
     let callers = bind(listen.front).await.map_err(at(listen.front))?;
     spawn_local(accept(front, callers, stages));
     if let Some(addr) = listen.ready {
@@ -92,9 +94,8 @@
         spawn_local(serve_small(core.clone(), listener, answer));
     }
 
-    let exchange = Rc::new(Exchange::new(core.clone(), peer));
     spawn_local(exchange.clone().receive());
-    spawn_local(exchange.clone().send(settings.clone()));
+    spawn_local(exchange.clone().send());
     spawn_local(register(core.clone(), registry.clone()));
     for topic in [Topic::Operator, Topic::Endpoints] {
         spawn_local(follow(core.clone(), registry.clone(), topic, settings.clone()));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -33,8 +33,4 @@
     /// The pause between two calls for changes, in which changes gather; well inside the bounds on
     /// draining and configuration.
     pub follow_pause: Duration,
-    /// The period of digests within the region.
-    pub near_period: Duration,
-    /// The period of digests to other regions.
-    pub far_period: Duration,
 }
--- a/crates/steer/src/catalog.rs
+++ b/crates/steer/src/catalog.rs
@@ -6,6 +6,7 @@
 
 use wagtail_types::{ServiceId, TeamId};
 
+use crate::hash::short_hash;
 use crate::config::{ApiKey, Config, ConfigVersion, ContentError, Limits, Route, Service, Team};
 
 /// A configuration with an index for each look-up that a request makes.
@@ -18,6 +19,7 @@
     services: HashMap<ServiceId, Service>,
     teams: HashMap<TeamId, Rc<Team>>,
     keys: HashMap<ApiKey, Rc<Team>>,
+    hashes: HashMap<u32, Rc<Team>>,
 }
 
 impl TryFrom<Config> for Catalog {
@@ -42,6 +44,7 @@
             limits: config.limits,
             routes,
             services: config.services.into_iter().map(|s| (s.id.clone(), s)).collect(),
+            hashes: teams.iter().map(|t| (short_hash(t.id.as_str()), t.clone())).collect(),
             teams: teams.into_iter().map(|t| (t.id.clone(), t)).collect(),
             keys,
         })
@@ -82,6 +85,11 @@
         to.map(|r| r.aim).min()
     }
 
+    /// A team by the hash of its name in messages.
+    pub(crate) fn team(&self, hash: u32) -> Option<&Rc<Team>> {
+        self.hashes.get(&hash)
+    }
+
     /// All teams, in no order.
     pub fn teams(&self) -> impl Iterator<Item = &Rc<Team>> {
         self.teams.values()
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other: one small datagram each period.
+//! What hosts tell each other, each in one small datagram.
 
 use std::net::SocketAddr;
 
@@ -7,7 +7,7 @@
 use wagtail_types::{HostId, ZoneId};
 
 /// The first byte of every datagram: the format's version.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// Whether a host takes callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,11 +44,42 @@
     /// Requests for services that arrive at the sender: hash of the service's name, tenths of a
     /// request a second.
     pub arrivals: Vec<(u32, u16)>,
-    /// What teams ask of the sender: hash of the team's name, tenths of a request a second.
-    pub demand: Vec<(u32, u16)>,
 }
 
-/// A datagram that is not a digest.
+/// A message between hosts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// A host's state and load.
+    Digest(Digest),
+    /// What is asked of the keeper of teams in one region, to their keepers in another.
+    Demand {
+        /// The sender's zone.
+        zone: ZoneId,
+        /// Hash of the team's name, tenths of a request a second.
+        teams: Vec<(u32, u16)>,
+    },
+    /// A request for a token of a team, to its keeper.
+    Ask {
+        /// The number of the request at its sender.
+        number: u32,
+        /// Hash of the team's name.
+        team: u32,
+    },
+    /// A keeper's answer.
+    Token {
+        /// The number of the request that it answers.
+        number: u32,
+        /// `None` grants the token; else the time in milliseconds until one is expected.
+        wait_ms: Option<u32>,
+    },
+    /// A token that was not used.
+    Unused {
+        /// Hash of the team's name.
+        team: u32,
+    },
+}
+
+/// A datagram that is not a message.
 #[derive(Debug, Display, Error)]
 pub enum DigestError {
     /// Another format, or none.
@@ -59,8 +90,8 @@
     Codec(postcard::Error),
 }
 
-impl Digest {
-    /// Encodes the digest.
+impl Message {
+    /// Encodes the message.
     ///
     /// # Errors
     ///
--- a/crates/steer/src/hosts.rs
+++ b/crates/steer/src/hosts.rs
@@ -7,6 +7,7 @@
 use wagtail_types::{HostId, RegionId, ZoneId};
 
 use crate::digest::{Digest, HostState};
+use crate::settings::Settings;
 
 /// What a host says of itself in the registry.
 #[derive(Debug, Clone, PartialEq)]
@@ -35,25 +36,51 @@
     started: u64,
     number: u32,
     pub(crate) loads: HashMap<u32, u16>,
-    pub(crate) demand: HashMap<u32, f64>,
     pub(crate) arrivals: HashMap<u32, f64>,
 }
 
-impl Peer {
-    fn alive(&self, silence: Duration, now: Instant) -> bool {
-        self.heard.is_some_and(|at| now.duration_since(at) < silence)
-    }
-}
-
 /// All other hosts that this host knows of.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Hosts {
+    home: RegionId,
     peers: HashMap<HostId, Peer>,
+    /// The time after which a host of the region, or of another one, is taken as lost.
+    silence: [Duration; 2],
 }
 
+/// Digests of a host that may be missed before it is taken as lost, and some delay.
+const MISSED: f64 = 2.2;
+
 impl Hosts {
+    /// No other hosts, seen from a region.
+    pub fn new(home: RegionId, settings: &Settings) -> Self {
+        Self { home, peers: HashMap::new(), silence: [settings.host_silence; 2] }
+    }
+
+    /// Adapts to the number of hosts: each gets a digest every few periods.
+    fn tune(&mut self, settings: &Settings) {
+        let near = self.peers.values().filter(|p| p.region == self.home).count();
+        let far = self.peers.len() - near;
+        let silence = |count: usize, period: Duration| {
+            let rounds = count.div_ceil(settings.fan_out);
+            period.mul_f64(MISSED * rounds as f64).max(settings.host_silence)
+        };
+        self.silence = [silence(near, settings.near_period), silence(far, settings.far_period)];
+    }
+
+    fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
+        let silence = self.silence[usize::from(peer.region != self.home)];
+        peer.heard.is_some_and(|at| now.duration_since(at) < silence)
+    }
+
     /// Takes a registration.
-    pub fn register(&mut self, record: HostRecord, region: RegionId, now: Instant) {
+    pub fn register(
+        &mut self,
+        record: HostRecord,
+        region: RegionId,
+        settings: &Settings,
+        now: Instant,
+    ) {
         match self.peers.get_mut(&record.id) {
             Some(peer) if peer.heard.is_none() => peer.record = record,
             Some(_) => {}
@@ -70,23 +97,29 @@
                         started: 0,
                         number: 0,
                         loads: HashMap::new(),
-                        demand: HashMap::new(),
                         arrivals: HashMap::new(),
                     },
                 );
+                self.tune(settings);
             }
         }
     }
 
     /// Takes a digest; `false` if it is older than one that was heard before.
-    pub fn hear(&mut self, digest: Digest, region: RegionId, now: Instant) -> bool {
+    pub fn hear(
+        &mut self,
+        digest: Digest,
+        region: RegionId,
+        settings: &Settings,
+        now: Instant,
+    ) -> bool {
         let record = HostRecord {
             id: digest.host.clone(),
             zone: digest.zone,
             front: digest.front,
             peer: digest.peer,
         };
-        self.register(record.clone(), region, now);
+        self.register(record.clone(), region, settings, now);
         let Some(peer) = self.peers.get_mut(&digest.host) else {
             return false;
         };
@@ -105,7 +138,6 @@
         let rates = |list: Vec<(u32, u16)>| -> HashMap<u32, f64> {
             list.into_iter().map(|(name, tenths)| (name, f64::from(tenths) / 10.0)).collect()
         };
-        peer.demand = rates(digest.demand);
         peer.arrivals = rates(digest.arrivals);
         true
     }
@@ -115,19 +147,21 @@
         self.peers.values()
     }
 
-    /// The hosts heard within `silence`.
-    pub fn alive(&self, silence: Duration, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |p| p.alive(silence, now))
+    /// The hosts that are heard.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |p| self.is_alive(p, now))
     }
 
-    /// Drops hosts that were silent for `lost`, and says which.
-    pub fn prune(&mut self, lost: Duration, now: Instant) -> Vec<HostId> {
+    /// Drops hosts that were silent for long, and says which.
+    pub fn prune(&mut self, settings: &Settings, now: Instant) -> Vec<HostId> {
+        let lost = settings.lost_demand;
         let gone = |p: &Peer| now.duration_since(p.heard.unwrap_or(p.known)) >= lost;
         let ids: Vec<_> =
             self.peers.iter().filter(|(_, p)| gone(p)).map(|(id, _)| id.clone()).collect();
         for id in &ids {
             self.peers.remove(id);
         }
+        self.tune(settings);
         ids
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -19,6 +19,7 @@
 mod shares;
 mod split;
 mod steer;
+mod tokens;
 mod warm;
 
 pub use budget::Budget;
@@ -28,15 +29,16 @@
     ApiKey, Config, ConfigVersion, ContentError, Limits, Part, Repeat, Route, RouteId, Service,
     Team,
 };
-pub use digest::{Digest, DigestError, HostState};
+pub use digest::{Digest, DigestError, HostState, Message};
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 pub use estimate::Estimates;
 pub use hosts::{HostRecord, Hosts, Peer};
 pub use place::{Ask, Choice, Miss, Placement};
-pub use quota::{Quota, QuotaLimits, Taken};
+pub use quota::{Others, Quota, QuotaLimits, Taken};
 pub use regions::{RegionLoad, Regions};
 pub use settings::Settings;
 pub use shares::Shares;
 pub use split::Split;
 pub use steer::{End, Steer, Us};
+pub use tokens::Token;
 pub use warm::{Kept, WarmSet};
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -26,8 +26,15 @@
     pub max_shift: f64,
     /// The window of `max_shift`; from the deployment's rules.
     pub shift_window: Duration,
-    /// The time after which a host that is not heard is taken as lost; twice the slowest period of
-    /// the exchange and a lost datagram.
+    /// The period of digests within the region; a few service times of a short request.
+    pub near_period: Duration,
+    /// The period of digests to other regions, whose bytes are dear.
+    pub far_period: Duration,
+    /// The most hosts of the region, and as many of the others, that get one digest; bounds what a
+    /// host of a large fleet sends.
+    pub fan_out: usize,
+    /// The least time after which a host that is not heard is taken as lost; twice the period
+    /// between regions and a lost datagram.
     pub host_silence: Duration,
     /// The longest time that a lost host's demand counts against limits; longer than most cuts.
     pub lost_demand: Duration,
@@ -49,6 +56,9 @@
             quota_slack: 0.0,
             max_shift: 0.15,
             shift_window: Duration::from_secs(2),
+            near_period: Duration::from_millis(400),
+            far_period: Duration::from_millis(1_000),
+            fan_out: 8,
             host_silence: Duration::from_millis(2_600),
             lost_demand: Duration::from_secs(20),
             late_worth: 0.3,
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -6,19 +6,19 @@
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
-use wagtail_types::{EndpointId, HostId, RegionId, ServiceId, TeamId, ZoneId};
+use wagtail_types::{EndpointId, HostId, RegionId, ServiceId, ZoneId};
 
 use crate::budget::Budget;
 use crate::catalog::Catalog;
 use crate::cold::is_sender;
-use crate::config::{Config, ConfigVersion, ContentError, Part, Route, RouteId, Team};
+use crate::config::{Config, ConfigVersion, ContentError, Part, Route, RouteId};
 use crate::digest::{Digest, HostState};
 use crate::endpoint::{CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 use crate::estimate::{Estimates, WARM_GUESS};
 use crate::hash::short_hash;
 use crate::hosts::{HostRecord, Hosts};
 use crate::place::{Ask, Choice, Placement, View, place};
-use crate::quota::{Quota, QuotaLimits, Taken};
+use crate::quota::Quota;
 use crate::regions::{RegionLoad, Regions};
 use crate::settings::Settings;
 use crate::shares::Shares;
@@ -72,15 +72,15 @@
 /// The state that all decisions of one host share.
 #[derive(Debug)]
 pub struct Steer {
-    us: Us,
-    settings: Settings,
-    catalog: Option<Rc<Catalog>>,
+    pub(crate) us: Us,
+    pub(crate) settings: Settings,
+    pub(crate) catalog: Option<Rc<Catalog>>,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     names: HashMap<EndpointId, EndpointKey>,
     services: HashMap<ServiceId, Vec<EndpointKey>>,
     evacuated: HashSet<ZoneId>,
-    hosts: Hosts,
-    quota: Quota,
+    pub(crate) hosts: Hosts,
+    pub(crate) quota: Quota,
     budgets: HashMap<ServiceId, Budget>,
     splits: HashMap<RouteId, Split>,
     estimates: Estimates,
@@ -100,6 +100,7 @@
     /// A host that knows nothing yet.
     pub fn new(us: Us, settings: Settings) -> Self {
         let shares = Shares::new(settings.shift_window);
+        let hosts = Hosts::new(us.region.clone(), &settings);
         Self {
             us,
             settings,
@@ -108,7 +109,7 @@
             names: HashMap::new(),
             services: HashMap::new(),
             evacuated: HashSet::new(),
-            hosts: Hosts::default(),
+            hosts,
             quota: Quota::default(),
             budgets: HashMap::new(),
             splits: HashMap::new(),
@@ -129,6 +130,11 @@
         &self.us
     }
 
+    /// Bounds and weights.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// The configuration in force.
     pub fn catalog(&self) -> Option<&Rc<Catalog>> {
         self.catalog.as_ref()
@@ -272,7 +278,7 @@
             return;
         }
         if let Some(region) = self.us.zones.get(&record.zone).cloned() {
-            self.hosts.register(record, region, now);
+            self.hosts.register(record, region, &self.settings, now);
         }
     }
 
@@ -285,15 +291,14 @@
             return false;
         };
         let warm = std::mem::take(&mut digest.warm);
-        if !self.hosts.hear(digest, region, now) {
+        if !self.hosts.hear(digest, region, &self.settings, now) {
             return false;
         }
-        let silence = self.settings.host_silence;
         for endpoint in self.endpoints.values_mut() {
             for &(_, object) in warm.iter().filter(|(hash, _)| *hash == endpoint.hash) {
                 endpoint.warm.note(object, now);
             }
-            let loads = self.hosts.alive(silence, now).filter_map(|p| p.loads.get(&endpoint.hash));
+            let loads = self.hosts.alive(now).filter_map(|p| p.loads.get(&endpoint.hash));
             let count: u32 = loads.map(|&l| u32::from(l)).sum();
             endpoint.note_others(f64::from(count), now);
         }
@@ -307,7 +312,6 @@
             self.warmed.pop_front();
         }
         let tenths = |rate: f64| (rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
-        let demand = self.quota.tell(now);
         let arrivals = self.budgets.iter().map(|(service, budget)| {
             (short_hash(service.as_str()), tenths(budget.rate(ARRIVAL_TIME, now)))
         });
@@ -328,31 +332,25 @@
                 .collect(),
             warm: self.warmed.iter().map(|&(_, endpoint, object)| (endpoint, object)).collect(),
             arrivals,
-            demand: demand
-                .into_iter()
-                .map(|(team, rate)| (short_hash(team.as_str()), tenths(rate)))
-                .filter(|&(_, rate)| rate > 0)
-                .collect(),
         }
     }
 
     /// The hosts that are heard.
     pub fn alive_hosts(&self, now: Instant) -> HashSet<HostId> {
-        let alive = self.hosts.alive(self.settings.host_silence, now);
+        let alive = self.hosts.alive(now);
         alive.map(|p| p.record.id.clone()).collect()
     }
 
     /// Drops hosts that have been silent for long.
     pub fn prune_hosts(&mut self, now: Instant) -> Vec<HostId> {
-        self.hosts.prune(self.settings.lost_demand, now)
+        self.hosts.prune(&self.settings, now)
     }
 
     /// The addresses for callers of a zone: hosts of the zone, else of its region, else all.
     pub fn directory(&self, zone: Option<&ZoneId>, ready: bool, now: Instant) -> Vec<SocketAddr> {
-        let silence = self.settings.host_silence;
         let mut found: Vec<(&ZoneId, &RegionId, SocketAddr)> = self
             .hosts
-            .alive(silence, now)
+            .alive(now)
             .filter(|p| p.state == Some(HostState::Ready))
             .map(|p| (&p.record.zone, &p.region, p.record.front))
             .collect();
@@ -374,25 +372,7 @@
 
     /// The number of hosts that are alive, with this one.
     pub fn host_count(&self, now: Instant) -> usize {
-        self.hosts.alive(self.settings.host_silence, now).count() + 1
-    }
-
-    /// Takes a token of a team's limit.
-    pub fn take_quota(&mut self, team: &Team, now: Instant) -> Taken {
-        let Some(rate) = team.rate else {
-            return Taken::Yes;
-        };
-        let hash = short_hash(team.id.as_str());
-        let others = self.hosts.all().filter_map(|p| p.demand.get(&hash)).sum();
-        let hosts = self.hosts.all().count() + 1;
-        let rate = rate.micros() as f64 / 1e6;
-        let limits = QuotaLimits::new(rate, f64::from(team.burst), &self.settings);
-        self.quota.take(&team.id, limits, others, hosts, now)
-    }
-
-    /// Gives a token back for a request that no endpoint ran.
-    pub fn return_quota(&mut self, team: &TeamId) {
-        self.quota.give_back(team);
+        self.hosts.alive(now).count() + 1
     }
 
     /// The service that runs the next request of a route.
@@ -493,7 +473,6 @@
 
     /// Moves the weights of the regions towards demand and capacity.
     pub fn balance(&mut self, now: Instant) {
-        let silence = self.settings.host_silence;
         let most = self.settings.max_shift * WEIGHTS_PART;
         for (service, keys) in &self.services {
             let hash = short_hash(service.as_str());
@@ -502,7 +481,7 @@
             for region in self.us.zones.values() {
                 loads.entry(region.clone()).or_default();
             }
-            for peer in self.hosts.alive(silence, now) {
+            for peer in self.hosts.alive(now) {
                 let rate = peer.arrivals.get(&hash).copied().unwrap_or(0.0);
                 loads.entry(peer.region.clone()).or_default().demand += rate * each;
             }
@@ -556,11 +535,10 @@
         if !endpoint.is_cold(now) && endpoint.used {
             return true;
         }
-        let silence = self.settings.host_silence;
         let region = &endpoint.region;
         let others = self
             .hosts
-            .alive(silence, now)
+            .alive(now)
             .filter(|p| &p.region == region && p.state == Some(HostState::Ready))
             .map(|p| p.record.id.as_str());
         let near = *region == self.us.region;
