Notice the store's return within a second; drop lapsed entries earlier

Change: calls that find the store lost do not wait, connections are given up after 0.5 s, entries have 2 s to return.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -72,8 +72,9 @@
 }
 
 impl Client {
-    /// The longest time to open a connection; above two retransmissions within a region.
-    const CONNECT_MAX: Duration = Duration::from_millis(700);
+    /// The longest time to open a connection; many ways there and back between regions, and short
+    /// enough to notice soon that a peer is back.
+    const CONNECT_MAX: Duration = Duration::from_millis(500);
 
     /// A client of `addr`, not yet connected.
     pub fn new(addr: SocketAddr) -> Self {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,7 +43,11 @@
     loop {
         let fetched = match follower.version {
             None => follower.registry.read(topic).await,
-            Some(after) => follower.registry.changes(topic, after, settings.follow_wait).await,
+            Some(after) => {
+                // While the registry is lost, only whether it answers is of interest.
+                let wait = if follower.lost { Duration::ZERO } else { settings.follow_wait };
+                follower.registry.changes(topic, after, wait).await
+            }
         };
         let pause = match fetched {
             Ok(fetched) => {
@@ -159,6 +163,10 @@
                 "topic" => %self.topic, "error" => %e, "at" => self.version);
         }
         self.lost = true;
+        if matches!(e, RegistryError::NoAnswer { .. }) {
+            // The call itself took its time.
+            return PAUSE_MIN;
+        }
         let pause = self.pause;
         self.pause = (2 * self.pause).min(PAUSE_MAX);
         pause
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -28,8 +28,9 @@
 /// The time for which a loss of endpoints lifts the bound on moves between regions.
 const LIFT_TIME: Duration = Duration::from_secs(6);
 /// The time after a return of the registry within which registrations that lapsed meanwhile may
-/// come back.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+/// come back. Hosts are held to what the registry says three seconds after a cut has ended, and
+/// may notice its end almost a second late.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
 /// The time for which digests repeat that an object is warm; two periods between regions.
 const WARM_TOLD: Duration = Duration::from_millis(2_200);
