--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -5,9 +5,9 @@
 use slog::{info, warn};
 use wagtail_member::{Effect, HostView, Input, MemberChange, State};
 use wagtail_peer::Control;
-use wagtail_store::ScheduleInput;
 use wagtail_quota::PeerInfo;
 use wagtail_route::{HostRow, HostState};
+use wagtail_store::ScheduleInput;
 use wagtail_types::{HostId, Incarnation, Share, TeamId};
 
 use super::route::send;
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -15,9 +15,9 @@
 use wagtail_member::{Member, Mode};
 use wagtail_once::Once;
 use wagtail_peer::Peer;
-use wagtail_store::Platform;
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
+use wagtail_store::Platform;
 use wagtail_types::{AttemptId, Clock, HostId, Incarnation};
 
 use crate::calls::Calls;
--- a/crates/entryd/src/rows.rs
+++ b/crates/entryd/src/rows.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 use wagtail_once::{ClaimResult, ClaimRow};
-use wagtail_store::{Access, PlatformError, Priority, Receipt, RowKey, Txn, Write};
 use wagtail_quota::{Member, ReadOutcome, Row, ShardId, TeamSpread, TeamTokens, WriteOutcome};
+use wagtail_store::{Access, PlatformError, Priority, Receipt, RowKey, Txn, Write};
 use wagtail_types::{AttemptId, Epoch, HostId, Incarnation, TeamId, Tokens};
 
 use crate::calls;
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -15,9 +15,9 @@
 use wagtail_member::{HostInfo, Member};
 use wagtail_once::Once;
 use wagtail_peer::{FleetSecret, Lines, Peer};
-use wagtail_store::{HttpClient, HttpSettings, Platform, ScheduleSettings, Scheduler};
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
+use wagtail_store::{HttpClient, HttpSettings, Platform, ScheduleSettings, Scheduler};
 use wagtail_types::{Bytes, Clock, Incarnation, SystemClock};
 
 use crate::api;
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -23,7 +23,11 @@
 }
 
 /// Answers readiness checks.
-pub(crate) fn ready(core: &Core, conventions: &dyn Conventions, head: &request::Parts) -> Response<Body> {
+pub(crate) fn ready(
+    core: &Core,
+    conventions: &dyn Conventions,
+    head: &request::Parts,
+) -> Response<Body> {
     if head.uri.path() != conventions.ready_path() {
         return plain(StatusCode::NOT_FOUND, "");
     }
@@ -45,15 +49,22 @@
         return plain(StatusCode::NOT_FOUND, "");
     };
     let ready = core.state() == HostState::Ready;
-    let hosts = core.steer.borrow().directory(zone.as_ref(), ready, core.now());
+    let hosts = core
+        .steer
+        .borrow()
+        .directory(zone.as_ref(), ready, core.now());
     if hosts.is_empty() {
         let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no host is ready");
-        response.headers_mut().insert(header::RETRY_AFTER, retry_after(UNREADY_WAIT));
+        response
+            .headers_mut()
+            .insert(header::RETRY_AFTER, retry_after(UNREADY_WAIT));
         return response;
     }
     let (body, kind) = conventions.hosts(&hosts, ttl);
     let mut response = plain(StatusCode::OK, body);
-    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
     response
 }
 
--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use slog::info;
 use wagtail_steer::EndpointKey;
+use wagtail_types::millis;
 
 use crate::connect::Client;
 use crate::conventions::Conventions;
@@ -64,7 +65,7 @@
     };
     if let Some(cold) = cold {
         info!(core.log, "endpoint usable again"; "endpoint" => %id,
-            "cold_ms" => cold.as_millis() as u64);
+            "cold_ms" => millis(cold));
     }
     let now = core.now();
     core.steer.borrow_mut().checked(key, cold, now);
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -16,7 +16,7 @@
 
 /// The time after which unacknowledged bytes end a connection, so that a peer without power or
 /// behind a partition is noticed; above one retransmission between regions.
-const SILENCE_MAX: Duration = Duration::from_millis(1_000);
+const SILENCE_MAX: Duration = Duration::from_secs(1);
 /// The largest answer that [`Client`] reads.
 const ANSWER_MAX: usize = 16 << 20;
 
@@ -45,18 +45,23 @@
     addr: SocketAddr,
     within: Duration,
 ) -> Result<SendRequest<Full<Bytes>>, CallError> {
-    let failed = |e: &dyn std::fmt::Display| CallError::Connect { reason: e.to_string() };
+    let failed = |e: &dyn std::fmt::Display| CallError::Connect {
+        reason: e.to_string(),
+    };
     let socket = TcpSocket::new_v4().map_err(|e| failed(&e))?;
     socket.set_nodelay(true).map_err(|e| failed(&e))?;
     // Only the detection of silent peers rests on this; connections work without it.
-    let _unsupported = SockRef::from(&socket).set_tcp_user_timeout(Some(SILENCE_MAX)).is_err();
+    let _unsupported = SockRef::from(&socket)
+        .set_tcp_user_timeout(Some(SILENCE_MAX))
+        .is_err();
     let stream = match tokio::time::timeout(within, socket.connect(addr)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(failed(&e)),
         Err(_) => return Err(failed(&"timeout")),
     };
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|e| failed(&e))?;
     tokio::task::spawn_local(async move {
         // The request on the connection gets the same error.
         let _ = connection.await;
@@ -78,7 +83,10 @@
 
     /// A client of `addr`, not yet connected.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, kept: RefCell::new(None) }
+        Self {
+            addr,
+            kept: RefCell::new(None),
+        }
     }
 
     /// The address.
@@ -108,7 +116,9 @@
             Some(sender) => sender,
             None => open(self.addr, Self::CONNECT_MAX).await?,
         };
-        let broken = |e: &dyn std::fmt::Display| CallError::Broken { reason: e.to_string() };
+        let broken = |e: &dyn std::fmt::Display| CallError::Broken {
+            reason: e.to_string(),
+        };
         let answer = sender.send_request(request).await.map_err(|e| broken(&e))?;
         let answer = collect(answer, ANSWER_MAX).await.map_err(|e| broken(&e))?;
         *self.kept.borrow_mut() = Some(sender);
--- a/crates/gateway/src/conventions.rs
+++ b/crates/gateway/src/conventions.rs
@@ -39,17 +39,26 @@
     pub left: Duration,
 }
 
+/// What an answer says of its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// The endpoint's service ran it and signed the answer.
+    Ran,
+    /// The endpoint has not run it.
+    NotRun,
+    /// Another endpoint has the address, and has not run it.
+    Replaced,
+    /// Nothing that can be relied on.
+    Unknown,
+}
+
 /// The head of an endpoint's answer, decoded.
 #[derive(Debug, Clone)]
 pub struct Answer {
     /// The id of the request that it answers.
     pub id: Option<String>,
-    /// Whether the endpoint's own service made it.
-    pub signed: bool,
-    /// Whether it says that the request has not run.
-    pub not_run: bool,
-    /// Whether another endpoint has the address.
-    pub replaced: bool,
+    /// What it says of the request.
+    pub standing: Standing,
     /// The requests at the endpoint.
     pub load: Option<Load>,
     /// How long the endpoint keeps the connection open; `None` if it does not say.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -82,7 +82,9 @@
                 let taken = self.core.steer.borrow_mut().token_for(team, now);
                 let wait_ms = match taken {
                     Some(Taken::Yes) => None,
-                    Some(Taken::No(wait)) => Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)),
+                    Some(Taken::No(wait)) => {
+                        Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX))
+                    }
                     // Without an answer the other host decides by itself.
                     None => return,
                 };
@@ -102,7 +104,10 @@
     /// Sends a message if that needs no wait; all of them may be lost anyway.
     fn post(&self, message: &Message, to: SocketAddr) {
         let sent = match message.encode() {
-            Ok(bytes) => self.socket.try_send_to(&bytes, to).map_err(|e| e.to_string()),
+            Ok(bytes) => self
+                .socket
+                .try_send_to(&bytes, to)
+                .map_err(|e| e.to_string()),
             Err(e) => Err(e.to_string()),
         };
         if let Err(e) = sent {
@@ -112,8 +117,8 @@
 
     /// Takes a token of a team's limit, here or from its keeper.
     pub(crate) async fn token(&self, team: &Team) -> Taken {
-        let token = self.core.steer.borrow_mut().token(team, self.core.now());
-        let (keeper, hash) = match token {
+        let way = self.core.steer.borrow_mut().token(team, self.core.now());
+        let (keeper, hash) = match way {
             Token::Here(taken) => return taken,
             Token::Ask { keeper, team } => (keeper, team),
         };
@@ -127,7 +132,10 @@
         }
         self.asked.borrow_mut().remove(&number);
         self.core.metrics.count("tokens", "unanswered");
-        self.core.steer.borrow_mut().token_alone(team, self.core.now())
+        self.core
+            .steer
+            .borrow_mut()
+            .token_alone(team, self.core.now())
     }
 
     /// Gives a token back for a request that no endpoint ran.
@@ -187,7 +195,13 @@
         let zone = self.core.steer.borrow().us().record.zone.clone();
         let demands = self.core.steer.borrow_mut().demands(now);
         for (keeper, teams) in demands {
-            self.post(&Message::Demand { zone: zone.clone(), teams }, keeper);
+            self.post(
+                &Message::Demand {
+                    zone: zone.clone(),
+                    teams,
+                },
+                keeper,
+            );
         }
     }
 
@@ -222,7 +236,9 @@
             let count = list.len().min(fan_out);
             let start = next[at];
             next[at] = start.wrapping_add(count);
-            (0..count).map(|i| list[(start.wrapping_add(i)) % list.len()].record.peer).collect()
+            (0..count)
+                .map(|i| list[(start.wrapping_add(i)) % list.len()].record.peer)
+                .collect()
         };
         let mut targets = pick(&near, 0);
         if far {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use slog::{error, info, warn};
+use wagtail_types::millis;
 
 use crate::host::Core;
 use crate::registry::{Entry, Fetched, Registry, RegistryError, Topic};
@@ -38,14 +39,25 @@
     settings: Settings,
 ) {
     let last_good = core.now();
-    let mut follower =
-        Follower { core, registry, topic, version: None, last_good, lost: false, pause: PAUSE_MIN };
+    let mut follower = Follower {
+        core,
+        registry,
+        topic,
+        version: None,
+        last_good,
+        lost: false,
+        pause: PAUSE_MIN,
+    };
     loop {
         let fetched = match follower.version {
             None => follower.registry.read(topic).await,
             Some(after) => {
                 // While the registry is lost, only whether it answers is of interest.
-                let wait = if follower.lost { Duration::ZERO } else { settings.follow_wait };
+                let wait = if follower.lost {
+                    Duration::ZERO
+                } else {
+                    settings.follow_wait
+                };
                 follower.registry.changes(topic, after, wait).await
             }
         };
@@ -66,7 +78,7 @@
         let away = now.duration_since(self.last_good);
         if self.lost {
             info!(self.core.log, "registry answers again";
-                "topic" => %self.topic, "away_ms" => away.as_millis() as u64);
+                "topic" => %self.topic, "away_ms" => millis(away));
             if away >= AWAY_MIN {
                 self.core.steer.borrow_mut().registry_returned(now);
             }
@@ -134,7 +146,7 @@
                 let cold = record.cold;
                 if steer.register(record, now).is_some() {
                     info!(log, "endpoint registered"; "endpoint" => %id,
-                        "state" => ?state, "cold_ms" => cold.as_millis() as u64, "at" => version);
+                        "state" => ?state, "cold_ms" => millis(cold), "at" => version);
                 } else {
                     warn!(log, "endpoint in an unknown zone"; "endpoint" => %id, "at" => version);
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 mod stop;
 
 pub use connect::{CallError, Client};
-pub use conventions::{Answer, Caller, Conventions, Dispatch, Health, Refusal};
+pub use conventions::{Answer, Caller, Conventions, Dispatch, Health, Refusal, Standing};
 pub use logs::stdout_logger;
 pub use registry::{Entry, Fetched, Registry, RegistryError, Topic};
 pub use run::{RunError, run};
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -41,7 +41,10 @@
     fn pull(&self) -> Buffer {
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
         while buffer.bytes.is_empty() {
-            buffer = self.filled.wait(buffer).unwrap_or_else(PoisonError::into_inner);
+            buffer = self
+                .filled
+                .wait(buffer)
+                .unwrap_or_else(PoisonError::into_inner);
         }
         std::mem::take(&mut *buffer)
     }
@@ -88,7 +91,11 @@
     // With standard output gone there is nowhere to say so.
     let _ = out.write_all(&buffer.bytes);
     if buffer.dropped > 0 {
-        let _ = writeln!(out, r#"{{"msg":"lines dropped","count":{}}}"#, buffer.dropped);
+        let _ = writeln!(
+            out,
+            r#"{{"msg":"lines dropped","count":{}}}"#,
+            buffer.dropped
+        );
     }
     let _ = out.flush();
 }
@@ -102,14 +109,20 @@
     const STACK_BYTES: usize = 64 << 10;
     let queue = Arc::new(Queue::default());
     let writer = queue.clone();
-    std::thread::Builder::new().name("log".into()).stack_size(STACK_BYTES).spawn(move || {
-        loop {
-            let first = writer.pull();
-            write(&first);
-            std::thread::sleep(GATHER);
-        }
-    })?;
-    let lines = Lines { queue: queue.clone(), line: Vec::new() };
+    std::thread::Builder::new()
+        .name("log".into())
+        .stack_size(STACK_BYTES)
+        .spawn(move || {
+            loop {
+                let first = writer.pull();
+                write(&first);
+                std::thread::sleep(GATHER);
+            }
+        })?;
+    let lines = Lines {
+        queue: queue.clone(),
+        line: Vec::new(),
+    };
     let json = slog_json::Json::new(lines)
         .add_key_value(o!(
             "ts" => slog::FnValue(|_| wall_seconds()),
@@ -124,6 +137,9 @@
 /// Wall-clock time in seconds, to the millisecond; only for the reader of a log.
 fn wall_seconds() -> f64 {
     use wagtail_types::{Clock, SystemClock};
-    let wall = SystemClock.wall().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let wall = SystemClock
+        .wall()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
     (wall.as_millis() as f64) / 1_000.0
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,7 +73,10 @@
 impl Metrics {
     pub(crate) fn new() -> Self {
         let sums = Sums::default();
-        Self { client: StatsdClient::from_sink(PREFIX, sums.clone()), sums }
+        Self {
+            client: StatsdClient::from_sink(PREFIX, sums.clone()),
+            sums,
+        }
     }
 
     /// Counts a finished request and its time.
@@ -93,7 +96,10 @@
 
     /// Counts one event.
     pub(crate) fn count(&self, name: &str, kind: &str) {
-        self.client.count_with_tags(name, 1).with_tag("kind", kind).send();
+        self.client
+            .count_with_tags(name, 1)
+            .with_tag("kind", kind)
+            .send();
     }
 
     /// All series as text, a line each.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -53,7 +53,10 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(endpoint).or_default();
         if list.len() < PER_ENDPOINT && !stay.is_zero() {
-            list.push(Idle { sender, until: now + stay });
+            list.push(Idle {
+                sender,
+                until: now + stay,
+            });
         }
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,7 +26,7 @@
     let mut story = story::Story::new(front.clone(), arrived);
     let reply = match admit::admit(&front, &head, arrived, &mut story).await {
         Ok(job) => attempt::run(&front, &job, &head, body, &mut story).await,
-        Err(reply) => reply,
+        Err(reply) => *reply,
     };
     story.tell(&reply);
     reply.into_response()
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -45,12 +45,14 @@
     head: &request::Parts,
     arrived: Instant,
     story: &mut Story,
-) -> Result<Job, Reply> {
+) -> Result<Job, Box<Reply>> {
     let job = check(front, head, arrived, story)?;
     if let Some(team) = &job.team
         && let Taken::No(wait) = front.exchange.token(team).await
     {
-        return Err(Reply::refuse(StatusCode::TOO_MANY_REQUESTS, "over the team's limit", wait));
+        return Err(
+            Reply::refuse(StatusCode::TOO_MANY_REQUESTS, "over the team's limit", wait).into(),
+        );
     }
     Ok(job)
 }
@@ -60,10 +62,10 @@
     head: &request::Parts,
     arrived: Instant,
     story: &mut Story,
-) -> Result<Job, Reply> {
+) -> Result<Job, Box<Reply>> {
     let caller = match front.conventions.caller(head) {
         Ok(caller) => caller,
-        Err(refusal) => return Err(Reply::fail(StatusCode::BAD_REQUEST, refusal.reason)),
+        Err(refusal) => return Err(Reply::fail(StatusCode::BAD_REQUEST, refusal.reason).into()),
     };
     story.id.clone_from(&caller.id);
     story.object.clone_from(&caller.object);
@@ -71,37 +73,42 @@
     let catalog = steer.catalog().filter(|_| steer.is_informed()).cloned();
     let Some(catalog) = catalog else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Reply::refuse(status, "the host is starting", UNREADY_WAIT));
+        return Err(Reply::refuse(status, "the host is starting", UNREADY_WAIT).into());
     };
     story.version = catalog.version().0;
     let Some(route) = catalog.route(&caller.host, head.uri.path()) else {
-        return Err(Reply::fail(StatusCode::NOT_FOUND, "no such route"));
+        return Err(Reply::fail(StatusCode::NOT_FOUND, "no such route").into());
     };
     story.route = Some(route.id.clone());
     let team = caller.key.as_ref().and_then(|k| catalog.holder(k)).cloned();
     if team.is_none() && !route.public {
-        return Err(Reply::fail(StatusCode::UNAUTHORIZED, "unknown key"));
+        return Err(Reply::fail(StatusCode::UNAUTHORIZED, "unknown key").into());
     }
     story.team = team.as_ref().map(|t| t.id.clone());
     let limits = catalog.limits();
     let length = head.headers.get(header::CONTENT_LENGTH);
-    let length = length.and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
+    let length = length
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse::<u64>().ok());
     if length.is_some_and(|l| l > limits.body.as_usize() as u64) {
-        return Err(Reply::fail(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"));
+        return Err(Reply::fail(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large").into());
     }
     let homes = homes(&route.homes, team.as_deref().map_or(&[], |t| &t.homes));
     let Some(homes) = homes else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
-        return Err(Reply::refuse(status, "no region may serve it", UNREADY_WAIT));
+        return Err(Reply::refuse(status, "no region may serve it", UNREADY_WAIT).into());
     };
     let Some(service) = steer.split(route) else {
-        return Err(Reply::fail(StatusCode::NOT_FOUND, "the route has no service"));
+        return Err(Reply::fail(StatusCode::NOT_FOUND, "the route has no service").into());
     };
     steer.count_request(&service, arrived);
     let deadline = caller.deadline.unwrap_or(route.timeout).min(DEADLINE_MAX);
     let span = deadline.saturating_sub(WAY_BACK).min(route.timeout);
     Ok(Job {
-        object: caller.object.filter(|_| route.sticky).map(|o| object(route, &o)),
+        object: caller
+            .object
+            .filter(|_| route.sticky)
+            .map(|o| object(route, &o)),
         id: caller.id,
         route: route.clone(),
         service,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -13,6 +13,7 @@
 use super::reply::Reply;
 use super::send::{Delivered, Fault, send, strip};
 use super::story::Story;
+use crate::conventions::Standing;
 use crate::host::Front;
 
 /// The most endpoints that are tried for a connection.
@@ -48,7 +49,9 @@
     story: &mut Story,
 ) -> Reply {
     let reply = drive(front, job, head, body, story).await;
-    if !story.ran && let Some(team) = &job.team {
+    if !story.ran
+        && let Some(team) = &job.team
+    {
         front.exchange.give_back(team);
     }
     reply
@@ -71,7 +74,10 @@
         if moved.is_none() && !progress.tried.is_empty() && !may_go_on(front, job, &progress) {
             return conclude(progress, None, head);
         }
-        let flight = match moved.take().map_or_else(|| look(front, job, &progress.tried), Ok) {
+        let flight = match moved
+            .take()
+            .map_or_else(|| look(front, job, &progress.tried), Ok)
+        {
             Ok(flight) => flight,
             Err((miss, retry)) => {
                 story.missed(miss, retry);
@@ -98,11 +104,15 @@
     let left = job.end.saturating_duration_since(now);
     match tokio::time::timeout(left, Limited::new(body, job.body_max).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(Reply::fail(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
-        }
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Reply::fail(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "the body is too large",
+        )),
         Ok(Err(_)) => Err(Reply::fail(StatusCode::BAD_REQUEST, "the body is broken")),
-        Err(_) => Err(Reply::fail(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
+        Err(_) => Err(Reply::fail(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body came too slowly",
+        )),
     }
 }
 
@@ -120,9 +130,12 @@
     };
     let placement = front.core.steer.borrow_mut().place(&ask, now);
     match placement {
-        Placement::Send(choice) => {
-            Ok(Flight::new(front.core.clone(), choice, job.route.clone(), job.object))
-        }
+        Placement::Send(choice) => Ok(Flight::new(
+            front.core.clone(),
+            choice,
+            job.route.clone(),
+            job.object,
+        )),
         Placement::Refuse { miss, retry } => Err((miss, retry)),
     }
 }
@@ -178,11 +191,24 @@
 /// A free endpoint for a request whose endpoint is overdue. Without one it is better to wait on.
 fn elsewhere(front: &Front, job: &Job, tried: &[EndpointKey]) -> Option<Flight> {
     // A host that stops must not add failures of its own to requests that are at work.
-    if front.core.is_leaving() || !front.core.steer.borrow().may_retry(&job.service, front.core.now()) {
+    if front.core.is_leaving()
+        || !front
+            .core
+            .steer
+            .borrow()
+            .may_retry(&job.service, front.core.now())
+    {
         return None;
     }
-    let next = look(front, job, tried).ok().filter(|flight| flight.choice.free)?;
-    front.core.steer.borrow_mut().take_retry(&job.service, front.core.now()).then_some(next)
+    let next = look(front, job, tried)
+        .ok()
+        .filter(|flight| flight.choice.free)?;
+    front
+        .core
+        .steer
+        .borrow_mut()
+        .take_retry(&job.service, front.core.now())
+        .then_some(next)
 }
 
 /// Takes the end of an attempt; a reply if it is the last one.
@@ -210,7 +236,11 @@
             progress.sends += 1;
             progress.ran = true;
             let failed = delivered.head.status.is_server_error();
-            let outcome = if failed { Outcome::Failed } else { Outcome::Answered };
+            let outcome = if failed {
+                Outcome::Failed
+            } else {
+                Outcome::Answered
+            };
             flight.end(outcome, Some(taken), delivered.answer.load);
             if failed && job.is_safe() {
                 progress.failure = Some(delivered);
@@ -229,7 +259,11 @@
         }
         Err(Fault::NotRun(delivered)) => {
             progress.sends += 1;
-            let outcome = if delivered.answer.replaced { Outcome::Replaced } else { Outcome::Shed };
+            let outcome = if delivered.answer.standing == Standing::Replaced {
+                Outcome::Replaced
+            } else {
+                Outcome::Shed
+            };
             progress.retry = Some(room(delivered.answer.load));
             flight.end(outcome, None, delivered.answer.load);
             None
@@ -245,7 +279,9 @@
 
 /// When an endpoint that refused for want of room may have some.
 fn room(load: Option<Load>) -> Duration {
-    load.map_or(FAULT_WAIT, |l| FAULT_WAIT.mul_f64(1.0 + f64::from(l.waiting) / f64::from(l.slots.max(1))))
+    load.map_or(FAULT_WAIT, |l| {
+        FAULT_WAIT.mul_f64(1.0 + f64::from(l.waiting) / f64::from(l.slots.max(1)))
+    })
 }
 
 fn pass(delivered: Delivered, head: &request::Parts) -> Reply {
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -16,12 +16,18 @@
 impl Body {
     /// A body that is all there.
     pub(crate) fn whole(bytes: Bytes) -> Self {
-        Self { start: Some(bytes).filter(|b| !b.is_empty()), rest: None }
+        Self {
+            start: Some(bytes).filter(|b| !b.is_empty()),
+            rest: None,
+        }
     }
 
     /// A body whose rest is still being received; if that fails, so does the body.
     pub(crate) fn joined(start: Bytes, rest: Incoming) -> Self {
-        Self { start: Some(start), rest: Some(rest) }
+        Self {
+            start: Some(start),
+            rest: Some(rest),
+        }
     }
 }
 
--- a/crates/gateway/src/request/flight.rs
+++ b/crates/gateway/src/request/flight.rs
@@ -17,8 +17,19 @@
 }
 
 impl Flight {
-    pub(crate) fn new(core: Rc<Core>, choice: Choice, route: Rc<Route>, object: Option<u32>) -> Self {
-        Self { core, choice, route, object, ended: false }
+    pub(crate) fn new(
+        core: Rc<Core>,
+        choice: Choice,
+        route: Rc<Route>,
+        object: Option<u32>,
+    ) -> Self {
+        Self {
+            core,
+            choice,
+            route,
+            object,
+            ended: false,
+        }
     }
 
     /// Ends the request.
--- a/crates/gateway/src/request/reply.rs
+++ b/crates/gateway/src/request/reply.rs
@@ -24,13 +24,23 @@
 impl Reply {
     /// An endpoint's own answer.
     pub(crate) fn pass(status: StatusCode, headers: HeaderMap, body: Body) -> Self {
-        Self { status, reason: "answered", headers, body }
+        Self {
+            status,
+            reason: "answered",
+            headers,
+            body,
+        }
     }
 
     /// A failure of this host's own making.
     pub(crate) fn fail(status: StatusCode, reason: &'static str) -> Self {
         let body = Body::whole(Bytes::from_static(reason.as_bytes()));
-        Self { status, reason, headers: HeaderMap::new(), body }
+        Self {
+            status,
+            reason,
+            headers: HeaderMap::new(),
+            body,
+        }
     }
 
     /// A refusal of a request that has not run, with the time after which to ask again.
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -12,7 +12,7 @@
 use super::admit::Job;
 use super::body::Body;
 use crate::connect::{CallError, open};
-use crate::conventions::{Answer, Dispatch};
+use crate::conventions::{Answer, Dispatch, Standing};
 use crate::host::Front;
 use crate::pool::Sender;
 
@@ -71,29 +71,56 @@
     body: &Bytes,
     to: EndpointKey,
 ) -> Result<Delivered, Fault> {
-    let target = front.core.steer.borrow().endpoint(to).map(|e| (e.record.id.clone(), e.record.addr));
+    let target = front
+        .core
+        .steer
+        .borrow()
+        .endpoint(to)
+        .map(|e| (e.record.id.clone(), e.record.addr));
     let Some((endpoint, addr)) = target else {
         return Err(Fault::Gone);
     };
     let now = front.core.now();
     // A request that must not run twice never meets a connection that may have died unseen.
-    let kept = if job.is_safe() { front.pool.take(to, now) } else { None };
-    let mut sender = match kept {
-        Some(sender) => sender,
-        None => {
-            let within = CONNECT_MAX.min(job.end.saturating_duration_since(now));
-            front.core.metrics.count("connections", "endpoint");
-            open(addr, within).await.map_err(|e| Fault::Unreachable(e.to_string()))?
-        }
+    let kept = if job.is_safe() {
+        front.pool.take(to, now)
+    } else {
+        None
+    };
+    let mut sender = if let Some(sender) = kept {
+        sender
+    } else {
+        let within = CONNECT_MAX.min(job.end.saturating_duration_since(now));
+        front.core.metrics.count("connections", "endpoint");
+        open(addr, within)
+            .await
+            .map_err(|e| Fault::Unreachable(e.to_string()))?
     };
     let left = job.end.saturating_duration_since(front.core.now());
     let team = job.team.as_ref().map(|t| &t.id);
-    let request = rewrite(front, head, body, &Dispatch { endpoint: &endpoint, team, left });
+    let request = rewrite(
+        front,
+        head,
+        body,
+        &Dispatch {
+            endpoint: &endpoint,
+            team,
+            left,
+        },
+    );
     let answer = sender.send_request(request).await.map_err(|e| broken(&e))?;
     let (head, incoming) = answer.into_parts();
     let answer = front.conventions.answer(&head);
     let body = gather(incoming).await.map_err(|e| broken(&e))?;
-    judge(job, Delivered { head, body: body.0, answer }).inspect(|delivered| {
+    judge(
+        job,
+        Delivered {
+            head,
+            body: body.0,
+            answer,
+        },
+    )
+    .inspect(|delivered| {
         if body.1 && job.is_safe() {
             keep(front, to, sender, delivered);
         }
@@ -101,12 +128,19 @@
 }
 
 fn broken(e: &hyper::Error) -> Fault {
-    Fault::Broken(CallError::Broken { reason: e.to_string() }.to_string())
+    Fault::Broken(
+        CallError::Broken {
+            reason: e.to_string(),
+        }
+        .to_string(),
+    )
 }
 
 fn keep(front: &Front, to: EndpointKey, sender: Sender, delivered: &Delivered) {
     if !delivered.answer.close {
-        front.pool.put(to, sender, delivered.answer.keep, front.core.now());
+        front
+            .pool
+            .put(to, sender, delivered.answer.keep, front.core.now());
     }
 }
 
@@ -115,13 +149,11 @@
     if answer.id.as_ref().is_some_and(|id| *id != job.id) {
         return Err(Fault::BadAnswer("it answers another request"));
     }
-    if answer.not_run || answer.replaced {
-        return Err(Fault::NotRun(Box::new(delivered)));
-    }
-    if answer.id.is_none() || !answer.signed {
-        return Err(Fault::BadAnswer("the service did not make it"));
+    match answer.standing {
+        Standing::Ran if answer.id.is_some() => Ok(delivered),
+        Standing::Ran | Standing::Unknown => Err(Fault::BadAnswer("the service did not make it")),
+        Standing::NotRun | Standing::Replaced => Err(Fault::NotRun(Box::new(delivered))),
     }
-    Ok(delivered)
 }
 
 /// The caller's request as the endpoint gets it.
--- a/crates/gateway/src/request/story.rs
+++ b/crates/gateway/src/request/story.rs
@@ -5,7 +5,7 @@
 
 use slog::info;
 use wagtail_steer::{Choice, Miss, RouteId};
-use wagtail_types::TeamId;
+use wagtail_types::{TeamId, millis};
 
 use super::attempt::Waited;
 use super::reply::Reply;
@@ -28,7 +28,12 @@
 
 impl LogBudget {
     pub(crate) fn new(now: Instant) -> Self {
-        Self { failed: FAILED_LINES, answered: ANSWERED_LINES, at: now, skipped: 0 }
+        Self {
+            failed: FAILED_LINES,
+            answered: ANSWERED_LINES,
+            at: now,
+            skipped: 0,
+        }
     }
 
     /// Whether a line may be written, and how many were not since the last one.
@@ -37,7 +42,11 @@
         self.at = now;
         self.failed = (self.failed + gone * FAILED_LINES).min(FAILED_LINES);
         self.answered = (self.answered + gone * ANSWERED_LINES).min(ANSWERED_LINES);
-        let level = if plain { &mut self.answered } else { &mut self.failed };
+        let level = if plain {
+            &mut self.answered
+        } else {
+            &mut self.failed
+        };
         if *level < 1.0 {
             self.skipped += 1;
             return None;
@@ -104,7 +113,9 @@
             front.core.metrics.count("faults", kind);
         }
         let steer = front.core.steer.borrow();
-        let name = steer.endpoint(choice.key).map_or("left", |e| e.record.id.as_str());
+        let name = steer
+            .endpoint(choice.key)
+            .map_or("left", |e| e.record.id.as_str());
         self.attempts.push(format!(
             "{name} queue={} warm={} expected={} took={} end={end}",
             choice.queue,
@@ -136,7 +147,9 @@
         let Some(skipped) = self.front.lines.borrow_mut().take(plain, now) else {
             return;
         };
-        let miss = self.miss.map(|(m, r)| format!("{m:?} retry={}", r.as_millis()));
+        let miss = self
+            .miss
+            .map(|(m, r)| format!("{m:?} retry={}", r.as_millis()));
         info!(self.front.core.log, "request";
             "request" => &self.id,
             "route" => route,
@@ -148,7 +161,7 @@
             "status" => status,
             "reason" => reason,
             "ran" => self.ran,
-            "ms" => taken.as_millis() as u64,
+            "ms" => millis(taken),
             "skipped" => skipped,
         );
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -59,7 +59,9 @@
     let lines = RefCell::new(LogBudget::new(core.now()));
     let listen = settings.listen.clone();
     let at = |addr| move |source| RunError::Listen { addr, source };
-    let peer = UdpSocket::bind(listen.peer).await.map_err(at(listen.peer))?;
+    let peer = UdpSocket::bind(listen.peer)
+        .await
+        .map_err(at(listen.peer))?;
     let exchange = Rc::new(Exchange::new(core.clone(), peer));
     let front = Rc::new(Front {
         core: core.clone(),
@@ -98,7 +100,12 @@
     spawn_local(exchange.clone().send());
     spawn_local(register(core.clone(), registry.clone()));
     for topic in [Topic::Operator, Topic::Endpoints] {
-        spawn_local(follow(core.clone(), registry.clone(), topic, settings.clone()));
+        spawn_local(follow(
+            core.clone(),
+            registry.clone(),
+            topic,
+            settings.clone(),
+        ));
     }
     spawn_local(upkeep(core.clone(), pool, conventions));
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -34,7 +34,11 @@
 const HEAD_FIRST: usize = 16_384;
 
 /// Accepts callers until the host closes its doors, and hands each connection on.
-pub(crate) async fn accept(front: Rc<Front>, listener: TcpListener, mut stage: watch::Receiver<Stage>) {
+pub(crate) async fn accept(
+    front: Rc<Front>,
+    listener: TcpListener,
+    mut stage: watch::Receiver<Stage>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -59,7 +63,9 @@
     // Without it answers are only slower.
     let _ = stream.set_nodelay(true);
     let limits = front.core.steer.borrow().catalog().map(|c| c.limits());
-    let head = limits.map_or(HEAD_FIRST, |l| l.header.as_usize()).max(HEAD_MIN);
+    let head = limits
+        .map_or(HEAD_FIRST, |l| l.header.as_usize())
+        .max(HEAD_MIN);
     let leaving = *stage.borrow() != Stage::Open;
     let service = service_fn(move |request: http::Request<Incoming>| {
         let answer = serve(front.clone(), request);
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -5,6 +5,7 @@
 
 use slog::{info, warn};
 use tokio::sync::watch;
+use wagtail_types::millis;
 
 use crate::exchange::Exchange;
 use crate::host::Core;
@@ -40,7 +41,7 @@
 ) {
     let end = core.now() + grace.saturating_sub(MARGIN);
     core.leave();
-    info!(core.log, "stopping"; "grace_ms" => grace.as_millis() as u64);
+    info!(core.log, "stopping"; "grace_ms" => millis(grace));
     stage.send_replace(Stage::Leaving);
     exchange.spread(true).await;
     let us = core.steer.borrow().us().record.clone();
--- a/crates/standin/tests/platform_command.rs
+++ b/crates/standin/tests/platform_command.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 use std::process::Command;
 
-use wagtail_store::{HttpClient, HttpSettings};
 use wagtail_standin::platform::{Faults, start_with};
+use wagtail_store::{HttpClient, HttpSettings};
 
 fn run(args: &[&str]) -> (Option<i32>, String) {
     let output = Command::new(env!("CARGO_BIN_EXE_wagtail-standin"))
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -17,7 +17,10 @@
 impl Budget {
     /// An empty budget over a window.
     pub fn new(window: Duration) -> Self {
-        Self { window, slots: VecDeque::new() }
+        Self {
+            window,
+            slots: VecDeque::new(),
+        }
     }
 
     fn slot(&mut self, now: Instant) -> &mut (Instant, u32, u32) {
@@ -31,7 +34,9 @@
         if !self.slots.back().is_some_and(fresh) {
             self.slots.push_back((now, 0, 0));
         }
-        self.slots.back_mut().expect("an entry was pushed if there was none")
+        self.slots
+            .back_mut()
+            .expect("an entry was pushed if there was none")
     }
 
     /// Counts a request.
@@ -42,7 +47,11 @@
     /// Requests a second over the last `time`.
     pub fn rate(&self, time: Duration, now: Instant) -> f64 {
         let recent = self.slots.iter().filter(|s| now.duration_since(s.0) < time);
-        let oldest = recent.clone().map(|s| now.duration_since(s.0)).max().unwrap_or_default();
+        let oldest = recent
+            .clone()
+            .map(|s| now.duration_since(s.0))
+            .max()
+            .unwrap_or_default();
         let count: u32 = recent.map(|s| s.1).sum();
         f64::from(count) / oldest.as_secs_f64().max(1.0)
     }
@@ -51,7 +60,10 @@
     ///
     /// `slack` is the fleet's allowance beyond `ratio` and `hosts` the hosts that share it.
     pub fn allows(&self, ratio: f64, slack: f64, hosts: usize, now: Instant) -> bool {
-        let recent = self.slots.iter().filter(|s| now.duration_since(s.0) < self.window);
+        let recent = self
+            .slots
+            .iter()
+            .filter(|s| now.duration_since(s.0) < self.window);
         let (requests, further) = recent.fold((0, 0), |(r, f), s| (r + s.1, f + s.2));
         let allowed = ratio * f64::from(requests) + slack / hosts.max(1) as f64;
         f64::from(further) + 1.0 <= allowed * USED_PART
--- a/crates/steer/src/catalog.rs
+++ b/crates/steer/src/catalog.rs
@@ -6,8 +6,8 @@
 
 use wagtail_types::{ServiceId, TeamId};
 
-use crate::hash::short_hash;
 use crate::config::{ApiKey, Config, ConfigVersion, ContentError, Limits, Route, Service, Team};
+use crate::hash::short_hash;
 
 /// A configuration with an index for each look-up that a request makes.
 #[derive(Debug)]
@@ -29,7 +29,10 @@
         config.check()?;
         let mut routes: HashMap<Rc<str>, Vec<Rc<Route>>> = HashMap::new();
         for route in config.routes {
-            routes.entry(route.host.clone()).or_default().push(Rc::new(route));
+            routes
+                .entry(route.host.clone())
+                .or_default()
+                .push(Rc::new(route));
         }
         for list in routes.values_mut() {
             list.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -43,8 +46,15 @@
             version: config.version,
             limits: config.limits,
             routes,
-            services: config.services.into_iter().map(|s| (s.id.clone(), s)).collect(),
-            hashes: teams.iter().map(|t| (short_hash(t.id.as_str()), t.clone())).collect(),
+            services: config
+                .services
+                .into_iter()
+                .map(|s| (s.id.clone(), s))
+                .collect(),
+            hashes: teams
+                .iter()
+                .map(|t| (short_hash(t.id.as_str()), t.clone()))
+                .collect(),
             teams: teams.into_iter().map(|t| (t.id.clone(), t)).collect(),
             keys,
         })
--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -20,7 +20,10 @@
 impl ColdLimit {
     /// A limit with one request at hand.
     pub fn new(now: Instant) -> Self {
-        Self { level: BURST, at: now }
+        Self {
+            level: BURST,
+            at: now,
+        }
     }
 
     fn fill(&mut self, rate: f64, now: Instant) {
--- a/crates/steer/src/config.rs
+++ b/crates/steer/src/config.rs
@@ -219,11 +219,17 @@
             }
             if let Some(part) = route.parts.iter().find(|p| !services.contains(&p.service)) {
                 let service = part.service.clone();
-                return Err(ContentError::UnknownService { route: id(), service });
+                return Err(ContentError::UnknownService {
+                    route: id(),
+                    service,
+                });
             }
             if let Some(first) = places.insert((&route.host, &route.prefix), &route.id) {
                 let first = first.clone();
-                return Err(ContentError::SamePlace { first, second: id() });
+                return Err(ContentError::SamePlace {
+                    first,
+                    second: id(),
+                });
             }
         }
         let mut holders: HashMap<_, &TeamId> = HashMap::new();
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -100,7 +100,10 @@
 
     fn learn(&mut self, sample: f64, rest: f64, gain: f64, now: Instant) {
         let value = self.now(rest, now);
-        *self = Self { value: value + gain * (sample - value), at: now };
+        *self = Self {
+            value: value + gain * (sample - value),
+            at: now,
+        };
     }
 }
 
--- a/crates/steer/src/estimate.rs
+++ b/crates/steer/src/estimate.rs
@@ -56,8 +56,10 @@
 impl Estimates {
     fn times(&self, route: &RouteId, aim: Duration) -> Times {
         let aim = aim.as_secs_f64();
-        let guess =
-            Times { plain: Mean::guess(aim * COLD_GUESS), warm: Mean::guess(aim * WARM_GUESS) };
+        let guess = Times {
+            plain: Mean::guess(aim * COLD_GUESS),
+            warm: Mean::guess(aim * WARM_GUESS),
+        };
         self.routes.get(route).copied().unwrap_or(guess)
     }
 
@@ -69,7 +71,11 @@
     /// The expected running time in seconds.
     pub fn running(&self, route: &RouteId, aim: Duration, warm: bool) -> f64 {
         let times = self.times(route, aim);
-        if warm { times.warm.value } else { times.plain.value }
+        if warm {
+            times.warm.value
+        } else {
+            times.plain.value
+        }
     }
 
     /// Whether a running time is nearer to that of a warm object; `None` before both are known.
@@ -100,15 +106,29 @@
         taken: f64,
     ) {
         let mut times = self.times(route, aim);
-        let mean = if warm { &mut times.warm } else { &mut times.plain };
+        let mean = if warm {
+            &mut times.warm
+        } else {
+            &mut times.plain
+        };
         // A single endpoint in trouble must not spoil the estimate of all.
-        let most = if mean.samples < STEADY { f64::INFINITY } else { mean.value * OUTLIER };
+        let most = if mean.samples < STEADY {
+            f64::INFINITY
+        } else {
+            mean.value * OUTLIER
+        };
         mean.learn(taken.min(most));
         self.routes.insert(route.clone(), times);
-        let all = self.services.entry(service.clone()).or_insert(Mean::guess(taken));
+        let all = self
+            .services
+            .entry(service.clone())
+            .or_insert(Mean::guess(taken));
         all.learn(taken.min(most));
         if warm {
-            let settled = self.settled.entry(service.clone()).or_insert(Mean::guess(taken));
+            let settled = self
+                .settled
+                .entry(service.clone())
+                .or_insert(Mean::guess(taken));
             settled.learn(taken.min(most));
         }
     }
--- a/crates/steer/src/hosts.rs
+++ b/crates/steer/src/hosts.rs
@@ -7,6 +7,7 @@
 use wagtail_types::{HostId, RegionId, ZoneId};
 
 use crate::digest::{Digest, HostState};
+use crate::hash::from_tenths;
 use crate::settings::Settings;
 
 /// What a host says of itself in the registry.
@@ -56,23 +57,38 @@
 impl Hosts {
     /// No other hosts, seen from a region.
     pub fn new(home: RegionId, settings: &Settings) -> Self {
-        Self { home, peers: HashMap::new(), silence: [settings.host_silence; 2], heard: None }
+        Self {
+            home,
+            peers: HashMap::new(),
+            silence: [settings.host_silence; 2],
+            heard: None,
+        }
     }
 
     /// Adapts to the number of hosts: each gets a digest every few periods.
     fn tune(&mut self, settings: &Settings) {
-        let near = self.peers.values().filter(|p| p.region == self.home).count();
+        let near = self
+            .peers
+            .values()
+            .filter(|p| p.region == self.home)
+            .count();
         let far = self.peers.len() - near;
         let silence = |count: usize, period: Duration| {
             let rounds = count.div_ceil(settings.fan_out);
-            period.mul_f64(MISSED * rounds as f64).max(settings.host_silence)
+            period
+                .mul_f64(MISSED * rounds as f64)
+                .max(settings.host_silence)
         };
-        self.silence = [silence(near, settings.near_period), silence(far, settings.far_period)];
+        self.silence = [
+            silence(near, settings.near_period),
+            silence(far, settings.far_period),
+        ];
     }
 
     fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
         let silence = self.silence[usize::from(peer.region != self.home)];
-        peer.heard.is_some_and(|at| now.duration_since(at) < silence)
+        peer.heard
+            .is_some_and(|at| now.duration_since(at) < silence)
     }
 
     /// Takes a registration.
@@ -138,10 +154,10 @@
         peer.started = digest.started;
         peer.number = digest.number;
         peer.loads = digest.loads.into_iter().collect();
-        let rates = |list: Vec<(u32, u16)>| -> HashMap<u32, f64> {
-            list.into_iter().map(|(name, tenths)| (name, f64::from(tenths) / 10.0)).collect()
-        };
-        peer.arrivals = rates(digest.arrivals);
+        let told = digest.arrivals.into_iter();
+        peer.arrivals = told
+            .map(|(name, tenths)| (name, from_tenths(tenths)))
+            .collect();
         true
     }
 
@@ -153,7 +169,9 @@
     /// Whether other hosts are known but none was heard for a while, although some are due at any
     /// time.
     pub fn is_cut_off(&self, settings: &Settings, now: Instant) -> bool {
-        let heard = self.heard.is_some_and(|at| now.duration_since(at) < settings.host_silence);
+        let heard = self
+            .heard
+            .is_some_and(|at| now.duration_since(at) < settings.host_silence);
         !self.peers.is_empty() && !heard
     }
 
@@ -166,8 +184,12 @@
     pub fn prune(&mut self, settings: &Settings, now: Instant) -> Vec<HostId> {
         let lost = settings.lost_demand;
         let gone = |p: &Peer| now.duration_since(p.heard.unwrap_or(p.known)) >= lost;
-        let ids: Vec<_> =
-            self.peers.iter().filter(|(_, p)| gone(p)).map(|(id, _)| id.clone()).collect();
+        let ids: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| gone(p))
+            .map(|(id, _)| id.clone())
+            .collect();
         for id in &ids {
             self.peers.remove(id);
         }
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -172,9 +172,16 @@
     }
     match best {
         Some(candidate) => Placement::Send(candidate.choice),
-        None if !any => Placement::Refuse { miss: Miss::NoEndpoint, retry: Duration::from_secs(1) },
+        None if !any => Placement::Refuse {
+            miss: Miss::NoEndpoint,
+            retry: Duration::from_secs(1),
+        },
         None => {
-            let miss = if soonest < left { Miss::Full } else { Miss::TooLate };
+            let miss = if soonest < left {
+                Miss::Full
+            } else {
+                Miss::TooLate
+            };
             let retry = Duration::from_secs_f64(soonest.clamp(0.0, 10.0)).max(LEAST_WAIT);
             Placement::Refuse { miss, retry }
         }
@@ -208,7 +215,11 @@
     let queue = endpoint.outstanding();
     let free = queue + 1.0 <= slots;
     let each = view.estimates.service(ask.service).unwrap_or(base);
-    let wait = if free { 0.0 } else { (queue - slots + 1.0) / slots * each * slow };
+    let wait = if free {
+        0.0
+    } else {
+        (queue - slots + 1.0) / slots * each * slow
+    };
     let near = &endpoint.record.zone == view.zone;
     let home = &endpoint.region == view.region;
     let (trip, crossing) = match (near, home) {
@@ -223,8 +234,16 @@
     let credit = chance + (1.0 - chance) * view.late_worth;
     let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 1.0);
     let place = preferred.iter().position(|p| *p == Some(key));
-    let cold = if !warm { COLD_PRICE[place.unwrap_or(2)] } else { 1.0 };
-    let away = if &endpoint.region == view.primary { 0.0 } else { OFF_PRIMARY };
+    let cold = if warm {
+        1.0
+    } else {
+        COLD_PRICE[place.unwrap_or(2)]
+    };
+    let away = if &endpoint.region == view.primary {
+        0.0
+    } else {
+        OFF_PRIMARY
+    };
     let untried = endpoint.untried && !endpoint.used;
     let worth = credit * (1.0 - endpoint.failing(view.now))
         - crossing
@@ -234,6 +253,18 @@
         + place.map_or(0.0, |p| PREFER[p])
         + if untried { FIRST_USE } else { 0.0 };
     let expected = Duration::from_secs_f64(total.min(3_600.0));
-    let choice = Choice { key, expected, warm, rank, queue, free };
-    Candidate { choice, worth, wait, learns: place == Some(0) && !warm }
+    let choice = Choice {
+        key,
+        expected,
+        warm,
+        rank,
+        queue,
+        free,
+    };
+    Candidate {
+        choice,
+        worth,
+        wait,
+        learns: place == Some(0) && !warm,
+    }
 }
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -46,7 +46,11 @@
     /// (1 + overage) + slack`.
     pub fn new(rate: f64, burst: f64, settings: &Settings) -> Self {
         let beyond = (rate * settings.quota_window.as_secs_f64() + burst) * settings.quota_overage;
-        Self { rate, burst, slack: beyond + settings.quota_slack }
+        Self {
+            rate,
+            burst,
+            slack: beyond + settings.quota_slack,
+        }
     }
 
     /// The tokens that all hosts together may hold.
@@ -142,7 +146,11 @@
         if !others.heard {
             share = share.min(even);
         }
-        let part = if own > 0.0 { own / (own + others.demand) } else { 0.0 };
+        let part = if own > 0.0 {
+            own / (own + others.demand)
+        } else {
+            0.0
+        };
         let cap = limits.pool() * (EVEN_PART / regions + (1.0 - EVEN_PART) * part);
         let gone = now.duration_since(bucket.filled).as_secs_f64();
         bucket.level = (bucket.level + gone * share).min(cap);
@@ -160,7 +168,10 @@
     ) -> Taken {
         let rate = limits.rate * ALONE_PART / hosts.max(1) as f64;
         let first = limits.pool() * ALONE_PART / hosts.max(1) as f64;
-        let (level, filled) = self.alone.entry(team.clone()).or_insert((first.min(1.0), now));
+        let (level, filled) = self
+            .alone
+            .entry(team.clone())
+            .or_insert((first.min(1.0), now));
         let gone = now.duration_since(*filled).as_secs_f64();
         *level = (*level + gone * rate).min(rate.max(1.0));
         *filled = now;
@@ -187,14 +198,19 @@
 
     /// Takes what another region's keeper of a team says is asked of it.
     pub fn hear(&mut self, team: u32, region: &RegionId, demand: f64, now: Instant) {
-        self.heard.entry(team).or_default().insert(region.clone(), (demand, now));
+        self.heard
+            .entry(team)
+            .or_default()
+            .insert(region.clone(), (demand, now));
     }
 
     /// What is known of a team's demand in the other `regions` that have hosts.
     pub fn others(&self, team: u32, regions: &[RegionId], now: Instant) -> Others {
         let heard = self.heard.get(&team);
         let late = |r: &RegionId| {
-            heard.and_then(|h| h.get(r)).filter(|h| now.duration_since(h.1) < UNHEARD_AFTER)
+            heard
+                .and_then(|h| h.get(r))
+                .filter(|h| now.duration_since(h.1) < UNHEARD_AFTER)
         };
         Others {
             demand: regions.iter().filter_map(late).map(|h| h.0).sum(),
@@ -211,7 +227,11 @@
         *level -= 1.0;
         return Taken::Yes;
     }
-    let wait = if rate > 0.0 { (1.0 - *level) / rate } else { 1.0 };
+    let wait = if rate > 0.0 {
+        (1.0 - *level) / rate
+    } else {
+        1.0
+    };
     Taken::No(Duration::from_secs_f64(wait.min(WAIT_MAX)))
 }
 
--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -50,25 +50,48 @@
         now: Instant,
     ) {
         let target = target(home, loads);
-        let weights = self.services.entry(service.clone()).or_insert_with(|| Weights {
-            shares: vec![(home.clone(), 1.0)],
-            at: now,
-            first: None,
-        });
+        let weights = self
+            .services
+            .entry(service.clone())
+            .or_insert_with(|| Weights {
+                shares: vec![(home.clone(), 1.0)],
+                at: now,
+                first: None,
+            });
         if weights.first.is_none() && loads.get(home).is_some_and(|l| l.demand > 0.0) {
             weights.first = Some(now);
         }
-        let settled = weights.first.is_some_and(|at| now.duration_since(at) >= window);
+        let settled = weights
+            .first
+            .is_some_and(|at| now.duration_since(at) >= window);
         let gone = now.duration_since(weights.at).as_secs_f64();
         weights.at = now;
-        let step = if settled { most * (gone / window.as_secs_f64()).min(1.0) } else { 1.0 };
+        let step = if settled {
+            most * (gone / window.as_secs_f64()).min(1.0)
+        } else {
+            1.0
+        };
         let old = |region: &RegionId| {
-            weights.shares.iter().find(|(r, _)| r == region).map_or(0.0, |s| s.1)
+            weights
+                .shares
+                .iter()
+                .find(|(r, _)| r == region)
+                .map_or(0.0, |s| s.1)
         };
-        let dead: f64 = loads.iter().filter(|(_, l)| l.slots <= 0.0).map(|(r, _)| old(r)).sum();
+        let dead: f64 = loads
+            .iter()
+            .filter(|(_, l)| l.slots <= 0.0)
+            .map(|(r, _)| old(r))
+            .sum();
         let moved: f64 = target.iter().map(|(r, t)| (t - old(r)).max(0.0)).sum();
-        let part = if moved > 0.0 { (step.max(dead) / moved).min(1.0) } else { 0.0 };
-        let shares = target.iter().map(|(r, t)| (r.clone(), old(r) + (t - old(r)) * part));
+        let part = if moved > 0.0 {
+            (step.max(dead) / moved).min(1.0)
+        } else {
+            0.0
+        };
+        let shares = target
+            .iter()
+            .map(|(r, t)| (r.clone(), old(r) + (t - old(r)) * part));
         weights.shares = shares.collect();
     }
 
@@ -93,12 +116,24 @@
     let spare: f64 = loads.values().map(room).sum();
     let wanted: f64 = loads.values().map(excess).sum();
     let own = loads.get(home).copied().unwrap_or_default();
-    let granted = if wanted > 0.0 { (spare / wanted).min(1.0) } else { 0.0 };
-    let mut away = if own.demand > 0.0 { excess(&own) * granted / own.demand } else { 0.0 };
+    let granted = if wanted > 0.0 {
+        (spare / wanted).min(1.0)
+    } else {
+        0.0
+    };
+    let mut away = if own.demand > 0.0 {
+        excess(&own) * granted / own.demand
+    } else {
+        0.0
+    };
     if own.slots <= 0.0 && loads.values().any(|l| l.slots > 0.0) {
         away = 1.0;
     }
-    let slots: f64 = loads.iter().filter(|(r, _)| *r != home).map(|(_, l)| l.slots).sum();
+    let slots: f64 = loads
+        .iter()
+        .filter(|(r, _)| *r != home)
+        .map(|(_, l)| l.slots)
+        .sum();
     let mut others: Vec<_> = loads.iter().filter(|(r, _)| *r != home).collect();
     others.sort_by(|a, b| a.0.cmp(b.0));
     let part = |l: &RegionLoad| match (spare > 0.0, slots > 0.0) {
@@ -107,6 +142,10 @@
         (false, false) => 0.0,
     };
     let mut shares = vec![(home.clone(), 1.0 - away)];
-    shares.extend(others.into_iter().map(|(r, l)| (r.clone(), away * part(l).min(1.0))));
+    shares.extend(
+        others
+            .into_iter()
+            .map(|(r, l)| (r.clone(), away * part(l).min(1.0))),
+    );
     shares
 }
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -57,7 +57,7 @@
             max_shift: 0.15,
             shift_window: Duration::from_secs(2),
             near_period: Duration::from_millis(400),
-            far_period: Duration::from_millis(1_000),
+            far_period: Duration::from_secs(1),
             fan_out: 8,
             host_silence: Duration::from_millis(2_600),
             lost_demand: Duration::from_secs(20),
--- a/crates/steer/src/shares.rs
+++ b/crates/steer/src/shares.rs
@@ -24,7 +24,11 @@
 impl Shares {
     /// No requests yet; shares are taken over `window`.
     pub fn new(window: Duration) -> Self {
-        Self { window, samples: VecDeque::new(), free: None }
+        Self {
+            window,
+            samples: VecDeque::new(),
+            free: None,
+        }
     }
 
     /// Lifts the bound until `until`, as after a loss of capacity.
@@ -49,7 +53,13 @@
         }
     }
 
-    fn count(&self, region: &RegionId, newest: Duration, oldest: Duration, now: Instant) -> (f64, f64) {
+    fn count(
+        &self,
+        region: &RegionId,
+        newest: Duration,
+        oldest: Duration,
+        now: Instant,
+    ) -> (f64, f64) {
         let mut own = 0.0;
         let mut all = 0.0;
         for (at, counts) in &self.samples {
--- a/crates/steer/src/split.rs
+++ b/crates/steer/src/split.rs
@@ -17,7 +17,8 @@
         if total <= 0.0 {
             return None;
         }
-        self.credit.retain(|(s, _)| parts.iter().any(|p| p.service == *s));
+        self.credit
+            .retain(|(s, _)| parts.iter().any(|p| p.service == *s));
         for part in parts {
             let share = f64::from(part.weight) / total;
             match self.credit.iter_mut().find(|(s, _)| *s == part.service) {
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -13,9 +13,11 @@
 use crate::cold::is_sender;
 use crate::config::{Config, ConfigVersion, ContentError, Part, Route, RouteId};
 use crate::digest::{Digest, HostState};
-use crate::endpoint::{CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
+use crate::endpoint::{
+    CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome,
+};
 use crate::estimate::{Estimates, WARM_GUESS};
-use crate::hash::short_hash;
+use crate::hash::{short_hash, tenths};
 use crate::hosts::{HostRecord, Hosts};
 use crate::place::{Ask, Choice, Placement, View, place};
 use crate::quota::Quota;
@@ -30,7 +32,7 @@
 /// The time after a return of the registry within which registrations that lapsed meanwhile may
 /// come back. Hosts are held to what the registry says three seconds after a cut has ended, and
 /// may notice its end almost a second late.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// The time for which digests repeat that an object is warm; two periods between regions.
 const WARM_TOLD: Duration = Duration::from_millis(2_200);
@@ -163,7 +165,11 @@
     /// [`ContentError`] if its parts do not fit together; the one before stays in force.
     pub fn configure(&mut self, config: Config) -> Result<Option<ConfigVersion>, ContentError> {
         let version = config.version;
-        if self.catalog.as_ref().is_some_and(|c| c.version() >= version) {
+        if self
+            .catalog
+            .as_ref()
+            .is_some_and(|c| c.version() >= version)
+        {
             return Ok(None);
         }
         self.catalog = Some(Rc::new(Catalog::try_from(config)?));
@@ -180,7 +186,11 @@
         if ended {
             self.shares.lift(now + LIFT_TIME);
             // Endpoints of the zone may have come back cold: each is asked before its first use.
-            for endpoint in self.endpoints.values_mut().filter(|e| &e.record.zone == zone) {
+            for endpoint in self
+                .endpoints
+                .values_mut()
+                .filter(|e| &e.record.zone == zone)
+            {
                 endpoint.check_at = Some(now);
             }
         }
@@ -228,7 +238,9 @@
         let Some(&key) = self.names.get(id) else {
             return;
         };
-        let back = self.registry_back.filter(|&at| now.duration_since(at) < LAPSE_GRACE);
+        let back = self
+            .registry_back
+            .filter(|&at| now.duration_since(at) < LAPSE_GRACE);
         match back {
             Some(at) if self.endpoints[key].record.state == EndpointState::Ready => {
                 self.endpoints[key].lapses_at = Some(at + LAPSE_GRACE);
@@ -239,7 +251,12 @@
 
     /// Ends the registrations that a whole read of the registry did not show.
     pub fn keep_only(&mut self, ids: &HashSet<EndpointId>, now: Instant) {
-        let gone: Vec<_> = self.names.keys().filter(|id| !ids.contains(id)).cloned().collect();
+        let gone: Vec<_> = self
+            .names
+            .keys()
+            .filter(|id| !ids.contains(id))
+            .cloned()
+            .collect();
         for id in gone {
             self.unregister(&id, now);
         }
@@ -299,7 +316,10 @@
             for &(_, object) in warm.iter().filter(|(hash, _)| *hash == endpoint.hash) {
                 endpoint.warm.note(object, now);
             }
-            let loads = self.hosts.alive(now).filter_map(|p| p.loads.get(&endpoint.hash));
+            let loads = self
+                .hosts
+                .alive(now)
+                .filter_map(|p| p.loads.get(&endpoint.hash));
             let count: u32 = loads.map(|&l| u32::from(l)).sum();
             endpoint.note_others(f64::from(count), now);
         }
@@ -309,12 +329,18 @@
     /// This host's next digest.
     pub fn digest(&mut self, state: HostState, now: Instant) -> Digest {
         self.number += 1;
-        while self.warmed.front().is_some_and(|w| now.duration_since(w.0) >= WARM_TOLD) {
+        while self
+            .warmed
+            .front()
+            .is_some_and(|w| now.duration_since(w.0) >= WARM_TOLD)
+        {
             self.warmed.pop_front();
         }
-        let tenths = |rate: f64| (rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
         let arrivals = self.budgets.iter().map(|(service, budget)| {
-            (short_hash(service.as_str()), tenths(budget.rate(ARRIVAL_TIME, now)))
+            (
+                short_hash(service.as_str()),
+                tenths(budget.rate(ARRIVAL_TIME, now)),
+            )
         });
         let arrivals = arrivals.filter(|&(_, rate)| rate > 0).collect();
         Digest {
@@ -331,7 +357,11 @@
                 .filter(|e| e.own > 0)
                 .map(|e| (e.hash, u16::try_from(e.own).unwrap_or(u16::MAX)))
                 .collect(),
-            warm: self.warmed.iter().map(|&(_, endpoint, object)| (endpoint, object)).collect(),
+            warm: self
+                .warmed
+                .iter()
+                .map(|&(_, endpoint, object)| (endpoint, object))
+                .collect(),
             arrivals,
         }
     }
@@ -361,14 +391,22 @@
         let zone = zone.unwrap_or(&self.us.record.zone);
         let region = self.us.zones.get(zone);
         let pick = |near: &dyn Fn(&ZoneId, &RegionId) -> bool| -> Vec<SocketAddr> {
-            found.iter().filter(|(z, r, _)| near(z, r)).map(|&(.., addr)| addr).collect()
+            found
+                .iter()
+                .filter(|(z, r, _)| near(z, r))
+                .map(|&(.., addr)| addr)
+                .collect()
         };
         let in_zone = pick(&|z, _| z == zone);
         if in_zone.len() > 1 {
             return in_zone;
         }
         let in_region = pick(&|_, r| Some(r) == region);
-        if in_region.is_empty() { pick(&|_, _| true) } else { in_region }
+        if in_region.is_empty() {
+            pick(&|_, _| true)
+        } else {
+            in_region
+        }
     }
 
     /// The number of hosts that are alive, with this one.
@@ -381,20 +419,30 @@
         if let [Part { service, .. }] = &*route.parts {
             return Some(service.clone());
         }
-        self.splits.entry(route.id.clone()).or_default().next(&route.parts)
+        self.splits
+            .entry(route.id.clone())
+            .or_default()
+            .next(&route.parts)
     }
 
     /// Counts a request for a service in its retry budget.
     pub fn count_request(&mut self, service: &ServiceId, now: Instant) {
         let window = self.settings.retry_window;
-        let budget = self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(window));
+        let budget = self
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(window));
         budget.request(now);
     }
 
     /// Takes a further attempt from the service's budget.
     pub fn take_retry(&mut self, service: &ServiceId, now: Instant) -> bool {
         let hosts = self.hosts.all().count() + 1;
-        let Settings { retry_ratio, retry_slack, .. } = self.settings;
+        let Settings {
+            retry_ratio,
+            retry_slack,
+            ..
+        } = self.settings;
         let budget = self.budgets.get_mut(service);
         budget.is_some_and(|b| b.take(retry_ratio, retry_slack, hosts, now))
     }
@@ -402,7 +450,11 @@
     /// Whether [`take_retry`](Self::take_retry) would succeed.
     pub fn may_retry(&self, service: &ServiceId, now: Instant) -> bool {
         let hosts = self.hosts.all().count() + 1;
-        let Settings { retry_ratio, retry_slack, .. } = self.settings;
+        let Settings {
+            retry_ratio,
+            retry_slack,
+            ..
+        } = self.settings;
         let budget = self.budgets.get(service);
         budget.is_some_and(|b| b.allows(retry_ratio, retry_slack, hosts, now))
     }
@@ -412,10 +464,14 @@
         let usable = self.usable(ask, now);
         let point = self.point(ask);
         let primary = self.primary(ask, &usable, point);
-        let (busy, slots) = usable.iter().map(|&k| &self.endpoints[k]).fold((0.0, 0.0), |(b, s), e| {
-            let slots = f64::from(e.record.slots);
-            (b + e.outstanding().min(slots), s + slots)
-        });
+        let (busy, slots) =
+            usable
+                .iter()
+                .map(|&k| &self.endpoints[k])
+                .fold((0.0, 0.0), |(b, s), e| {
+                    let slots = f64::from(e.record.slots);
+                    (b + e.outstanding().min(slots), s + slots)
+                });
         let view = View {
             zone: &self.us.record.zone,
             region: &self.us.region,
@@ -454,7 +510,10 @@
     /// The region that should run a request: by the weights, if they point to one that may and can.
     fn primary(&self, ask: &Ask<'_>, usable: &[EndpointKey], point: f64) -> RegionId {
         let region = |key: &EndpointKey| &self.endpoints[*key].region;
-        let weighted = self.regions.pick(ask.service, point).unwrap_or(&self.us.region);
+        let weighted = self
+            .regions
+            .pick(ask.service, point)
+            .unwrap_or(&self.us.region);
         let mut regions: Vec<&RegionId> = usable.iter().map(region).collect();
         regions.sort();
         regions.dedup();
@@ -464,21 +523,23 @@
         if regions.contains(&&self.us.region) {
             return self.us.region.clone();
         }
-        let at = (point * regions.len() as f64) as usize;
-        regions[at.min(regions.len() - 1)].clone()
+        let step = 1.0 / regions.len() as f64;
+        let mut points = (1..regions.len()).map(|i| i as f64 * step);
+        let at = points
+            .position(|end| point < end)
+            .unwrap_or(regions.len() - 1);
+        regions[at].clone()
     }
 
     /// The point that decides on the region of a request: the same for all of an object.
     fn point(&mut self, ask: &Ask<'_>) -> f64 {
         /// Multiples of the golden ratio fill the unit interval evenly.
         const GOLDEN: f64 = 0.618_033_988_749_895;
-        match ask.object {
-            Some(object) => f64::from(object) / f64::from(u32::MAX),
-            None => {
-                self.plain = self.plain.wrapping_add(1);
-                (f64::from(self.plain) * GOLDEN).fract()
-            }
+        if let Some(object) = ask.object {
+            return f64::from(object) / f64::from(u32::MAX);
         }
+        self.plain = self.plain.wrapping_add(1);
+        (f64::from(self.plain) * GOLDEN).fract()
     }
 
     /// The slot time of a request for a service, in seconds.
@@ -503,7 +564,10 @@
                 let rate = peer.arrivals.get(&hash).copied().unwrap_or(0.0);
                 loads.entry(peer.region.clone()).or_default().demand += rate * each;
             }
-            let own = self.budgets.get(service).map_or(0.0, |b| b.rate(ARRIVAL_TIME, now));
+            let own = self
+                .budgets
+                .get(service)
+                .map_or(0.0, |b| b.rate(ARRIVAL_TIME, now));
             loads.entry(self.us.region.clone()).or_default().demand += own * each;
             for endpoint in keys.iter().map(|&k| &self.endpoints[k]) {
                 let record = &endpoint.record;
@@ -514,7 +578,8 @@
                 }
             }
             let window = self.settings.shift_window;
-            self.regions.update(service, &self.us.region, &loads, most, window, now);
+            self.regions
+                .update(service, &self.us.region, &loads, most, window, now);
         }
     }
 
@@ -535,8 +600,14 @@
         let Some(keys) = self.services.get(ask.service).cloned() else {
             return Vec::new();
         };
-        let cold_rate = self.catalog.as_ref().and_then(|c| c.service(ask.service)).map_or(1.0, |s| s.cold_rate);
-        keys.into_iter().filter(|&k| self.is_usable(k, ask, cold_rate, now)).collect()
+        let cold_rate = self
+            .catalog
+            .as_ref()
+            .and_then(|c| c.service(ask.service))
+            .map_or(1.0, |s| s.cold_rate);
+        keys.into_iter()
+            .filter(|&k| self.is_usable(k, ask, cold_rate, now))
+            .collect()
     }
 
     fn is_usable(&mut self, key: EndpointKey, ask: &Ask<'_>, cold_rate: f64, now: Instant) -> bool {
@@ -568,12 +639,15 @@
     }
 
     /// Takes the end of a request at an endpoint.
-    pub fn finish(
-        &mut self,
-        end: &End<'_>,
-        now: Instant,
-    ) {
-        let &End { choice, object, outcome, taken, load, .. } = end;
+    pub fn finish(&mut self, end: &End<'_>, now: Instant) {
+        let &End {
+            choice,
+            object,
+            outcome,
+            taken,
+            load,
+            ..
+        } = end;
         let Some(endpoint) = self.endpoints.get_mut(choice.key) else {
             return;
         };
@@ -592,7 +666,9 @@
         {
             self.warmed.push_back((now, endpoint.hash, object));
         }
-        if outcome == Outcome::Answered && let Some(taken) = taken {
+        if outcome == Outcome::Answered
+            && let Some(taken) = taken
+        {
             self.learn(end, taken.as_secs_f64(), now);
         }
     }
@@ -613,10 +689,14 @@
         }
         endpoint.note_pace(taken / expected, now);
         if let (Some(rank), Some(warm)) = (choice.rank, looks) {
-            self.kept.entry(service.clone()).or_default().learn(rank, warm);
+            self.kept
+                .entry(service.clone())
+                .or_default()
+                .learn(rank, warm);
         }
         if !endpoint.is_cold(now) {
-            self.estimates.learn(&route.id, &service, route.aim, choice.warm, taken);
+            self.estimates
+                .learn(&route.id, &service, route.aim, choice.warm, taken);
         }
     }
 
@@ -658,7 +738,12 @@
     /// Ends registrations that lapsed while the registry was away and did not come back.
     pub fn end_lapsed(&mut self, now: Instant) {
         let over = |e: &Endpoint| e.lapses_at.is_some_and(|at| at <= now);
-        let keys: Vec<_> = self.endpoints.iter().filter(|(_, e)| over(e)).map(|(k, _)| k).collect();
+        let keys: Vec<_> = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| over(e))
+            .map(|(k, _)| k)
+            .collect();
         for key in keys {
             self.remove(key, now);
         }
--- a/crates/steer/src/tokens.rs
+++ b/crates/steer/src/tokens.rs
@@ -8,7 +8,7 @@
 
 use crate::config::Team;
 use crate::digest::HostState;
-use crate::hash::{name_hash, score, short_hash};
+use crate::hash::{from_tenths, name_hash, score, short_hash, tenths};
 use crate::hosts::Peer;
 use crate::quota::{QuotaLimits, Taken};
 use crate::steer::Steer;
@@ -31,14 +31,22 @@
     fn limits(&self, team: &Team) -> Option<QuotaLimits> {
         const MICROS: f64 = 1e6;
         let rate = team.rate?.micros() as f64 / MICROS;
-        Some(QuotaLimits::new(rate, f64::from(team.burst), &self.settings))
+        Some(QuotaLimits::new(
+            rate,
+            f64::from(team.burst),
+            &self.settings,
+        ))
     }
 
     /// The keeper of a team among the hosts of a region that are heard; `None` is this host.
     fn keeper(&self, team: u32, region: &RegionId, now: Instant) -> Option<&Peer> {
         let item = u64::from(team);
         let near = *region == self.us.region;
-        let own = if near { score(item, name_hash(self.us.record.id.as_str())) } else { -1.0 };
+        let own = if near {
+            score(item, name_hash(self.us.record.id.as_str()))
+        } else {
+            -1.0
+        };
         self.hosts
             .alive(now)
             .filter(|p| p.region == *region && p.state != Some(HostState::Leaving))
@@ -50,8 +58,13 @@
 
     /// The other regions that have hosts, heard or not.
     fn other_regions(&self) -> Vec<RegionId> {
-        let mut regions: Vec<RegionId> =
-            self.hosts.all().map(|p| &p.region).filter(|r| **r != self.us.region).cloned().collect();
+        let mut regions: Vec<RegionId> = self
+            .hosts
+            .all()
+            .map(|p| &p.region)
+            .filter(|r| **r != self.us.region)
+            .cloned()
+            .collect();
         regions.sort();
         regions.dedup();
         regions
@@ -67,7 +80,10 @@
             return Token::Here(self.token_alone(team, now));
         }
         if let Some(keeper) = self.keeper(hash, &self.us.region, now) {
-            return Token::Ask { keeper: keeper.record.peer, team: hash };
+            return Token::Ask {
+                keeper: keeper.record.peer,
+                team: hash,
+            };
         }
         let others = self.quota.others(hash, &self.other_regions(), now);
         Token::Here(self.quota.take(&team.id, limits, others, now))
@@ -102,12 +118,12 @@
     /// Where a token of a team goes back to, if not to this host.
     pub fn keeper_addr(&self, team: &Team, now: Instant) -> Option<SocketAddr> {
         let hash = short_hash(team.id.as_str());
-        self.keeper(hash, &self.us.region, now).map(|p| p.record.peer)
+        self.keeper(hash, &self.us.region, now)
+            .map(|p| p.record.peer)
     }
 
     /// What this host tells the keepers in other regions of the teams that it keeps.
     pub fn demands(&mut self, now: Instant) -> HashMap<SocketAddr, Vec<(u32, u16)>> {
-        const TENTHS: f64 = 10.0;
         let Some(catalog) = self.catalog.clone() else {
             return HashMap::new();
         };
@@ -119,10 +135,12 @@
                 continue;
             }
             let demand = self.quota.tell(&team.id, now);
-            let tenths = (demand * TENTHS).round().min(f64::from(u16::MAX)) as u16;
             for region in &regions {
                 if let Some(keeper) = self.keeper(hash, region, now) {
-                    messages.entry(keeper.record.peer).or_default().push((hash, tenths));
+                    messages
+                        .entry(keeper.record.peer)
+                        .or_default()
+                        .push((hash, tenths(demand)));
                 }
             }
         }
@@ -131,12 +149,11 @@
 
     /// Takes what a keeper in another region is asked for.
     pub fn hear_demand(&mut self, zone: &ZoneId, teams: &[(u32, u16)], now: Instant) {
-        const TENTHS: f64 = 10.0;
         let Some(region) = self.us.zones.get(zone).cloned() else {
             return;
         };
         for &(team, tenths) in teams {
-            self.quota.hear(team, &region, f64::from(tenths) / TENTHS, now);
+            self.quota.hear(team, &region, from_tenths(tenths), now);
         }
     }
 
--- a/crates/steer/tests/steer/catalog.rs
+++ b/crates/steer/tests/steer/catalog.rs
@@ -32,11 +32,19 @@
     let mut host = steer("host", "a1", 100);
     host.configure(config(1)).expect("valid");
     let key = ApiKey::new("blue-key");
-    assert!(host.catalog().and_then(|c| c.holder(&key).cloned()).is_some());
+    assert!(
+        host.catalog()
+            .and_then(|c| c.holder(&key).cloned())
+            .is_some()
+    );
     let mut next = config(2);
     next.teams[0].keys.clear();
     host.configure(next).expect("valid");
-    assert!(host.catalog().and_then(|c| c.holder(&key).cloned()).is_none());
+    assert!(
+        host.catalog()
+            .and_then(|c| c.holder(&key).cloned())
+            .is_none()
+    );
 }
 
 #[test]
@@ -45,19 +53,34 @@
     host.configure(config(1)).expect("valid");
     let mut bad = config(2);
     bad.routes[0].parts[0].service = name("unknown");
-    assert!(matches!(host.configure(bad), Err(ContentError::UnknownService { .. })));
+    assert!(matches!(
+        host.configure(bad),
+        Err(ContentError::UnknownService { .. })
+    ));
     let mut bad = config(2);
     bad.routes[0].parts.clear();
-    assert!(matches!(host.configure(bad), Err(ContentError::NoService { .. })));
+    assert!(matches!(
+        host.configure(bad),
+        Err(ContentError::NoService { .. })
+    ));
     let mut bad = config(2);
     bad.routes.push(route("r-2", "example", "/a/"));
-    assert!(matches!(host.configure(bad), Err(ContentError::SamePlace { .. })));
+    assert!(matches!(
+        host.configure(bad),
+        Err(ContentError::SamePlace { .. })
+    ));
     let mut bad = config(2);
     bad.routes[0].prefix = "/a".into();
-    assert!(matches!(host.configure(bad), Err(ContentError::BadPrefix { .. })));
+    assert!(matches!(
+        host.configure(bad),
+        Err(ContentError::BadPrefix { .. })
+    ));
     let mut bad = config(2);
     bad.teams.push(team("red", "blue-key", None, 0));
-    assert!(matches!(host.configure(bad), Err(ContentError::SameKey { .. })));
+    assert!(matches!(
+        host.configure(bad),
+        Err(ContentError::SameKey { .. })
+    ));
     assert_eq!(host.catalog().map(|c| c.version().0), Some(1));
 }
 
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use wagtail_steer::{
-    Ask, Choice, End, EndpointState, Miss, Outcome, Placement, Steer,
-};
+use wagtail_steer::{Ask, Choice, End, EndpointState, Miss, Outcome, Placement, Steer};
 use wagtail_types::{Clock, ManualClock};
 
 use crate::support::{SERVICE, config, endpoint, exchange, name, steer};
@@ -34,7 +32,14 @@
 
 fn end(host: &mut Steer, choice: &Choice, outcome: Outcome, clock: &ManualClock) {
     let route = config(1).routes.remove(0);
-    let end = End { choice, route: &route, object: None, outcome, taken: None, load: None };
+    let end = End {
+        choice,
+        route: &route,
+        object: None,
+        outcome,
+        taken: None,
+        load: None,
+    };
     host.finish(&end, clock.now());
 }
 
@@ -54,7 +59,16 @@
     record.state = EndpointState::Draining;
     host.register(record, clock.now());
     let refused = ask(&mut host, &clock);
-    assert!(matches!(refused, Placement::Refuse { miss: Miss::NoEndpoint, .. }), "{refused:?}");
+    assert!(
+        matches!(
+            refused,
+            Placement::Refuse {
+                miss: Miss::NoEndpoint,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
 }
 
 #[test]
@@ -64,7 +78,10 @@
     host.evacuate(&zone, true, clock.now());
     assert!(sent(ask(&mut host, &clock)).is_none());
     host.evacuate(&zone, false, clock.now());
-    assert!(sent(ask(&mut host, &clock)).is_none(), "it may be cold and is asked first");
+    assert!(
+        sent(ask(&mut host, &clock)).is_none(),
+        "it may be cold and is asked first"
+    );
     let due = host.due_checks(clock.now());
     assert_eq!(due.len(), 1);
     host.checked(due[0], Some(Duration::ZERO), clock.now());
@@ -138,7 +155,13 @@
     let mut hosts: Vec<_> = zones
         .iter()
         .enumerate()
-        .map(|(i, zone)| steer(&format!("host-{i}"), zone, 100 + 10 * u16::try_from(i).expect("few")))
+        .map(|(i, zone)| {
+            steer(
+                &format!("host-{i}"),
+                zone,
+                100 + 10 * u16::try_from(i).expect("few"),
+            )
+        })
         .collect();
     let mut record = endpoint("e", "a1", 50);
     record.cold = Duration::from_secs(3);
--- a/crates/steer/tests/steer/fleet.rs
+++ b/crates/steer/tests/steer/fleet.rs
@@ -42,14 +42,20 @@
 #[test]
 fn the_directory_names_hosts_of_the_region_that_are_heard() {
     let clock = ManualClock::new();
-    let mut hosts =
-        [steer("one", "a1", 100), steer("two", "a2", 200), steer("three", "b1", 300)];
+    let mut hosts = [
+        steer("one", "a1", 100),
+        steer("two", "a2", 200),
+        steer("three", "b1", 300),
+    ];
     exchange(&mut hosts, &clock);
     let zone = name("a2");
     let mut found = hosts[0].directory(Some(&zone), true, clock.now());
     found.sort();
     assert_eq!(found, [addr(100), addr(200)]);
     clock.advance(Duration::from_secs(4));
-    assert_eq!(hosts[0].directory(Some(&zone), true, clock.now()), [addr(100)]);
+    assert_eq!(
+        hosts[0].directory(Some(&zone), true, clock.now()),
+        [addr(100)]
+    );
     assert_eq!(hosts[0].host_count(clock.now()), 1);
 }
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -27,9 +27,15 @@
         let mut config = config(1);
         config.teams = vec![limit.clone()];
         for host in &mut hosts {
-            host.configure(config.clone()).expect("a valid configuration");
+            host.configure(config.clone())
+                .expect("a valid configuration");
         }
-        let mut fleet = Self { hosts, clock, ran: Vec::new(), refused: 0 };
+        let mut fleet = Self {
+            hosts,
+            clock,
+            ran: Vec::new(),
+            refused: 0,
+        };
         fleet.talk(0);
         fleet
     }
@@ -41,7 +47,10 @@
         for from in cut..self.hosts.len() {
             let zone = self.hosts[from].us().record.zone.clone();
             for (to, teams) in self.hosts[from].demands(now) {
-                if let Some(keeper) = self.hosts[cut..].iter_mut().find(|h| h.us().record.peer == to) {
+                if let Some(keeper) = self.hosts[cut..]
+                    .iter_mut()
+                    .find(|h| h.us().record.peer == to)
+                {
                     keeper.hear_demand(&zone, &teams, now);
                 }
             }
@@ -55,9 +64,15 @@
             Token::Here(taken) => return taken,
             Token::Ask { keeper, team } => (keeper, team),
         };
-        let keeper = self.hosts.iter().position(|h| h.us().record.peer == keeper).expect("a host");
+        let keeper = self
+            .hosts
+            .iter()
+            .position(|h| h.us().record.peer == keeper)
+            .expect("a host");
         if (keeper < cut) == (host < cut) && host >= cut {
-            return self.hosts[keeper].token_for(hash, now).expect("a known team");
+            return self.hosts[keeper]
+                .token_for(hash, now)
+                .expect("a known team");
         }
         self.hosts[host].token_alone(team, now)
     }
@@ -88,7 +103,12 @@
     fn most(&self, window: Duration) -> usize {
         let within = |first: &Instant, t: &&Instant| t.duration_since(*first) < window;
         let count = |i: usize, f: &Instant| self.ran[i..].iter().filter(|t| within(f, t)).count();
-        self.ran.iter().enumerate().map(|(i, f)| count(i, f)).max().unwrap_or(0)
+        self.ran
+            .iter()
+            .enumerate()
+            .map(|(i, f)| count(i, f))
+            .max()
+            .unwrap_or(0)
     }
 }
 
@@ -103,12 +123,20 @@
 #[test]
 fn a_team_below_its_limit_is_not_refused() {
     for (rate, hosts) in [(8, 8), (84, 8), (38, 84), (8, 84)] {
-        let limit = team("blue", "key", Some(rate), u32::try_from(rate).expect("small"));
+        let limit = team(
+            "blue",
+            "key",
+            Some(rate),
+            u32::try_from(rate).expect("small"),
+        );
         let mut fleet = Fleet::new(&limit, hosts);
         fleet.play(&limit, rate as f64 * 0.6, Duration::from_secs(20), 0);
         let asked = fleet.ran.len() as f64 + f64::from(fleet.refused);
         let refused = f64::from(fleet.refused);
-        assert!(refused < asked * 0.002, "rate {rate}, {hosts} hosts: {refused} of {asked} refused");
+        assert!(
+            refused < asked * 0.002,
+            "rate {rate}, {hosts} hosts: {refused} of {asked} refused"
+        );
     }
 }
 
@@ -122,7 +150,10 @@
         fleet.play(&limit, 25.0, Duration::from_secs(8), 0);
         fleet.play(&limit, 320.0, Duration::from_secs(12), 0);
         let most = fleet.most(WINDOW);
-        assert!((most as f64) <= allowed(40.0, 40.0), "{most} ran in a window");
+        assert!(
+            (most as f64) <= allowed(40.0, 40.0),
+            "{most} ran in a window"
+        );
         let ran = fleet.ran.len() as f64;
         assert!(ran > 25.0 * 8.0 + 0.8 * 40.0 * 12.0, "{ran} ran");
     }
@@ -137,7 +168,10 @@
         fleet.play(&limit, 25.0, Duration::from_secs(8), 0);
         fleet.play(&limit, 320.0, Duration::from_secs(12), hosts / 4);
         let most = fleet.most(WINDOW);
-        assert!((most as f64) <= allowed(40.0, 40.0), "{hosts} hosts: {most} ran in a window");
+        assert!(
+            (most as f64) <= allowed(40.0, 40.0),
+            "{hosts} hosts: {most} ran in a window"
+        );
     }
 }
 
@@ -156,13 +190,19 @@
             taken += u32::from(budget.take(0.2, 56.0, 8, clock.now()));
         }
     }
-    assert!(f64::from(taken) <= 0.2 * 800.0 + 56.0, "{taken} further attempts");
+    assert!(
+        f64::from(taken) <= 0.2 * 800.0 + 56.0,
+        "{taken} further attempts"
+    );
     assert!(taken > 100, "{taken} further attempts");
 }
 
 #[test]
 fn split_routes_keep_their_weights() {
-    let part = |service: &str, weight| Part { service: name(service), weight };
+    let part = |service: &str, weight| Part {
+        service: name(service),
+        weight,
+    };
     let parts = [part("new", 10), part("old", 90)];
     let mut split = Split::default();
     let picks: Vec<_> = (0..200).filter_map(|_| split.next(&parts)).collect();
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -49,8 +49,14 @@
     let tally = world.tally;
     let answered = tally.in_aim + tally.late;
     let capacity = 18.0 / 0.192 * SPAN.as_secs_f64();
-    assert!(f64::from(tally.in_aim) > 0.8 * f64::from(answered), "{tally:?}");
-    assert!(f64::from(answered) > 0.8 * capacity, "{tally:?} of {capacity}");
+    assert!(
+        f64::from(tally.in_aim) > 0.8 * f64::from(answered),
+        "{tally:?}"
+    );
+    assert!(
+        f64::from(answered) > 0.8 * capacity,
+        "{tally:?} of {capacity}"
+    );
 }
 
 /// Waves out of phase: two regions' demand swings by half, each over its slots in turn.
@@ -71,6 +77,10 @@
 fn a_team_with_a_home_elsewhere_is_served_like_others() {
     let mut world = World::new(&["a1", "b1"], &[("a1", 3), ("b1", 3)]);
     world.homes = vec![Vec::new(), vec![crate::support::name("a")]];
-    let tally = measure(&mut world, 24, |host, _| if host == 0 { 30.0 } else { 10.0 });
+    let tally = measure(
+        &mut world,
+        24,
+        |host, _| if host == 0 { 30.0 } else { 10.0 },
+    );
     assert!(share(tally.in_aim, &tally) > 0.8, "{tally:?}");
 }
--- a/crates/steer/tests/steer/support.rs
+++ b/crates/steer/tests/steer/support.rs
@@ -21,7 +21,14 @@
 }
 
 pub(crate) fn zones() -> HashMap<ZoneId, RegionId> {
-    let pairs = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b"), ("c1", "c"), ("c2", "c")];
+    let pairs = [
+        ("a1", "a"),
+        ("a2", "a"),
+        ("b1", "b"),
+        ("b2", "b"),
+        ("c1", "c"),
+        ("c2", "c"),
+    ];
     pairs.iter().map(|(z, r)| (name(z), name(r))).collect()
 }
 
@@ -30,17 +37,31 @@
 }
 
 pub(crate) fn host_record(id: &str, zone: &str, port: u16) -> HostRecord {
-    HostRecord { id: name::<HostId>(id), zone: name(zone), front: addr(port), peer: addr(port + 1) }
+    HostRecord {
+        id: name::<HostId>(id),
+        zone: name(zone),
+        front: addr(port),
+        peer: addr(port + 1),
+    }
 }
 
 pub(crate) fn settings() -> Settings {
-    Settings { quota_overage: 0.1, quota_slack: 20.0, ..Settings::default() }
+    Settings {
+        quota_overage: 0.1,
+        quota_slack: 20.0,
+        ..Settings::default()
+    }
 }
 
 pub(crate) fn steer(id: &str, zone: &str, port: u16) -> Steer {
     let zones = zones();
     let region = zones[&name::<ZoneId>(zone)].clone();
-    let us = Us { record: host_record(id, zone, port), region, zones, started: u64::from(port) };
+    let us = Us {
+        record: host_record(id, zone, port),
+        region,
+        zones,
+        started: u64::from(port),
+    };
     Steer::new(us, settings())
 }
 
@@ -53,7 +74,10 @@
         timeout: Duration::from_millis(1_500),
         aim: AIM,
         priority: 1,
-        parts: vec![Part { service: name(SERVICE), weight: 1 }],
+        parts: vec![Part {
+            service: name(SERVICE),
+            weight: 1,
+        }],
         attempts: 2,
         public: false,
         sticky: true,
@@ -114,7 +138,10 @@
 pub(crate) fn exchange(hosts: &mut [Steer], clock: &ManualClock) {
     use wagtail_steer::HostState;
     let now = clock.now();
-    let digests: Vec<_> = hosts.iter_mut().map(|h| h.digest(HostState::Ready, now)).collect();
+    let digests: Vec<_> = hosts
+        .iter_mut()
+        .map(|h| h.digest(HostState::Ready, now))
+        .collect();
     for host in hosts {
         for digest in &digests {
             host.hear(digest.clone(), now);
--- a/crates/steer/tests/steer/world.rs
+++ b/crates/steer/tests/steer/world.rs
@@ -40,12 +40,9 @@
 impl Server {
     /// Starts waiting jobs on free slots.
     fn start(&mut self, now: Instant) {
-        let mut running = self.jobs.iter().filter(|j| j.ends.is_some()).count();
-        for job in self.jobs.iter_mut().filter(|j| j.ends.is_none()) {
-            if running == self.slots {
-                return;
-            }
-            running += 1;
+        let running = self.jobs.iter().filter(|j| j.ends.is_some()).count();
+        let waiting = self.jobs.iter_mut().filter(|j| j.ends.is_none());
+        for job in waiting.take(self.slots - running) {
             let known = self.kept.iter().position(|o| *o == job.object);
             if let Some(at) = known {
                 self.kept.remove(at);
@@ -89,7 +86,13 @@
         let mut hosts: Vec<Steer> = zones
             .iter()
             .enumerate()
-            .map(|(i, zone)| steer(&format!("host-{i}"), zone, 100 + 10 * u16::try_from(i).expect("few hosts")))
+            .map(|(i, zone)| {
+                steer(
+                    &format!("host-{i}"),
+                    zone,
+                    100 + 10 * u16::try_from(i).expect("few hosts"),
+                )
+            })
             .collect();
         let mut servers = Vec::new();
         for (zone, count) in endpoints {
@@ -112,15 +115,35 @@
         exchange(&mut hosts, &clock);
         let route = config(1).routes.remove(0);
         let homes = vec![Vec::new(); hosts.len()];
-        Self { clock, hosts, servers, route, homes, steps: 0, draws: 1, tally: Tally::default() }
+        Self {
+            clock,
+            hosts,
+            servers,
+            route,
+            homes,
+            steps: 0,
+            draws: 1,
+            tally: Tally::default(),
+        }
     }
 
     /// A repeatable draw in 0 to 1.
     pub(crate) fn draw(&mut self) -> f64 {
-        self.draws = self.draws.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        self.draws = self
+            .draws
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
         (self.draws >> 11) as f64 / (1_u64 << 53) as f64
     }
 
+    /// A repeatable number below `count`.
+    fn pick(&mut self, count: u32) -> u32 {
+        let draw = self.draw();
+        (0..count)
+            .rfind(|i| f64::from(*i) <= draw * f64::from(count))
+            .unwrap_or(0)
+    }
+
     /// Plays for `time`; `rate` gives the requests a second at each host now.
     pub(crate) fn play(&mut self, time: Duration, objects: u32, rate: impl Fn(usize, f64) -> f64) {
         let start = self.clock.now();
@@ -130,7 +153,7 @@
                 if self.draw() < rate(host, at) * STEP.as_secs_f64() {
                     // Each region has objects of its own.
                     let region = u32::from(self.hosts[host].us().region.as_str().as_bytes()[0]);
-                    let object = (self.draw() * f64::from(objects)) as u32 + region * 1_000;
+                    let object = self.pick(objects) + region * 1_000;
                     self.ask(host, Steer::object_hash(&object.to_string()));
                 }
             }
@@ -156,8 +179,19 @@
         match self.hosts[host].place(&ask, now) {
             Placement::Send(choice) => {
                 let id = self.id(host, choice.key);
-                let server = self.servers.iter_mut().find(|s| s.id == id).expect("a server");
-                let job = Job { host, choice, object, arrived: now, sent: now, ends: None };
+                let server = self
+                    .servers
+                    .iter_mut()
+                    .find(|s| s.id == id)
+                    .expect("a server");
+                let job = Job {
+                    host,
+                    choice,
+                    object,
+                    arrived: now,
+                    sent: now,
+                    ends: None,
+                };
                 server.jobs.push(job);
                 server.start(now);
             }
@@ -166,7 +200,12 @@
     }
 
     fn id(&self, host: usize, key: EndpointKey) -> EndpointId {
-        self.hosts[host].endpoint(key).expect("a known endpoint").record.id.clone()
+        self.hosts[host]
+            .endpoint(key)
+            .expect("a known endpoint")
+            .record
+            .id
+            .clone()
     }
 
     fn step(&mut self) {
--- a/crates/store/tests/contract.rs
+++ b/crates/store/tests/contract.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use wagtail_standin::platform::{Running, start};
 use wagtail_store::{
     HttpClient, HttpSettings, Listed, ListedState, Memory, Place, Platform, PlatformError, RowKey,
     Scan, Table, Txn, Write,
 };
-use wagtail_standin::platform::{Running, start};
 use wagtail_types::AttemptId;
 
 fn any_port() -> SocketAddr {
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -78,3 +78,8 @@
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
 }
+
+/// A time in whole milliseconds, for messages and logs; a time beyond all counting is the largest.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -21,7 +21,7 @@
 mod size;
 mod verdict;
 
-pub use clock::{Clock, ManualClock, SystemClock};
+pub use clock::{Clock, ManualClock, SystemClock, millis};
 pub use error::ParseError;
 pub use id::{
     AttemptId, EndpointId, Epoch, HostId, Incarnation, KeyDigest, RecordId, RegionId, ServiceId,
