--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -101,7 +101,7 @@
     let Some(service) = steer.split(route) else {
         return Err(Reply::fail(StatusCode::NOT_FOUND, "the route has no service").into());
     };
-    steer.count_request(&service, arrived);
+    steer.count_request(&service, &homes, arrived);
     let deadline = caller.deadline.unwrap_or(route.timeout).min(DEADLINE_MAX);
     let span = deadline.saturating_sub(WAY_BACK).min(route.timeout);
     Ok(Job {
--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -44,18 +44,6 @@
         self.slot(now).1 += 1;
     }
 
-    /// Requests a second over the last `time`.
-    pub fn rate(&self, time: Duration, now: Instant) -> f64 {
-        let recent = self.slots.iter().filter(|s| now.duration_since(s.0) < time);
-        let oldest = recent
-            .clone()
-            .map(|s| now.duration_since(s.0))
-            .max()
-            .unwrap_or_default();
-        let count: u32 = recent.map(|s| s.1).sum();
-        f64::from(count) / oldest.as_secs_f64().max(1.0)
-    }
-
     /// Whether the host's part of the budget allows one further attempt.
     ///
     /// `slack` is the fleet's allowance beyond `ratio` and `hosts` the hosts that share it.
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -41,8 +41,7 @@
     pub loads: Vec<(u32, u16)>,
     /// Objects that endpoints have handled lately: hash of the endpoint's name, of the object's.
     pub warm: Vec<(u32, u32)>,
-    /// Requests for services that arrive at the sender: hash of the service's name, tenths of a
-    /// request a second.
+    /// Requests that arrive at the sender: hash of the flow, tenths of a request a second.
     pub arrivals: Vec<(u32, u16)>,
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,6 +10,7 @@
 mod digest;
 mod endpoint;
 mod estimate;
+mod flow;
 mod hash;
 mod hosts;
 mod place;
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -1,5 +1,6 @@
 //! Which endpoint runs a request, or why none does.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -111,11 +112,30 @@
     pub(crate) kept: Option<&'a Kept>,
     pub(crate) estimates: &'a Estimates,
     pub(crate) late_worth: f64,
-    /// The use of the service's slots in all regions, 0 to 1 and more.
-    pub(crate) used: f64,
+    /// The use of the usable endpoints' slots, by region.
+    pub(crate) used: &'a HashMap<RegionId, Use>,
     pub(crate) now: Instant,
 }
 
+/// Slots of a region, and those at work.
+#[derive(Debug, Default)]
+pub(crate) struct Use {
+    pub(crate) busy: f64,
+    pub(crate) slots: f64,
+}
+
+impl Use {
+    /// The price of slot time: none while slots are free, 1 with all at work.
+    fn pressure(&self) -> f64 {
+        let part = if self.slots > 0.0 {
+            self.busy / self.slots
+        } else {
+            1.0
+        };
+        ((part - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 1.0)
+    }
+}
+
 struct Candidate {
     choice: Choice,
     worth: f64,
@@ -232,7 +252,7 @@
     let spread = SPREAD * (run + wait) + 0.01;
     let chance = (0.5 + (slack - total) / (2.0 * spread)).clamp(0.0, 1.0);
     let credit = chance + (1.0 - chance) * view.late_worth;
-    let pressure = ((view.used - FREE_USE) / (1.0 - FREE_USE)).clamp(0.0, 1.0);
+    let pressure = view.used.get(&endpoint.region).map_or(1.0, Use::pressure);
     let place = preferred.iter().position(|p| *p == Some(key));
     let cold = if warm {
         1.0
--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -15,8 +15,10 @@
 /// Demand and capacity of one region, in slots.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RegionLoad {
-    /// Slots that the region's callers would keep busy.
+    /// Slots that the region's callers would keep busy, where they may run anywhere.
     pub demand: f64,
+    /// Slots that requests keep busy which no other region may run.
+    pub bound: f64,
     /// Slots of usable endpoints.
     pub slots: f64,
 }
@@ -111,8 +113,9 @@
 
 /// The shares that demand and capacity ask for, the home region first.
 fn target(home: &RegionId, loads: &HashMap<RegionId, RegionLoad>) -> Vec<(RegionId, f64)> {
-    let room = |l: &RegionLoad| (l.slots * FULL_USE - l.demand).max(0.0);
-    let excess = |l: &RegionLoad| (l.demand - l.slots * FULL_USE).max(0.0);
+    let left = |l: &RegionLoad| (l.slots * FULL_USE - l.bound).max(0.0);
+    let room = |l: &RegionLoad| (left(l) - l.demand).max(0.0);
+    let excess = |l: &RegionLoad| (l.demand - left(l)).max(0.0);
     let spare: f64 = loads.values().map(room).sum();
     let wanted: f64 = loads.values().map(excess).sum();
     let own = loads.get(home).copied().unwrap_or_default();
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -17,9 +17,10 @@
     CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome,
 };
 use crate::estimate::{Estimates, WARM_GUESS};
+use crate::flow::{Flow, flow_hash};
 use crate::hash::{short_hash, tenths};
 use crate::hosts::{HostRecord, Hosts};
-use crate::place::{Ask, Choice, Placement, View, place};
+use crate::place::{Ask, Choice, Placement, Use, View, place};
 use crate::quota::Quota;
 use crate::regions::{RegionLoad, Regions};
 use crate::settings::Settings;
@@ -37,8 +38,6 @@
 /// The time for which digests repeat that an object is warm; two periods between regions.
 const WARM_TOLD: Duration = Duration::from_millis(2_200);
 
-/// The time over which the arrivals at a host are averaged.
-const ARRIVAL_TIME: Duration = Duration::from_secs(3);
 /// The part of the allowed shift that weights use; spills use the rest.
 const WEIGHTS_PART: f64 = 0.6;
 
@@ -85,6 +84,8 @@
     pub(crate) hosts: Hosts,
     pub(crate) quota: Quota,
     budgets: HashMap<ServiceId, Budget>,
+    /// Requests that arrive for a service, by the one region that may run them, if so.
+    flows: HashMap<(ServiceId, Option<RegionId>), Flow>,
     splits: HashMap<RouteId, Split>,
     estimates: Estimates,
     shares: Shares,
@@ -115,6 +116,7 @@
             hosts,
             quota: Quota::default(),
             budgets: HashMap::new(),
+            flows: HashMap::new(),
             splits: HashMap::new(),
             estimates: Estimates::default(),
             shares,
@@ -336,11 +338,8 @@
         {
             self.warmed.pop_front();
         }
-        let arrivals = self.budgets.iter().map(|(service, budget)| {
-            (
-                short_hash(service.as_str()),
-                tenths(budget.rate(ARRIVAL_TIME, now)),
-            )
+        let arrivals = self.flows.iter().map(|((service, bound), flow)| {
+            (flow_hash(service, bound.as_ref()), tenths(flow.rate(now)))
         });
         let arrivals = arrivals.filter(|&(_, rate)| rate > 0).collect();
         Digest {
@@ -425,8 +424,17 @@
             .next(&route.parts)
     }
 
-    /// Counts a request for a service in its retry budget.
-    pub fn count_request(&mut self, service: &ServiceId, now: Instant) {
+    /// Counts a request for a service, in its retry budget and in the demand of the region that
+    /// has to run it.
+    pub fn count_request(&mut self, service: &ServiceId, homes: &[RegionId], now: Instant) {
+        let bound = match homes {
+            [home] => Some(home.clone()),
+            _ => None,
+        };
+        self.flows
+            .entry((service.clone(), bound))
+            .or_default()
+            .note(now);
         let window = self.settings.retry_window;
         let budget = self
             .budgets
@@ -464,14 +472,13 @@
         let usable = self.usable(ask, now);
         let point = self.point(ask);
         let primary = self.primary(ask, &usable, point);
-        let (busy, slots) =
-            usable
-                .iter()
-                .map(|&k| &self.endpoints[k])
-                .fold((0.0, 0.0), |(b, s), e| {
-                    let slots = f64::from(e.record.slots);
-                    (b + e.outstanding().min(slots), s + slots)
-                });
+        let mut used: HashMap<RegionId, Use> = HashMap::new();
+        for endpoint in usable.iter().map(|&k| &self.endpoints[k]) {
+            let slots = f64::from(endpoint.record.slots);
+            let region = used.entry(endpoint.region.clone()).or_default();
+            region.busy += endpoint.outstanding().min(slots);
+            region.slots += slots;
+        }
         let view = View {
             zone: &self.us.record.zone,
             region: &self.us.region,
@@ -479,7 +486,7 @@
             kept: self.kept.get(ask.service),
             estimates: &self.estimates,
             late_worth: self.settings.late_worth,
-            used: if slots > 0.0 { busy / slots } else { 1.0 },
+            used: &used,
             now,
         };
         let allowed: HashSet<&RegionId> = self
@@ -554,21 +561,27 @@
     pub fn balance(&mut self, now: Instant) {
         let most = self.settings.max_shift * WEIGHTS_PART;
         for (service, keys) in &self.services {
-            let hash = short_hash(service.as_str());
             let each = self.each(service);
             let mut loads: HashMap<RegionId, RegionLoad> = HashMap::new();
             for region in self.us.zones.values() {
                 loads.entry(region.clone()).or_default();
             }
+            let free = flow_hash(service, None);
             for peer in self.hosts.alive(now) {
-                let rate = peer.arrivals.get(&hash).copied().unwrap_or(0.0);
+                let rate = peer.arrivals.get(&free).copied().unwrap_or(0.0);
                 loads.entry(peer.region.clone()).or_default().demand += rate * each;
             }
-            let own = self
-                .budgets
-                .get(service)
-                .map_or(0.0, |b| b.rate(ARRIVAL_TIME, now));
-            loads.entry(self.us.region.clone()).or_default().demand += own * each;
+            let rate = |bound| {
+                self.flows
+                    .get(&(service.clone(), bound))
+                    .map_or(0.0, |f| f.rate(now))
+            };
+            loads.entry(self.us.region.clone()).or_default().demand += rate(None) * each;
+            for (region, load) in &mut loads {
+                let bound = flow_hash(service, Some(region));
+                let others = self.hosts.alive(now).filter_map(|p| p.arrivals.get(&bound));
+                load.bound = (rate(Some(region.clone())) + others.sum::<f64>()) * each;
+            }
             for endpoint in keys.iter().map(|&k| &self.endpoints[k]) {
                 let record = &endpoint.record;
                 let out = self.evacuated.contains(&record.zone) || endpoint.is_down();
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -84,3 +84,13 @@
     );
     assert!(share(tally.in_aim, &tally) > 0.8, "{tally:?}");
 }
+
+/// Crowded home: callers of a large region may be served only in a small one, whose own callers may
+/// go anywhere. The small region's own callers give way, as there is room for all elsewhere.
+#[test]
+fn callers_who_may_go_elsewhere_make_room_for_those_who_may_not() {
+    let mut world = World::new(&["a1", "b1"], &[("a1", 6), ("b1", 1)]);
+    world.homes = vec![vec![crate::support::name("b")], Vec::new()];
+    let tally = measure(&mut world, 24, |host, _| if host == 0 { 9.0 } else { 14.0 });
+    assert!(share(tally.in_aim, &tally) > 0.8, "{tally:?}");
+}
--- a/crates/steer/tests/steer/world.rs
+++ b/crates/steer/tests/steer/world.rs
@@ -175,7 +175,7 @@
             gone: Duration::ZERO,
             left: self.route.timeout,
         };
-        self.hosts[host].count_request(&service, now);
+        self.hosts[host].count_request(&service, &self.homes[host], now);
         match self.hosts[host].place(&ask, now) {
             Placement::Send(choice) => {
                 let id = self.id(host, choice.key);
