--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use slog::{debug, error, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -17,6 +18,8 @@
 
 /// The largest datagram; digests of large fleets stay well below.
 const DATAGRAM_MAX: usize = 60_000;
+/// The largest answer of the registry that is passed on.
+const FEED_MAX: usize = 50_000;
 /// The wait for a keeper's answer: several ways within a region, and little of any request's time.
 const TOKEN_WAIT: Duration = Duration::from_millis(40);
 /// The pause after a failed registration of this host.
@@ -50,7 +53,7 @@
 
     /// Receives digests.
     pub(crate) async fn receive(self: Rc<Self>) {
-        let mut buffer = vec![0; 2_048];
+        let mut buffer = vec![0; DATAGRAM_MAX];
         loop {
             let (size, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
@@ -60,10 +63,6 @@
                     continue;
                 }
             };
-            if size == buffer.len() && size < DATAGRAM_MAX {
-                buffer.resize(DATAGRAM_MAX, 0);
-                continue;
-            }
             match Message::decode(&buffer[..size]) {
                 Ok(message) => self.take(message, from),
                 Err(e) => warn!(self.core.log, "bad message"; "from" => %from, "error" => %e),
@@ -97,10 +96,30 @@
                     let _ = waiting.send(wait_ms.map_or(Taken::Yes, Steer::refused_for));
                 }
             }
+            Message::Feed { topic, after, page } => {
+                if let Some(feed) = self.core.feeds.get(usize::from(topic)) {
+                    feed.push(after, page.into());
+                }
+            }
             Message::Unused { team } => self.core.steer.borrow_mut().return_token(team),
         }
     }
 
+    /// Passes changes in the registry on. What does not fit a datagram the others ask for.
+    pub(crate) fn pass_on(&self, topic: Topic, after: u64, page: &Bytes, to: &[SocketAddr]) {
+        if page.len() > FEED_MAX {
+            return;
+        }
+        let message = Message::Feed {
+            topic: topic.number(),
+            after,
+            page: page.to_vec(),
+        };
+        for peer in to {
+            self.post(&message, *peer);
+        }
+    }
+
     /// Sends a message if that needs no wait; all of them may be lost anyway.
     fn post(&self, message: &Message, to: SocketAddr) {
         let sent = match message.encode() {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,13 +1,16 @@
 //! Follows the registry and puts into force what it says.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use slog::{error, info, warn};
+use wagtail_steer::Follower;
 use wagtail_types::millis;
 
-use crate::host::Core;
+use crate::exchange::Exchange;
+use crate::host::{Core, Feed};
 use crate::registry::{Entry, Fetched, Registry, RegistryError, Topic};
 use crate::settings::Settings;
 
@@ -21,10 +24,12 @@
 const AWAY_MIN: Duration = Duration::from_secs(3);
 
 /// The state of following one topic.
-struct Follower<R> {
+struct Task<R> {
     core: Rc<Core>,
+    exchange: Rc<Exchange>,
     registry: Rc<R>,
     topic: Topic,
+    settings: Settings,
     version: Option<u64>,
     last_good: Instant,
     lost: bool,
@@ -34,45 +39,81 @@
 /// Follows a topic for the life of the process.
 pub(crate) async fn follow<R: Registry>(
     core: Rc<Core>,
+    exchange: Rc<Exchange>,
     registry: Rc<R>,
     topic: Topic,
     settings: Settings,
 ) {
     let last_good = core.now();
-    let mut follower = Follower {
+    let mut task = Task {
         core,
+        exchange,
         registry,
         topic,
+        settings,
         version: None,
         last_good,
         lost: false,
         pause: PAUSE_MIN,
     };
     loop {
-        let fetched = match follower.version {
-            None => follower.registry.read(topic).await,
+        let follower = task.core.steer.borrow().follower(task.core.now());
+        match (task.version, follower) {
+            (Some(version), Follower::Other) => task.listen(version).await,
+            (_, Follower::Us(peers)) => task.ask(task.settings.lead_wait, &peers).await,
+            (_, _) => task.ask(task.settings.follow_wait, &[]).await,
+        }
+    }
+}
+
+impl<R: Registry> Task<R> {
+    /// Asks the registry, passes its answer on, and waits until it is time to ask again.
+    async fn ask(&mut self, wait: Duration, peers: &[SocketAddr]) {
+        let fetched = match self.version {
+            None => self.registry.read(self.topic).await,
             Some(after) => {
                 // While the registry is lost, only whether it answers is of interest.
-                let wait = if follower.lost {
-                    Duration::ZERO
-                } else {
-                    settings.follow_wait
-                };
-                follower.registry.changes(topic, after, wait).await
+                let wait = if self.lost { Duration::ZERO } else { wait };
+                self.registry.changes(self.topic, after, wait).await
             }
         };
         let pause = match fetched {
             Ok(fetched) => {
-                follower.take(fetched);
-                settings.follow_pause
+                if let Some(after) = self.version {
+                    self.exchange
+                        .pass_on(self.topic, after, &fetched.page, peers);
+                }
+                self.take(fetched);
+                self.settings.follow_pause
             }
-            Err(e) => follower.fail(&e),
+            Err(e) => self.fail(&e),
         };
+        self.feed().clear();
         tokio::time::sleep(pause).await;
     }
-}
 
-impl<R: Registry> Follower<R> {
+    /// Takes changes that another host passes on, and asks the registry if they do not follow on
+    /// what is known or do not come.
+    async fn listen(&mut self, version: u64) {
+        let feed = tokio::time::timeout(self.settings.feed_silence, self.feed().next()).await;
+        let Ok((after, page)) = feed else {
+            self.core.metrics.count("registry_failures", "no-feed");
+            return self.ask(Duration::ZERO, &[]).await;
+        };
+        match self.registry.decode(self.topic, page) {
+            Ok(fetched) if after <= version && fetched.version >= version => self.take(fetched),
+            Ok(_) => self.ask(Duration::ZERO, &[]).await,
+            Err(e) => {
+                warn!(self.core.log, "passed on changes cannot be read"; "error" => %e);
+                self.ask(Duration::ZERO, &[]).await;
+            }
+        }
+    }
+
+    fn feed(&self) -> &Feed {
+        &self.core.feeds[usize::from(self.topic.number())]
+    }
+
     fn take(&mut self, fetched: Fetched) {
         let now = self.core.now();
         let away = now.duration_since(self.last_good);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,10 +1,13 @@
 //! What the tasks of one host share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use slog::Logger;
+use tokio::sync::Notify;
 use wagtail_steer::{HostState, Steer};
 use wagtail_types::Clock;
 
@@ -20,10 +23,50 @@
     pub(crate) steer: RefCell<Steer>,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
+    /// Changes that other hosts pass on, by the number of their topic.
+    pub(crate) feeds: [Feed; 2],
     clock: Rc<dyn ClockDebug>,
     leaving: Cell<bool>,
 }
 
+/// Changes of one topic that were passed on and not yet taken.
+#[derive(Debug, Default)]
+pub(crate) struct Feed {
+    pages: RefCell<VecDeque<(u64, Bytes)>>,
+    arrived: Notify,
+}
+
+/// Pages that wait to be taken; more are dropped, and the follower asks for itself.
+const FEED_MAX: usize = 8;
+
+impl Feed {
+    /// Takes in changes that follow on a version.
+    pub(crate) fn push(&self, after: u64, page: Bytes) {
+        let mut pages = self.pages.borrow_mut();
+        if pages.len() < FEED_MAX {
+            pages.push_back((after, page));
+        }
+        drop(pages);
+        self.arrived.notify_one();
+    }
+
+    /// Waits for the next changes.
+    pub(crate) async fn next(&self) -> (u64, Bytes) {
+        loop {
+            let next = self.pages.borrow_mut().pop_front();
+            match next {
+                Some(next) => return next,
+                None => self.arrived.notified().await,
+            }
+        }
+    }
+
+    /// Drops what waits.
+    pub(crate) fn clear(&self) {
+        self.pages.borrow_mut().clear();
+    }
+}
+
 /// A clock that can stand in a `Debug` struct.
 pub(crate) trait ClockDebug: Clock + std::fmt::Debug {}
 
@@ -35,6 +78,7 @@
             steer: RefCell::new(steer),
             log,
             metrics: Metrics::new(),
+            feeds: Default::default(),
             clock,
             leaving: Cell::new(false),
         }
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use wagtail_steer::{Config, EndpointRecord, HostRecord};
 use wagtail_types::{EndpointId, ZoneId};
@@ -21,6 +22,17 @@
     Hosts,
 }
 
+impl Topic {
+    /// The number by which hosts name the topic to each other.
+    pub(crate) fn number(self) -> u8 {
+        match self {
+            Self::Operator => 0,
+            Self::Endpoints => 1,
+            Self::Hosts => 2,
+        }
+    }
+}
+
 /// A changed entry.
 #[derive(Debug)]
 pub enum Entry {
@@ -50,6 +62,8 @@
     pub entries: Vec<Entry>,
     /// The version of the registry that they are of.
     pub version: u64,
+    /// The answer as it came, to be passed on to other hosts.
+    pub page: Bytes,
 }
 
 /// Why the registry did not answer a call.
@@ -99,6 +113,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Fetched, RegistryError>>;
 
+    /// Decodes changes that another host has passed on.
+    ///
+    /// # Errors
+    ///
+    /// [`RegistryError::BadAnswer`] if the page cannot be read.
+    fn decode(&self, topic: Topic, page: Bytes) -> Result<Fetched, RegistryError>;
+
     /// Registers this host.
     ///
     /// # Errors
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -102,6 +102,7 @@
     for topic in [Topic::Operator, Topic::Endpoints] {
         spawn_local(follow(
             core.clone(),
+            exchange.clone(),
             registry.clone(),
             topic,
             settings.clone(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -30,6 +30,11 @@
     /// How long the registry holds a call that waits for a change; a silent connection is noticed
     /// a little later.
     pub follow_wait: Duration,
+    /// The same at a host that follows for its zone; short, so that its answers come steadily.
+    pub lead_wait: Duration,
+    /// The time without changes passed on after which a host asks for itself; with the call it is
+    /// inside the bounds.
+    pub feed_silence: Duration,
     /// The pause between two calls for changes, in which changes gather; well inside the bounds on
     /// draining and configuration.
     pub follow_pause: Duration,
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -71,6 +71,15 @@
         /// `None` grants the token; else the time in milliseconds until one is expected.
         wait_ms: Option<u32>,
     },
+    /// Changes in the registry, from the host that follows it for its zone.
+    Feed {
+        /// The number of the topic.
+        topic: u8,
+        /// The version that the changes follow on.
+        after: u64,
+        /// The registry's answer as it came.
+        page: Vec<u8>,
+    },
     /// A token that was not used.
     Unused {
         /// Hash of the team's name.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -40,6 +40,6 @@
 pub use settings::Settings;
 pub use shares::Shares;
 pub use split::Split;
-pub use steer::{End, Steer, Us};
+pub use steer::{End, Follower, Steer, Us};
 pub use tokens::Token;
 pub use warm::{Kept, WarmSet};
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -19,7 +19,7 @@
 use crate::estimate::{Estimates, WARM_GUESS};
 use crate::flow::{Flow, flow_hash};
 use crate::hash::{short_hash, tenths};
-use crate::hosts::{HostRecord, Hosts};
+use crate::hosts::{HostRecord, Hosts, Peer};
 use crate::place::{Ask, Choice, Placement, Use, View, place};
 use crate::quota::Quota;
 use crate::regions::{RegionLoad, Regions};
@@ -41,6 +41,20 @@
 /// The part of the allowed shift that weights use; spills use the rest.
 const WEIGHTS_PART: f64 = 0.6;
 
+/// The fewest hosts of a zone for which one follows the registry; with fewer, calls saved are few.
+const FOLLOWED: usize = 3;
+
+/// Who follows the registry for the hosts of a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Follower {
+    /// Each host for itself.
+    Each,
+    /// This host, which passes changes on to these addresses.
+    Us(Vec<SocketAddr>),
+    /// Another host.
+    Other,
+}
+
 /// This host.
 #[derive(Debug, Clone)]
 pub struct Us {
@@ -371,6 +385,20 @@
         alive.map(|p| p.record.id.clone()).collect()
     }
 
+    /// Who follows the registry for this host's zone.
+    pub fn follower(&self, now: Instant) -> Follower {
+        let zone = &self.us.record.zone;
+        let ready = |p: &&Peer| p.record.zone == *zone && p.state == Some(HostState::Ready);
+        let peers: Vec<&Peer> = self.hosts.alive(now).filter(ready).collect();
+        if peers.len() + 1 < FOLLOWED {
+            return Follower::Each;
+        }
+        if peers.iter().any(|p| p.record.id < self.us.record.id) {
+            return Follower::Other;
+        }
+        Follower::Us(peers.iter().map(|p| p.record.peer).collect())
+    }
+
     /// Drops hosts that have been silent for long.
     pub fn prune_hosts(&mut self, now: Instant) -> Vec<HostId> {
         self.hosts.prune(&self.settings, now)
--- a/crates/steer/tests/steer/fleet.rs
+++ b/crates/steer/tests/steer/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use wagtail_steer::{HostState, Message};
+use wagtail_steer::{Follower, HostState, Message};
 use wagtail_types::{Clock, ManualClock};
 
 use crate::support::{addr, exchange, name, steer};
@@ -59,3 +59,36 @@
     );
     assert_eq!(hosts[0].host_count(clock.now()), 1);
 }
+
+/// Calls to the registry are billed: in a zone of several hosts one follows it for all.
+#[test]
+fn one_host_of_a_large_zone_follows_the_registry() {
+    let clock = ManualClock::new();
+    let host = |id: &str, port| steer(id, "a1", port);
+    let mut hosts = vec![
+        host("one", 100),
+        host("two", 200),
+        steer("three", "a2", 300),
+    ];
+    exchange(&mut hosts, &clock);
+    assert!(
+        hosts
+            .iter()
+            .all(|h| h.follower(clock.now()) == Follower::Each)
+    );
+    hosts.push(host("four", 400));
+    exchange(&mut hosts, &clock);
+    let follower = |at: usize| hosts[at].follower(clock.now());
+    let mut peers = match follower(3) {
+        Follower::Us(peers) => peers,
+        other => panic!("{other:?}"),
+    };
+    peers.sort();
+    assert_eq!(peers, [addr(101), addr(201)]);
+    assert_eq!(follower(0), Follower::Other);
+    assert_eq!(follower(1), Follower::Other);
+    assert_eq!(follower(2), Follower::Each);
+    // Without the one that follows, and with too few left, each host is on its own again.
+    clock.advance(Duration::from_secs(4));
+    assert_eq!(hosts[0].follower(clock.now()), Follower::Each);
+}
