--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -60,15 +60,22 @@
         let follower = task.core.steer.borrow().follower(task.core.now());
         match (task.version, follower) {
             (Some(version), Follower::Other) => task.listen(version).await,
-            (_, Follower::Us(peers)) => task.ask(task.settings.lead_wait, &peers).await,
-            (_, _) => task.ask(task.settings.follow_wait, &[]).await,
+            (_, Follower::Us(peers)) => {
+                let pause = task.ask(task.settings.lead_wait, &peers).await;
+                tokio::time::sleep(pause.unwrap_or(task.settings.lead_pause)).await;
+            }
+            (_, _) => {
+                let pause = task.ask(task.settings.follow_wait, &[]).await;
+                tokio::time::sleep(pause.unwrap_or(task.settings.follow_pause)).await;
+            }
         }
     }
 }
 
 impl<R: Registry> Task<R> {
-    /// Asks the registry, passes its answer on, and waits until it is time to ask again.
-    async fn ask(&mut self, wait: Duration, peers: &[SocketAddr]) {
+    /// Asks the registry and passes its answer on. After a failed call, gives the time after which
+    /// to ask again.
+    async fn ask(&mut self, wait: Duration, peers: &[SocketAddr]) -> Option<Duration> {
         let fetched = match self.version {
             None => self.registry.read(self.topic).await,
             Some(after) => {
@@ -84,12 +91,19 @@
                         .pass_on(self.topic, after, &fetched.page, peers);
                 }
                 self.take(fetched);
-                self.settings.follow_pause
+                None
             }
-            Err(e) => self.fail(&e),
+            Err(e) => Some(self.fail(&e)),
         };
         self.feed().clear();
-        tokio::time::sleep(pause).await;
+        pause
+    }
+
+    /// Asks for what was not passed on.
+    async fn fill(&mut self) {
+        if let Some(pause) = self.ask(Duration::ZERO, &[]).await {
+            tokio::time::sleep(pause).await;
+        }
     }
 
     /// Takes changes that another host passes on, and asks the registry if they do not follow on
@@ -98,14 +112,14 @@
         let feed = tokio::time::timeout(self.settings.feed_silence, self.feed().next()).await;
         let Ok((after, page)) = feed else {
             self.core.metrics.count("registry_failures", "no-feed");
-            return self.ask(Duration::ZERO, &[]).await;
+            return self.fill().await;
         };
         match self.registry.decode(self.topic, page) {
             Ok(fetched) if after <= version && fetched.version >= version => self.take(fetched),
-            Ok(_) => self.ask(Duration::ZERO, &[]).await,
+            Ok(_) => self.fill().await,
             Err(e) => {
                 warn!(self.core.log, "passed on changes cannot be read"; "error" => %e);
-                self.ask(Duration::ZERO, &[]).await;
+                self.fill().await;
             }
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub follow_wait: Duration,
     /// The same at a host that follows for its zone; short, so that its answers come steadily.
     pub lead_wait: Duration,
+    /// The pause of such a host between two calls.
+    pub lead_pause: Duration,
     /// The time without changes passed on after which a host asks for itself; with the call it is
     /// inside the bounds.
     pub feed_silence: Duration,
