--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -12,14 +12,14 @@
 
 /// One host's rate to one cold endpoint.
 #[derive(Debug)]
-pub struct ColdLimit {
+pub(crate) struct ColdLimit {
     level: f64,
     at: Instant,
 }
 
 impl ColdLimit {
     /// A limit with one request at hand.
-    pub fn new(now: Instant) -> Self {
+    pub(crate) fn new(now: Instant) -> Self {
         Self {
             level: BURST,
             at: now,
@@ -33,13 +33,13 @@
     }
 
     /// Whether a request may be sent, where the endpoint bears `rate` a second from all hosts.
-    pub fn allows(&mut self, rate: f64, now: Instant) -> bool {
+    pub(crate) fn allows(&mut self, rate: f64, now: Instant) -> bool {
         self.fill(rate, now);
         self.level >= 1.0
     }
 
     /// Counts a request.
-    pub fn take(&mut self) {
+    pub(crate) fn take(&mut self) {
         self.level -= 1.0;
     }
 }
--- a/crates/steer/src/estimate.rs
+++ b/crates/steer/src/estimate.rs
@@ -46,7 +46,7 @@
 
 /// The running time of each route, with and without a warm object, and of each service.
 #[derive(Debug, Default)]
-pub struct Estimates {
+pub(crate) struct Estimates {
     routes: HashMap<RouteId, Times>,
     services: HashMap<ServiceId, Mean>,
     /// As `services`, of runs at endpoints that know the object or need not.
@@ -64,12 +64,12 @@
     }
 
     /// Whether answers of the route have been seen.
-    pub fn is_known(&self, route: &RouteId) -> bool {
+    pub(crate) fn is_known(&self, route: &RouteId) -> bool {
         self.routes.contains_key(route)
     }
 
     /// The expected running time in seconds.
-    pub fn running(&self, route: &RouteId, aim: Duration, warm: bool) -> f64 {
+    pub(crate) fn running(&self, route: &RouteId, aim: Duration, warm: bool) -> f64 {
         let times = self.times(route, aim);
         if warm {
             times.warm.value
@@ -79,25 +79,25 @@
     }
 
     /// Whether a running time is nearer to that of a warm object; `None` before both are known.
-    pub fn looks_warm(&self, route: &RouteId, aim: Duration, taken: f64) -> Option<bool> {
+    pub(crate) fn looks_warm(&self, route: &RouteId, aim: Duration, taken: f64) -> Option<bool> {
         let times = self.times(route, aim);
         let known = times.warm.samples >= STEADY && times.plain.samples >= STEADY;
         known.then(|| taken < f64::midpoint(times.warm.value, times.plain.value))
     }
 
     /// The mean running time of what a service runs, in seconds.
-    pub fn service(&self, service: &ServiceId) -> Option<f64> {
+    pub(crate) fn service(&self, service: &ServiceId) -> Option<f64> {
         self.services.get(service).map(|m| m.value)
     }
 
     /// The mean running time of a service where endpoints know the objects, in seconds; what its
     /// demand comes to once requests have found their places.
-    pub fn settled(&self, service: &ServiceId) -> Option<f64> {
+    pub(crate) fn settled(&self, service: &ServiceId) -> Option<f64> {
         self.settled.get(service).map(|m| m.value)
     }
 
     /// Learns from an answer that met no queue.
-    pub fn learn(
+    pub(crate) fn learn(
         &mut self,
         route: &RouteId,
         service: &ServiceId,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -25,21 +25,19 @@
 
 pub use budget::Budget;
 pub use catalog::Catalog;
-pub use cold::ColdLimit;
 pub use config::{
     ApiKey, Config, ConfigVersion, ContentError, Limits, Part, Repeat, Route, RouteId, Service,
     Team,
 };
 pub use digest::{Digest, DigestError, HostState, Message};
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
-pub use estimate::Estimates;
 pub use hosts::{HostRecord, Hosts, Peer};
 pub use place::{Ask, Choice, Miss, Placement};
-pub use quota::{Others, Quota, QuotaLimits, Taken};
-pub use regions::{RegionLoad, Regions};
+pub use quota::Taken;
 pub use settings::Settings;
 pub use shares::Shares;
 pub use split::Split;
-pub use steer::{End, Follower, Steer, Us};
+pub use steer::fleet::Follower;
+pub use steer::placing::End;
+pub use steer::{Steer, Us};
 pub use tokens::Token;
-pub use warm::{Kept, WarmSet};
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -32,19 +32,19 @@
 
 /// A team's limit over the fleet.
 #[derive(Debug, Clone, Copy)]
-pub struct QuotaLimits {
+pub(crate) struct QuotaLimits {
     /// Requests a second.
-    pub rate: f64,
+    pub(crate) rate: f64,
     /// Requests at once.
-    pub burst: f64,
+    pub(crate) burst: f64,
     /// Requests at once beyond the burst that still keep the promise, over one window.
-    pub slack: f64,
+    pub(crate) slack: f64,
 }
 
 impl QuotaLimits {
     /// A limit with the slack that a promise over `window` leaves: `(rate x window + burst) x
     /// (1 + overage) + slack`.
-    pub fn new(rate: f64, burst: f64, settings: &Settings) -> Self {
+    pub(crate) fn new(rate: f64, burst: f64, settings: &Settings) -> Self {
         let beyond = (rate * settings.quota_window.as_secs_f64() + burst) * settings.quota_overage;
         Self {
             rate,
@@ -105,18 +105,18 @@
 
 /// What is asked of the other regions' keepers of a team.
 #[derive(Debug, Clone, Copy)]
-pub struct Others {
+pub(crate) struct Others {
     /// Requests a second that are asked for in regions that were heard.
-    pub demand: f64,
+    pub(crate) demand: f64,
     /// Regions that share the limit, with this one.
-    pub regions: usize,
+    pub(crate) regions: usize,
     /// Whether all of them were heard of late.
-    pub heard: bool,
+    pub(crate) heard: bool,
 }
 
 /// The limits of teams, as far as this host keeps or uses them.
 #[derive(Debug, Default)]
-pub struct Quota {
+pub(crate) struct Quota {
     kept: HashMap<TeamId, Bucket>,
     alone: HashMap<TeamId, (f64, Instant)>,
     heard: HashMap<u32, HashMap<RegionId, (f64, Instant)>>,
@@ -124,7 +124,7 @@
 
 impl Quota {
     /// Takes a token of a team that this host keeps for its region.
-    pub fn take(
+    pub(crate) fn take(
         &mut self,
         team: &TeamId,
         limits: QuotaLimits,
@@ -159,7 +159,7 @@
     }
 
     /// Takes a token of a team whose keeper is out of reach, on one of `hosts` hosts.
-    pub fn take_alone(
+    pub(crate) fn take_alone(
         &mut self,
         team: &TeamId,
         limits: QuotaLimits,
@@ -179,7 +179,7 @@
     }
 
     /// Gives a token back for a request that no endpoint ran.
-    pub fn give_back(&mut self, team: &TeamId) {
+    pub(crate) fn give_back(&mut self, team: &TeamId) {
         if let Some(bucket) = self.kept.get_mut(team) {
             bucket.level += 1.0;
         }
@@ -187,7 +187,7 @@
 
     /// What is asked of this host's keeping of a team, in requests a second, to tell the other
     /// keepers.
-    pub fn tell(&mut self, team: &TeamId, now: Instant) -> f64 {
+    pub(crate) fn tell(&mut self, team: &TeamId, now: Instant) -> f64 {
         let Some(bucket) = self.kept.get_mut(team) else {
             return 0.0;
         };
@@ -197,7 +197,7 @@
     }
 
     /// Takes what another region's keeper of a team says is asked of it.
-    pub fn hear(&mut self, team: u32, region: &RegionId, demand: f64, now: Instant) {
+    pub(crate) fn hear(&mut self, team: u32, region: &RegionId, demand: f64, now: Instant) {
         self.heard
             .entry(team)
             .or_default()
@@ -205,7 +205,7 @@
     }
 
     /// What is known of a team's demand in the other `regions` that have hosts.
-    pub fn others(&self, team: u32, regions: &[RegionId], now: Instant) -> Others {
+    pub(crate) fn others(&self, team: u32, regions: &[RegionId], now: Instant) -> Others {
         let heard = self.heard.get(&team);
         let late = |r: &RegionId| {
             heard
--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -14,13 +14,13 @@
 
 /// Demand and capacity of one region, in slots.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct RegionLoad {
+pub(crate) struct RegionLoad {
     /// Slots that the region's callers would keep busy, where they may run anywhere.
-    pub demand: f64,
+    pub(crate) demand: f64,
     /// Slots that requests keep busy which no other region may run.
-    pub bound: f64,
+    pub(crate) bound: f64,
     /// Slots of usable endpoints.
-    pub slots: f64,
+    pub(crate) slots: f64,
 }
 
 /// The shares of regions in running this region's requests for one service.
@@ -34,7 +34,7 @@
 
 /// The weights of all services.
 #[derive(Debug, Default)]
-pub struct Regions {
+pub(crate) struct Regions {
     services: HashMap<ServiceId, Weights>,
 }
 
@@ -42,7 +42,7 @@
     /// Moves the weights of a service towards what demand and capacity ask for.
     ///
     /// `most` is the share that may move in `window`; a region without any slots is left at once.
-    pub fn update(
+    pub(crate) fn update(
         &mut self,
         service: &ServiceId,
         home: &RegionId,
@@ -98,7 +98,7 @@
     }
 
     /// The region of a point in 0 to 1; as weights move, few points change their region.
-    pub fn pick(&self, service: &ServiceId, point: f64) -> Option<&RegionId> {
+    pub(crate) fn pick(&self, service: &ServiceId, point: f64) -> Option<&RegionId> {
         let shares = &self.services.get(service)?.shares;
         let mut sum = 0.0;
         for (region, share) in shares {
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -11,10 +11,6 @@
     pub retry_slack: f64,
     /// The window of the retry budget; from the deployment.
     pub retry_window: Duration,
-    /// What cold endpoints bear beyond their rate, as a factor; from the deployment.
-    pub cold_overage: f64,
-    /// Requests that a cold endpoint bears beyond its rate in a second; from the deployment.
-    pub cold_slack: f64,
     /// The window over which teams' limits are promised; from the deployment.
     pub quota_window: Duration,
     /// What teams may use beyond their limits in a window, as a part; from the deployment.
@@ -49,8 +45,6 @@
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
-            cold_overage: 1.5,
-            cold_slack: 5.0,
             quota_window: Duration::from_secs(5),
             quota_overage: 0.0,
             quota_slack: 0.0,
--- a/crates/steer/src/warm.rs
+++ b/crates/steer/src/warm.rs
@@ -16,19 +16,19 @@
 
 /// The most recent objects of one endpoint.
 #[derive(Debug, Default)]
-pub struct WarmSet {
+pub(crate) struct WarmSet {
     seen: HashMap<u32, Instant>,
 }
 
 impl WarmSet {
     /// How many objects the endpoint handled since this one, or `None` if it did not handle it.
-    pub fn rank(&self, object: u32) -> Option<usize> {
+    pub(crate) fn rank(&self, object: u32) -> Option<usize> {
         let at = self.seen.get(&object)?;
         Some(self.seen.values().filter(|other| *other > at).count())
     }
 
     /// Notes that the object was handled; `true` if that was not known for [`TELL_EVERY`].
-    pub fn note(&mut self, object: u32, now: Instant) -> bool {
+    pub(crate) fn note(&mut self, object: u32, now: Instant) -> bool {
         let before = self.seen.insert(object, now);
         if self.seen.len() > REMEMBERED {
             let oldest = self.seen.iter().min_by_key(|(_, at)| **at).map(|(&o, _)| o);
@@ -42,7 +42,7 @@
 
 /// How many objects endpoints of one service keep, learned from how long answers took.
 #[derive(Debug)]
-pub struct Kept(f64);
+pub(crate) struct Kept(f64);
 
 impl Default for Kept {
     fn default() -> Self {
@@ -52,12 +52,12 @@
 
 impl Kept {
     /// Whether an object of this rank is still kept.
-    pub fn keeps(&self, rank: usize) -> bool {
+    pub(crate) fn keeps(&self, rank: usize) -> bool {
         (rank as f64) < self.0
     }
 
     /// Learns from an object of this rank that was found warm or not.
-    pub fn learn(&mut self, rank: usize, warm: bool) {
+    pub(crate) fn learn(&mut self, rank: usize, warm: bool) {
         if warm {
             self.0 = self.0.max(rank as f64 + 1.0);
         } else if self.keeps(rank) {
