Rank endpoints lower that refuse although they have room

Cause: a refusal taught nothing about the endpoint, so that one which refuses four of ten requests with free slots was asked like all others. Callers lose a way there and back, and after two refusals the request.

Change: refusals with room (by the endpoint's own count, else by ours) lower its place among others. They do not lower what the request is worth: a refused request can go elsewhere.

Ruled out: counting them as failures.

--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -130,6 +130,7 @@
     others: f64,
     counted: Option<Instant>,
     fails: Decaying,
+    sheds: Decaying,
     slow: Decaying,
 }
 
@@ -149,6 +150,7 @@
             others: 0.0,
             counted: None,
             fails: calm(0.0),
+            sheds: calm(0.0),
             slow: calm(1.0),
             region,
             record,
@@ -170,6 +172,11 @@
         self.fails.now(0.0, now)
     }
 
+    /// The share of refusals with room among recent outcomes.
+    pub(crate) fn shedding(&self, now: Instant) -> f64 {
+        self.sheds.now(0.0, now)
+    }
+
     /// The recent running times against those of all endpoints.
     pub(crate) fn slowness(&self, now: Instant) -> f64 {
         self.slow.now(1.0, now).clamp(0.3, 20.0)
@@ -199,10 +206,16 @@
         self.slow.learn(ratio.min(20.0), 1.0, SLOW_GAIN, now);
     }
 
-    pub(crate) fn note_outcome(&mut self, outcome: Outcome, now: Instant) {
+    /// Takes the end of a request; `room` tells whether a slot was free for it.
+    pub(crate) fn note_outcome(&mut self, outcome: Outcome, room: bool, now: Instant) {
         match outcome {
-            Outcome::Answered => self.fails.learn(0.0, 0.0, FAIL_GAIN, now),
+            Outcome::Answered => {
+                self.fails.learn(0.0, 0.0, FAIL_GAIN, now);
+                self.sheds.learn(0.0, 0.0, FAIL_GAIN, now);
+            }
             Outcome::Failed | Outcome::Overdue => self.fails.learn(1.0, 0.0, FAIL_GAIN, now),
+            // A full endpoint is right to refuse; one that has room will refuse others too.
+            Outcome::Shed if room => self.sheds.learn(1.0, 0.0, FAIL_GAIN, now),
             Outcome::Unreachable => self.check_at = Some(now + CHECK_EVERY),
             Outcome::Shed | Outcome::Left | Outcome::Replaced => {}
         }
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -139,6 +139,9 @@
 struct Candidate {
     choice: Choice,
     worth: f64,
+    /// The worth against other endpoints. A refusal leaves the request to be tried elsewhere, so that
+    /// the chance of one is no reason to send it nowhere.
+    rank: f64,
     wait: f64,
     /// Whether the request makes the object's first endpoint learn it.
     learns: bool,
@@ -186,7 +189,7 @@
         if late && known || !accepts(ask, &candidate) {
             continue;
         }
-        if best.as_ref().is_none_or(|b| candidate.worth > b.worth) {
+        if best.as_ref().is_none_or(|b| candidate.rank > b.rank) {
             best = Some(candidate);
         }
     }
@@ -284,6 +287,7 @@
     Candidate {
         choice,
         worth,
+        rank: worth - credit * endpoint.shedding(view.now),
         wait,
         learns: place == Some(0) && !warm,
     }
--- a/crates/steer/src/steer/placing.rs
+++ b/crates/steer/src/steer/placing.rs
@@ -237,7 +237,8 @@
             return;
         };
         endpoint.own = endpoint.own.saturating_sub(1);
-        endpoint.note_outcome(outcome, now);
+        let room = load.map_or(choice.free, |l| l.running < l.slots);
+        endpoint.note_outcome(outcome, room, now);
         if let Some(load) = load {
             endpoint.note_load(load, now);
         }
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -59,6 +59,18 @@
     );
 }
 
+/// Grey endpoints: a third of them refuses four of ten requests although it has room. Others have
+/// room for all, so that one request in twenty at most should meet a refusal; it would be one in
+/// seven if they were asked like the others.
+#[test]
+fn endpoints_that_refuse_with_room_are_asked_less() {
+    let mut world = World::new(&["a1", "a2"], &[("a1", 3), ("a2", 3)]);
+    world.refuse(2, 0.4);
+    let tally = measure(&mut world, 60, |_, _| 15.0);
+    assert!(share(tally.shed, &tally) < 0.05, "{tally:?}");
+    assert!(share(tally.refused, &tally) < 0.005, "{tally:?}");
+}
+
 /// Waves out of phase: two regions' demand swings by half, each over its slots in turn.
 #[test]
 fn waves_out_of_phase_share_their_slots() {
--- a/crates/steer/tests/steer/world.rs
+++ b/crates/steer/tests/steer/world.rs
@@ -35,9 +35,20 @@
     slots: usize,
     jobs: Vec<Job>,
     kept: VecDeque<u32>,
+    /// The part of its requests that it refuses, whether it has room or not.
+    refuses: f64,
 }
 
 impl Server {
+    fn load(&self) -> Load {
+        let running = self.jobs.iter().filter(|j| j.ends.is_some()).count();
+        Load {
+            running: u32::try_from(running).expect("few jobs"),
+            waiting: u32::try_from(self.jobs.len() - running).expect("few jobs"),
+            slots: u32::try_from(self.slots).expect("few slots"),
+        }
+    }
+
     /// Starts waiting jobs on free slots.
     fn start(&mut self, now: Instant) {
         let running = self.jobs.iter().filter(|j| j.ends.is_some()).count();
@@ -63,6 +74,8 @@
     pub(crate) in_aim: u32,
     pub(crate) late: u32,
     pub(crate) refused: u32,
+    /// Attempts that an endpoint refused.
+    pub(crate) shed: u32,
 }
 
 /// Hosts, endpoints and a clock.
@@ -103,6 +116,7 @@
                     slots: 3,
                     jobs: Vec::new(),
                     kept: VecDeque::new(),
+                    refuses: 0.0,
                 });
                 for host in &mut hosts {
                     host.register(record.clone(), now);
@@ -161,42 +175,62 @@
         }
     }
 
+    /// Makes the first endpoints refuse a part of their requests.
+    pub(crate) fn refuse(&mut self, count: usize, part: f64) {
+        for server in &mut self.servers[..count] {
+            server.refuses = part;
+        }
+    }
+
     fn ask(&mut self, host: usize, object: u32) {
         let now = self.clock.now();
         self.tally.asked += 1;
         let route = std::rc::Rc::new(self.route.clone());
         let service = name(SERVICE);
-        let ask = Ask {
-            route: &route,
-            service: &service,
-            object: Some(object),
-            homes: &self.homes[host],
-            tried: &[],
-            gone: Duration::ZERO,
-            left: self.route.timeout,
-        };
         self.hosts[host].count_request(&service, &self.homes[host], now);
-        match self.hosts[host].place(&ask, now) {
-            Placement::Send(choice) => {
-                let id = self.id(host, choice.key);
-                let server = self
-                    .servers
-                    .iter_mut()
-                    .find(|s| s.id == id)
-                    .expect("a server");
-                let job = Job {
-                    host,
-                    choice,
-                    object,
-                    arrived: now,
-                    sent: now,
-                    ends: None,
+        let mut tried = Vec::new();
+        for _ in 0..self.route.attempts {
+            let ask = Ask {
+                route: &route,
+                service: &service,
+                object: Some(object),
+                homes: &self.homes[host],
+                tried: &tried,
+                gone: Duration::ZERO,
+                left: self.route.timeout,
+            };
+            let Placement::Send(choice) = self.hosts[host].place(&ask, now) else {
+                break;
+            };
+            let id = self.id(host, choice.key);
+            let at = self.servers.iter().position(|s| s.id == id);
+            let at = at.expect("a server");
+            if self.draw() < self.servers[at].refuses {
+                self.tally.shed += 1;
+                tried.push(choice.key);
+                let end = End {
+                    choice: &choice,
+                    route: &route,
+                    object: Some(object),
+                    outcome: Outcome::Shed,
+                    taken: None,
+                    load: Some(self.servers[at].load()),
                 };
-                server.jobs.push(job);
-                server.start(now);
+                self.hosts[host].finish(&end, now);
+                continue;
             }
-            Placement::Refuse { .. } => self.tally.refused += 1,
+            let server = &mut self.servers[at];
+            server.jobs.push(Job {
+                host,
+                choice,
+                object,
+                arrived: now,
+                sent: now,
+                ends: None,
+            });
+            return server.start(now);
         }
+        self.tally.refused += 1;
     }
 
     fn id(&self, host: usize, key: EndpointKey) -> EndpointId {
@@ -222,19 +256,13 @@
                 } else {
                     self.tally.late += 1;
                 }
-                let running = server.jobs.iter().filter(|j| j.ends.is_some()).count();
-                let load = Load {
-                    running: u32::try_from(running).expect("few jobs"),
-                    waiting: u32::try_from(server.jobs.len() - running).expect("few jobs"),
-                    slots: u32::try_from(server.slots).expect("few slots"),
-                };
                 let end = End {
                     choice: &job.choice,
                     route: &self.route,
                     object: Some(job.object),
                     outcome: Outcome::Answered,
                     taken: Some(now.duration_since(job.sent)),
-                    load: Some(load),
+                    load: Some(server.load()),
                 };
                 self.hosts[job.host].finish(&end, now);
             }
