Run safe requests of one connection side by side

Cause: the HTTP library serves one request of a connection after the other. Callers that send several at once waited for the sum of their running times; study-archive and cred-read are asked for like that.

Change: server/framing.rs finds where a request ends, server/pipeline.rs gives each request a connection in memory and delivers the answers in order. Requests with an unsafe method run alone, as HTTP asks. A caller that leaves ends all of its requests. A head has the time limit of the configuration now, no longer the idle time, and a request with two ends (length and coding, several lengths, bare line ends) is refused with 400 and closes the connection; the library had hidden one of the two.

Ruled out: the library's pipeline flush (it delivers early, it does not run in parallel), and a server of our own instead of the library.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -43,10 +43,11 @@
 pub(crate) async fn admit(
     front: &Front,
     head: &request::Parts,
+    fault: Option<&'static str>,
     arrived: Instant,
     story: &mut Story,
 ) -> Result<Job, Box<Reply>> {
-    let job = check(front, head, arrived, story)?;
+    let job = check(front, head, fault, arrived, story)?;
     if let Some(team) = &job.team
         && let Taken::No(wait) = front.exchange.token(team).await
     {
@@ -60,6 +61,7 @@
 fn check(
     front: &Front,
     head: &request::Parts,
+    fault: Option<&'static str>,
     arrived: Instant,
     story: &mut Story,
 ) -> Result<Job, Box<Reply>> {
@@ -69,6 +71,9 @@
     };
     story.id.clone_from(&caller.id);
     story.object.clone_from(&caller.object);
+    if let Some(fault) = fault {
+        return Err(Reply::fail(StatusCode::BAD_REQUEST, fault).into());
+    }
     let mut steer = front.core.steer.borrow_mut();
     let catalog = steer.catalog().filter(|_| steer.is_informed()).cloned();
     let Some(catalog) = catalog else {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,24 +1,28 @@
 //! Connections from callers.
 
+mod framing;
+mod pipeline;
+
 use std::convert::Infallible;
-use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use http::Response;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::{HttpService, service_fn};
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use slog::warn;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use crate::host::{Core, Front};
-use crate::request::{Body, serve};
+use crate::request::Body;
+use crate::server::pipeline::{AHEAD_MAX, Bounds, Left, Line, Source, deliver};
 use crate::stop::Stage;
 
 /// The pause after a failure to accept, such as a lack of descriptors.
@@ -30,8 +34,12 @@
 const IDLE_FIRST: Duration = Duration::from_secs(15);
 /// The least buffer for a request's head; the library's own bound.
 const HEAD_MIN: usize = 8_192;
-/// The size of a request's head before a configuration gives one.
-const HEAD_FIRST: usize = 16_384;
+/// Bounds of connections before a configuration gives them: common defaults of servers.
+const BOUNDS_FIRST: Bounds = Bounds {
+    head: 16_384,
+    head_time: Duration::from_secs(5),
+    idle: IDLE_FIRST,
+};
 
 /// Accepts callers until the host closes its doors, and hands each connection on.
 pub(crate) async fn accept(
@@ -59,54 +67,43 @@
     }
 }
 
-async fn converse(front: Rc<Front>, stream: TcpStream, mut stage: watch::Receiver<Stage>) {
+async fn converse(front: Rc<Front>, stream: TcpStream, stage: watch::Receiver<Stage>) {
     // Without it answers are only slower.
     let _ = stream.set_nodelay(true);
     let limits = front.core.steer.borrow().catalog().map(|c| c.limits());
-    let head = limits
-        .map_or(HEAD_FIRST, |l| l.header.as_usize())
-        .max(HEAD_MIN);
-    let leaving = *stage.borrow() != Stage::Open;
-    let service = service_fn(move |request: http::Request<Incoming>| {
-        let answer = serve(front.clone(), request);
-        Box::pin(async move { Ok::<Response<_>, Infallible>(answer.await) })
+    let bounds = limits.map_or(BOUNDS_FIRST, |l| Bounds {
+        head: l.header.as_usize().max(HEAD_MIN),
+        head_time: l.header_time,
+        idle: l.idle,
     });
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.map_or(IDLE_FIRST, |l| l.idle))
-        .max_buf_size(head)
-        .keep_alive(!leaving)
-        .serve_connection(TokioIo::new(stream), service);
-    if !leaving {
-        tokio::select! {
-            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => {
-                finish(connection, ended).await;
-                return;
-            }
-            changed = stage.wait_for(|s| *s != Stage::Open) => drop(changed),
-        }
-        Pin::new(&mut connection).graceful_shutdown();
+    let leaving = *stage.borrow() != Stage::Open;
+    let line = Line::new(leaving, front.core.now());
+    let (turns, answers) = mpsc::channel(AHEAD_MAX);
+    let (read, mut write) = stream.into_split();
+    let mut source = Source {
+        front: front.clone(),
+        line: line.clone(),
+        bounds,
+        read,
+        ahead: BytesMut::new(),
+    };
+    let whole = tokio::select! {
+        Left = source.run(turns, stage.clone()) => false,
+        whole = deliver(&front, &line, answers, &mut write) => whole,
+    };
+    if whole {
+        finish(source.read, write).await;
     }
-    let ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
-    finish(connection, ended).await;
 }
 
 /// Closes a connection so that the caller gets all of the last answer: bytes that it sent behind
 /// are read first, as closing over them would reset the connection.
-async fn finish<S>(connection: http1::Connection<TokioIo<TcpStream>, S>, ended: hyper::Result<()>)
-where
-    S: HttpService<Incoming, ResBody = Body>,
-{
-    // The caller has left or spoke no HTTP; its requests have told their ends.
-    if ended.is_err() {
-        return;
-    }
-    let mut stream = connection.into_parts().io.into_inner();
-    if stream.shutdown().await.is_err() {
+async fn finish(mut read: OwnedReadHalf, mut write: OwnedWriteHalf) {
+    if write.shutdown().await.is_err() {
         return;
     }
     let mut rest = [0; 1_024];
-    let drain = async { while stream.read(&mut rest).await.is_ok_and(|size| size > 0) {} };
+    let drain = async { while read.read(&mut rest).await.is_ok_and(|size| size > 0) {} };
     // A caller that keeps its side open has had the time to read.
     let _ = tokio::time::timeout(LINGER, drain).await;
 }
--- /dev/null
+++ b/crates/steer/examples/cost.rs
@@ -0,0 +1,198 @@
+//! What a request and a digest cost one host of a large deployment, in time on this machine.
+//!
+//! `cargo run --release -p wagtail-steer --example cost [HOSTS [ENDPOINTS]]`
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use wagtail_steer::{
+    Ask, Choice, Config, ConfigVersion, Digest, End, EndpointRecord, EndpointState, HostRecord,
+    HostState, Limits, Outcome, Part, Placement, Repeat, Route, RouteId, Service, Settings, Steer,
+    Us,
+};
+use wagtail_types::{Bytes, Clock, RegionId, SystemClock, ZoneId};
+
+const ZONES: usize = 9;
+const OBJECTS: u32 = 72;
+const ROUNDS: u32 = 20_000;
+
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse().expect("a valid name")
+}
+
+fn zone(number: usize) -> ZoneId {
+    name(&format!("zone-{}", number % ZONES))
+}
+
+fn addr(number: usize) -> SocketAddr {
+    let [.., high, low] = number.to_be_bytes();
+    ([10, 0, high, low], 8_000).into()
+}
+
+fn record(number: usize) -> HostRecord {
+    HostRecord {
+        id: name(&format!("host-{number}")),
+        zone: zone(number),
+        front: addr(number),
+        peer: addr(number),
+    }
+}
+
+fn config() -> Config {
+    let time = Duration::from_secs(4);
+    Config {
+        version: ConfigVersion(1),
+        routes: vec![Route {
+            id: RouteId("r-1".into()),
+            host: "example".into(),
+            prefix: "/".into(),
+            repeat: Repeat::Safe,
+            timeout: time,
+            aim: time / 4,
+            priority: 1,
+            parts: vec![Part {
+                service: name("service"),
+                weight: 1,
+            }],
+            attempts: 2,
+            public: true,
+            sticky: true,
+            homes: Vec::new(),
+        }],
+        services: vec![Service {
+            id: name("service"),
+            health: "/".into(),
+            connections: 300,
+            cold_time: time,
+            cold_rate: 4.0,
+        }],
+        teams: Vec::new(),
+        limits: Limits {
+            header: Bytes(16_384),
+            body: Bytes(1 << 20),
+            header_time: time,
+            idle: time,
+        },
+    }
+}
+
+fn argument(number: usize, default: usize) -> usize {
+    let text = std::env::args().nth(number);
+    text.map_or(default, |t| t.parse().expect("a number"))
+}
+
+/// A host that has heard all others, and the hashes of the endpoints.
+fn host(hosts: usize, endpoints: usize, clock: &impl Clock) -> (Steer, Vec<u32>) {
+    let regions = |i: usize| name::<RegionId>(&format!("region-{}", i % 3));
+    let zones: HashMap<ZoneId, RegionId> = (0..ZONES).map(|i| (zone(i), regions(i))).collect();
+    let us = Us {
+        record: record(0),
+        region: zones[&zone(0)].clone(),
+        zones,
+        started: 1,
+    };
+    let mut steer = Steer::new(us, Settings::default());
+    steer.configure(config()).expect("a valid configuration");
+    steer.hosts_read();
+    let mut hashes = Vec::new();
+    for i in 0..endpoints {
+        let id = format!("endpoint-{i}");
+        hashes.push(Steer::object_hash(&id));
+        let record = EndpointRecord {
+            id: name(&id),
+            addr: addr(i),
+            service: name("service"),
+            zone: zone(i),
+            slots: 5,
+            state: EndpointState::Ready,
+            cold: Duration::ZERO,
+            born: Some(1),
+        };
+        steer.register(record, clock.now());
+    }
+    for host in 1..hosts {
+        steer.hear(digest(host, 1, &hashes), clock.now());
+    }
+    steer.balance(clock.now());
+    (steer, hashes)
+}
+
+fn digest(host: usize, number: u32, hashes: &[u32]) -> Digest {
+    let record = record(host);
+    let at = |i: usize| hashes[(host * 31 + i * 7 + number as usize) % hashes.len()];
+    Digest {
+        host: record.id,
+        started: 1,
+        number,
+        zone: record.zone,
+        front: record.front,
+        peer: record.peer,
+        state: HostState::Ready,
+        loads: (0..20).map(|i| (at(i), 1)).collect(),
+        warm: (0..20).map(|i| (at(i), 7)).collect(),
+        arrivals: vec![(1, 100); 3],
+    }
+}
+
+fn serve(steer: &mut Steer, clock: &impl Clock) {
+    let route = Rc::new(config().routes.remove(0));
+    let service = name("service");
+    let mut open: Vec<Choice> = Vec::new();
+    for i in 0..ROUNDS {
+        let object = Steer::object_hash(&(i % OBJECTS).to_string());
+        let ask = Ask {
+            route: &route,
+            service: &service,
+            object: Some(object),
+            homes: &[],
+            tried: &[],
+            gone: Duration::ZERO,
+            left: route.timeout,
+        };
+        let now = clock.now();
+        steer.count_request(&service, &[], now);
+        if let Placement::Send(choice) = steer.place(&ask, now) {
+            open.push(choice);
+        }
+        if open.len() > 10 {
+            let end = End {
+                choice: &open.remove(0),
+                route: &route,
+                object: Some(object),
+                outcome: Outcome::Answered,
+                taken: Some(Duration::from_millis(500)),
+                load: None,
+            };
+            steer.finish(&end, now);
+        }
+    }
+}
+
+fn main() {
+    let (hosts, endpoints) = (argument(1, 91), argument(2, 411));
+    let clock = SystemClock;
+    let (mut steer, hashes) = host(hosts, endpoints, &clock);
+    let rounds = ROUNDS / 20;
+    let tell = |what: &str, count: u32, begun| {
+        println!("{what}: {:?}", clock.now().duration_since(begun) / count);
+    };
+    let begun = clock.now();
+    serve(&mut steer, &clock);
+    tell("a request", ROUNDS, begun);
+    let begun = clock.now();
+    for i in 0..rounds {
+        let host = 1 + i as usize % (hosts - 1);
+        steer.hear(digest(host, 2 + i, &hashes), clock.now());
+    }
+    tell("a digest", rounds, begun);
+    let begun = clock.now();
+    for _ in 0..rounds {
+        steer.balance(clock.now());
+    }
+    tell("a balance", rounds, begun);
+}
