Make a digest and a placement cost what they change, not the whole fleet

Cause: each digest summed up the requests of all hosts at all endpoints (91 hosts by 717 endpoints), and each placement cloned and hashed names for each endpoint and ranked all hosts for each untried one.

Test: requests_of_other_hosts_count_while_those_are_heard.

--- a/crates/steer/src/cold.rs
+++ b/crates/steer/src/cold.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::hash::{name_hash, score};
+use crate::hash::score;
 
 /// The hosts that may send to one cold endpoint; two, so that one may be lost.
 pub(crate) const SENDERS: usize = 2;
@@ -44,13 +44,10 @@
     }
 }
 
-/// Whether `host` is one of the [`SENDERS`] of an endpoint among `hosts`.
-pub(crate) fn is_sender<'a>(
-    endpoint: &str,
-    host: &str,
-    others: impl Iterator<Item = &'a str>,
-) -> bool {
-    let item = name_hash(endpoint);
-    let own = score(item, name_hash(host));
-    others.filter(|o| score(item, name_hash(o)) > own).count() < SENDERS
+/// Whether a host is one of the [`SENDERS`] of an endpoint among others, all by the hashes of their
+/// names.
+pub(crate) fn is_sender(endpoint: u64, host: u64, others: &[u64]) -> bool {
+    let own = score(endpoint, host);
+    let before = others.iter().filter(|&&o| score(endpoint, o) > own);
+    before.take(SENDERS).count() < SENDERS
 }
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -23,6 +23,8 @@
 const FORGET_HALF: Duration = Duration::from_secs(4);
 /// How long a count from an answer of the endpoint goes before those of other hosts.
 const COUNT_FRESH: Duration = Duration::from_millis(300);
+/// How long such a count holds if no other host tells of the endpoint; a few of their periods.
+const COUNT_LAST: Duration = Duration::from_secs(1);
 /// Time between two checks of an endpoint that cannot be reached.
 pub(crate) const CHECK_EVERY: Duration = Duration::from_millis(700);
 
@@ -94,6 +96,11 @@
 
 impl Decaying {
     fn now(&self, rest: f64, now: Instant) -> f64 {
+        /// A rest this near is as good as reached, and saves the power below.
+        const NEAR: f64 = 1e-3;
+        if (self.value - rest).abs() < NEAR {
+            return rest;
+        }
         let halves = now.duration_since(self.at).as_secs_f64() / FORGET_HALF.as_secs_f64();
         rest + (self.value - rest) * 0.5_f64.powf(halves)
     }
@@ -107,6 +114,25 @@
     }
 }
 
+/// How far an endpoint is from this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Way {
+    /// In its zone.
+    Zone,
+    /// In another zone of its region.
+    Region,
+    /// In another region.
+    Away,
+}
+
+/// Where an endpoint is, seen from this host.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Site {
+    /// The region's place in the list of all.
+    pub(crate) region: usize,
+    pub(crate) way: Way,
+}
+
 /// An endpoint with what this host has observed of it.
 #[derive(Debug)]
 pub struct Endpoint {
@@ -114,6 +140,8 @@
     pub record: EndpointRecord,
     /// Its region.
     pub region: RegionId,
+    /// The region's place in the list of all, and how far the endpoint is from this host.
+    pub(crate) site: Site,
     pub(crate) hash: u32,
     pub(crate) own: u32,
     /// Whether this host has sent it a request.
@@ -127,15 +155,19 @@
     pub(crate) check_at: Option<Instant>,
     /// A registration that lapsed while the registry was away counts until then.
     pub(crate) lapses_at: Option<Instant>,
-    others: f64,
-    counted: Option<Instant>,
+    /// Whether this host is one of those that may send to it while it is cold or untried.
+    pub(crate) sender: bool,
+    /// Requests of other hosts by their digests, and by the endpoint's own count.
+    told: f64,
+    told_at: Option<Instant>,
+    counted: Option<(f64, Instant)>,
     fails: Decaying,
     sheds: Decaying,
     slow: Decaying,
 }
 
 impl Endpoint {
-    pub(crate) fn new(record: EndpointRecord, region: RegionId, now: Instant) -> Self {
+    pub(crate) fn new(record: EndpointRecord, region: RegionId, site: Site, now: Instant) -> Self {
         let calm = |value| Decaying { value, at: now };
         Self {
             hash: short_hash(record.id.as_str()),
@@ -147,12 +179,15 @@
             untried: false,
             check_at: None,
             lapses_at: None,
-            others: 0.0,
+            sender: false,
+            told: 0.0,
+            told_at: None,
             counted: None,
             fails: calm(0.0),
             sheds: calm(0.0),
             slow: calm(1.0),
             region,
+            site,
             record,
         }
     }
@@ -162,6 +197,15 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Whether this host may send to the endpoint as it is: to a cold one only as one of its senders
+    /// and at its rate.
+    pub(crate) fn takes(&mut self, cold_rate: f64, now: Instant) -> bool {
+        if !self.used && self.sender {
+            self.untried = true;
+        }
+        !self.is_cold(now) || self.sender && self.cold.allows(cold_rate, now)
+    }
+
     /// Whether the endpoint could not be reached.
     pub fn is_down(&self) -> bool {
         self.check_at.is_some()
@@ -183,22 +227,25 @@
     }
 
     /// Requests at the endpoint from all hosts.
-    pub(crate) fn outstanding(&self) -> f64 {
-        f64::from(self.own) + self.others
+    pub(crate) fn outstanding(&self, now: Instant) -> f64 {
+        let holds = |at: Instant| {
+            let age = now.duration_since(at);
+            age < COUNT_FRESH || age < COUNT_LAST && self.told_at.is_none_or(|told| told < at)
+        };
+        let counted = self.counted.filter(|(_, at)| holds(*at));
+        f64::from(self.own) + counted.map_or(self.told, |(others, _)| others)
     }
 
     /// Takes the count of the other hosts' requests from their digests.
-    pub(crate) fn note_others(&mut self, count: f64, now: Instant) {
-        let fresh = |at: Instant| now.duration_since(at) < COUNT_FRESH;
-        if !self.counted.is_some_and(fresh) {
-            self.others = count;
-        }
+    pub(crate) fn note_others(&mut self, count: u32, now: Instant) {
+        self.told = f64::from(count);
+        self.told_at = Some(now);
     }
 
     /// Takes the endpoint's own count.
     pub(crate) fn note_load(&mut self, load: Load, now: Instant) {
-        self.others = (f64::from(load.running + load.waiting) - f64::from(self.own)).max(0.0);
-        self.counted = Some(now);
+        let others = (f64::from(load.running + load.waiting) - f64::from(self.own)).max(0.0);
+        self.counted = Some((others, now));
     }
 
     /// Takes an observed running time relative to the expected one.
@@ -222,16 +269,23 @@
     }
 
     /// Takes a new registration of the same endpoint; a new start forgets what was observed.
-    pub(crate) fn update(&mut self, record: EndpointRecord, now: Instant) {
+    pub(crate) fn update(
+        &mut self,
+        record: EndpointRecord,
+        region: RegionId,
+        site: Site,
+        now: Instant,
+    ) {
         let restarted = record.born != self.record.born
             || record.addr != self.record.addr
             || record.service != self.record.service;
         if restarted {
-            let own = self.own;
-            *self = Self::new(record, self.region.clone(), now);
-            self.own = own;
+            let (own, told, told_at) = (self.own, self.told, self.told_at);
+            *self = Self::new(record, region, site, now);
+            (self.own, self.told, self.told_at) = (own, told, told_at);
             return;
         }
+        (self.region, self.site) = (region, site);
         self.lapses_at = None;
         if !record.cold.is_zero() {
             self.cold_until = Some(now + record.cold);
--- a/crates/steer/src/estimate.rs
+++ b/crates/steer/src/estimate.rs
@@ -44,6 +44,19 @@
     warm: Mean,
 }
 
+/// Running times of a route and of its service, in seconds.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Expected {
+    /// Whether answers of the route have been seen.
+    pub(crate) known: bool,
+    /// Where the endpoint does not know the object.
+    pub(crate) plain: f64,
+    /// Where it does.
+    pub(crate) warm: f64,
+    /// The mean of all that the service runs.
+    pub(crate) each: f64,
+}
+
 /// The running time of each route, with and without a warm object, and of each service.
 #[derive(Debug, Default)]
 pub(crate) struct Estimates {
@@ -63,9 +76,15 @@
         self.routes.get(route).copied().unwrap_or(guess)
     }
 
-    /// Whether answers of the route have been seen.
-    pub(crate) fn is_known(&self, route: &RouteId) -> bool {
-        self.routes.contains_key(route)
+    /// What placement needs to know of a route and a service.
+    pub(crate) fn of(&self, route: &RouteId, aim: Duration, service: &ServiceId) -> Expected {
+        let times = self.times(route, aim);
+        Expected {
+            known: self.routes.contains_key(route),
+            plain: times.plain.value,
+            warm: times.warm.value,
+            each: self.service(service).unwrap_or(times.warm.value),
+        }
     }
 
     /// The expected running time in seconds.
@@ -86,7 +105,7 @@
     }
 
     /// The mean running time of what a service runs, in seconds.
-    pub(crate) fn service(&self, service: &ServiceId) -> Option<f64> {
+    fn service(&self, service: &ServiceId) -> Option<f64> {
         self.services.get(service).map(|m| m.value)
     }
 
--- a/crates/steer/src/hosts.rs
+++ b/crates/steer/src/hosts.rs
@@ -1,6 +1,7 @@
 //! The entry hosts: who they are, who is alive, and which of them callers should use.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -36,7 +37,7 @@
     known: Instant,
     started: u64,
     number: u32,
-    pub(crate) loads: HashMap<u32, u16>,
+    loads: Vec<(u32, u16)>,
     pub(crate) arrivals: HashMap<u32, f64>,
 }
 
@@ -49,6 +50,10 @@
     silence: [Duration; 2],
     /// The last digest of any host.
     heard: Option<Instant>,
+    /// Requests at endpoints from all hosts that are heard, by the hash of the endpoint's name.
+    loads: HashMap<u32, u32>,
+    /// Endpoints whose sum in `loads` has changed.
+    changed: Vec<u32>,
 }
 
 /// Digests of a host that may be missed before it is taken as lost, and some delay.
@@ -62,6 +67,8 @@
             peers: HashMap::new(),
             silence: [settings.host_silence; 2],
             heard: None,
+            loads: HashMap::new(),
+            changed: Vec::new(),
         }
     }
 
@@ -114,7 +121,7 @@
                         known: now,
                         started: 0,
                         number: 0,
-                        loads: HashMap::new(),
+                        loads: Vec::new(),
                         arrivals: HashMap::new(),
                     },
                 );
@@ -153,14 +160,59 @@
         self.heard = Some(now);
         peer.started = digest.started;
         peer.number = digest.number;
-        peer.loads = digest.loads.into_iter().collect();
+        let before = std::mem::replace(&mut peer.loads, digest.loads);
         let told = digest.arrivals.into_iter();
         peer.arrivals = told
             .map(|(name, tenths)| (name, from_tenths(tenths)))
             .collect();
+        for &(endpoint, count) in &peer.loads {
+            *self.loads.entry(endpoint).or_default() += u32::from(count);
+            self.changed.push(endpoint);
+        }
+        self.forget_loads(&before);
         true
     }
 
+    fn forget_loads(&mut self, loads: &[(u32, u16)]) {
+        for &(endpoint, count) in loads {
+            if let Entry::Occupied(mut entry) = self.loads.entry(endpoint) {
+                *entry.get_mut() = entry.get().saturating_sub(u32::from(count));
+                if *entry.get() == 0 {
+                    entry.remove();
+                }
+            }
+            self.changed.push(endpoint);
+        }
+    }
+
+    /// Drops the loads of hosts that are no longer heard.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let silent = |p: &&Peer| !p.loads.is_empty() && !self.is_alive(p, now);
+        let silent: Vec<_> = self.peers.values().filter(silent).collect();
+        let ids: Vec<_> = silent.into_iter().map(|p| p.record.id.clone()).collect();
+        for id in ids {
+            if let Some(peer) = self.peers.get_mut(&id) {
+                let before = std::mem::take(&mut peer.loads);
+                self.forget_loads(&before);
+            }
+        }
+    }
+
+    /// Requests of the other hosts at an endpoint.
+    pub(crate) fn load(&self, endpoint: u32) -> u32 {
+        self.loads.get(&endpoint).copied().unwrap_or(0)
+    }
+
+    /// The endpoints whose [`load`](Self::load) has changed since the last call.
+    pub(crate) fn take_changed(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.changed)
+    }
+
+    /// What a host last said of itself.
+    pub(crate) fn state(&self, id: &HostId) -> Option<HostState> {
+        self.peers.get(id).and_then(|p| p.state)
+    }
+
     /// Every other host, alive or not.
     pub fn all(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values()
@@ -191,7 +243,9 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &ids {
-            self.peers.remove(id);
+            if let Some(peer) = self.peers.remove(id) {
+                self.forget_loads(&peer.loads);
+            }
         }
         self.tune(settings);
         ids
--- a/crates/steer/src/place.rs
+++ b/crates/steer/src/place.rs
@@ -1,14 +1,13 @@
 //! Which endpoint runs a request, or why none does.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use wagtail_types::{RegionId, ServiceId, ZoneId};
+use wagtail_types::{RegionId, ServiceId};
 
 use crate::config::Route;
-use crate::endpoint::{Endpoint, EndpointKey};
-use crate::estimate::Estimates;
+use crate::endpoint::{Endpoint, EndpointKey, Way};
+use crate::estimate::Expected;
 use crate::hash::score;
 use crate::warm::Kept;
 
@@ -105,23 +104,23 @@
 
 /// What placement reads besides the endpoints.
 pub(crate) struct View<'a> {
-    pub(crate) zone: &'a ZoneId,
-    pub(crate) region: &'a RegionId,
     /// The region that should run the request.
-    pub(crate) primary: &'a RegionId,
+    pub(crate) primary: usize,
     pub(crate) kept: Option<&'a Kept>,
-    pub(crate) estimates: &'a Estimates,
+    pub(crate) expected: Expected,
     pub(crate) late_worth: f64,
-    /// The use of the usable endpoints' slots, by region.
-    pub(crate) used: &'a HashMap<RegionId, Use>,
+    /// The usable endpoints' slots, by region.
+    pub(crate) used: &'a [Use],
     pub(crate) now: Instant,
 }
 
 /// Slots of a region, and those at work.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Use {
     pub(crate) busy: f64,
     pub(crate) slots: f64,
+    /// The number of usable endpoints.
+    pub(crate) endpoints: usize,
 }
 
 impl Use {
@@ -157,7 +156,7 @@
         return [None; 2];
     };
     let mut best: [Option<(f64, EndpointKey)>; 2] = [None; 2];
-    for (key, endpoint) in endpoints.filter(|(_, e)| &e.region == view.primary) {
+    for (key, endpoint) in endpoints.filter(|(_, e)| e.site.region == view.primary) {
         let score = score(u64::from(object), u64::from(endpoint.hash));
         if best[0].is_none_or(|b| score > b.0) {
             best = [Some((score, key)), best[0]];
@@ -185,7 +184,7 @@
         soonest = soonest.min(candidate.wait);
         // A mere guess is no reason to refuse where a slot is free.
         let late = candidate.choice.expected.as_secs_f64() > left;
-        let known = view.estimates.is_known(&ask.route.id) || !candidate.choice.free;
+        let known = view.expected.known || !candidate.choice.free;
         if late && known || !accepts(ask, &candidate) {
             continue;
         }
@@ -232,37 +231,39 @@
     let known = rank.is_some_and(|r| view.kept.unwrap_or(&first).keeps(r));
     let warm = known || ask.object.is_none();
     let slow = endpoint.slowness(view.now) * if endpoint.is_cold(view.now) { 2.0 } else { 1.0 };
-    let base = view.estimates.running(&route.id, route.aim, true);
-    let run = view.estimates.running(&route.id, route.aim, warm) * slow;
+    let Expected {
+        plain,
+        warm: base,
+        each,
+        ..
+    } = view.expected;
+    let run = if warm { base } else { plain } * slow;
     let slots = f64::from(endpoint.record.slots.max(1));
-    let queue = endpoint.outstanding();
+    let queue = endpoint.outstanding(view.now);
     let free = queue + 1.0 <= slots;
-    let each = view.estimates.service(ask.service).unwrap_or(base);
     let wait = if free {
         0.0
     } else {
         (queue - slots + 1.0) / slots * each * slow
     };
-    let near = &endpoint.record.zone == view.zone;
-    let home = &endpoint.region == view.region;
-    let (trip, crossing) = match (near, home) {
-        (true, _) => (TRIPS[0], 0.0),
-        (false, true) => (TRIPS[1], ZONE_COST),
-        (false, false) => (TRIPS[2], REGION_COST),
+    let (trip, crossing) = match endpoint.site.way {
+        Way::Zone => (TRIPS[0], 0.0),
+        Way::Region => (TRIPS[1], ZONE_COST),
+        Way::Away => (TRIPS[2], REGION_COST),
     };
     let total = wait + run + trip;
     let slack = aim - ask.gone.as_secs_f64();
     let spread = SPREAD * (run + wait) + 0.01;
     let chance = (0.5 + (slack - total) / (2.0 * spread)).clamp(0.0, 1.0);
     let credit = chance + (1.0 - chance) * view.late_worth;
-    let pressure = view.used.get(&endpoint.region).map_or(1.0, Use::pressure);
+    let pressure = view.used[endpoint.site.region].pressure();
     let place = preferred.iter().position(|p| *p == Some(key));
     let cold = if warm {
         1.0
     } else {
         COLD_PRICE[place.unwrap_or(2)]
     };
-    let away = if &endpoint.region == view.primary {
+    let away = if endpoint.site.region == view.primary {
         0.0
     } else {
         OFF_PRIMARY
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -4,7 +4,7 @@
 pub(crate) mod fleet;
 pub(crate) mod placing;
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,9 @@
 use crate::budget::Budget;
 use crate::catalog::Catalog;
 use crate::config::{Config, ConfigVersion, ContentError, RouteId};
-use crate::endpoint::{CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState};
+use crate::endpoint::{
+    CHECK_EVERY, Endpoint, EndpointKey, EndpointRecord, EndpointState, Site, Way,
+};
 use crate::estimate::Estimates;
 use crate::flow::Flow;
 use crate::hash::short_hash;
@@ -54,6 +56,12 @@
     pub(crate) catalog: Option<Rc<Catalog>>,
     endpoints: SlotMap<EndpointKey, Endpoint>,
     names: HashMap<EndpointId, EndpointKey>,
+    /// Endpoints by the hashes that digests tell; a rare clash does no harm.
+    hashes: HashMap<u32, EndpointKey>,
+    /// All regions, in order of their names.
+    places: Vec<RegionId>,
+    /// Whether hosts or endpoints have changed since senders were chosen.
+    senders_stale: bool,
     services: HashMap<ServiceId, Vec<EndpointKey>>,
     evacuated: HashSet<ZoneId>,
     pub(crate) hosts: Hosts,
@@ -80,12 +88,17 @@
     pub fn new(us: Us, settings: Settings) -> Self {
         let shares = Shares::new(settings.shift_window);
         let hosts = Hosts::new(us.region.clone(), &settings);
+        let places: BTreeSet<_> = us.zones.values().cloned().collect();
+        let places = places.into_iter().collect();
         Self {
             us,
             settings,
             catalog: None,
             endpoints: SlotMap::with_key(),
             names: HashMap::new(),
+            hashes: HashMap::new(),
+            places,
+            senders_stale: false,
             services: HashMap::new(),
             evacuated: HashSet::new(),
             hosts,
@@ -188,6 +201,17 @@
     /// Takes a registration of an endpoint.
     pub fn register(&mut self, record: EndpointRecord, now: Instant) -> Option<EndpointKey> {
         let region = self.us.zones.get(&record.zone)?.clone();
+        let site = Site {
+            region: self.places.iter().position(|r| *r == region)?,
+            way: if record.zone == self.us.record.zone {
+                Way::Zone
+            } else if region == self.us.region {
+                Way::Region
+            } else {
+                Way::Away
+            },
+        };
+        self.senders_stale = true;
         if let Some(&key) = self.names.get(&record.id) {
             let endpoint = &mut self.endpoints[key];
             let moved = endpoint.record.service != record.service;
@@ -195,7 +219,7 @@
                 list.retain(|k| *k != key);
             }
             let service = record.service.clone();
-            endpoint.update(record, now);
+            endpoint.update(record, region, site, now);
             if moved {
                 self.services.entry(service).or_default().push(key);
             }
@@ -203,8 +227,12 @@
         }
         let id = record.id.clone();
         let service = record.service.clone();
-        let key = self.endpoints.insert(Endpoint::new(record, region, now));
+        let mut endpoint = Endpoint::new(record, region, site, now);
+        endpoint.note_others(self.hosts.load(endpoint.hash), now);
+        let hash = endpoint.hash;
+        let key = self.endpoints.insert(endpoint);
         self.names.insert(id, key);
+        self.hashes.insert(hash, key);
         self.services.entry(service).or_default().push(key);
         Some(key)
     }
@@ -245,6 +273,9 @@
                 self.shares.lift(now + LIFT_TIME);
             }
             self.names.remove(&endpoint.record.id);
+            if self.hashes.get(&endpoint.hash) == Some(&key) {
+                self.hashes.remove(&endpoint.hash);
+            }
             if let Some(list) = self.services.get_mut(&endpoint.record.service) {
                 list.retain(|k| *k != key);
             }
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -25,6 +25,10 @@
 
     /// Moves the weights of the regions towards demand and capacity.
     pub fn balance(&mut self, now: Instant) {
+        self.hosts.expire(now);
+        self.take_loads(now);
+        // Hosts may have fallen silent.
+        self.choose_senders(now);
         let most = self.settings.max_shift * WEIGHTS_PART;
         for (service, keys) in &self.services {
             let each = self.each(service);
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -7,9 +7,11 @@
 use wagtail_types::{HostId, RegionId, ZoneId};
 
 use super::Steer;
+use crate::cold::is_sender;
 use crate::digest::{Digest, HostState};
+use crate::endpoint::Way;
 use crate::flow::flow_hash;
-use crate::hash::tenths;
+use crate::hash::{name_hash, tenths};
 use crate::hosts::{HostRecord, Peer};
 
 /// The time for which digests repeat that an object is warm; two periods between regions.
@@ -54,23 +56,46 @@
             return false;
         };
         let warm = std::mem::take(&mut digest.warm);
+        let before = self.hosts.state(&digest.host);
+        let state = digest.state;
         if !self.hosts.hear(digest, region, &self.settings, now) {
             return false;
         }
-        for endpoint in self.endpoints.values_mut() {
-            for &(_, object) in warm.iter().filter(|(hash, _)| *hash == endpoint.hash) {
-                endpoint.warm.note(object, now);
+        if before != Some(state) {
+            self.senders_stale = true;
+        }
+        for (endpoint, object) in warm {
+            if let Some(&key) = self.hashes.get(&endpoint) {
+                self.endpoints[key].warm.note(object, now);
             }
-            let loads = self
-                .hosts
-                .alive(now)
-                .filter_map(|p| p.loads.get(&endpoint.hash));
-            let count: u32 = loads.map(|&l| u32::from(l)).sum();
-            endpoint.note_others(f64::from(count), now);
         }
+        self.take_loads(now);
         true
     }
 
+    /// Gives the endpoints the changed sums of the other hosts' requests.
+    pub(super) fn take_loads(&mut self, now: Instant) {
+        for endpoint in self.hosts.take_changed() {
+            if let Some(&key) = self.hashes.get(&endpoint) {
+                self.endpoints[key].note_others(self.hosts.load(endpoint), now);
+            }
+        }
+    }
+
+    /// Works out anew which endpoints this host may be the first to send to.
+    pub(super) fn choose_senders(&mut self, now: Instant) {
+        self.senders_stale = false;
+        let home = &self.us.region;
+        let near = self.hosts.alive(now);
+        let near = near.filter(|p| p.region == *home && p.state == Some(HostState::Ready));
+        let near: Vec<u64> = near.map(|p| name_hash(p.record.id.as_str())).collect();
+        let us = name_hash(self.us.record.id.as_str());
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.sender = endpoint.site.way != Way::Away
+                && is_sender(name_hash(endpoint.record.id.as_str()), us, &near);
+        }
+    }
+
     /// This host's next digest.
     pub fn digest(&mut self, state: HostState, now: Instant) -> Digest {
         self.number += 1;
--- a/crates/steer/src/steer/placing.rs
+++ b/crates/steer/src/steer/placing.rs
@@ -1,15 +1,12 @@
 //! A request's way through the decisions: its service, its endpoint, and what its end teaches.
 
-use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use wagtail_types::{RegionId, ServiceId};
 
 use super::Steer;
 use crate::budget::Budget;
-use crate::cold::is_sender;
 use crate::config::{Part, Route};
-use crate::digest::HostState;
 use crate::endpoint::{EndpointKey, EndpointState, Load, Outcome};
 use crate::place::{Ask, Choice, Placement, Use, View, place};
 use crate::settings::Settings;
@@ -88,39 +85,37 @@
 
     /// Looks for an endpoint and counts the request there if one is found.
     pub fn place(&mut self, ask: &Ask<'_>, now: Instant) -> Placement {
+        if self.senders_stale {
+            self.choose_senders(now);
+        }
         let usable = self.usable(ask, now);
-        let point = self.point(ask);
-        let primary = self.primary(ask, &usable, point);
-        let mut used: HashMap<RegionId, Use> = HashMap::new();
+        let mut used = vec![Use::default(); self.places.len()];
         for endpoint in usable.iter().map(|&k| &self.endpoints[k]) {
             let slots = f64::from(endpoint.record.slots);
-            let region = used.entry(endpoint.region.clone()).or_default();
-            region.busy += endpoint.outstanding().min(slots);
+            let region = &mut used[endpoint.site.region];
+            region.busy += endpoint.outstanding(now).min(slots);
             region.slots += slots;
+            region.endpoints += 1;
         }
+        let point = self.point(ask);
+        let primary = self.primary(ask, &used, point);
         let view = View {
-            zone: &self.us.record.zone,
-            region: &self.us.region,
-            primary: &primary,
+            primary,
             kept: self.kept.get(ask.service),
-            estimates: &self.estimates,
+            expected: self.estimates.of(&ask.route.id, ask.route.aim, ask.service),
             late_worth: self.settings.late_worth,
             used: &used,
             now,
         };
-        let allowed: HashSet<&RegionId> = self
-            .us
-            .zones
-            .values()
-            .filter(|r| **r == primary || self.shares.allows(r, self.settings.max_shift, now))
-            .collect();
+        let most = self.settings.max_shift;
+        let open = |(i, r): (usize, &RegionId)| i == primary || self.shares.allows(r, most, now);
+        let open: Vec<bool> = self.places.iter().enumerate().map(open).collect();
         let endpoints = |only: bool| {
-            let endpoints = &self.endpoints;
-            let allowed = &allowed;
+            let (endpoints, open) = (&self.endpoints, &open);
             usable
                 .iter()
                 .map(move |&k| (k, &endpoints[k]))
-                .filter(move |(_, e)| !only || allowed.contains(&e.region))
+                .filter(move |(_, e)| !only || open[e.site.region])
         };
         let mut placement = place(ask, &view, endpoints(true));
         let none_near = || endpoints(true).next().is_none();
@@ -134,27 +129,22 @@
     }
 
     /// The region that should run a request: by the weights, if they point to one that may and can.
-    fn primary(&self, ask: &Ask<'_>, usable: &[EndpointKey], point: f64) -> RegionId {
-        let region = |key: &EndpointKey| &self.endpoints[*key].region;
-        let weighted = self
-            .regions
-            .pick(ask.service, point)
-            .unwrap_or(&self.us.region);
-        let mut regions: Vec<&RegionId> = usable.iter().map(region).collect();
-        regions.sort();
-        regions.dedup();
-        if regions.is_empty() || regions.contains(&weighted) {
-            return weighted.clone();
+    fn primary(&self, ask: &Ask<'_>, used: &[Use], point: f64) -> usize {
+        let home = &self.us.region;
+        let weighted = self.regions.pick(ask.service, point).unwrap_or(home);
+        let index = |region: &RegionId| self.places.iter().position(|r| r == region).unwrap_or(0);
+        let (weighted, home) = (index(weighted), index(home));
+        let can: Vec<usize> = (0..used.len()).filter(|&i| used[i].endpoints > 0).collect();
+        if can.is_empty() || can.contains(&weighted) {
+            return weighted;
         }
-        if regions.contains(&&self.us.region) {
-            return self.us.region.clone();
+        if can.contains(&home) {
+            return home;
         }
-        let step = 1.0 / regions.len() as f64;
-        let mut points = (1..regions.len()).map(|i| i as f64 * step);
-        let at = points
-            .position(|end| point < end)
-            .unwrap_or(regions.len() - 1);
-        regions[at].clone()
+        let step = 1.0 / can.len() as f64;
+        let mut points = (1..can.len()).map(|i| i as f64 * step);
+        let at = points.position(|end| point < end);
+        can[at.unwrap_or(can.len() - 1)]
     }
 
     /// The point that decides on the region of a request: the same for all of an object.
@@ -182,7 +172,7 @@
 
     /// The endpoints that may run a request now.
     fn usable(&mut self, ask: &Ask<'_>, now: Instant) -> Vec<EndpointKey> {
-        let Some(keys) = self.services.get(ask.service).cloned() else {
+        let Some(keys) = self.services.get(ask.service) else {
             return Vec::new();
         };
         let cold_rate = self
@@ -190,37 +180,20 @@
             .as_ref()
             .and_then(|c| c.service(ask.service))
             .map_or(1.0, |s| s.cold_rate);
-        keys.into_iter()
-            .filter(|&k| self.is_usable(k, ask, cold_rate, now))
-            .collect()
-    }
-
-    fn is_usable(&mut self, key: EndpointKey, ask: &Ask<'_>, cold_rate: f64, now: Instant) -> bool {
-        let endpoint = &mut self.endpoints[key];
-        let record = &endpoint.record;
-        if record.state != EndpointState::Ready
-            || endpoint.check_at.is_some()
-            || ask.tried.contains(&key)
-            || self.evacuated.contains(&record.zone)
-            || !(ask.homes.is_empty() || ask.homes.contains(&endpoint.region))
-        {
-            return false;
-        }
-        if !endpoint.is_cold(now) && endpoint.used {
-            return true;
-        }
-        let region = &endpoint.region;
-        let others = self
-            .hosts
-            .alive(now)
-            .filter(|p| &p.region == region && p.state == Some(HostState::Ready))
-            .map(|p| p.record.id.as_str());
-        let near = *region == self.us.region;
-        let sender = near && is_sender(record.id.as_str(), self.us.record.id.as_str(), others);
-        if !endpoint.used && sender {
-            endpoint.untried = true;
+        let mut usable = Vec::with_capacity(keys.len());
+        for &key in keys {
+            let endpoint = &mut self.endpoints[key];
+            let record = &endpoint.record;
+            let open = record.state == EndpointState::Ready
+                && endpoint.check_at.is_none()
+                && !ask.tried.contains(&key)
+                && !self.evacuated.contains(&record.zone)
+                && (ask.homes.is_empty() || ask.homes.contains(&endpoint.region));
+            if open && endpoint.takes(cold_rate, now) {
+                usable.push(key);
+            }
         }
-        !endpoint.is_cold(now) || sender && endpoint.cold.allows(cold_rate, now)
+        usable
     }
 
     /// Takes the end of a request at an endpoint.
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -192,3 +192,36 @@
     }
     assert!(!times.is_empty(), "a cold endpoint gets some requests");
 }
+
+/// Digests come by the hundred; each changes only what it tells of, and what its host told before.
+#[test]
+fn requests_of_other_hosts_count_while_those_are_heard() {
+    let clock = ManualClock::new();
+    let mut hosts = [steer("one", "a1", 100), steer("two", "a1", 200)];
+    for host in &mut hosts {
+        host.configure(config(1)).expect("a valid configuration");
+        host.register(endpoint("e", "a1", 9), clock.now());
+    }
+    exchange(&mut hosts, &clock);
+    let queue = |hosts: &mut [Steer; 2]| {
+        let choice = sent(ask(&mut hosts[0], &clock)).expect("an endpoint");
+        end(&mut hosts[0], &choice, Outcome::Left, &clock);
+        choice.queue
+    };
+    let open: Vec<_> = (0..3)
+        .map(|_| sent(ask(&mut hosts[1], &clock)).expect("an endpoint"))
+        .collect();
+    assert!(queue(&mut hosts).abs() < 1e-9);
+    for left in [3.0, 2.0] {
+        exchange(&mut hosts, &clock);
+        assert!((queue(&mut hosts) - left).abs() < 1e-9);
+        end(&mut hosts[1], &open[0], Outcome::Left, &clock);
+    }
+    // The endpoint restarts elsewhere; the other host's requests are still told.
+    hosts[0].unregister(&name("e"), clock.now());
+    hosts[0].register(endpoint("e", "a1", 9), clock.now());
+    assert!((queue(&mut hosts) - 2.0).abs() < 1e-9);
+    clock.advance(Duration::from_secs(60));
+    hosts[0].balance(clock.now());
+    assert!(queue(&mut hosts).abs() < 1e-9);
+}
