Move the first demand between regions within the allowed share

Cause: until a window after the first request weights of regions followed demand without a bound.

Change: the end of the first window may differ from its mean by what may move in a window. Hosts that were not heard since the first request count as the others of their region, so that demand is known at once. The line on a registered endpoint says its zone, without which a request's region could not be told.

Ruled out: requests that spill over; they were held back in the second window, when 75 % still left.

The test of callers_who_may_go_elsewhere gave 6 s for a move of all requests, which the rule allows in 22 s; it waits for that now, keeps its bound, and checks the rule on the way.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -197,11 +197,12 @@
             }
             Entry::Endpoint(record) => {
                 let id = record.id.clone();
+                let zone = record.zone.clone();
                 let state = record.state;
                 let cold = record.cold;
                 if steer.register(record, now).is_some() {
                     info!(log, "endpoint registered"; "endpoint" => %id,
-                        "state" => ?state, "cold_ms" => millis(cold), "at" => version);
+                        "zone" => %zone, "state" => ?state, "cold_ms" => millis(cold), "at" => version);
                 } else {
                     warn!(log, "endpoint in an unknown zone"; "endpoint" => %id, "at" => version);
                 }
--- a/crates/steer/src/flow.rs
+++ b/crates/steer/src/flow.rs
@@ -34,6 +34,11 @@
         self.first.get_or_insert(now);
     }
 
+    /// The time of the first event.
+    pub(crate) fn first(&self) -> Option<Instant> {
+        self.first
+    }
+
     /// Events a second. The average of a young flow is over its age.
     pub(crate) fn rate(&self, now: Instant) -> f64 {
         let age = self
--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -28,8 +28,34 @@
 struct Weights {
     shares: Vec<(RegionId, f64)>,
     at: Instant,
-    /// When the region first had demand; until a window later there is nothing to move slowly from.
+    /// The time of the first request.
     first: Option<Instant>,
+    /// The sum over time since then of the share that runs in other regions, in seconds.
+    away: f64,
+}
+
+impl Weights {
+    /// The share that may move now. In the first window there is none before to move slowly from, but
+    /// its end must not differ from its mean by more than that: the second window starts there.
+    fn step(&self, gone: f64, most: f64, window: Duration, now: Instant) -> f64 {
+        let window = window.as_secs_f64();
+        let age = self
+            .first
+            .map_or(0.0, |at| now.duration_since(at).as_secs_f64());
+        if age >= window {
+            return most * (gone / window).min(1.0);
+        }
+        if age <= 0.0 {
+            return 1.0;
+        }
+        let most_away = (most * window + self.away) / age;
+        (most_away - self.away_now()).max(0.0)
+    }
+
+    /// The share that runs in other regions; the home region is the first one.
+    fn away_now(&self) -> f64 {
+        self.shares.iter().skip(1).map(|s| s.1).sum()
+    }
 }
 
 /// The weights of all services.
@@ -41,12 +67,14 @@
 impl Regions {
     /// Moves the weights of a service towards what demand and capacity ask for.
     ///
-    /// `most` is the share that may move in `window`; a region without any slots is left at once.
+    /// `first` is the first request's time, `most` the share that may move in `window`; a region without
+    /// any slots is left at once.
     pub(crate) fn update(
         &mut self,
         service: &ServiceId,
         home: &RegionId,
         loads: &HashMap<RegionId, RegionLoad>,
+        first: Option<Instant>,
         most: f64,
         window: Duration,
         now: Instant,
@@ -59,20 +87,15 @@
                 shares: vec![(home.clone(), 1.0)],
                 at: now,
                 first: None,
+                away: 0.0,
             });
-        if weights.first.is_none() && loads.get(home).is_some_and(|l| l.demand > 0.0) {
-            weights.first = Some(now);
-        }
-        let settled = weights
-            .first
-            .is_some_and(|at| now.duration_since(at) >= window);
+        weights.first = first;
         let gone = now.duration_since(weights.at).as_secs_f64();
         weights.at = now;
-        let step = if settled {
-            most * (gone / window.as_secs_f64()).min(1.0)
-        } else {
-            1.0
-        };
+        if weights.first.is_some() {
+            weights.away += weights.away_now() * gone;
+        }
+        let step = weights.step(gone, most, window, now);
         let old = |region: &RegionId| {
             weights
                 .shares
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -1,7 +1,7 @@
 //! The demand and slots of the regions, from which their weights follow.
 
 use std::collections::HashMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wagtail_types::{RegionId, ServiceId};
 
@@ -11,6 +11,8 @@
 use crate::flow::flow_hash;
 use crate::regions::RegionLoad;
 
+/// The time after the first request from which a digest can tell of such requests.
+const TOLD_AFTER: Duration = Duration::from_millis(300);
 /// The part of the allowed shift that weights use; spills use the rest.
 const WEIGHTS_PART: f64 = 0.6;
 
@@ -23,6 +25,50 @@
         })
     }
 
+    /// Requests a second for a service that arrive at the hosts of a region, and that only the region
+    /// `bound` may run, if one is given. Hosts that were not heard since the first request are taken to
+    /// get what the others get, as callers spread over all.
+    fn demand(
+        &self,
+        service: &ServiceId,
+        bound: Option<&RegionId>,
+        region: &RegionId,
+        first: Option<Instant>,
+        now: Instant,
+    ) -> f64 {
+        let hash = flow_hash(service, bound);
+        let flow = self.flows.get(&(service.clone(), bound.cloned()));
+        let (mut all, mut told, mut sum, mut stale) = (0.0, 0.0, 0.0, 0.0);
+        if *region == self.us.region {
+            (all, told) = (1.0, 1.0);
+            sum = flow.map_or(0.0, |f| f.rate(now));
+        }
+        for peer in self.hosts.alive(now).filter(|p| p.region == *region) {
+            all += 1.0;
+            let rate = peer.arrivals.get(&hash).copied().unwrap_or(0.0);
+            if first.is_none_or(|at| peer.heard > Some(at + TOLD_AFTER)) {
+                told += 1.0;
+                sum += rate;
+            } else {
+                stale += rate;
+            }
+        }
+        if told > 0.0 { sum / told * all } else { stale }
+    }
+
+    /// As [`demand`](Self::demand), of what arrives anywhere and only one region may run.
+    fn bound(
+        &self,
+        service: &ServiceId,
+        region: &RegionId,
+        first: Option<Instant>,
+        now: Instant,
+    ) -> f64 {
+        let regions = self.places.iter();
+        let rates = regions.map(|r| self.demand(service, Some(region), r, first, now));
+        rates.sum()
+    }
+
     /// Moves the weights of the regions towards demand and capacity.
     pub fn balance(&mut self, now: Instant) {
         self.hosts.expire(now);
@@ -36,21 +82,11 @@
             for region in self.us.zones.values() {
                 loads.entry(region.clone()).or_default();
             }
-            let free = flow_hash(service, None);
-            for peer in self.hosts.alive(now) {
-                let rate = peer.arrivals.get(&free).copied().unwrap_or(0.0);
-                loads.entry(peer.region.clone()).or_default().demand += rate * each;
-            }
-            let rate = |bound| {
-                self.flows
-                    .get(&(service.clone(), bound))
-                    .map_or(0.0, |f| f.rate(now))
-            };
-            loads.entry(self.us.region.clone()).or_default().demand += rate(None) * each;
+            let flows = self.flows.iter().filter(|((s, _), _)| s == service);
+            let first = flows.filter_map(|(_, f)| f.first()).min();
             for (region, load) in &mut loads {
-                let bound = flow_hash(service, Some(region));
-                let others = self.hosts.alive(now).filter_map(|p| p.arrivals.get(&bound));
-                load.bound = (rate(Some(region.clone())) + others.sum::<f64>()) * each;
+                load.demand = self.demand(service, None, region, first, now) * each;
+                load.bound = self.bound(service, region, first, now) * each;
             }
             for endpoint in keys.iter().map(|&k| &self.endpoints[k]) {
                 let record = &endpoint.record;
@@ -62,7 +98,7 @@
             }
             let window = self.settings.shift_window;
             self.regions
-                .update(service, &self.us.region, &loads, most, window, now);
+                .update(service, &self.us.region, &loads, first, most, window, now);
         }
     }
 }
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -1,6 +1,8 @@
 //! Loads of heavy days, each with the pattern that it answers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use wagtail_types::Clock;
 
 use crate::world::{Tally, World};
 
@@ -14,6 +16,22 @@
     world.tally
 }
 
+/// The window in which the share that changes its region is bounded.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// The share of some hosts' requests that ran in other regions, by window.
+fn away(world: &World, start: Instant, of: impl Fn(usize) -> bool) -> Vec<f64> {
+    let mut counts: Vec<(f64, f64)> = Vec::new();
+    for (at, host, region) in world.sent.iter().filter(|(_, host, _)| of(*host)) {
+        let window = at.duration_since(start).as_millis() / WINDOW.as_millis();
+        let window = usize::try_from(window).expect("few windows");
+        counts.resize(counts.len().max(window + 1), (0.0, 0.0));
+        counts[window].0 += f64::from(u8::from(region != &world.hosts[*host].us().region));
+        counts[window].1 += 1.0;
+    }
+    counts.into_iter().map(|(out, all)| out / all).collect()
+}
+
 fn share(part: u32, tally: &Tally) -> f64 {
     f64::from(part) / f64::from(tally.asked)
 }
@@ -97,19 +115,55 @@
     assert!(share(tally.in_aim, &tally) > 0.8, "{tally:?}");
 }
 
+/// First demand: traffic starts at once in a region that has room for a third of it. In a large fleet
+/// hosts hear of it late, and weights move while the first requests run. From one window to the next at
+/// most the allowed share of them may change its region.
+#[test]
+fn the_first_demand_moves_between_regions_in_steps() {
+    for digest_steps in [80, 160, 240, 320] {
+        let zones = ["a1", "a2", "a1", "a2", "a1", "a2", "b1"];
+        let mut world = World::new(&zones, &[("a1", 3), ("b1", 9)]);
+        world.digest_steps = digest_steps;
+        let start = world.clock.now();
+        world.play(4 * WINDOW, 24, |host, _| if host < 6 { 15.0 } else { 5.0 });
+        let shares = away(&world, start, |host| host < 6);
+        for pair in shares.windows(2) {
+            assert!(pair[1] - pair[0] <= 0.15, "{digest_steps}: {shares:?}");
+        }
+        assert!(shares[3] > 0.2, "{digest_steps}: {shares:?}");
+    }
+}
+
 /// Crowded home: callers of a large region may be served only in a small one, whose own callers may
-/// go anywhere. The small region's own callers give way, as there is room for all elsewhere. With one
-/// endpoint in the small region single draws scatter, so that many are played.
+/// go anywhere. The small region's own callers give way, as there is room for all elsewhere, as fast as
+/// requests may change their region. With one endpoint in the small region single draws scatter, so
+/// that many are played.
 #[test]
 fn callers_who_may_go_elsewhere_make_room_for_those_who_may_not() {
+    const DRAWS: u32 = 12;
     let mut all = Tally::default();
-    for draws in 1..=12 {
+    let mut moved: Vec<f64> = Vec::new();
+    for draws in 1..=u64::from(DRAWS) {
         let mut world = World::new(&["a1", "b1"], &[("a1", 6), ("b1", 1)]);
         world.draws = draws;
         world.homes = vec![vec![crate::support::name("b")], Vec::new()];
-        let tally = measure(&mut world, 24, |host, _| if host == 0 { 9.0 } else { 14.0 });
+        let start = world.clock.now();
+        let rate = |host, _| if host == 0 { 9.0 } else { 14.0 };
+        // From none to all in steps of 0.15 a window, of which weights use a part.
+        world.play(12 * WINDOW, 24, rate);
+        for (i, share) in away(&world, start, |host| host == 1)
+            .into_iter()
+            .enumerate()
+        {
+            moved.resize(moved.len().max(i + 1), 0.0);
+            moved[i] += share / f64::from(DRAWS);
+        }
+        let tally = measure(&mut world, 24, rate);
         all.asked += tally.asked;
         all.in_aim += tally.in_aim;
     }
     assert!(share(all.in_aim, &all) > 0.8, "{all:?}");
+    for pair in moved.windows(2) {
+        assert!(pair[1] - pair[0] <= 0.15, "{moved:?}");
+    }
 }
--- a/crates/steer/tests/steer/world.rs
+++ b/crates/steer/tests/steer/world.rs
@@ -16,9 +16,12 @@
 const KEEPS: usize = 25;
 /// A step of the world.
 pub(crate) const STEP: Duration = Duration::from_millis(5);
-/// Steps between two digests.
+/// Steps between two digests, unless a test sets others.
 const DIGEST_STEPS: u32 = 80;
 
+/// Steps between two balances.
+const BALANCE_STEPS: u32 = 60;
+
 #[derive(Debug)]
 struct Job {
     host: usize,
@@ -87,6 +90,10 @@
     /// The regions that may serve each host's callers; none at all allows every region.
     pub(crate) homes: Vec<Vec<RegionId>>,
     steps: u32,
+    /// Steps between two digests.
+    pub(crate) digest_steps: u32,
+    /// When each request of a host was sent, and to which region.
+    pub(crate) sent: Vec<(Instant, usize, RegionId)>,
     /// The state of the draws.
     pub(crate) draws: u64,
     pub(crate) tally: Tally,
@@ -137,6 +144,8 @@
             route,
             homes,
             steps: 0,
+            digest_steps: DIGEST_STEPS,
+            sent: Vec::new(),
             draws: 1,
             tally: Tally::default(),
         }
@@ -220,6 +229,9 @@
                 self.hosts[host].finish(&end, now);
                 continue;
             }
+            let endpoint = self.hosts[host].endpoint(choice.key);
+            let region = endpoint.expect("a known endpoint").region.clone();
+            self.sent.push((now, host, region));
             let server = &mut self.servers[at];
             server.jobs.push(Job {
                 host,
@@ -268,8 +280,10 @@
                 self.hosts[job.host].finish(&end, now);
             }
         }
-        if self.steps.is_multiple_of(DIGEST_STEPS) {
+        if self.steps.is_multiple_of(self.digest_steps) {
             exchange(&mut self.hosts, &self.clock);
+        }
+        if self.steps.is_multiple_of(BALANCE_STEPS) {
             for host in &mut self.hosts {
                 host.balance(now);
             }
