--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -23,6 +23,16 @@
     pub(crate) slots: f64,
 }
 
+/// How fast weights may move.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    /// The time of the first request.
+    pub(crate) first: Option<Instant>,
+    /// The share that may move in a window.
+    pub(crate) most: f64,
+    pub(crate) window: Duration,
+}
+
 /// The shares of regions in running this region's requests for one service.
 #[derive(Debug)]
 struct Weights {
@@ -37,7 +47,8 @@
 impl Weights {
     /// The share that may move now. In the first window there is none before to move slowly from, but
     /// its end must not differ from its mean by more than that: the second window starts there.
-    fn step(&self, gone: f64, most: f64, window: Duration, now: Instant) -> f64 {
+    fn step(&self, gone: f64, pace: Pace, now: Instant) -> f64 {
+        let Pace { most, window, .. } = pace;
         let window = window.as_secs_f64();
         let age = self
             .first
@@ -67,16 +78,13 @@
 impl Regions {
     /// Moves the weights of a service towards what demand and capacity ask for.
     ///
-    /// `first` is the first request's time, `most` the share that may move in `window`; a region without
-    /// any slots is left at once.
+    /// A region without any slots is left at once.
     pub(crate) fn update(
         &mut self,
         service: &ServiceId,
         home: &RegionId,
         loads: &HashMap<RegionId, RegionLoad>,
-        first: Option<Instant>,
-        most: f64,
-        window: Duration,
+        pace: Pace,
         now: Instant,
     ) {
         let target = target(home, loads);
@@ -89,13 +97,13 @@
                 first: None,
                 away: 0.0,
             });
-        weights.first = first;
+        weights.first = pace.first;
         let gone = now.duration_since(weights.at).as_secs_f64();
         weights.at = now;
         if weights.first.is_some() {
             weights.away += weights.away_now() * gone;
         }
-        let step = weights.step(gone, most, window, now);
+        let step = weights.step(gone, pace, now);
         let old = |region: &RegionId| {
             weights
                 .shares
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -9,7 +9,7 @@
 use crate::endpoint::EndpointState;
 use crate::estimate::WARM_GUESS;
 use crate::flow::flow_hash;
-use crate::regions::RegionLoad;
+use crate::regions::{Pace, RegionLoad};
 
 /// The time after the first request from which a digest can tell of such requests.
 const TOLD_AFTER: Duration = Duration::from_millis(300);
@@ -96,9 +96,13 @@
                     loads.entry(endpoint.region.clone()).or_default().slots += slots;
                 }
             }
-            let window = self.settings.shift_window;
+            let pace = Pace {
+                first,
+                most,
+                window: self.settings.shift_window,
+            };
             self.regions
-                .update(service, &self.us.region, &loads, first, most, window, now);
+                .update(service, &self.us.region, &loads, pace, now);
         }
     }
 }
