Tell runs apart by their time, so that restarted hosts find objects again

Cause: the running time at an endpoint that does not know the object was learned from all runs at endpoints not known to know it.

Change: a run that answers like one at an endpoint which knows the object counts as that, whatever was expected, and moves the other estimate by a hundredth only.

--- a/crates/steer/src/estimate.rs
+++ b/crates/steer/src/estimate.rs
@@ -9,13 +9,16 @@
 
 /// The least weight of a new measurement; the first ones weigh more.
 const GAIN: f64 = 0.05;
+/// The weight of a measurement that contradicts what was expected of its endpoint, in the estimate
+/// that it was expected to meet; many of them in a row still move it.
+const DOUBT_GAIN: f64 = 0.01;
 /// Samples after which an estimate is steady.
 const STEADY: u32 = 5;
 /// The most that one sample counts, as a multiple of a steady estimate.
 const OUTLIER: f64 = 2.0;
 /// Guess of the time of an unknown route on an endpoint that has not handled the object, as a
 /// part of the route's aim.
-const COLD_GUESS: f64 = 1.5;
+pub(crate) const COLD_GUESS: f64 = 1.5;
 /// The same guess for an endpoint that has handled the object.
 pub(crate) const WARM_GUESS: f64 = 0.55;
 
@@ -31,6 +34,10 @@
         Self { value, samples: 0 }
     }
 
+    fn doubt(&mut self, sample: f64) {
+        self.value += DOUBT_GAIN * (sample - self.value);
+    }
+
     fn learn(&mut self, sample: f64) {
         self.samples = self.samples.saturating_add(1);
         let gain = (1.0 / f64::from(self.samples)).max(GAIN);
@@ -44,6 +51,24 @@
     warm: Mean,
 }
 
+impl Times {
+    /// Whether a running time is nearer to that of a warm object, by its ratio to both.
+    fn looks_warm(&self, taken: f64) -> bool {
+        taken * taken < self.warm.value * self.plain.value
+    }
+}
+
+/// What was expected of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Run {
+    /// It concerns no object, so that there is one running time only.
+    Single,
+    /// The endpoint was taken to know the object.
+    Warm,
+    /// It was not.
+    Plain,
+}
+
 /// Running times of a route and of its service, in seconds.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Expected {
@@ -101,11 +126,11 @@
     pub(crate) fn looks_warm(&self, route: &RouteId, aim: Duration, taken: f64) -> Option<bool> {
         let times = self.times(route, aim);
         let known = times.warm.samples >= STEADY && times.plain.samples >= STEADY;
-        known.then(|| taken < f64::midpoint(times.warm.value, times.plain.value))
+        known.then(|| times.looks_warm(taken))
     }
 
     /// The mean running time of what a service runs, in seconds.
-    fn service(&self, service: &ServiceId) -> Option<f64> {
+    pub(crate) fn service(&self, service: &ServiceId) -> Option<f64> {
         self.services.get(service).map(|m| m.value)
     }
 
@@ -115,21 +140,20 @@
         self.settled.get(service).map(|m| m.value)
     }
 
-    /// Learns from an answer that met no queue.
+    /// Learns from an answer that met no queue. What a run was is seen from its time, not from what
+    /// was expected: hosts that have just started take no endpoint to know an object.
     pub(crate) fn learn(
         &mut self,
         route: &RouteId,
         service: &ServiceId,
         aim: Duration,
-        warm: bool,
+        run: Run,
         taken: f64,
     ) {
         let mut times = self.times(route, aim);
-        let mean = if warm {
-            &mut times.warm
-        } else {
-            &mut times.plain
-        };
+        let warm = run != Run::Plain || times.looks_warm(taken);
+        let Times { plain, warm: known } = &mut times;
+        let (mean, other) = if warm { (known, plain) } else { (plain, known) };
         // A single endpoint in trouble must not spoil the estimate of all.
         let most = if mean.samples < STEADY {
             f64::INFINITY
@@ -137,6 +161,9 @@
             mean.value * OUTLIER
         };
         mean.learn(taken.min(most));
+        if run == if warm { Run::Plain } else { Run::Warm } {
+            other.doubt(taken.min(other.value * OUTLIER));
+        }
         self.routes.insert(route.clone(), times);
         let all = self
             .services
--- a/crates/steer/src/steer/placing.rs
+++ b/crates/steer/src/steer/placing.rs
@@ -8,6 +8,7 @@
 use crate::budget::Budget;
 use crate::config::{Part, Route};
 use crate::endpoint::{EndpointKey, EndpointState, Load, Outcome};
+use crate::estimate::Run;
 use crate::place::{Ask, Choice, Placement, Use, View, place};
 use crate::settings::Settings;
 
@@ -254,8 +255,13 @@
                 .learn(rank, warm);
         }
         if !endpoint.is_cold(now) {
+            let run = match (end.object, choice.warm) {
+                (None, _) => Run::Single,
+                (Some(_), true) => Run::Warm,
+                (Some(_), false) => Run::Plain,
+            };
             self.estimates
-                .learn(&route.id, &service, route.aim, choice.warm, taken);
+                .learn(&route.id, &service, route.aim, run, taken);
         }
     }
 }
