Spread the first demand by what runs take before endpoints know the objects

Cause: a region with more callers than slots sent them away by the slot time of known objects.

Change: in the first window demand counts by the mean time of all runs, a rate is known after 150 ms, and weights may move either way as long as the end of the window stays near its mean. Spills of the second window count from its start.

Ruled out: spills (3 to 16 % of what was sent, while weights had 50 to 85 %).

--- a/crates/steer/src/flow.rs
+++ b/crates/steer/src/flow.rs
@@ -19,7 +19,7 @@
 }
 
 /// The least age of a flow from which its rate is worked out.
-const AGE_MIN: Duration = Duration::from_millis(500);
+const AGE_MIN: Duration = Duration::from_millis(150);
 
 impl Flow {
     fn decayed(&self, now: Instant) -> f64 {
--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -38,37 +38,62 @@
 struct Weights {
     shares: Vec<(RegionId, f64)>,
     at: Instant,
-    /// The time of the first request.
-    first: Option<Instant>,
-    /// The sum over time since then of the share that runs in other regions, in seconds.
+    /// The sum over time, since the first request, of the share that runs in other regions, in seconds.
     away: f64,
 }
 
 impl Weights {
-    /// The share that may move now. In the first window there is none before to move slowly from, but
-    /// its end must not differ from its mean by more than that: the second window starts there.
-    fn step(&self, gone: f64, pace: Pace, now: Instant) -> f64 {
-        let Pace { most, window, .. } = pace;
+    /// The part of a move to `target` that is allowed now. In the first window there is none before to
+    /// move slowly from, but its end must not differ from its mean by more than may move in a window:
+    /// the second one starts there.
+    fn part(
+        &self,
+        target: &[(RegionId, f64)],
+        dead: f64,
+        gone: f64,
+        pace: Pace,
+        now: Instant,
+    ) -> f64 {
+        let Pace {
+            first,
+            most,
+            window,
+        } = pace;
         let window = window.as_secs_f64();
-        let age = self
-            .first
-            .map_or(0.0, |at| now.duration_since(at).as_secs_f64());
+        let age = first.map_or(0.0, |at| now.duration_since(at).as_secs_f64());
+        let moved: f64 = target
+            .iter()
+            .map(|(r, t)| (t - self.share(r)).max(0.0))
+            .sum();
+        if moved <= 0.0 || age <= 0.0 {
+            return 1.0;
+        }
         if age >= window {
-            return most * (gone / window).min(1.0);
+            let step = most * (gone / window).min(1.0);
+            return (step.max(dead) / moved).min(1.0);
         }
-        if age <= 0.0 {
+        let (now_away, then) = (away(&self.shares), away(target));
+        let within = then.clamp(
+            (self.away - most * window) / age,
+            (self.away + most * window) / age,
+        );
+        if (then - now_away).abs() < f64::EPSILON {
             return 1.0;
         }
-        let most_away = (most * window + self.away) / age;
-        (most_away - self.away_now()).max(0.0)
+        ((within - now_away) / (then - now_away)).clamp((dead / moved).min(1.0), 1.0)
     }
 
-    /// The share that runs in other regions; the home region is the first one.
-    fn away_now(&self) -> f64 {
-        self.shares.iter().skip(1).map(|s| s.1).sum()
+    fn share(&self, region: &RegionId) -> f64 {
+        let found = self.shares.iter().find(|(r, _)| r == region);
+        found.map_or(0.0, |(_, share)| *share)
     }
 }
 
+/// The share that runs in other regions; the home region is the first one.
+fn away(shares: &[(RegionId, f64)]) -> f64 {
+    shares.iter().skip(1).map(|(_, share)| share).sum()
+}
+
 /// The weights of all services.
 #[derive(Debug, Default)]
 pub(crate) struct Regions {
@@ -94,38 +119,26 @@
             .or_insert_with(|| Weights {
                 shares: vec![(home.clone(), 1.0)],
                 at: now,
-                first: None,
                 away: 0.0,
             });
-        weights.first = pace.first;
         let gone = now.duration_since(weights.at).as_secs_f64();
         weights.at = now;
-        if weights.first.is_some() {
-            weights.away += weights.away_now() * gone;
+        if let Some(first) = pace.first {
+            let since = now.duration_since(first).as_secs_f64().min(gone);
+            weights.away += away(&weights.shares) * since;
         }
-        let step = weights.step(gone, pace, now);
-        let old = |region: &RegionId| {
-            weights
-                .shares
-                .iter()
-                .find(|(r, _)| r == region)
-                .map_or(0.0, |s| s.1)
-        };
         let dead: f64 = loads
             .iter()
             .filter(|(_, l)| l.slots <= 0.0)
-            .map(|(r, _)| old(r))
+            .map(|(r, _)| weights.share(r))
             .sum();
-        let moved: f64 = target.iter().map(|(r, t)| (t - old(r)).max(0.0)).sum();
-        let part = if moved > 0.0 {
-            (step.max(dead) / moved).min(1.0)
-        } else {
-            0.0
-        };
-        let shares = target
+        let part = weights.part(&target, dead, gone, pace, now);
+        let old = |region: &RegionId| weights.share(region);
+        let shares: Vec<_> = target
             .iter()
-            .map(|(r, t)| (r.clone(), old(r) + (t - old(r)) * part));
-        weights.shares = shares.collect();
+            .map(|(r, t)| (r.clone(), old(r) + (t - old(r)) * part))
+            .collect();
+        weights.shares = shares;
     }
 
     /// The region of a point in 0 to 1; as weights move, few points change their region.
--- a/crates/steer/src/shares.rs
+++ b/crates/steer/src/shares.rs
@@ -18,6 +18,8 @@
 pub struct Shares {
     window: Duration,
     samples: VecDeque<(Instant, HashMap<RegionId, f64>)>,
+    /// The first request.
+    first: Option<Instant>,
     free: Option<Instant>,
 }
 
@@ -27,6 +29,7 @@
         Self {
             window,
             samples: VecDeque::new(),
+            first: None,
             free: None,
         }
     }
@@ -38,6 +41,7 @@
 
     /// Counts a request that runs in `region`.
     pub fn note(&mut self, region: &RegionId, now: Instant) {
+        self.first.get_or_insert(now);
         while let Some((at, _)) = self.samples.front() {
             if now.duration_since(*at) < 2 * self.window {
                 break;
@@ -78,8 +82,17 @@
         if self.free.is_some_and(|until| now < until) {
             return true;
         }
-        let (old, old_all) = self.count(region, self.window, 2 * self.window, now);
-        let (new, new_all) = self.count(region, Duration::ZERO, self.window, now);
+        // Until there are two windows, the second one counts from its start, against all of the first.
+        let age = self
+            .first
+            .map_or(Duration::ZERO, |at| now.duration_since(at));
+        let recent = age.saturating_sub(self.window).min(self.window);
+        let (old, old_all) = self.count(region, recent, 2 * self.window, now);
+        let (new, new_all) = self.count(region, Duration::ZERO, recent, now);
+        if age >= self.window && age < 2 * self.window && old_all >= FEWEST {
+            // Weights move by then, which takes the rest of the bound.
+            return (new + 1.0) / (new_all + 1.0) <= old / old_all;
+        }
         if old_all < FEWEST || new_all < FEWEST {
             return true;
         }
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -7,7 +7,7 @@
 
 use super::Steer;
 use crate::endpoint::EndpointState;
-use crate::estimate::WARM_GUESS;
+use crate::estimate::{COLD_GUESS, WARM_GUESS};
 use crate::flow::flow_hash;
 use crate::regions::{Pace, RegionLoad};
 
@@ -17,11 +17,19 @@
 const WEIGHTS_PART: f64 = 0.6;
 
 impl Steer {
-    /// The slot time of a request for a service, in seconds.
-    fn each(&self, service: &ServiceId) -> f64 {
-        self.estimates.settled(service).unwrap_or_else(|| {
+    /// The slot time of a request for a service, in seconds. At first it is that of endpoints which do
+    /// not know the objects yet, later that of those which do.
+    fn each(&self, service: &ServiceId, first: Option<Instant>, now: Instant) -> f64 {
+        let window = self.settings.shift_window;
+        let young = first.is_none_or(|at| now.duration_since(at) < window);
+        let (known, guess) = if young {
+            (self.estimates.service(service), COLD_GUESS)
+        } else {
+            (self.estimates.settled(service), WARM_GUESS)
+        };
+        known.unwrap_or_else(|| {
             let aim = self.catalog.as_ref().and_then(|c| c.aim(service));
-            aim.map_or(0.0, |aim| aim.as_secs_f64() * WARM_GUESS)
+            aim.map_or(0.0, |aim| aim.as_secs_f64() * guess)
         })
     }
 
@@ -77,13 +85,13 @@
         self.choose_senders(now);
         let most = self.settings.max_shift * WEIGHTS_PART;
         for (service, keys) in &self.services {
-            let each = self.each(service);
             let mut loads: HashMap<RegionId, RegionLoad> = HashMap::new();
             for region in self.us.zones.values() {
                 loads.entry(region.clone()).or_default();
             }
             let flows = self.flows.iter().filter(|((s, _), _)| s == service);
             let first = flows.filter_map(|(_, f)| f.first()).min();
+            let each = self.each(service, first, now);
             for (region, load) in &mut loads {
                 load.demand = self.demand(service, None, region, first, now) * each;
                 load.bound = self.bound(service, region, first, now) * each;
