--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load generation, experiments and reports.
 
 pub mod arrivals;
+pub mod bound;
 pub mod callers;
 pub mod client;
 pub mod deployment;
