--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -160,6 +160,36 @@
 }
 
 /// A quarter of the hosts is cut off just before a team becomes hot: no window passes the promise.
+/// A host that has just started knows the others by their registrations only. It must ask the same
+/// keepers as those who have heard them all, or callers are refused for want of a keeper.
+#[test]
+fn a_host_that_has_just_started_asks_the_same_keepers() {
+    let clock = ManualClock::new();
+    let mut hosts: Vec<Steer> = (0..8)
+        .map(|i| steer(&format!("host-{i}"), "a1", 100 + 10 * i))
+        .collect();
+    for host in &mut hosts {
+        host.configure(config(1)).expect("a valid configuration");
+    }
+    exchange(&mut hosts, &clock);
+    clock.advance(Duration::from_secs(2));
+    exchange(&mut hosts, &clock);
+    let mut new = steer("host-0", "a1", 100);
+    new.configure(config(1)).expect("a valid configuration");
+    for host in &hosts[1..] {
+        new.register_host(host.us().record.clone(), clock.now());
+    }
+    new.hosts_read();
+    for i in 0..40 {
+        let limit = team(&format!("team-{i}"), &format!("key-{i}"), Some(50), 10);
+        let known = hosts[0].token(&limit, clock.now());
+        assert_eq!(new.token(&limit, clock.now()), known, "{}", limit.id);
+    }
+    // Hosts that stay silent are not waited for.
+    clock.advance(Duration::from_secs(2));
+    assert_eq!(new.host_count(clock.now()), 1);
+}
+
 #[test]
 fn hosts_that_are_cut_off_stay_within_the_limit_together() {
     for hosts in [8, 84] {
