Read site files in a crate of the platform's folder that uses the load tool

The load tool had taken the adapter for the names of site files.

Change: platform/site (wagtail-site, command wagtail-bound) decodes them into the load tool's plan; nothing in crates/ knows of the platform, and the adapter is as small as before. The check is as it was.

--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -5,37 +5,78 @@
 use std::fmt;
 use std::time::Duration;
 
-use derive_more::{Display, Error, From};
-use lexopt::Arg::{Long, Short, Value};
-use wagtail_adapter::{Capacity, Day, Kind, Plan, SiteError};
-
 /// The step of the calculation, in seconds; small against the swings of a day.
 const STEP_S: f64 = 1.0;
 
-const HELP: &str = "\
-The best credit that a site file allows on days without faults.
+/// A deployment: what is asked, and what can run it.
+#[derive(Debug)]
+pub struct Plan {
+    /// Its name.
+    pub name: String,
+    /// The services.
+    pub services: Vec<Capacity>,
+    /// The kinds of requests.
+    pub kinds: Vec<Kind>,
+    /// The days.
+    pub days: Vec<Day>,
+}
+
+/// What a service can run.
+#[derive(Debug, Clone)]
+pub struct Capacity {
+    /// The service.
+    pub service: String,
+    /// Slots by region.
+    pub slots: BTreeMap<String, u32>,
+    /// Objects that all endpoints together keep warm.
+    pub keeps: u32,
+}
+
+/// A kind of request.
+#[derive(Debug, Clone)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// The place of its service in [`Plan::services`].
+    pub service: usize,
+    /// The time in which an answer has its full worth.
+    pub aim: Duration,
+    /// The worth of an answer in time.
+    pub worth: f64,
+    /// The worth of a late one.
+    pub late: f64,
+    /// The running time where the endpoint does not know the object.
+    pub plain: Duration,
+    /// The running time where it does.
+    pub warm: Duration,
+    /// Objects in each region.
+    pub objects: u32,
+}
 
-Usage: wagtail-load bound FILE
-";
+/// A day's demand.
+#[derive(Debug)]
+pub struct Day {
+    /// Its name.
+    pub name: String,
+    /// Its length.
+    pub length: Duration,
+    /// What is asked, by zone.
+    pub sources: Vec<Source>,
+}
 
-/// Why there is no result.
-#[derive(Debug, Display, Error, From)]
-pub enum BoundError {
-    /// The command line is wrong.
-    #[display("{_0}")]
-    Arguments(lexopt::Error),
-    /// The file cannot be read.
-    #[display("{name}: {reason}")]
-    #[from(ignore)]
-    Input {
-        /// The file.
-        name: String,
-        /// Why.
-        reason: std::io::Error,
-    },
-    /// It is no site file.
-    #[display("{_0}")]
-    Site(SiteError),
+/// The demand of a zone.
+#[derive(Debug)]
+pub struct Source {
+    /// The region of the zone.
+    pub region: String,
+    /// Requests a second of each kind, in the order of [`Plan::kinds`], on average.
+    pub rates: Vec<f64>,
+    /// How far demand swings around its average, as a part of it.
+    pub swing: f64,
+    /// The period of the swing.
+    pub period: Duration,
+    /// Where in its period the swing starts, as a part of it.
+    pub phase: f64,
 }
 
 /// What a day asks of one service.
@@ -259,27 +300,3 @@
         Ok(())
     }
 }
-
-/// Carries out `wagtail-load bound`.
-///
-/// # Errors
-///
-/// [`BoundError`] if the command line or the file cannot be used.
-pub fn command(mut args: lexopt::Parser) -> Result<String, BoundError> {
-    let mut file = None;
-    while let Some(arg) = args.next()? {
-        match arg {
-            Long("help") | Short('h') => return Ok(HELP.to_owned()),
-            Value(name) if file.is_none() => file = Some(name),
-            other => return Err(other.unexpected().into()),
-        }
-    }
-    let file = file.ok_or(lexopt::Error::MissingValue { option: None })?;
-    let text = std::fs::read_to_string(&file).map_err(|reason| BoundError::Input {
-        name: file.display().to_string(),
-        reason,
-    })?;
-    let plan = Plan::parse(&text)?;
-    let days = plan.days.iter().map(|day| bound(&plan, day).to_string());
-    Ok(days.collect())
-}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,7 +3,6 @@
 use std::process::ExitCode;
 
 use lexopt::Arg::{Long, Short, Value};
-use wagtail_load::bound::BoundError;
 use wagtail_load::experiment::CommandError;
 use wagtail_load::run::RunError;
 use wagtail_load::slopes::SlopesError;
@@ -17,7 +16,6 @@
 Usage: wagtail-load <COMMAND> [OPTIONS]
 
 Commands:
-  bound       The best credit that a site file allows, without faults
   experiment  One deployment in one process under load and faults, promises checked
   overhead    The latency that an entry host adds, against direct calls
   run         An open-loop load against given entry hosts
@@ -36,7 +34,6 @@
             Ok(Some(other)) => usage(&other.unexpected()),
             Err(e) => usage(&e),
         },
-        Ok(Some(Value(name))) if name == "bound" => bound(args),
         Ok(Some(Value(name))) if name == "experiment" => experiment(args),
         Ok(Some(Value(name))) if name == "overhead" => overhead(args),
         Ok(Some(Value(name))) if name == "run" => run(args),
@@ -66,17 +63,6 @@
     }
 }
 
-fn bound(args: lexopt::Parser) -> ExitCode {
-    match wagtail_load::bound::command(args) {
-        Ok(text) => {
-            print!("{text}");
-            ExitCode::SUCCESS
-        }
-        Err(BoundError::Arguments(e)) => usage(&e),
-        Err(e) => fail(&e),
-    }
-}
-
 fn experiment(args: lexopt::Parser) -> ExitCode {
     match runtime().map(|r| r.block_on(wagtail_load::experiment::command(args))) {
         Ok(Ok(status)) => status,
--- a/crates/load/tests/bound.rs
+++ b/crates/load/tests/bound.rs
@@ -3,8 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wagtail_adapter::{Capacity, Day, Kind, Plan, Source};
-use wagtail_load::bound::bound;
+use wagtail_load::bound::{Capacity, Day, Kind, Plan, Source, bound};
 
 /// Two regions with ten requests a second each, of one kind.
 fn plan(slots: [u32; 2], objects: u32) -> Plan {
