--- a/crates/steer/src/hosts.rs
+++ b/crates/steer/src/hosts.rs
@@ -50,8 +50,8 @@
     silence: [Duration; 2],
     /// The last digest of any host.
     heard: Option<Instant>,
-    /// When the first other host became known.
-    met: Option<Instant>,
+    /// When this host first knew of another.
+    joined: Option<Instant>,
     /// Requests at endpoints from all hosts that are heard, by the hash of the endpoint's name.
     loads: HashMap<u32, u32>,
     /// Endpoints whose sum in `loads` has changed.
@@ -59,7 +59,7 @@
 }
 
 /// The time after a start for which registered hosts count as heard: three periods of digests.
-const GREETING: Duration = Duration::from_millis(1_200);
+const JOIN_TIME: Duration = Duration::from_millis(1_200);
 
 /// Digests of a host that may be missed before it is taken as lost, and some delay.
 const MISSED: f64 = 2.2;
@@ -72,7 +72,7 @@
             peers: HashMap::new(),
             silence: [settings.host_silence; 2],
             heard: None,
-            met: None,
+            joined: None,
             loads: HashMap::new(),
             changed: Vec::new(),
         }
@@ -102,13 +102,14 @@
         let silence = self.silence[usize::from(peer.region != self.home)];
         match peer.heard {
             Some(at) => now.duration_since(at) < silence,
-            None => self.is_new(now),
+            None => self.just_joined(now),
         }
     }
 
-    /// Whether this host has only just met the others, so that their digests may be on the way.
-    fn is_new(&self, now: Instant) -> bool {
-        self.met.is_some_and(|at| now.duration_since(at) < GREETING)
+    /// Whether this host has only just joined the others, so that their digests may be on the way.
+    fn just_joined(&self, now: Instant) -> bool {
+        self.joined
+            .is_some_and(|at| now.duration_since(at) < JOIN_TIME)
     }
 
     /// Takes a registration.
@@ -123,7 +124,7 @@
             Some(peer) if peer.heard.is_none() => peer.record = record,
             Some(_) => {}
             None => {
-                self.met.get_or_insert(now);
+                self.joined.get_or_insert(now);
                 let id = record.id.clone();
                 self.peers.insert(
                     id,
@@ -238,7 +239,7 @@
         let heard = self
             .heard
             .is_some_and(|at| now.duration_since(at) < settings.host_silence);
-        !self.peers.is_empty() && !heard && !self.is_new(now)
+        !self.peers.is_empty() && !heard && !self.just_joined(now)
     }
 
     /// The hosts that are heard.
