Refuse a chunk that does not end where it says

Cause: found on reading the change: the splitting of a connection skipped two bytes behind a chunk without looking at them, the HTTP library did not, so that the two could disagree on where a request ends.

Change: the line end is checked; else the connection ends with that request.

--- a/crates/gateway/src/server/framing.rs
+++ b/crates/gateway/src/server/framing.rs
@@ -109,8 +109,10 @@
     Length(u64),
     /// Chunks, from the size of one on.
     Size,
-    /// The data of a chunk with the end of its line, then further chunks.
+    /// The data of a chunk.
     Data(u64),
+    /// The line end behind the data of a chunk, then further chunks.
+    DataEnd,
     /// The lines behind the last chunk.
     Trailer,
 }
@@ -137,16 +139,24 @@
             Self::Data(left) => {
                 used = left.min(available);
                 *self = match left - used {
-                    0 => Self::Size,
+                    0 => Self::DataEnd,
                     left => Self::Data(left),
                 };
             }
+            Self::DataEnd => match bytes {
+                [b'\r', b'\n', ..] => {
+                    used = 2;
+                    *self = Self::Size;
+                }
+                [] | [b'\r'] => {}
+                _ => return Err(BadChunk),
+            },
             Self::Size => match httparse::parse_chunk_size(bytes) {
                 Ok(Status::Complete((line, size))) => {
                     used = line as u64;
                     *self = match size {
                         0 => Self::Trailer,
-                        size => Self::Data(size.checked_add(2).ok_or(BadChunk)?),
+                        size => Self::Data(size),
                     };
                 }
                 Ok(Status::Partial) if bytes.len() < LINE_MAX => {}
