--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -29,6 +29,10 @@
         let due = {
             let mut steer = core.steer.borrow_mut();
             steer.remove_lapsed(now);
+            for zone in steer.end_holds(now) {
+                info!(core.log, "evacuation ends: its entry has not been written again since the restore";
+                    "zone" => %zone);
+            }
             steer.update_weights(now);
             steer.due_checks(now)
         };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,10 +11,12 @@
 use slog::{debug, error, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
-use wagtail_steer::{Digest, HostState, Message, Steer, Team, TokenOutcome, TokenSource};
+use wagtail_steer::{
+    Datagram, Digest, HostState, Message, Observation, Steer, Team, TokenOutcome, TokenSource,
+};
 use wagtail_types::HostId;
 
-use crate::host::Core;
+use crate::host::{Core, RelayedPage};
 use crate::registry::{Entry, Registry, Topic};
 
 /// The size in bytes of the largest datagram that is received; digests of large fleets stay well
@@ -28,6 +30,9 @@
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
 /// The pause after a failed registration of this host or a failed read of the other hosts.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// The time that a starting host gives the others to reply to its first digest; a round trip between
+/// regions.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(50);
 /// The period of reading the hosts' registrations, which finds hosts whose digests do not arrive.
 const HOSTS_READ_PERIOD: Duration = Duration::from_secs(20);
 
@@ -70,18 +75,21 @@
                     continue;
                 }
             };
-            match Message::decode(&buffer[..size]) {
-                Ok(message) => self.handle(message, from),
+            match Datagram::decode(&buffer[..size]) {
+                Ok(datagram) => self.handle(datagram, from),
                 Err(e) => warn!(self.core.log, "peer message could not be decoded; dropping it";
                     "from" => %from, "error" => %e),
             }
         }
     }
 
-    fn handle(&self, message: Message, from: SocketAddr) {
+    fn handle(&self, datagram: Datagram, from: SocketAddr) {
         let now = self.core.now();
-        match message {
-            Message::Digest(digest) => self.apply_digest(digest),
+        if let Some(view) = datagram.registry {
+            self.core.learn(view);
+        }
+        match datagram.message {
+            Message::Digest(digest) => self.apply_digest(digest, from),
             Message::Demand { zone, teams } => {
                 self.core
                     .steer
@@ -98,7 +106,7 @@
                     // Without a reply the other host falls back to its isolated limit.
                     None => return,
                 };
-                self.try_send(&Message::TokenReply { number, wait_ms }, from);
+                self.try_send(Message::TokenReply { number, wait_ms }, from);
             }
             Message::TokenReply { number, wait_ms } => {
                 let waiting = self.token_requests.borrow_mut().remove(&number);
@@ -109,7 +117,11 @@
             }
             Message::RegistryChanges { topic, after, page } => {
                 if let Some(feed) = self.core.feeds.get(usize::from(topic)) {
-                    feed.push(after, page.into());
+                    feed.push(RelayedPage {
+                        after,
+                        generation: datagram.registry.and_then(|view| view.generation),
+                        page: page.into(),
+                    });
                 }
             }
             Message::TokenReturn { team } => self.core.steer.borrow_mut().return_token(team),
@@ -128,14 +140,22 @@
             page: page.to_vec(),
         };
         for peer in to {
-            self.try_send(&message, *peer);
+            self.try_send(message.clone(), *peer);
+        }
+    }
+
+    /// Adds what this host knows of the registry to a message.
+    fn datagram(&self, message: Message) -> Datagram {
+        Datagram {
+            message,
+            registry: Some(self.core.registry_view()),
         }
     }
 
     /// Sends a message, or drops it if the socket is not ready, because every message may be lost
     /// anyway.
-    fn try_send(&self, message: &Message, to: SocketAddr) {
-        let sent = match message.encode() {
+    fn try_send(&self, message: Message, to: SocketAddr) {
+        let sent = match self.datagram(message).encode() {
             Ok(bytes) => self
                 .socket
                 .try_send_to(&bytes, to)
@@ -163,7 +183,7 @@
         self.last_number.set(number);
         let (sender, reply) = oneshot::channel();
         self.token_requests.borrow_mut().insert(number, sender);
-        self.try_send(&Message::TokenRequest { number, team: hash }, owner);
+        self.try_send(Message::TokenRequest { number, team: hash }, owner);
         if let Ok(Ok(taken)) = tokio::time::timeout(TOKEN_TIMEOUT, reply).await {
             return taken;
         }
@@ -181,18 +201,25 @@
         let hash = Steer::short_hash(team.id.as_str());
         let owner = self.core.steer.borrow().token_owner(team, now);
         match owner {
-            Some(owner) => self.try_send(&Message::TokenReturn { team: hash }, owner),
+            Some(owner) => self.try_send(Message::TokenReturn { team: hash }, owner),
             None => self.core.steer.borrow_mut().return_token(hash),
         }
     }
 
-    fn apply_digest(&self, digest: Digest) {
+    fn apply_digest(&self, digest: Digest, from: SocketAddr) {
         let id = digest.host.clone();
         let state = digest.state;
         let now = self.core.now();
+        let is_new = self.core.steer.borrow().peers().is_new_process(&digest);
         if !self.core.steer.borrow_mut().apply_digest(digest, now) {
             return;
         }
+        if is_new {
+            // A host that has just started learns at once what the others know.
+            let state = self.core.state();
+            let own = self.core.steer.borrow_mut().next_digest(state, now);
+            self.try_send(Message::Digest(own), from);
+        }
         if self.known_live.borrow_mut().insert(id.clone()) {
             info!(self.core.log, "host is live: its digest arrived";
                 "host" => %id, "state" => ?state);
@@ -237,7 +264,7 @@
         let demands = self.core.steer.borrow_mut().demand_reports(now);
         for (owner, teams) in demands {
             self.try_send(
-                &Message::Demand {
+                Message::Demand {
                     zone: zone.clone(),
                     teams,
                 },
@@ -254,7 +281,7 @@
             .steer
             .borrow_mut()
             .next_digest(state, self.core.now());
-        let bytes = match Message::Digest(digest).encode() {
+        let bytes = match self.datagram(Message::Digest(digest)).encode() {
             Ok(bytes) => bytes,
             Err(e) => {
                 error!(self.core.log, "digest could not be encoded"; "error" => %e);
@@ -296,38 +323,70 @@
 }
 
 /// Registers this host and reads the registrations of the other hosts periodically, until this host
-/// leaves.
-pub(crate) async fn register<R: Registry>(core: Rc<Core>, registry: Rc<R>) {
+/// leaves. Both are repeated after each restore of the registry.
+pub(crate) async fn register<R: Registry>(core: Rc<Core>, exchange: Rc<Exchange>, registry: Rc<R>) {
+    let mut restores = core.restores();
+    let mut introduced = false;
     let record = core.steer.borrow().local_host().record.clone();
-    while let Err(e) = registry.announce(&record).await {
-        warn!(core.log, "host registration failed; retrying"; "error" => %e);
-        tokio::time::sleep(RETRY_PAUSE).await;
-    }
-    info!(core.log, "host registered"; "host" => %record.id);
-    loop {
-        match registry.read(Topic::Hosts).await {
-            Ok(fetched) => {
-                let now = core.now();
-                for entry in fetched.entries {
-                    match entry {
-                        Entry::Host(record) => core.steer.borrow_mut().register_host(record, now),
-                        Entry::Unusable { key, reason } => {
-                            warn!(core.log, "host registration is unusable; ignoring it";
-                                "key" => key, "reason" => reason);
-                        }
-                        _ => {}
-                    }
-                }
-                core.steer.borrow_mut().mark_hosts_read();
-                tokio::time::sleep(HOSTS_READ_PERIOD).await;
+    while core.state() != HostState::Leaving {
+        let announced = registry.announce(&record).await;
+        core.observe(&announced.generation);
+        if let Err(e) = announced.result {
+            warn!(core.log, "host registration failed; retrying"; "error" => %e);
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
+        info!(core.log, "host registered"; "host" => %record.id);
+        loop {
+            let read = read_hosts(&core, &*registry).await;
+            if read && !std::mem::replace(&mut introduced, true) {
+                introduce(&core, &exchange).await;
             }
-            Err(e) => {
-                warn!(core.log, "reading the host registrations failed; retrying"; "error" => %e);
-                tokio::time::sleep(RETRY_PAUSE).await;
+            let pause = if read { HOSTS_READ_PERIOD } else { RETRY_PAUSE };
+            if core.state() == HostState::Leaving {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                _ = restores.changed() => break,
             }
         }
-        if core.state() == HostState::Leaving {
-            return;
+        tokio::time::sleep(core.restore_delay()).await;
+    }
+}
+
+/// Sends a digest to the other hosts, and gives them time to reply with what they know before this
+/// host serves callers.
+async fn introduce(core: &Core, exchange: &Exchange) {
+    if core.steer.borrow().peers().all().next().is_some() {
+        exchange.send_digest(true).await;
+        tokio::time::sleep(INTRODUCTION_TIME).await;
+    }
+    core.steer.borrow_mut().mark_hosts_read();
+}
+
+/// Reads the registrations of the other hosts. Returns whether that succeeded.
+async fn read_hosts<R: Registry>(core: &Core, registry: &R) -> bool {
+    let answer = registry.read(Topic::Hosts).await;
+    let outdated = core.observe(&answer.generation) == Observation::Outdated;
+    let fetched = match answer.result {
+        Ok(fetched) if !outdated => fetched,
+        Ok(_) => return false,
+        Err(e) => {
+            warn!(core.log, "reading the host registrations failed; retrying"; "error" => %e);
+            return false;
+        }
+    };
+    let now = core.now();
+    for entry in fetched.entries {
+        match entry {
+            Entry::Host(record) => core.steer.borrow_mut().register_host(record, now),
+            Entry::Unusable { key, reason } => {
+                warn!(core.log, "host registration is unusable; ignoring it";
+                    "key" => key, "reason" => reason);
+            }
+            _ => {}
         }
     }
+    true
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use slog::{error, info, warn};
-use wagtail_steer::Follower;
+use tokio::sync::watch;
+use wagtail_steer::{Cursor, Extent, Follower, Observation};
 use wagtail_types::millis;
 
 use crate::exchange::Exchange;
-use crate::host::{Core, Feed};
+use crate::host::{Core, Feed, RelayedPage};
 use crate::registry::{Entry, Fetched, Registry, RegistryError, Topic};
 use crate::settings::Settings;
 
@@ -30,11 +31,17 @@
     registry: Rc<R>,
     topic: Topic,
     settings: Settings,
-    /// The version up to which changes are applied; `None` if a full read is needed.
-    version: Option<u64>,
+    cursor: Cursor,
     last_success: Instant,
     /// Whether the last call to the registry failed.
     unreachable: bool,
+    /// Whether the next call only tests whether the registry has something new, and so does not wait
+    /// for a change.
+    test_only: bool,
+    /// Changes with each restore of the registry.
+    restores: watch::Receiver<u64>,
+    /// Changes when another host knows of a newer state of the registry.
+    hints: watch::Receiver<u64>,
     pause: Duration,
 }
 
@@ -48,15 +55,19 @@
     settings: Settings,
 ) {
     let last_success = core.now();
+    let (restores, hints) = (core.restores(), core.hints());
     let mut subscription = Subscription {
         core,
         exchange,
         registry,
         topic,
         settings,
-        version: None,
+        cursor: Cursor::default(),
         last_success,
         unreachable: false,
+        test_only: false,
+        restores,
+        hints,
         pause: RETRY_PAUSE_MIN,
     };
     loop {
@@ -65,8 +76,8 @@
             .steer
             .borrow()
             .follower(subscription.core.now());
-        match (subscription.version, follower) {
-            (Some(version), Follower::Other) => subscription.receive_relayed(version).await,
+        match (subscription.cursor.version(), follower) {
+            (Some(_), Follower::Other) => subscription.receive_relayed().await,
             (_, Follower::Local(peers)) => {
                 let pause = subscription
                     .poll_registry(subscription.settings.relay_wait, &peers)
@@ -85,24 +96,42 @@
 
 impl<R: Registry> Subscription<R> {
     /// Polls the registry and relays the changes to `peers`. Returns the pause before the next call
-    /// if the call failed.
+    /// if the call failed or everything has to be read again.
     async fn poll_registry(&mut self, wait: Duration, peers: &[SocketAddr]) -> Option<Duration> {
-        let fetched = match self.version {
-            None => self.registry.read(self.topic).await,
-            Some(after) => {
-                // While the registry is unreachable, a call only tests whether it answers, so it
-                // does not wait for a change.
-                let wait = if self.unreachable {
-                    Duration::ZERO
-                } else {
-                    wait
-                };
-                self.registry.changes(self.topic, after, wait).await
+        let (core, registry, topic) = (self.core.clone(), self.registry.clone(), self.topic);
+        let version = self.cursor.version();
+        // While the registry is unreachable, a call only tests whether it answers.
+        let hinted = self.hints.has_changed().unwrap_or(false);
+        self.hints.mark_unchanged();
+        let test_only = std::mem::take(&mut self.test_only) || hinted || self.unreachable;
+        let wait = if test_only { Duration::ZERO } else { wait };
+        let call = async {
+            match version {
+                None => registry.read(topic).await,
+                Some(after) => registry.changes(topic, after, wait).await,
             }
         };
-        let pause = match fetched {
+        let waits = version.is_some() && !wait.is_zero();
+        let answer = tokio::select! {
+            biased;
+            _ = self.restores.changed() => return Some(self.start_over()),
+            _ = self.hints.changed(), if waits => {
+                self.test_only = true;
+                return Some(Duration::ZERO);
+            }
+            answer = call => answer,
+        };
+        match core.observe(&answer.generation) {
+            Observation::Current => {}
+            Observation::Restored => {
+                self.restores.mark_unchanged();
+                return Some(self.start_over());
+            }
+            Observation::Outdated => return Some(RETRY_PAUSE_MIN),
+        }
+        let pause = match answer.result {
             Ok(fetched) => {
-                if let Some(after) = self.version {
+                if let Some(after) = version {
                     self.exchange.relay(self.topic, after, &fetched.page, peers);
                 }
                 self.apply(fetched);
@@ -114,6 +143,14 @@
         pause
     }
 
+    /// Forgets the version, as it belongs to a generation before the restore. Returns the pause
+    /// before the full read.
+    fn start_over(&mut self) -> Duration {
+        self.cursor.restart();
+        self.feed().clear();
+        self.core.restore_delay()
+    }
+
     /// Asks the registry for changes that were not relayed.
     async fn catch_up(&mut self) {
         if let Some(pause) = self.poll_registry(Duration::ZERO, &[]).await {
@@ -123,14 +160,32 @@
 
     /// Applies changes that another host relays. Asks the registry if none arrive in time or if
     /// versions are missing in between.
-    async fn receive_relayed(&mut self, version: u64) {
-        let received = tokio::time::timeout(self.settings.relay_timeout, self.feed().next()).await;
-        let Ok((after, page)) = received else {
-            self.core.metrics.count("registry_failures", "no-feed");
+    async fn receive_relayed(&mut self) {
+        let core = self.core.clone();
+        let feed = &core.feeds[usize::from(self.topic.number())];
+        let received = tokio::select! {
+            biased;
+            _ = self.restores.changed() => {
+                let pause = self.start_over();
+                return tokio::time::sleep(pause).await;
+            }
+            _ = self.hints.changed() => return self.catch_up().await,
+            received = tokio::time::timeout(self.settings.relay_timeout, feed.next()) => received,
+        };
+        let Ok(received) = received else {
+            core.metrics.count("registry_failures", "no-feed");
             return self.catch_up().await;
         };
+        let RelayedPage {
+            after,
+            generation,
+            page,
+        } = received;
+        if !core.applies(generation) {
+            return self.catch_up().await;
+        }
         match self.registry.decode(self.topic, page) {
-            Ok(fetched) if after <= version && fetched.version >= version => self.apply(fetched),
+            Ok(fetched) if self.cursor.continues(after, fetched.version) => self.apply(fetched),
             Ok(_) => self.catch_up().await,
             Err(e) => {
                 warn!(self.core.log, "relayed changes could not be decoded; asking the registry";
@@ -158,18 +213,17 @@
         self.unreachable = false;
         self.last_success = now;
         self.pause = RETRY_PAUSE_MIN;
-        let full_read = self.version.is_none();
-        self.version = Some(fetched.version);
-        if full_read {
-            self.remove_missing(&fetched.entries, now);
+        let extent = self.cursor.advance(fetched.version);
+        if extent != Extent::Changes {
+            self.remove_missing(&fetched.entries, extent, now);
         }
         for entry in fetched.entries {
-            self.apply_entry(entry, fetched.version, now);
+            self.apply_entry(entry, fetched.version, extent, now);
         }
     }
 
     /// Removes endpoints and evacuations that are missing from a full read.
-    fn remove_missing(&self, entries: &[Entry], now: Instant) {
+    fn remove_missing(&self, entries: &[Entry], extent: Extent, now: Instant) {
         let mut steer = self.core.steer.borrow_mut();
         match self.topic {
             Topic::Endpoints => {
@@ -190,13 +244,17 @@
                         _ => None,
                     })
                     .collect();
-                steer.set_evacuated(&zones, now);
+                if extent == Extent::Restored {
+                    steer.set_evacuated_restored(&zones, now);
+                } else {
+                    steer.set_evacuated(&zones, now);
+                }
             }
             Topic::Hosts => {}
         }
     }
 
-    fn apply_entry(&self, entry: Entry, version: u64, now: Instant) {
+    fn apply_entry(&self, entry: Entry, version: u64, extent: Extent, now: Instant) {
         let log = &self.core.log;
         let mut steer = self.core.steer.borrow_mut();
         match entry {
@@ -217,11 +275,16 @@
                 let zone = record.zone.clone();
                 let state = record.state;
                 let cold = record.cold;
-                if steer.register(record, now).is_some() {
+                let registered = if extent == Extent::Restored {
+                    steer.register_restored(record, now)
+                } else {
+                    steer.register(record, now)
+                };
+                if registered.is_some() {
                     info!(log, "endpoint registered"; "endpoint" => %id,
                         "zone" => %zone, "state" => ?state, "cold_ms" => millis(cold), "at" => version);
                 } else {
-                    warn!(log, "endpoint registration ignored: unknown zone";
+                    warn!(log, "endpoint registration ignored: unknown zone, or older than its process";
                         "endpoint" => %id, "at" => version);
                 }
             }
@@ -240,14 +303,18 @@
     /// Records a failed call and returns the pause before the next one.
     fn record_failure(&mut self, e: &RegistryError) -> Duration {
         self.core.metrics.count("registry_failures", "follow");
-        if matches!(e, RegistryError::HistoryGone) {
+        if matches!(e, RegistryError::HistoryGone | RegistryError::Restored) {
             info!(self.core.log, "registry history gone"; "topic" => %self.topic);
-            self.version = None;
-            return Duration::ZERO;
+            self.cursor.lose_history();
+            return if matches!(e, RegistryError::Restored) {
+                RETRY_PAUSE_MIN
+            } else {
+                Duration::ZERO
+            };
         }
         if !self.unreachable {
             warn!(self.core.log, "registry does not answer";
-                "topic" => %self.topic, "error" => %e, "at" => self.version);
+                "topic" => %self.topic, "error" => %e, "at" => self.cursor.version());
         }
         self.unreachable = true;
         if matches!(e, RegistryError::NoAnswer { .. }) {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -3,12 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use slog::Logger;
-use tokio::sync::Notify;
-use wagtail_steer::{HostState, Steer};
+use rand::Rng;
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, watch};
+use wagtail_steer::{
+    Generation, GenerationTag, GenerationTracker, HostState, Observation, RegistryView, Steer,
+};
 use wagtail_types::Clock;
 
 use crate::codec::HttpCodec;
@@ -25,6 +28,11 @@
     pub(crate) metrics: Metrics,
     /// Changes relayed by other hosts, indexed by topic number; the topic of hosts is not relayed.
     pub(crate) feeds: [Feed; 2],
+    generations: RefCell<GenerationTracker>,
+    /// Counts the restores of the registry from an older copy.
+    restores: watch::Sender<u64>,
+    /// Counts the hints of other hosts at a newer state of the registry.
+    hints: watch::Sender<u64>,
     clock: Rc<dyn DebugClock>,
     leaving: Cell<bool>,
 }
@@ -32,28 +40,44 @@
 /// The queue of relayed changes of one topic that are not yet applied.
 #[derive(Debug, Default)]
 pub(crate) struct Feed {
-    /// The pages, each with the version that it follows.
-    pages: RefCell<VecDeque<(u64, Bytes)>>,
+    pages: RefCell<VecDeque<RelayedPage>>,
     arrived: Notify,
 }
 
+/// A page of changes that another host has relayed.
+#[derive(Debug)]
+pub(crate) struct RelayedPage {
+    /// The version that the changes follow.
+    pub(crate) after: u64,
+    /// The registry's generation at the other host.
+    pub(crate) generation: Option<Generation>,
+    pub(crate) page: Bytes,
+}
+
+/// The time per host over which the hosts spread their calls after a restore of the registry, up to
+/// [`SPREAD_MAX`]; each makes a few.
+const SPREAD_PER_HOST: Duration = Duration::from_millis(4);
+/// The longest delay of a call after a restore, well below the time in which hosts must know of
+/// changes again.
+const SPREAD_MAX: Duration = Duration::from_secs(1);
+
 /// The maximum number of queued pages; further ones are dropped, and the host then asks the
 /// registry for the missing changes.
 const FEED_PAGES_MAX: usize = 8;
 
 impl Feed {
-    /// Queues a page of changes that follow version `after`.
-    pub(crate) fn push(&self, after: u64, page: Bytes) {
+    /// Queues a page of changes.
+    pub(crate) fn push(&self, page: RelayedPage) {
         let mut pages = self.pages.borrow_mut();
         if pages.len() < FEED_PAGES_MAX {
-            pages.push_back((after, page));
+            pages.push_back(page);
         }
         drop(pages);
         self.arrived.notify_one();
     }
 
-    /// Waits for the next page; returns it with the version that it follows.
-    pub(crate) async fn next(&self) -> (u64, Bytes) {
+    /// Waits for the next page.
+    pub(crate) async fn next(&self) -> RelayedPage {
         loop {
             let next = self.pages.borrow_mut().pop_front();
             match next {
@@ -81,6 +105,9 @@
             log,
             metrics: Metrics::new(),
             feeds: Default::default(),
+            generations: RefCell::default(),
+            restores: watch::Sender::new(0),
+            hints: watch::Sender::new(0),
             clock,
             leaving: Cell::new(false),
         }
@@ -102,7 +129,7 @@
     pub(crate) fn state(&self) -> HostState {
         if self.is_leaving() {
             HostState::Leaving
-        } else if self.steer.borrow().is_initialized() {
+        } else if self.steer.borrow().is_initialized(self.now()) {
             HostState::Ready
         } else {
             HostState::Starting
@@ -110,6 +137,82 @@
     }
 }
 
+impl Core {
+    /// Records the generation that an answer of the registry names. After a restore everything that
+    /// was read before is read again.
+    pub(crate) fn observe(&self, tag: &GenerationTag) -> Observation {
+        let mut generations = self.generations.borrow_mut();
+        let before = generations.current().clone();
+        let observation = generations.observe(tag);
+        drop(generations);
+        match observation {
+            Observation::Current => {}
+            Observation::Restored => {
+                if let GenerationTag::Unreadable(text) = tag {
+                    warn!(self.log, "generation of the registry cannot be read; taking it as a restore";
+                        "text" => text);
+                }
+                info!(self.log, "registry restored from an older copy; reading all entries again";
+                    "generation" => %tag, "before" => %before);
+                self.metrics.count("registry_restores", "observed");
+                self.steer.borrow_mut().registry_restored(self.now());
+                self.restores.send_modify(|count| *count += 1);
+            }
+            Observation::Outdated => {
+                info!(self.log, "registry answered from before its restore; ignoring the answer";
+                    "generation" => %tag, "current" => %before);
+                self.metrics.count("registry_restores", "outdated-answer");
+            }
+        }
+        observation
+    }
+
+    /// Returns a receiver that changes with each restore of the registry from now on.
+    pub(crate) fn restores(&self) -> watch::Receiver<u64> {
+        self.restores.subscribe()
+    }
+
+    /// Returns a receiver that changes when another host knows of a newer state of the registry.
+    pub(crate) fn hints(&self) -> watch::Receiver<u64> {
+        self.hints.subscribe()
+    }
+
+    /// Returns a random delay that spreads the calls of all hosts after a restore.
+    pub(crate) fn restore_delay(&self) -> Duration {
+        let hosts = self.steer.borrow().host_count(self.now());
+        let spread = SPREAD_PER_HOST.mul_f64(hosts as f64).min(SPREAD_MAX);
+        spread.mul_f64(rand::rng().random::<f64>())
+    }
+
+    /// Returns what the host knows of the registry, for other hosts.
+    pub(crate) fn registry_view(&self) -> RegistryView {
+        RegistryView {
+            generation: self.generations.borrow().current().known(),
+            lost_config: self.steer.borrow().lost_config(),
+        }
+    }
+
+    /// Returns whether a page that another host received in `generation` may be applied.
+    pub(crate) fn applies(&self, generation: Option<Generation>) -> bool {
+        self.generations.borrow().applies(generation)
+    }
+
+    /// Records what another host knows of the registry. If it knows more, the registry is asked at
+    /// once.
+    pub(crate) fn learn(&self, view: RegistryView) {
+        let now = self.now();
+        let restored = view
+            .generation
+            .is_some_and(|g| self.generations.borrow_mut().hint(g));
+        let configured = view
+            .lost_config
+            .is_some_and(|c| self.steer.borrow_mut().hint_config(c, now));
+        if restored || configured {
+            self.hints.send_modify(|count| *count += 1);
+        }
+    }
+}
+
 /// What the handling of a request needs.
 pub(crate) struct RequestContext {
     pub(crate) core: Rc<Core>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,6 @@
 };
 pub use connect::{CallError, Client};
 pub use logs::stdout_logger;
-pub use registry::{Entry, Fetched, Registry, RegistryError, Topic};
+pub use registry::{Answer, Entry, Fetched, Registry, RegistryError, Topic};
 pub use run::{RunError, run};
 pub use settings::{Listen, Settings};
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use wagtail_steer::{Config, EndpointRecord, HostRecord};
+use wagtail_steer::{Config, EndpointRecord, GenerationTag, HostRecord};
 use wagtail_types::{EndpointId, ZoneId};
 
 /// A set of registry entries that is followed as a unit.
@@ -67,12 +67,34 @@
     pub page: Bytes,
 }
 
+/// The end of a call to the registry.
+#[derive(Debug)]
+pub struct Answer<T> {
+    /// The generation that the answer names; [`GenerationTag::Absent`] if there is no answer.
+    pub generation: GenerationTag,
+    /// What the call returned.
+    pub result: Result<T, RegistryError>,
+}
+
+impl<T> Answer<T> {
+    /// Converts the returned value, and leaves the generation as it is.
+    pub fn and_then<U>(self, convert: impl FnOnce(T) -> Result<U, RegistryError>) -> Answer<U> {
+        Answer {
+            generation: self.generation,
+            result: self.result.and_then(convert),
+        }
+    }
+}
+
 /// The reason why a call to the registry failed.
 #[derive(Debug, Display, Error)]
 pub enum RegistryError {
     /// The registry no longer has the history after the requested version; a full read is needed.
     #[display("the history is gone")]
     HistoryGone,
+    /// The registry was restored from an older copy during a read of several pages.
+    #[display("the registry was restored during the read")]
+    Restored,
     /// The registry refused the call with an HTTP error.
     #[display("the registry answered {status}")]
     Refused {
@@ -93,26 +115,19 @@
     },
 }
 
-/// The operations on the registry that a host needs.
+/// The operations on the registry that a host needs. A call without a complete answer ends with a
+/// [`RegistryError`].
 pub trait Registry: fmt::Debug + 'static {
-    /// Reads all entries of a topic.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`RegistryError`] if no complete response arrives.
-    fn read(&self, topic: Topic) -> impl Future<Output = Result<Fetched, RegistryError>>;
+    /// Reads all entries of a topic, all of the same generation.
+    fn read(&self, topic: Topic) -> impl Future<Output = Answer<Fetched>>;
 
     /// Waits up to `wait` for changes after the version `after`.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`RegistryError`] if no complete response arrives.
     fn changes(
         &self,
         topic: Topic,
         after: u64,
         wait: Duration,
-    ) -> impl Future<Output = Result<Fetched, RegistryError>>;
+    ) -> impl Future<Output = Answer<Fetched>>;
 
     /// Decodes changes that another host has relayed.
     ///
@@ -121,17 +136,10 @@
     /// Returns [`RegistryError::BadAnswer`] if the page cannot be decoded.
     fn decode(&self, topic: Topic, page: Bytes) -> Result<Fetched, RegistryError>;
 
-    /// Registers this host.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`RegistryError`] if the write is not confirmed; it may still have taken effect.
-    fn announce(&self, host: &HostRecord) -> impl Future<Output = Result<(), RegistryError>>;
+    /// Registers this host. Without a confirmation the write may still have taken effect.
+    fn announce(&self, host: &HostRecord) -> impl Future<Output = Answer<()>>;
 
-    /// Removes the registration of this host.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`RegistryError`] if the write is not confirmed; it may still have taken effect.
-    fn withdraw(&self, host: &HostRecord) -> impl Future<Output = Result<(), RegistryError>>;
+    /// Removes the registration of this host. Without a confirmation the write may still have taken
+    /// effect.
+    fn withdraw(&self, host: &HostRecord) -> impl Future<Output = Answer<()>>;
 }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -79,7 +79,8 @@
         return Err(Reply::fail(StatusCode::BAD_REQUEST, framing_error).into());
     }
     let mut steer = context.core.steer.borrow_mut();
-    let catalog = steer.catalog().filter(|_| steer.is_initialized()).cloned();
+    let initialized = steer.is_initialized(arrived);
+    let catalog = steer.catalog().filter(|_| initialized).cloned();
     let Some(catalog) = catalog else {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Reply::refuse(status, "the host is starting", NOT_READY_WAIT).into());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -100,7 +100,7 @@
 
     spawn_local(exchange.clone().receive());
     spawn_local(exchange.clone().gossip());
-    spawn_local(register(core.clone(), registry.clone()));
+    spawn_local(register(core.clone(), exchange.clone(), registry.clone()));
     for topic in [Topic::Operator, Topic::Endpoints] {
         spawn_local(follow(
             core.clone(),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -47,7 +47,7 @@
     let record = core.steer.borrow().local_host().record.clone();
     let log = core.log.clone();
     tokio::task::spawn_local(async move {
-        if let Err(e) = registry.withdraw(&record).await {
+        if let Err(e) = registry.withdraw(&record).await.result {
             warn!(log, "host registration could not be removed"; "error" => %e);
         }
     });
--- a/crates/steer/src/config.rs
+++ b/crates/steer/src/config.rs
@@ -8,10 +8,13 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 use wagtail_types::{Bytes, Rate, RegionId, ServiceId, TeamId};
 
 /// The version of a configuration; later configurations have higher numbers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
 #[display("{_0}")]
 pub struct ConfigVersion(pub u64);
 
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 use wagtail_types::{HostId, ZoneId};
 
+use crate::config::ConfigVersion;
+use crate::generation::Generation;
+
 /// The version of the message format, sent as the first byte of every datagram.
 const FORMAT: u8 = 2;
 
@@ -90,6 +93,26 @@
     },
 }
 
+/// What a host has learned from the registry; tells other hosts that they lack something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegistryView {
+    /// The generation of the registry; `None` if its answers name none.
+    pub generation: Option<Generation>,
+    /// The configuration in force if the registry lacks it, because it was restored from an older
+    /// copy.
+    pub lost_config: Option<ConfigVersion>,
+}
+
+/// A message, and what its sender knows of the registry.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Datagram {
+    /// The message.
+    pub message: Message,
+    /// What the sender knows of the registry. Follows the message, so that builds that do not know
+    /// it ignore it; `None` in the datagrams of such builds.
+    pub registry: Option<RegistryView>,
+}
+
 /// Why a datagram cannot be encoded or decoded.
 #[derive(Debug, Display, Error)]
 pub enum MessageError {
@@ -101,14 +124,19 @@
     Codec(postcard::Error),
 }
 
-impl Message {
-    /// Encodes the message with the leading format version.
+impl Datagram {
+    /// Encodes the datagram with the leading format version.
     ///
     /// # Errors
     ///
     /// [`MessageError::Codec`] if serialization fails.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        postcard::to_extend(self, vec![FORMAT]).map_err(MessageError::Codec)
+        let bytes =
+            postcard::to_extend(&self.message, vec![FORMAT]).map_err(MessageError::Codec)?;
+        match &self.registry {
+            Some(view) => postcard::to_extend(view, bytes).map_err(MessageError::Codec),
+            None => Ok(bytes),
+        }
     }
 
     /// Decodes a datagram.
@@ -118,9 +146,14 @@
     /// [`MessageError::Format`] if the format version differs, [`MessageError::Codec`] if the bytes
     /// do not decode.
     pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
-        match bytes.split_first() {
-            Some((&FORMAT, rest)) => postcard::from_bytes(rest).map_err(MessageError::Codec),
-            _ => Err(MessageError::Format),
-        }
+        let Some((&FORMAT, rest)) = bytes.split_first() else {
+            return Err(MessageError::Format);
+        };
+        let (message, rest) = postcard::take_from_bytes(rest).map_err(MessageError::Codec)?;
+        let registry = match rest {
+            [] => None,
+            rest => Some(postcard::from_bytes(rest).map_err(MessageError::Codec)?),
+        };
+        Ok(Self { message, registry })
     }
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,9 +8,11 @@
 mod catalog;
 mod cold;
 mod config;
+mod cursor;
 mod digest;
 mod endpoint;
 mod estimate;
+mod generation;
 mod hash;
 mod peers;
 mod placement;
@@ -30,8 +32,10 @@
     ApiKey, Config, ConfigError, ConfigVersion, Limits, RetryPolicy, Route, RouteId, Service, Team,
     WeightedService,
 };
-pub use digest::{Digest, HostState, Message, MessageError};
+pub use cursor::{Cursor, Extent};
+pub use digest::{Datagram, Digest, HostState, Message, MessageError, RegistryView};
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
+pub use generation::{Generation, GenerationTag, GenerationTracker, Observation};
 pub use peers::{HostRecord, Peer, Peers};
 pub use placement::{Choice, Placement, PlacementRequest, RejectionReason};
 pub use quota::TokenOutcome;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -228,6 +228,12 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Returns whether a digest is of a process of its host that no digest has come from yet.
+    pub fn is_new_process(&self, digest: &Digest) -> bool {
+        let peer = self.by_id.get(&digest.host);
+        peer.is_none_or(|p| p.last_digest.is_none() || p.started != digest.started)
+    }
+
     /// Returns the state in a host's last digest.
     pub(crate) fn last_state(&self, id: &HostId) -> Option<HostState> {
         self.by_id.get(id).and_then(|p| p.state)
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -3,6 +3,7 @@
 mod balance;
 pub(crate) mod fleet;
 pub(crate) mod requests;
+mod restore;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -26,6 +27,7 @@
 use crate::settings::Settings;
 use crate::shift::ShiftLimiter;
 use crate::split::WeightedSplit;
+use crate::steer::restore::Restore;
 use crate::warm::WarmCapacity;
 
 /// How long the limit on moving traffic between regions stays suspended after endpoints are lost.
@@ -82,6 +84,8 @@
     hosts_known: bool,
     /// When the registry last recovered from an outage.
     recovered_at: Option<Instant>,
+    /// What is kept in case the registry is restored from an older copy.
+    restore: Restore,
     /// Objects that recently became warm, as (time, endpoint hash, object hash), to report in
     /// digests.
     newly_warm: VecDeque<(Instant, u32, u32)>,
@@ -118,6 +122,7 @@
             sequence: 0,
             hosts_known: false,
             recovered_at: None,
+            restore: Restore::default(),
             newly_warm: VecDeque::new(),
         }
     }
@@ -147,6 +152,16 @@
         self.endpoints.get(key)
     }
 
+    /// Returns all registered endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns whether a zone is evacuated.
+    pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        self.evacuated.contains(zone)
+    }
+
     /// Returns the number of registered endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
@@ -160,6 +175,7 @@
     /// [`ConfigError`] if the configuration is inconsistent; the current one stays in force.
     pub fn configure(&mut self, config: Config) -> Result<Option<ConfigVersion>, ConfigError> {
         let version = config.version;
+        self.restore.stored_config = Some(version);
         if self
             .catalog
             .as_ref()
@@ -174,6 +190,7 @@
     /// Starts or ends the evacuation of a zone. Returns `false` if the zone was in that state
     /// already.
     pub fn evacuate(&mut self, zone: &ZoneId, on: bool, now: Instant) -> bool {
+        self.restore.confirm_evacuation(zone);
         if on {
             self.shift_limiter.suspend(now + SUSPENSION);
             return self.evacuated.insert(zone.clone());
@@ -234,6 +251,7 @@
         }
         let id = record.id.clone();
         let service = record.service.clone();
+        self.restore.forget_departure(&id);
         let mut endpoint = Endpoint::new(record, region, location, now);
         endpoint.record_peer_load(self.peers.peer_load(endpoint.hash), now);
         let hash = endpoint.hash;
@@ -276,6 +294,7 @@
 
     fn remove_endpoint(&mut self, key: EndpointKey, now: Instant) {
         if let Some(endpoint) = self.endpoints.remove(key) {
+            self.restore.record_departure(&endpoint.record, now);
             if endpoint.record.state == EndpointState::Ready {
                 self.shift_limiter.suspend(now + SUSPENSION);
             }
@@ -294,10 +313,15 @@
         self.recovered_at = Some(now);
     }
 
-    /// Returns whether the host knows enough to serve callers: a configuration, at least one
-    /// endpoint, and the other hosts that share the limits.
-    pub fn is_initialized(&self) -> bool {
-        self.catalog.is_some() && self.hosts_known && !self.endpoints.is_empty()
+    /// Returns whether the host knows enough to serve callers: a configuration that is not older
+    /// than those of its peers, at least one endpoint, and the other hosts that share the limits.
+    pub fn is_initialized(&self, now: Instant) -> bool {
+        let Some(catalog) = &self.catalog else {
+            return false;
+        };
+        self.hosts_known
+            && !self.endpoints.is_empty()
+            && !self.restore.awaits_config(catalog.version(), now)
     }
 
     /// Returns the endpoints that are due for a health check, because they were unreachable or
--- a/crates/steer/tests/steer/fleet.rs
+++ b/crates/steer/tests/steer/fleet.rs
@@ -2,33 +2,66 @@
 
 use std::time::Duration;
 
-use wagtail_steer::{Follower, HostState, Message};
+use wagtail_steer::{
+    ConfigVersion, Datagram, Follower, Generation, HostState, Message, RegistryView,
+};
 use wagtail_types::{Clock, ManualClock};
 
 use crate::support::{addr, exchange, name, steer};
 
+const VIEW: RegistryView = RegistryView {
+    generation: Some(Generation(300)),
+    lost_config: Some(ConfigVersion(7)),
+};
+
+fn digest(registry: Option<RegistryView>, clock: &ManualClock) -> Datagram {
+    let digest = steer("host", "a1", 100).next_digest(HostState::Ready, clock.now());
+    Datagram {
+        message: Message::Digest(digest),
+        registry,
+    }
+}
+
 #[test]
 fn a_digest_round_trips() {
     let clock = ManualClock::new();
-    let digest =
-        Message::Digest(steer("host", "a1", 100).next_digest(HostState::Ready, clock.now()));
-    let bytes = digest.encode().expect("it encodes");
-    assert_eq!(Message::decode(&bytes).expect("it decodes"), digest);
+    for registry in [None, Some(VIEW)] {
+        let digest = digest(registry, &clock);
+        let bytes = digest.encode().expect("it encodes");
+        assert_eq!(Datagram::decode(&bytes).expect("it decodes"), digest);
+    }
 }
 
 #[test]
 fn invalid_datagrams_are_rejected() {
     let clock = ManualClock::new();
-    let digest =
-        Message::Digest(steer("host", "a1", 100).next_digest(HostState::Ready, clock.now()));
-    let bytes = digest.encode().expect("it encodes");
-    assert!(Message::decode(&[]).is_err());
-    assert!(Message::decode(&[9; 40]).is_err());
+    let bytes = digest(None, &clock).encode().expect("it encodes");
+    assert!(Datagram::decode(&[]).is_err());
+    assert!(Datagram::decode(&[9; 40]).is_err());
     for end in 0..bytes.len() {
-        assert!(Message::decode(&bytes[..end]).is_err(), "cut at {end}");
+        assert!(Datagram::decode(&bytes[..end]).is_err(), "cut at {end}");
+    }
+    let longer = digest(Some(VIEW), &clock).encode().expect("it encodes");
+    for end in bytes.len() + 1..longer.len() {
+        assert!(Datagram::decode(&longer[..end]).is_err(), "cut at {end}");
     }
 }
 
+/// Hosts of builds before and after the view of the registry was added run side by side during a
+/// rolling restart.
+#[test]
+fn a_message_reads_the_same_without_the_view_of_the_registry() {
+    let clock = ManualClock::new();
+    let (old, new) = (digest(None, &clock), digest(Some(VIEW), &clock));
+    let (old_bytes, new_bytes) = (
+        old.encode().expect("it encodes"),
+        new.encode().expect("it encodes"),
+    );
+    assert!(new_bytes.starts_with(&old_bytes));
+    let decoded = Datagram::decode(&old_bytes).expect("it decodes");
+    assert_eq!((decoded.message, decoded.registry), (new.message, None));
+}
+
 #[test]
 fn an_older_digest_does_not_replace_a_newer_one() {
     let clock = ManualClock::new();
--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -5,5 +5,7 @@
 mod fleet;
 mod limits;
 mod patterns;
+mod registry_model;
+mod restore;
 mod simulation;
 mod support;
