--- a/crates/route/src/router/place.rs
+++ b/crates/route/src/router/place.rs
@@ -27,6 +27,7 @@
     max_delay: Duration,
     leave_zone: bool,
     allow_queueing: bool,
+    allow_expired: bool,
 }
 
 impl RelayScope {
@@ -36,6 +37,7 @@
             max_delay,
             leave_zone: false,
             allow_queueing: false,
+            allow_expired: false,
         }
     }
 
@@ -48,6 +50,15 @@
         }
     }
 
+    /// Also allows peers whose adverts have expired, since no host is known to hold slots. Adverts may
+    /// be late although their hosts are alive, and a peer without slots refuses.
+    fn with_expired(max_delay: Duration) -> Self {
+        Self {
+            allow_expired: true,
+            ..Self::with_queues(max_delay)
+        }
+    }
+
     /// Allows free slots outside the local zone.
     fn other_zones() -> Self {
         Self {
@@ -86,6 +97,12 @@
                 let scope = is_long.then_some(RelayScope::with_queues(max_delay))?;
                 self.relay(now, request, scope)
             });
+            let found = found.or_else(|| {
+                let scope = availability
+                    .is_none()
+                    .then_some(RelayScope::with_expired(max_delay))?;
+                self.relay(now, request, scope)
+            });
             if let Some(permit) = found {
                 return Placement::Relay(permit);
             }
@@ -182,6 +199,7 @@
             max_delay: scope.max_delay,
             leave_zone: scope.leave_zone,
             allow_queueing: scope.allow_queueing,
+            allow_expired: scope.allow_expired,
         };
         self.spillover.choose(now, &filter, &mut self.rng)
     }
@@ -311,6 +329,7 @@
             max_delay: Duration::MAX,
             leave_zone: false,
             allow_queueing: true,
+            allow_expired: false,
         };
         if request.origin == Origin::Local && any_excluded && self.spillover.has_offer(now, &filter)
         {
--- a/crates/route/src/spillover.rs
+++ b/crates/route/src/spillover.rs
@@ -63,6 +63,8 @@
     pub(crate) leave_zone: bool,
     /// Whether peers count that hold slots of which none is free now.
     pub(crate) allow_queueing: bool,
+    /// Whether expired adverts count as well, as those of peers without a free slot.
+    pub(crate) allow_expired: bool,
 }
 
 impl Spillover {
@@ -277,9 +279,12 @@
             || filter.tried.contains(&peer.zone)
             || (filter.leave_zone && peer.zone == self.zone)
             || !filter.regions[peer.region];
+        if excluded {
+            return 0;
+        }
         match self.fresh_offer(now, filter.service, peer) {
-            Some(free) if !excluded => free.max(u32::from(filter.allow_queueing)),
-            _ => 0,
+            Some(free) => free.max(u32::from(filter.allow_queueing)),
+            None => u32::from(filter.allow_expired && peer.offer(filter.service).is_some()),
         }
     }
 
--- a/crates/route/tests/route/relay.rs
+++ b/crates/route/tests/route/relay.rs
@@ -67,6 +67,29 @@
     );
 }
 
+/// Adverts stop for a while when processes are paused or datagrams are lost. A host without slots of its
+/// own must not refuse what a peer can still run; a peer that refuses is not asked again.
+#[test]
+fn a_host_without_slots_relays_on_expired_adverts() {
+    let mut single = SingleHost::with_defaults(one_zone(1, 1));
+    add_peers(&mut single);
+    single.router.handle(single.now, Input::Leaving(id("e0")));
+    let none = single.place();
+    assert!(
+        matches!(none, Placement::Refuse(_)),
+        "no peer has ever offered a slot"
+    );
+    advert(&mut single, "two", 1, ms(5_000));
+    let Placement::Relay(permit) = single.place() else {
+        panic!("the peer held slots");
+    };
+    assert_eq!(permit.host.as_str(), "two");
+    single
+        .router
+        .finish_relay(single.now, permit, RelayResult::NoSlot);
+    assert!(matches!(single.place(), Placement::Refuse(_)));
+}
+
 #[test]
 fn extreme_adverts_are_bounded() {
     let mut single = SingleHost::with_defaults(one_zone(1, 1));
