--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -6,9 +6,7 @@
 use http::{Method, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use wagtail_steer::{
-    Choice, EndpointKey, Load, Outcome, Placement, PlacementRequest, RejectionReason,
-};
+use wagtail_steer::{Choice, EndpointKey, Outcome, Placement, PlacementRequest, RejectionReason};
 
 use super::admit::Job;
 use super::in_flight::InFlight;
@@ -300,7 +298,8 @@
             } else {
                 Outcome::Shed
             };
-            progress.retry_after = Some(retry_after_shed(received.info.load));
+            let load = received.info.load;
+            progress.retry_after = Some(load.map_or(DEFAULT_RETRY_WAIT, |l| l.retry_after()));
             in_flight.complete(outcome, None, received.info.load);
             None
         }
@@ -313,14 +312,6 @@
     }
 }
 
-/// Returns the time after which an endpoint that refused a request may have capacity again, by the
-/// length of its queue.
-fn retry_after_shed(load: Option<Load>) -> Duration {
-    load.map_or(DEFAULT_RETRY_WAIT, |l| {
-        DEFAULT_RETRY_WAIT.mul_f64(1.0 + f64::from(l.waiting) / f64::from(l.slots.max(1)))
-    })
-}
-
 /// Builds the reply that forwards a response of an endpoint to the caller.
 fn forward(received: ReceivedResponse, head: &request::Parts) -> Reply {
     let mut headers = received.head.headers;
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -27,6 +27,11 @@
 /// The longest time for which such a count is used if no peer has reported on the endpoint since; a
 /// few digest periods.
 const LOAD_MAX_AGE: Duration = Duration::from_secs(1);
+/// The wait after a refusal by an endpoint whose slots are busy and whose queue is empty.
+const FULL_RETRY_WAIT: Duration = Duration::from_millis(300);
+/// The wait after a refusal by an endpoint with a free slot; short, so that the caller can still be
+/// answered within its target latency.
+const FREE_SLOT_RETRY_WAIT: Duration = Duration::from_millis(30);
 /// The time between two health checks of an unreachable endpoint.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
@@ -72,6 +77,17 @@
     pub slots: u32,
 }
 
+impl Load {
+    /// Returns the time after which the endpoint may accept a request, if it has refused one with
+    /// these counts: in proportion to its queue, or at once if it refused in spite of a free slot.
+    pub fn retry_after(&self) -> Duration {
+        if self.running < self.slots {
+            return FREE_SLOT_RETRY_WAIT;
+        }
+        FULL_RETRY_WAIT.mul_f64(1.0 + f64::from(self.waiting) / f64::from(self.slots.max(1)))
+    }
+}
+
 /// How a request at an endpoint ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -2,9 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use wagtail_steer::Load;
 use wagtail_types::Clock;
 
-use crate::simulation::{Simulation, Totals};
+use crate::simulation::{Simulation, Totals, WARM_RUN};
+use crate::support::TARGET_LATENCY;
 
 const WARM_UP: Duration = Duration::from_secs(6);
 const SPAN: Duration = Duration::from_secs(20);
@@ -143,6 +145,24 @@
     assert!(fraction(totals.rejected, &totals) < 0.005, "{totals:?}");
 }
 
+/// Endpoints refuse more than half of all requests in spite of free slots. A caller that meets only
+/// refusals comes back once, early enough to be answered in time; a full endpoint asks for a longer
+/// wait the longer its queue is.
+#[test]
+fn callers_refused_despite_a_free_slot_can_return_in_time() {
+    let load = |running, waiting| Load {
+        running,
+        waiting,
+        slots: 3,
+    };
+    // The wait is extended by up to a half, and the caller needs two round trips to come back.
+    let returns = load(2, 0).retry_after().mul_f64(1.5) + Duration::from_millis(10);
+    assert!(returns + WARM_RUN < TARGET_LATENCY, "{returns:?}");
+    let full = [0, 3, 9].map(|waiting| load(3, waiting).retry_after());
+    assert!(full.is_sorted() && full[0] < full[2], "{full:?}");
+    assert!(full[0] > load(2, 0).retry_after(), "{full:?}");
+}
+
 /// Two regions' demand swings by half in opposite phase, so that each exceeds its own slots in turn
 /// and must use the other's.
 #[test]
--- a/crates/steer/tests/steer/simulation.rs
+++ b/crates/steer/tests/steer/simulation.rs
@@ -15,7 +15,7 @@
 /// The run time if the object is not cached at the endpoint.
 const COLD_RUN: Duration = Duration::from_millis(640);
 /// The run time if the object is cached.
-const WARM_RUN: Duration = Duration::from_millis(192);
+pub(crate) const WARM_RUN: Duration = Duration::from_millis(192);
 /// The number of objects that an endpoint caches.
 const CACHE_SIZE: usize = 25;
 /// The time step of the simulation.
