--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -14,6 +14,7 @@
 mod estimate;
 mod generation;
 mod hash;
+mod overload;
 mod peers;
 mod placement;
 mod quota;
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -126,6 +126,8 @@
     pub(crate) slots: f64,
     /// The number of usable endpoints.
     pub(crate) endpoints: usize,
+    /// Whether all endpoints of the region together have had more requests than slots.
+    pub(crate) overloaded: bool,
 }
 
 impl RegionUsage {
@@ -314,6 +316,9 @@
         utility,
         ranking: utility - value * endpoint.refusal_rate(context.now),
         wait,
-        warms_up: preference == Some(0) && !warm,
+        // Warming an object takes the slots of several runs with warm objects.
+        warms_up: preference == Some(0)
+            && !warm
+            && !context.usage[endpoint.location.region].overloaded,
     }
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -20,6 +20,7 @@
 };
 use crate::estimate::Estimates;
 use crate::hash::short_hash;
+use crate::overload::OverloadMeter;
 use crate::peers::{HostRecord, Peers};
 use crate::quota::Quota;
 use crate::rate::RateMeter;
@@ -75,6 +76,7 @@
     estimates: Estimates,
     shift_limiter: ShiftLimiter,
     weights: RegionWeights,
+    overload: OverloadMeter,
     warm_capacity: HashMap<ServiceId, WarmCapacity>,
     /// The number of requests without an object that were placed so far; wraps around.
     unkeyed_count: u32,
@@ -117,6 +119,7 @@
             estimates: Estimates::default(),
             shift_limiter,
             weights: RegionWeights::default(),
+            overload: OverloadMeter::default(),
             warm_capacity: HashMap::new(),
             unkeyed_count: 0,
             sequence: 0,
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -8,6 +8,7 @@
 use super::Steer;
 use crate::endpoint::EndpointState;
 use crate::estimate::{COLD_RUN_GUESS, WARM_RUN_GUESS};
+use crate::placement::RegionUsage;
 use crate::rate::arrival_hash;
 use crate::regions::{RegionLoad, ShiftLimit};
 
@@ -107,14 +108,22 @@
                 load.demand = self.demand(service, None, region, first_request, now) * slot_time;
                 load.pinned = self.pinned_demand(service, region, first_request, now) * slot_time;
             }
+            let mut usage = vec![RegionUsage::default(); self.regions.len()];
             for endpoint in keys.iter().map(|&k| &self.endpoints[k]) {
                 let record = &endpoint.record;
                 let excluded = self.evacuated.contains(&record.zone) || endpoint.is_unavailable();
                 if record.state == EndpointState::Ready && !excluded {
                     let slots = f64::from(record.slots) / endpoint.slowness(now).max(1.0);
                     loads.entry(endpoint.region.clone()).or_default().slots += slots;
+                    let region = &mut usage[endpoint.location.region];
+                    region.busy += endpoint.outstanding(now);
+                    region.slots += f64::from(record.slots);
                 }
             }
+            for (i, region) in usage.iter().enumerate().filter(|(_, r)| r.slots > 0.0) {
+                let utilization = region.busy / region.slots;
+                self.overload.record(service, i, utilization, now);
+            }
             let limit = ShiftLimit {
                 first_request,
                 max_shift,
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -107,6 +107,9 @@
             region.slots += slots;
             region.endpoints += 1;
         }
+        for (i, region) in usage.iter_mut().enumerate() {
+            region.overloaded = self.overload.is_overloaded(request.service, i);
+        }
         let point = self.point(request);
         let primary = self.primary(request, &usage, point);
         let context = PlacementContext {
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -81,6 +81,27 @@
     assert!(late * 5 <= unavoidable * 6, "{late} of {unavoidable}");
 }
 
+/// From its start a region has many more requests than its slots carry. Warming an object takes the slots of
+/// three warm runs, so that hosts must not go on warming until nothing else runs: after two seconds, four
+/// fifths of the slots' warm runs must be answered in time.
+#[test]
+fn an_overloaded_region_does_not_warm_further_objects() {
+    let mut in_time = 0;
+    for seed in 1..=8 {
+        let mut simulation = Simulation::new(&["a1", "a2"], &[("a1", 1), ("a2", 1)]);
+        simulation.seed = seed;
+        simulation.run(Duration::from_secs(2), 45, |_, _| 60.0);
+        simulation.totals = Totals::default();
+        simulation.run(SPAN, 45, |_, _| 60.0);
+        in_time += simulation.totals.in_time;
+    }
+    let capacity = 8.0 * 6.0 / WARM_RUN.as_secs_f64() * SPAN.as_secs_f64();
+    assert!(
+        f64::from(in_time) > 0.8 * capacity,
+        "{in_time} of {capacity}"
+    );
+}
+
 /// All hosts restart near full load and lose their state, while the endpoints keep their warm
 /// objects. The first runs say nothing about run times without a warm object, but requests must
 /// find the endpoints where their objects are warm again. Nine tenths of the earlier rate of timely
