--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -93,9 +93,16 @@
     } else {
         let timeout = CONNECT_TIMEOUT.min(job.deadline.saturating_duration_since(now));
         context.core.metrics.count("connections", "endpoint");
-        open(addr, timeout)
+        let sender = open(addr, timeout)
             .await
-            .map_err(|e| AttemptError::Unreachable(e.to_string()))?
+            .map_err(|e| AttemptError::Unreachable(e.to_string()))?;
+        let elapsed = context.core.now().duration_since(now);
+        context
+            .core
+            .steer
+            .borrow_mut()
+            .record_connection(to, elapsed);
+        sender
     };
     let remaining = job.deadline.saturating_duration_since(context.core.now());
     let team = job.team.as_ref().map(|t| &t.id);
--- a/crates/steer/src/config.rs
+++ b/crates/steer/src/config.rs
@@ -102,6 +102,17 @@
     pub permitted_regions: Vec<RegionId>,
 }
 
+impl Route {
+    /// Returns the number of round trips that a request needs: one more for a new connection if it
+    /// must not run twice, as a pooled connection may have failed unnoticed.
+    pub(crate) fn round_trips(&self) -> f64 {
+        match self.retry {
+            RetryPolicy::Safe => 1.0,
+            RetryPolicy::AtMostOnce => 2.0,
+        }
+    }
+}
+
 /// Properties that all endpoints of a service share.
 #[derive(Debug, Clone)]
 pub struct Service {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -20,6 +20,7 @@
 mod quota;
 mod rate;
 mod regions;
+mod round_trip;
 mod settings;
 mod shift;
 mod split;
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -9,15 +9,13 @@
 use crate::endpoint::{Distance, Endpoint, EndpointKey};
 use crate::estimate::Expected;
 use crate::hash::rendezvous_score;
+use crate::round_trip::RoundTrips;
 use crate::warm::WarmCapacity;
 
 /// The cost of traffic between zones of a region, as a fraction of a request's value.
 const ZONE_COST: f64 = 0.02;
 /// The cost of traffic between regions, as a fraction of a request's value.
 const REGION_COST: f64 = 0.06;
-/// Assumed round-trip times within a zone, between zones of a region and between regions, in
-/// seconds.
-const ROUND_TRIPS: [f64; 3] = [0.001, 0.004, 0.045];
 /// The spread of run times around their estimate, as a fraction of it.
 const RUN_TIME_SPREAD: f64 = 0.2;
 /// The bonus for an object's first and second preferred endpoint over others that are otherwise
@@ -114,6 +112,7 @@
     pub(crate) warm_capacity: Option<&'a WarmCapacity>,
     pub(crate) expected: Expected,
     pub(crate) late_utility: f64,
+    pub(crate) round_trips: &'a RoundTrips,
     /// The slot usage of the usable endpoints, by region index.
     pub(crate) usage: &'a [RegionUsage],
     pub(crate) now: Instant,
@@ -270,12 +269,13 @@
     } else {
         (in_flight - slots + 1.0) / slots * mean_run * slowdown
     };
-    let (round_trip, traffic_cost) = match endpoint.location.distance {
-        Distance::SameZone => (ROUND_TRIPS[0], 0.0),
-        Distance::SameRegion => (ROUND_TRIPS[1], ZONE_COST),
-        Distance::OtherRegion => (ROUND_TRIPS[2], REGION_COST),
+    let traffic_cost = match endpoint.location.distance {
+        Distance::SameZone => 0.0,
+        Distance::SameRegion => ZONE_COST,
+        Distance::OtherRegion => REGION_COST,
     };
-    let total = wait + run_time + round_trip;
+    let way = route.round_trips() * context.round_trips.get(endpoint.location);
+    let total = wait + run_time + way;
     let slack = target_latency - request.elapsed.as_secs_f64();
     let spread = RUN_TIME_SPREAD * (run_time + wait) + 0.01;
     // The probability of an answer within the target latency, if response times are distributed
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -25,6 +25,7 @@
 use crate::quota::Quota;
 use crate::rate::RateMeter;
 use crate::regions::RegionWeights;
+use crate::round_trip::RoundTrips;
 use crate::settings::Settings;
 use crate::shift::ShiftLimiter;
 use crate::split::WeightedSplit;
@@ -77,6 +78,7 @@
     shift_limiter: ShiftLimiter,
     weights: RegionWeights,
     overload: OverloadMeter,
+    round_trips: RoundTrips,
     warm_capacity: HashMap<ServiceId, WarmCapacity>,
     /// The number of requests without an object that were placed so far; wraps around.
     unkeyed_count: u32,
@@ -120,6 +122,7 @@
             shift_limiter,
             weights: RegionWeights::default(),
             overload: OverloadMeter::default(),
+            round_trips: RoundTrips::default(),
             warm_capacity: HashMap::new(),
             unkeyed_count: 0,
             sequence: 0,
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -121,6 +121,7 @@
                 request.service,
             ),
             late_utility: self.settings.late_utility,
+            round_trips: &self.round_trips,
             usage: &usage,
             now,
         };
@@ -229,6 +230,13 @@
         usable
     }
 
+    /// Records how long a connection to an endpoint took to open.
+    pub fn record_connection(&mut self, key: EndpointKey, time: Duration) {
+        if let Some(endpoint) = self.endpoints.get(key) {
+            self.round_trips.learn(endpoint.location, time);
+        }
+    }
+
     /// Records the end of a request at an endpoint.
     pub fn finish(&mut self, completion: &Completion<'_>, now: Instant) {
         let &Completion {
@@ -279,6 +287,9 @@
         let Some(endpoint) = self.endpoints.get_mut(choice.key) else {
             return;
         };
+        let round_trip = self.round_trips.learned(endpoint.location).unwrap_or(0.0);
+        let way = route.round_trips() * round_trip;
+        let response_time = (response_time - way).max(0.0);
         let service = endpoint.record.service.clone();
         let observed = self
             .estimates
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -151,6 +151,27 @@
     assert!(chosen(place(&mut host, &clock)).is_some());
 }
 
+/// Two remote regions have equal endpoints, but one is so far away that its answers are late. Hosts must
+/// learn that from the time in which connections open.
+#[test]
+fn requests_go_to_the_nearer_of_two_remote_regions() {
+    let clock = ManualClock::new();
+    let mut host = steer("host", "a1", 100);
+    host.configure(config(1)).expect("a valid configuration");
+    let mut key = |id, zone| host.register(endpoint(id, zone, 9), clock.now());
+    let near = key("near", "c1").expect("a known zone");
+    let far = key("far", "b1").expect("a known zone");
+    for _ in 0..5 {
+        host.record_connection(near, Duration::from_millis(20));
+        host.record_connection(far, Duration::from_millis(250));
+    }
+    for _ in 0..20 {
+        let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
+        assert_eq!(choice.key, near);
+        finish(&mut host, &choice, Outcome::Answered, &clock);
+    }
+}
+
 /// Guards against too many requests in a cold start: all hosts together must stay below the
 /// endpoint's cold rate, times a factor plus a slack, in every second.
 #[test]
