--- a/crates/peer/src/secret.rs
+++ b/crates/peer/src/secret.rs
@@ -8,7 +8,7 @@
 use subtle::ConstantTimeEq;
 
 const BLOCK_BYTES: usize = 64;
-const MIN_CHARS: usize = 16;
+const MIN_BYTES: usize = 16;
 
 /// A message authentication code: only a holder of the secret can compute it.
 pub(crate) type Mac = [u8; 32];
@@ -19,14 +19,14 @@
 
 /// Error of parsing a fleet secret that is too short.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("a fleet secret needs at least {MIN_CHARS} characters")]
+#[display("a fleet secret needs at least {MIN_BYTES} bytes")]
 pub struct SecretError;
 
 impl FromStr for FleetSecret {
     type Err = SecretError;
 
     fn from_str(text: &str) -> Result<Self, SecretError> {
-        if text.len() < MIN_CHARS {
+        if text.len() < MIN_BYTES {
             return Err(SecretError);
         }
         Ok(Self(text.as_bytes().into()))
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -395,10 +395,8 @@
     }
 
     fn find_mut(&mut self, id: &EndpointId) -> Option<&mut Endpoint> {
-        self.endpoints
-            .iter_mut()
-            .find(|(_, e)| e.id == *id)
-            .map(|(_, e)| e)
+        let key = self.find(id)?;
+        self.endpoints.get_mut(key)
     }
 }
 
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -81,18 +81,17 @@
 
     /// Replaces the faults in force.
     pub fn set(&self, faults: Faults) {
-        let mut state = self.lock();
-        if state.faults.stale != faults.stale {
-            self.memory.freeze_reads(faults.stale);
-        }
-        state.faults = faults;
+        self.update(|current| *current = faults);
     }
 
     /// Changes the faults in force.
     pub fn update(&self, change: impl FnOnce(&mut Faults)) {
-        let mut faults = self.get();
-        change(&mut faults);
-        self.set(faults);
+        let mut state = self.lock();
+        let before = state.faults.stale;
+        change(&mut state.faults);
+        if state.faults.stale != before {
+            self.memory.freeze_reads(state.faults.stale);
+        }
     }
 
     /// Returns the counters.
--- a/crates/types/src/rate.rs
+++ b/crates/types/src/rate.rs
@@ -49,11 +49,14 @@
         Self(self.0.saturating_sub(other.0))
     }
 
-    /// Returns the fraction `num / den` of the count, rounded down, or zero if `den` is 0 or the
-    /// result does not fit.
+    /// Returns the fraction `num / den` of the count, rounded down; zero if `den` is 0. A
+    /// result that does not fit becomes the largest value.
     #[must_use]
     pub fn part(self, num: u64, den: u64) -> Self {
-        mul_div(self.0, num, u128::from(den)).map_or(Self::ZERO, Self)
+        if den == 0 {
+            return Self::ZERO;
+        }
+        Self(mul_div(self.0, num, u128::from(den)).unwrap_or(u64::MAX))
     }
 }
 
@@ -143,11 +146,14 @@
         ))
     }
 
-    /// Returns the fraction `num / den` of the rate, rounded down, or zero if `den` is 0 or the
-    /// result does not fit.
+    /// Returns the fraction `num / den` of the rate, rounded down; zero if `den` is 0. A
+    /// result that does not fit becomes the largest value.
     #[must_use]
     pub fn part(self, num: u64, den: u64) -> Self {
-        mul_div(self.0, num, u128::from(den)).map_or(Self::ZERO, Self)
+        if den == 0 {
+            return Self::ZERO;
+        }
+        Self(mul_div(self.0, num, u128::from(den)).unwrap_or(u64::MAX))
     }
 }
 
--- a/crates/types/tests/parse.rs
+++ b/crates/types/tests/parse.rs
@@ -102,3 +102,15 @@
         }
     }
 }
+
+/// A part that does not fit must not become zero, which would refuse everything.
+#[test]
+fn parts_of_rates_and_tokens_saturate() {
+    let rate = Rate::per_second(1_000_000);
+    assert_eq!(rate.part(1, 4), Rate::per_second(250_000));
+    assert_eq!(rate.part(1, 0), Rate::ZERO);
+    assert!(rate.part(u64::MAX, 1) > rate);
+    let tokens = Tokens::whole(1_000_000);
+    assert_eq!(tokens.part(1, 0), Tokens::ZERO);
+    assert!(tokens.part(u64::MAX, 1) > tokens);
+}
