--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -39,8 +39,9 @@
 const FREE_UTILIZATION: f64 = 0.5;
 /// The cost of slot time at full utilization, per run time of a request with a warm object.
 const SLOT_TIME_COST: f64 = 0.35;
-/// The shortest retry time that is given to a rejected caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// The shortest retry time that is given to a rejected caller, as a fraction of the target latency;
+/// short, so that the caller can come back and still be answered in time.
+const MIN_RETRY_AFTER: f64 = 0.1;
 
 /// A request that needs an endpoint.
 #[derive(Debug)]
@@ -215,8 +216,9 @@
             } else {
                 RejectionReason::TooLate
             };
+            let min_retry_after = request.route.target_latency.mul_f64(MIN_RETRY_AFTER);
             let retry_after =
-                Duration::from_secs_f64(shortest_wait.clamp(0.0, 10.0)).max(MIN_RETRY_AFTER);
+                Duration::from_secs_f64(shortest_wait.clamp(0.0, 10.0)).max(min_retry_after);
             Placement::Reject {
                 reason,
                 retry_after,
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -184,6 +184,25 @@
     assert!(full[0] > load(2, 0).retry_after(), "{full:?}");
 }
 
+/// A burst finds all slots busy for a moment. A caller that is refused comes back once, and must not be
+/// told to stay away until its answer is late anyway: when slots are about to become free, it must be
+/// able to return and be answered in time.
+#[test]
+fn callers_refused_in_a_burst_can_return_in_time() {
+    let mut simulation = Simulation::new(&["a1", "a2"], &[("a1", 3), ("a2", 3)]);
+    simulation.run(WARM_UP, 24, |_, _| 25.0);
+    simulation.waits.clear();
+    simulation.run(Duration::from_secs(2), 24, |_, _| 120.0);
+    let in_time = |wait: &&Duration| wait.mul_f64(1.5) + WARM_RUN < TARGET_LATENCY;
+    let count = simulation.waits.iter().filter(in_time).count();
+    assert!(!simulation.waits.is_empty());
+    assert!(
+        count * 2 > simulation.waits.len(),
+        "{count} of {}",
+        simulation.waits.len()
+    );
+}
+
 /// Two regions' demand swings by half in opposite phase, so that each exceeds its own slots in turn
 /// and must use the other's.
 #[test]
--- a/crates/steer/tests/steer/simulation.rs
+++ b/crates/steer/tests/steer/simulation.rs
@@ -105,6 +105,8 @@
     /// The seed, and later the state, of the random number generator.
     pub(crate) seed: u64,
     pub(crate) totals: Totals,
+    /// The retry times that rejected callers were given.
+    pub(crate) waits: Vec<Duration>,
 }
 
 impl Simulation {
@@ -139,6 +141,7 @@
             sent: Vec::new(),
             seed: 1,
             totals: Totals::default(),
+            waits: Vec::new(),
         };
         simulation.restart_hosts();
         simulation
@@ -222,8 +225,12 @@
                 elapsed: Duration::ZERO,
                 remaining: self.route.timeout,
             };
-            let Placement::Send(choice) = self.hosts[host].place(&request, now) else {
-                break;
+            let choice = match self.hosts[host].place(&request, now) {
+                Placement::Send(choice) => choice,
+                Placement::Reject { retry_after, .. } => {
+                    self.waits.push(retry_after);
+                    break;
+                }
             };
             let id = self.id(host, choice.key);
             let at = self.servers.iter().position(|s| s.record.id == id);
