--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -39,6 +39,45 @@
     })
 }
 
+/// A chart with named series of points.
+#[derive(Debug, Default)]
+pub struct Panel {
+    /// The caption.
+    pub title: String,
+    /// The meaning of the horizontal axis.
+    pub x_axis: String,
+    /// The meaning of the vertical axis.
+    pub y_axis: String,
+    /// The series in the order of their legend, at most four.
+    pub series: Vec<(String, Vec<(f64, f64)>)>,
+}
+
+/// Draws charts, one below the other, into an SVG file.
+///
+/// # Errors
+///
+/// Returns an error if the file cannot be written.
+pub fn plot_panels(panels: &[Panel], file: &Path) -> Result<(), PlotError> {
+    draw_panels(panels, file).map_err(|error| PlotError {
+        reason: error.to_string(),
+    })
+}
+
+fn draw_panels(panels: &[Panel], file: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(file, (WIDTH, HEIGHT)).into_drawing_area();
+    root.fill(&WHITE)?;
+    for (panel, area) in panels.iter().zip(root.split_evenly((panels.len(), 1))) {
+        let series = panel
+            .series
+            .iter()
+            .map(|(name, points)| (name.as_str(), points.clone()));
+        let series: Vec<_> = series.collect();
+        lines(&area, [&panel.title, &panel.x_axis, &panel.y_axis], &series)?;
+    }
+    root.present()?;
+    Ok(())
+}
+
 fn draw(measures: &Measures, title: &str, file: &Path) -> Result<(), Box<dyn std::error::Error>> {
     let root = SVGBackend::new(file, (WIDTH, HEIGHT)).into_drawing_area();
     root.fill(&WHITE)?;
@@ -69,23 +108,23 @@
         ("answered", over_time(seconds, |s| s.answered as f64)),
         ("refused", over_time(seconds, |s| s.refused as f64)),
     ];
-    lines(area, title, "requests a second", &series)
+    lines(area, [title, "seconds", "requests a second"], &series)
 }
 
 fn tail(area: &Area<'_>, seconds: &[Second]) -> Result<(), Box<dyn std::error::Error>> {
     let series = [("p99", over_time(seconds, |s| s.p99))];
-    lines(area, "latency from the intended start", "ms", &series)
+    let title = "latency from the intended start";
+    lines(area, [title, "seconds", "ms"], &series)
 }
 
 fn lines(
     area: &Area<'_>,
-    title: &str,
-    unit: &str,
+    [title, x_axis, y_axis]: [&str; 3],
     series: &[(&str, Series)],
 ) -> Result<(), Box<dyn std::error::Error>> {
     let points = || series.iter().flat_map(|(_, points)| points);
     let right = points().map(|(x, _)| *x).fold(1.0, f64::max);
-    let top = points().map(|(_, y)| *y).fold(1.0, f64::max) * 1.1;
+    let top = points().map(|(_, y)| *y).fold(0.1, f64::max) * 1.1;
     let mut chart = ChartBuilder::on(area)
         .caption(title, FONT)
         .margin(8)
@@ -94,8 +133,8 @@
         .build_cartesian_2d(0.0..right, 0.0..top)?;
     chart
         .configure_mesh()
-        .x_desc("seconds")
-        .y_desc(unit)
+        .x_desc(x_axis)
+        .y_desc(y_axis)
         .draw()?;
     for ((name, points), colour) in series.iter().zip(COLOURS) {
         chart
