--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,12 +5,12 @@
 //! ```
 //! use wagtail_types::{Rate, TeamId, Tokens};
 //!
-//! let team: TeamId = "dyfrdwy-lead".parse()?;
+//! let team: TeamId = "lead-team".parse()?;
 //! let rate: Rate = "20/s".parse()?;
 //! let after = std::time::Duration::from_millis(500);
 //!
 //! assert_eq!(rate.over(after), Tokens::whole(10));
-//! assert_eq!(team.to_string(), "dyfrdwy-lead");
+//! assert_eq!(team.to_string(), "lead-team");
 //! # Ok::<(), wagtail_types::ParseError>(())
 //! ```
 
