Show how far a call to the registry got, and how old the host's knowledge is

Hypothesis to test: a call ends by a time limit that counts its whole transfer (1), or the registry is late (2). The logs said only 'no answer in time' for both, pages too large to relay left no trace, and no metric showed an old configuration.

The error of a call now tells a response that had not begun from one that had not ended, with its bytes. A page that is not relayed is a log line and a counter. Gauges: the configuration in force, and the age of the host's knowledge by topic. No call ends earlier or later than before.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -69,5 +69,6 @@
     if head.uri.path() != METRICS_PATH {
         return text_response(StatusCode::NOT_FOUND, "");
     }
+    core.record_age();
     text_response(StatusCode::OK, core.metrics.render())
 }
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,10 +1,10 @@
 //! HTTP/1.1 client connections to endpoints and to the registry.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -36,9 +36,15 @@
         /// A description of the failure.
         reason: String,
     },
-    /// No response arrived within the timeout.
+    /// No response began within the timeout.
     #[display("no answer in time")]
     Timeout,
+    /// A response began and did not end within the timeout.
+    #[display("only {received} bytes of the answer in time")]
+    Incomplete {
+        /// The bytes of the body that had arrived.
+        received: usize,
+    },
 }
 
 /// Opens a connection to `addr` and starts the task that drives it.
@@ -107,15 +113,25 @@
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        match tokio::time::timeout(timeout, self.round_trip(request)).await {
+        let received = Cell::new(None);
+        match tokio::time::timeout(timeout, self.round_trip(request, &received)).await {
             Ok(result) => result,
-            Err(_) => Err(CallError::Timeout),
+            Err(_) => {
+                Err(received
+                    .get()
+                    .map_or(CallError::Timeout, |received| CallError::Incomplete {
+                        received,
+                    }))
+            }
         }
     }
 
+    /// Sends a request and reads the whole response. Counts the bytes of its body in `received`, which
+    /// stays `None` until the response begins.
     async fn round_trip(
         &self,
         request: Request<Full<Bytes>>,
+        received: &Cell<Option<usize>>,
     ) -> Result<Response<Bytes>, CallError> {
         let idle = self.idle.borrow_mut().take();
         let mut sender = match idle.filter(SendRequest::is_ready) {
@@ -126,20 +142,26 @@
             reason: e.to_string(),
         };
         let answer = sender.send_request(request).await.map_err(|e| broken(&e))?;
-        let answer = collect(answer, RESPONSE_MAX_BYTES)
-            .await
-            .map_err(|e| broken(&e))?;
+        let (head, body) = answer.into_parts();
+        let body = collect(body, received).await.map_err(|e| broken(&e))?;
         *self.idle.borrow_mut() = Some(sender);
-        Ok(answer)
+        Ok(Response::from_parts(head, body))
     }
 }
 
-/// Reads the whole response; fails if its body is longer than `max_bytes`.
-pub(crate) async fn collect(
-    answer: Response<Incoming>,
-    max_bytes: usize,
-) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
-    let (head, body) = answer.into_parts();
-    let body = Limited::new(body, max_bytes).collect().await?.to_bytes();
-    Ok(Response::from_parts(head, body))
+/// Reads a whole body of at most [`RESPONSE_MAX_BYTES`], and counts its bytes in `received`.
+async fn collect(
+    body: Incoming,
+    received: &Cell<Option<usize>>,
+) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
+    let mut bytes = BytesMut::new();
+    received.set(Some(0));
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+            received.set(Some(bytes.len()));
+        }
+    }
+    Ok(bytes.freeze())
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -131,9 +131,16 @@
     /// Relays registry changes to other hosts. Pages that do not fit a datagram are not sent; the
     /// other hosts then ask the registry.
     pub(crate) fn relay(&self, topic: Topic, after: u64, page: &Bytes, to: &[SocketAddr]) {
+        if to.is_empty() {
+            return;
+        }
         if page.len() > RELAY_MAX_BYTES {
+            self.core.metrics.count("registry_relays", "too-large");
+            info!(self.core.log, "changes are too large to relay; other hosts ask the registry";
+                "topic" => %topic, "bytes" => page.len(), "at" => after);
             return;
         }
+        self.core.metrics.count("registry_relays", "sent");
         let message = Message::RegistryChanges {
             topic: topic.number(),
             after,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -212,6 +212,7 @@
         }
         self.unreachable = false;
         self.last_success = now;
+        self.core.confirm(self.topic, now);
         self.pause = RETRY_PAUSE_MIN;
         let extent = self.cursor.advance(fetched.version);
         if extent != Extent::Changes {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -12,12 +12,13 @@
 use wagtail_steer::{
     Generation, GenerationTag, GenerationTracker, HostState, Observation, RegistryView, Steer,
 };
-use wagtail_types::Clock;
+use wagtail_types::{Clock, millis};
 
 use crate::codec::HttpCodec;
 use crate::exchange::Exchange;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::registry::Topic;
 use crate::request::LogBudget;
 
 /// The state that background tasks and requests share.
@@ -28,6 +29,9 @@
     pub(crate) metrics: Metrics,
     /// Changes relayed by other hosts, indexed by topic number; the topic of hosts is not relayed.
     pub(crate) feeds: [Feed; 2],
+    /// When the host last had all changes of a topic, indexed by topic number; `None` before its first
+    /// read.
+    confirmed: [Cell<Option<Instant>>; 2],
     generations: RefCell<GenerationTracker>,
     /// Counts the restores of the registry from an older copy.
     restores: watch::Sender<u64>,
@@ -105,6 +109,7 @@
             log,
             metrics: Metrics::new(),
             feeds: Default::default(),
+            confirmed: Default::default(),
             generations: RefCell::default(),
             restores: watch::Sender::new(0),
             hints: watch::Sender::new(0),
@@ -167,6 +172,25 @@
         observation
     }
 
+    /// Records that the host has all changes of a topic that the registry had at `at`.
+    pub(crate) fn confirm(&self, topic: Topic, at: Instant) {
+        self.confirmed[usize::from(topic.number())].set(Some(at));
+    }
+
+    /// Sets the gauges that tell how old the host's knowledge of the registry is.
+    pub(crate) fn record_age(&self) {
+        for topic in [Topic::Operator, Topic::Endpoints] {
+            if let Some(at) = self.confirmed[usize::from(topic.number())].get() {
+                let age = millis(self.now().duration_since(at));
+                self.metrics.set("registry_age_ms", &topic.to_string(), age);
+            }
+        }
+        if let Some(catalog) = self.steer.borrow().catalog() {
+            self.metrics
+                .set("config_version", "in-force", catalog.version().0);
+        }
+    }
+
     /// Returns a receiver that changes with each restore of the registry from now on.
     pub(crate) fn restores(&self) -> watch::Receiver<u64> {
         self.restores.subscribe()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms, rendered as text.
+//! Counters, gauges and latency histograms, rendered as text.
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use cadence::{Counted, MetricSink, StatsdClient, Timed};
+use cadence::{Counted, Gauged, MetricSink, StatsdClient, Timed};
 use hdrhistogram::Histogram;
 
 const PREFIX: &str = "wagtail";
@@ -18,6 +18,7 @@
 #[derive(Debug, Default)]
 struct SeriesTable {
     counters: BTreeMap<String, i64>,
+    gauges: BTreeMap<String, i64>,
     latencies: BTreeMap<String, Histogram<u32>>,
 }
 
@@ -39,14 +40,18 @@
         let kind = parts.next().ok_or_else(malformed)?;
         let series = series(name, parts.next());
         let mut table = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if kind == "ms" {
-            let latencies = table.latencies.entry(series).or_insert_with(|| {
-                Histogram::new_with_bounds(1, LATENCY_MAX_MS, 2)
-                    .expect("the histogram bounds are valid constants")
-            });
-            latencies.saturating_record(value.unsigned_abs().max(1));
-        } else {
-            *table.counters.entry(series).or_default() += value;
+        match kind {
+            "ms" => {
+                let latencies = table.latencies.entry(series).or_insert_with(|| {
+                    Histogram::new_with_bounds(1, LATENCY_MAX_MS, 2)
+                        .expect("the histogram bounds are valid constants")
+                });
+                latencies.saturating_record(value.unsigned_abs().max(1));
+            }
+            "g" => {
+                table.gauges.insert(series, value);
+            }
+            _ => *table.counters.entry(series).or_default() += value,
         }
         Ok(metric.len())
     }
@@ -66,7 +71,7 @@
     format!("{name}{{{}}}", labels.join(","))
 }
 
-/// The counters and latency histograms of the host.
+/// The counters, gauges and latency histograms of the host.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     client: StatsdClient,
@@ -105,6 +110,14 @@
             .send();
     }
 
+    /// Sets the gauge `name` with the label `kind`.
+    pub(crate) fn set(&self, name: &str, kind: &str, value: u64) {
+        self.client
+            .gauge_with_tags(name, value)
+            .with_tag("kind", kind)
+            .send();
+    }
+
     /// Renders all series as text, one per line.
     pub(crate) fn render(&self) -> String {
         let table = self
@@ -113,8 +126,8 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let mut out = String::new();
-        for (series, count) in &table.counters {
-            let _ = writeln!(out, "{series} {count}");
+        for (series, value) in table.counters.iter().chain(&table.gauges) {
+            let _ = writeln!(out, "{series} {value}");
         }
         for (series, latencies) in &table.latencies {
             let (name, labels) = series.split_once('{').unwrap_or((series, "}"));
