Give up a call to the registry only when its answer makes no progress

Cause: a call ended 600 ms after it began (a page of a full read 2 s), whatever had arrived of its answer, and the next call asked for the same page from its first byte. A page whose transfer takes longer could never be read. With 10 Mbit/s and a round trip of 40 ms that is a page of 0.63 MB, two versions of a configuration with 2,800 routes. Only the end of the store's history led out of it, as a full read had more time.

Now the limit counts the time until the answer begins. Its body is read as long as at least 4 KB arrive in each 600 ms, so that the time of a transfer grows with its size, and a connection that carries nothing more is still left after 600 ms.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client connections to endpoints and to the registry.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpSocket;
+use tokio::time::{Instant, timeout_at};
 
 /// The value of `TCP_USER_TIMEOUT`: a connection is closed if sent bytes stay unacknowledged for
 /// this long, so that a remote end without power or behind a partition is noticed. Longer than one
@@ -20,6 +21,11 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The size in bytes of the largest response body that [`Client`] reads.
 const RESPONSE_MAX_BYTES: usize = 16 << 20;
+/// The time within which at least [`PROGRESS_BYTES`] of a body must arrive, or its rest. A limit on the
+/// whole transfer would make large bodies unreadable on slow paths.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
+/// The size in bytes that counts as progress of a transfer; at a lower rate a new connection is better.
+const PROGRESS_BYTES: usize = 4 << 10;
 
 /// The reason why a call got no response.
 #[derive(Debug, Display, Error)]
@@ -39,8 +45,8 @@
     /// No response began within the timeout.
     #[display("no answer in time")]
     Timeout,
-    /// A response began and did not end within the timeout.
-    #[display("only {received} bytes of the answer in time")]
+    /// A response began, and its body stopped arriving.
+    #[display("the answer stopped after {received} bytes")]
     Incomplete {
         /// The bytes of the body that had arrived.
         received: usize,
@@ -102,66 +108,72 @@
         self.addr
     }
 
-    /// Sends a request and reads the whole response.
+    /// Sends a request and reads the whole response, however long its body takes to arrive.
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] if no complete response arrives within `timeout`; the connection is
-    /// then closed.
+    /// Returns a [`CallError`] if the response does not begin within `timeout` or its body stops
+    /// arriving; the connection is then closed.
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Bytes>, CallError> {
-        let received = Cell::new(None);
-        match tokio::time::timeout(timeout, self.round_trip(request, &received)).await {
-            Ok(result) => result,
-            Err(_) => {
-                Err(received
-                    .get()
-                    .map_or(CallError::Timeout, |received| CallError::Incomplete {
-                        received,
-                    }))
-            }
-        }
+        let (sender, answer) = tokio::time::timeout(timeout, self.send(request))
+            .await
+            .unwrap_or(Err(CallError::Timeout))?;
+        let (head, body) = answer.into_parts();
+        let body = collect(body).await?;
+        *self.idle.borrow_mut() = Some(sender);
+        Ok(Response::from_parts(head, body))
     }
 
-    /// Sends a request and reads the whole response. Counts the bytes of its body in `received`, which
-    /// stays `None` until the response begins.
-    async fn round_trip(
+    /// Sends a request on the idle connection or a new one, and waits until the response begins.
+    async fn send(
         &self,
         request: Request<Full<Bytes>>,
-        received: &Cell<Option<usize>>,
-    ) -> Result<Response<Bytes>, CallError> {
+    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), CallError> {
         let idle = self.idle.borrow_mut().take();
         let mut sender = match idle.filter(SendRequest::is_ready) {
             Some(sender) => sender,
             None => open(self.addr, Self::CONNECT_TIMEOUT).await?,
         };
-        let broken = |e: &dyn std::fmt::Display| CallError::Broken {
-            reason: e.to_string(),
-        };
-        let answer = sender.send_request(request).await.map_err(|e| broken(&e))?;
-        let (head, body) = answer.into_parts();
-        let body = collect(body, received).await.map_err(|e| broken(&e))?;
-        *self.idle.borrow_mut() = Some(sender);
-        Ok(Response::from_parts(head, body))
+        match sender.send_request(request).await {
+            Ok(answer) => Ok((sender, answer)),
+            Err(e) => Err(broken(&e)),
+        }
+    }
+}
+
+fn broken(e: &dyn std::fmt::Display) -> CallError {
+    CallError::Broken {
+        reason: e.to_string(),
     }
 }
 
-/// Reads a whole body of at most [`RESPONSE_MAX_BYTES`], and counts its bytes in `received`.
-async fn collect(
-    body: Incoming,
-    received: &Cell<Option<usize>>,
-) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+/// Reads a whole body of at most [`RESPONSE_MAX_BYTES`] as long as it makes progress.
+async fn collect(body: Incoming) -> Result<Bytes, CallError> {
     let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
     let mut bytes = BytesMut::new();
-    received.set(Some(0));
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
-            received.set(Some(bytes.len()));
+    let mut next_mark = PROGRESS_BYTES;
+    let mut until = Instant::now() + PROGRESS_TIMEOUT;
+    loop {
+        match timeout_at(until, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+            Ok(Some(Err(e))) => return Err(broken(&e)),
+            Ok(None) => return Ok(bytes.freeze()),
+            Err(_) => {
+                let received = bytes.len();
+                return Err(CallError::Incomplete { received });
+            }
+        }
+        if bytes.len() >= next_mark {
+            next_mark = bytes.len() + PROGRESS_BYTES;
+            until = Instant::now() + PROGRESS_TIMEOUT;
         }
     }
-    Ok(bytes.freeze())
 }
