Deny a request only from a configuration that is known to be current

Cause: a host took what its configuration lacks for what does not exist, also while it knew that it lacked changes. Callers do not repeat a request after a 404 or 401, though the next host would have served it.

Now each topic of the registry has a state: the host has doubts from a failed call, a gap in relayed changes, a hint of another host or a restore until the next answer that it applies; it also has them when the last answer is older than the longest time between two answers of a quiet registry (a paused process, a silent path). In doubt, an unknown route or key, or a body over the limit, is refused with 503 and a time to return. These requests have not run. Routes and keys that the configuration has are served as before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -146,11 +146,18 @@
     /// Forgets the version, as it belongs to a generation before the restore. Returns the pause
     /// before the full read.
     fn start_over(&mut self) -> Duration {
+        self.core.doubt(self.topic);
         self.cursor.restart();
         self.feed().clear();
         self.core.restore_delay()
     }
 
+    /// Asks the registry for changes that the host lacks.
+    async fn fetch_missing(&mut self) {
+        self.core.doubt(self.topic);
+        self.catch_up().await;
+    }
+
     /// Asks the registry for changes that were not relayed.
     async fn catch_up(&mut self) {
         if let Some(pause) = self.poll_registry(Duration::ZERO, &[]).await {
@@ -169,7 +176,7 @@
                 let pause = self.start_over();
                 return tokio::time::sleep(pause).await;
             }
-            _ = self.hints.changed() => return self.catch_up().await,
+            _ = self.hints.changed() => return self.fetch_missing().await,
             received = tokio::time::timeout(self.settings.relay_timeout, feed.next()) => received,
         };
         let Ok(received) = received else {
@@ -182,15 +189,15 @@
             page,
         } = received;
         if !core.applies(generation) {
-            return self.catch_up().await;
+            return self.fetch_missing().await;
         }
         match self.registry.decode(self.topic, page) {
             Ok(fetched) if self.cursor.continues(after, fetched.version) => self.apply(fetched),
-            Ok(_) => self.catch_up().await,
+            Ok(_) => self.fetch_missing().await,
             Err(e) => {
                 warn!(self.core.log, "relayed changes could not be decoded; asking the registry";
                     "error" => %e);
-                self.catch_up().await;
+                self.fetch_missing().await;
             }
         }
     }
@@ -304,6 +311,7 @@
     /// Records a failed call and returns the pause before the next one.
     fn record_failure(&mut self, e: &RegistryError) -> Duration {
         self.core.metrics.count("registry_failures", "follow");
+        self.core.doubt(self.topic);
         if matches!(e, RegistryError::HistoryGone | RegistryError::Restored) {
             info!(self.core.log, "registry history gone"; "topic" => %self.topic);
             self.cursor.lose_history();
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -29,9 +29,10 @@
     pub(crate) metrics: Metrics,
     /// Changes relayed by other hosts, indexed by topic number; the topic of hosts is not relayed.
     pub(crate) feeds: [Feed; 2],
-    /// When the host last had all changes of a topic, indexed by topic number; `None` before its first
-    /// read.
-    confirmed: [Cell<Option<Instant>>; 2],
+    /// What the host knows of each topic that has a feed, indexed by topic number.
+    knowledge: [Knowledge; 2],
+    /// The age up to which knowledge is current while the registry has no changes.
+    age_limit: Duration,
     generations: RefCell<GenerationTracker>,
     /// Counts the restores of the registry from an older copy.
     restores: watch::Sender<u64>,
@@ -41,6 +42,15 @@
     leaving: Cell<bool>,
 }
 
+/// What the host knows of a topic of the registry.
+#[derive(Debug, Default)]
+struct Knowledge {
+    /// When the host last had all changes; `None` before its first read.
+    confirmed: Cell<Option<Instant>>,
+    /// Whether the host lacks changes, or could not ask for them.
+    doubted: Cell<bool>,
+}
+
 /// The queue of relayed changes of one topic that are not yet applied.
 #[derive(Debug, Default)]
 pub(crate) struct Feed {
@@ -103,13 +113,19 @@
 impl<C: Clock + std::fmt::Debug> DebugClock for C {}
 
 impl Core {
-    pub(crate) fn new(steer: Steer, log: Logger, clock: Rc<dyn DebugClock>) -> Self {
+    pub(crate) fn new(
+        steer: Steer,
+        log: Logger,
+        clock: Rc<dyn DebugClock>,
+        age_limit: Duration,
+    ) -> Self {
         Self {
             steer: RefCell::new(steer),
             log,
             metrics: Metrics::new(),
             feeds: Default::default(),
-            confirmed: Default::default(),
+            knowledge: Default::default(),
+            age_limit,
             generations: RefCell::default(),
             restores: watch::Sender::new(0),
             hints: watch::Sender::new(0),
@@ -172,15 +188,34 @@
         observation
     }
 
+    fn knowledge(&self, topic: Topic) -> &Knowledge {
+        &self.knowledge[usize::from(topic.number())]
+    }
+
     /// Records that the host has all changes of a topic that the registry had at `at`.
     pub(crate) fn confirm(&self, topic: Topic, at: Instant) {
-        self.confirmed[usize::from(topic.number())].set(Some(at));
+        let knowledge = self.knowledge(topic);
+        knowledge.confirmed.set(Some(at));
+        knowledge.doubted.set(false);
+    }
+
+    /// Records that the host lacks changes of a topic, or could not ask for them.
+    pub(crate) fn doubt(&self, topic: Topic) {
+        self.knowledge(topic).doubted.set(true);
+    }
+
+    /// Returns whether the registry may have changes of a topic that the host lacks for longer than it
+    /// takes to follow them.
+    pub(crate) fn may_lack_changes(&self, topic: Topic) -> bool {
+        let knowledge = self.knowledge(topic);
+        let is_old = |at| self.now().duration_since(at) > self.age_limit;
+        knowledge.doubted.get() || knowledge.confirmed.get().is_none_or(is_old)
     }
 
     /// Sets the gauges that tell how old the host's knowledge of the registry is.
     pub(crate) fn record_age(&self) {
         for topic in [Topic::Operator, Topic::Endpoints] {
-            if let Some(at) = self.confirmed[usize::from(topic.number())].get() {
+            if let Some(at) = self.knowledge(topic).confirmed.get() {
                 let age = millis(self.now().duration_since(at));
                 self.metrics.set("registry_age_ms", &topic.to_string(), age);
             }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -9,7 +9,8 @@
 
 use super::reply::Reply;
 use super::request_log::RequestLog;
-use crate::host::RequestContext;
+use crate::host::{Core, RequestContext};
+use crate::registry::Topic;
 
 /// The `Retry-After` wait if the host is still starting or no region may serve the request.
 const NOT_READY_WAIT: Duration = Duration::from_millis(500);
@@ -19,6 +20,57 @@
 /// The longest accepted deadline, so that time arithmetic cannot overflow.
 const DEADLINE_MAX: Duration = Duration::from_secs(3_600);
 
+/// The `Retry-After` wait if the host may lack a newer configuration; a few transfers of one.
+const OUTDATED_WAIT: Duration = Duration::from_millis(300);
+
+/// Why the configuration in force does not allow a request.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Denial {
+    NoRoute,
+    NoService,
+    UnknownKey,
+    BodyTooLarge,
+}
+
+impl Denial {
+    /// Returns the status, and the reasons if the configuration is current and if it may not be.
+    fn describe(self) -> (StatusCode, &'static str, &'static str) {
+        match self {
+            Self::NoRoute => (
+                StatusCode::NOT_FOUND,
+                "no such route",
+                "no such route, but the configuration may be outdated",
+            ),
+            Self::NoService => (
+                StatusCode::NOT_FOUND,
+                "the route has no service",
+                "the route has no service, but the configuration may be outdated",
+            ),
+            Self::UnknownKey => (
+                StatusCode::UNAUTHORIZED,
+                "unknown key",
+                "unknown key, but the configuration may be outdated",
+            ),
+            Self::BodyTooLarge => (
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "the body is too large",
+                "the body is too large, but the configuration may be outdated",
+            ),
+        }
+    }
+}
+
+/// Returns the reply to a request that the configuration in force does not allow. If the host may lack
+/// a newer one, the caller is told to retry, as other hosts may have it.
+pub(crate) fn deny(core: &Core, denial: Denial) -> Reply {
+    let (status, reason, doubtful) = denial.describe();
+    if core.may_lack_changes(Topic::Operator) {
+        Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, doubtful, OUTDATED_WAIT)
+    } else {
+        Reply::fail(status, reason)
+    }
+}
+
 /// A request that passed admission, with its chosen service and the limits on its execution.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -87,7 +139,7 @@
     };
     request_log.version = catalog.version().0;
     let Some(route) = catalog.route(&request_head.host, head.uri.path()) else {
-        return Err(Reply::fail(StatusCode::NOT_FOUND, "no such route").into());
+        return Err(deny(&context.core, Denial::NoRoute).into());
     };
     request_log.route = Some(route.id.clone());
     let team = request_head
@@ -96,7 +148,7 @@
         .and_then(|k| catalog.team_by_key(k))
         .cloned();
     if team.is_none() && !route.public {
-        return Err(Reply::fail(StatusCode::UNAUTHORIZED, "unknown key").into());
+        return Err(deny(&context.core, Denial::UnknownKey).into());
     }
     request_log.team = team.as_ref().map(|t| t.id.clone());
     let limits = catalog.limits();
@@ -105,7 +157,7 @@
         .and_then(|v| v.to_str().ok())
         .and_then(|v| v.parse::<u64>().ok());
     if length.is_some_and(|l| l > limits.body.as_usize() as u64) {
-        return Err(Reply::fail(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large").into());
+        return Err(deny(&context.core, Denial::BodyTooLarge).into());
     }
     let permitted_regions = permitted_regions(
         &route.permitted_regions,
@@ -116,7 +168,7 @@
         return Err(Reply::refuse(status, "no region may serve it", NOT_READY_WAIT).into());
     };
     let Some(service) = steer.pick_service(route) else {
-        return Err(Reply::fail(StatusCode::NOT_FOUND, "the route has no service").into());
+        return Err(deny(&context.core, Denial::NoService).into());
     };
     steer.count_request(&service, &permitted_regions, arrived);
     let timeout = request_head
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to endpoints until one responds or no further attempt is allowed.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, StatusCode, header, request};
@@ -8,13 +8,13 @@
 use hyper::body::Incoming;
 use wagtail_steer::{Choice, EndpointKey, Outcome, Placement, PlacementRequest, RejectionReason};
 
-use super::admit::Job;
+use super::admit::{Denial, Job, deny};
 use super::in_flight::InFlight;
 use super::reply::Reply;
 use super::request_log::RequestLog;
 use super::send::{AttemptError, ReceivedResponse, remove_hop_headers, send};
 use crate::codec::Execution;
-use crate::host::RequestContext;
+use crate::host::{Core, RequestContext};
 
 /// The maximum number of endpoints tried after the first one. Mainly bounds failed connections,
 /// because the route limits the number of sends.
@@ -66,7 +66,7 @@
     body: Incoming,
     request_log: &mut RequestLog,
 ) -> Reply {
-    let body = match read_request_body(job, body, context.core.now()).await {
+    let body = match read_request_body(&context.core, job, body).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
@@ -114,14 +114,13 @@
     }
 }
 
-async fn read_request_body(job: &Job, body: Incoming, now: Instant) -> Result<Bytes, Reply> {
-    let remaining = job.deadline.saturating_duration_since(now);
+async fn read_request_body(core: &Core, job: &Job, body: Incoming) -> Result<Bytes, Reply> {
+    let remaining = job.deadline.saturating_duration_since(core.now());
     match tokio::time::timeout(remaining, Limited::new(body, job.body_max).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(Reply::fail(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        )),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(deny(core, Denial::BodyTooLarge))
+        }
         Ok(Err(_)) => Err(Reply::fail(StatusCode::BAD_REQUEST, "the body is broken")),
         Err(_) => Err(Reply::fail(
             StatusCode::REQUEST_TIMEOUT,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -54,7 +54,8 @@
     log: Logger,
     stop: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
-    let core = Rc::new(Core::new(steer, log, Rc::new(SystemClock)));
+    let age_limit = settings.age_limit();
+    let core = Rc::new(Core::new(steer, log, Rc::new(SystemClock), age_limit));
     let pool = Rc::new(Pool::default());
     let log_budget = RefCell::new(LogBudget::new(core.now()));
     let listen = settings.listen.clone();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The time that a call to the registry may take beyond the wait that it requests.
+const CALL_MARGIN: Duration = Duration::from_secs(1);
+
 /// The addresses that a host listens on.
 #[derive(Debug, Clone)]
 pub struct Listen {
@@ -43,3 +46,10 @@
     /// deployment's bounds on draining and configuration.
     pub follow_pause: Duration,
 }
+
+impl Settings {
+    /// Returns the longest time between two answers of a registry that has no changes.
+    pub(crate) fn age_limit(&self) -> Duration {
+        self.follow_wait + self.follow_pause + CALL_MARGIN
+    }
+}
