Tell the hosts of a zone of changes that are too large to relay

Now the host that follows the registry sends the version that it has reached in place of the page. The others ask at once, and are in doubt until they have the answer, so that they do not deny requests in between. Builds before this one cannot decode the empty page, log it and ask, which is what is wanted. Relayed pages that follow on the version of a call's answer are kept, not dropped with the older ones at its end.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use slog::{debug, error, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -17,7 +16,7 @@
 use wagtail_types::HostId;
 
 use crate::host::{Core, RelayedPage};
-use crate::registry::{Entry, Registry, Topic};
+use crate::registry::{Entry, Fetched, Registry, Topic};
 
 /// The size in bytes of the largest datagram that is received; digests of large fleets stay well
 /// below it.
@@ -128,23 +127,29 @@
         }
     }
 
-    /// Relays registry changes to other hosts. Pages that do not fit a datagram are not sent; the
-    /// other hosts then ask the registry.
-    pub(crate) fn relay(&self, topic: Topic, after: u64, page: &Bytes, to: &[SocketAddr]) {
+    /// Relays registry changes to other hosts. Of a page that does not fit a datagram, they are told
+    /// only the version, so that they ask the registry.
+    pub(crate) fn relay(&self, topic: Topic, after: u64, fetched: &Fetched, to: &[SocketAddr]) {
         if to.is_empty() {
             return;
         }
-        if page.len() > RELAY_MAX_BYTES {
+        let bytes = fetched.page.len();
+        let fits = bytes <= RELAY_MAX_BYTES;
+        if fits {
+            self.core.metrics.count("registry_relays", "sent");
+        } else {
             self.core.metrics.count("registry_relays", "too-large");
             info!(self.core.log, "changes are too large to relay; other hosts ask the registry";
-                "topic" => %topic, "bytes" => page.len(), "at" => after);
-            return;
+                "topic" => %topic, "bytes" => bytes, "at" => after);
         }
-        self.core.metrics.count("registry_relays", "sent");
         let message = Message::RegistryChanges {
             topic: topic.number(),
-            after,
-            page: page.to_vec(),
+            after: if fits { after } else { fetched.version },
+            page: if fits {
+                fetched.page.to_vec()
+            } else {
+                Vec::new()
+            },
         };
         for peer in to {
             self.try_send(message.clone(), *peer);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -132,14 +132,14 @@
         let pause = match answer.result {
             Ok(fetched) => {
                 if let Some(after) = version {
-                    self.exchange.relay(self.topic, after, &fetched.page, peers);
+                    self.exchange.relay(self.topic, after, &fetched, peers);
                 }
                 self.apply(fetched);
                 None
             }
             Err(e) => Some(self.record_failure(&e)),
         };
-        self.feed().clear();
+        self.feed().skip_to(self.cursor.version().unwrap_or(0));
         pause
     }
 
@@ -191,6 +191,12 @@
         if !core.applies(generation) {
             return self.fetch_missing().await;
         }
+        if page.is_empty() {
+            if self.cursor.version() < Some(after) {
+                self.fetch_missing().await;
+            }
+            return;
+        }
         match self.registry.decode(self.topic, page) {
             Ok(fetched) if self.cursor.continues(after, fetched.version) => self.apply(fetched),
             Ok(_) => self.fetch_missing().await,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -61,10 +61,11 @@
 /// A page of changes that another host has relayed.
 #[derive(Debug)]
 pub(crate) struct RelayedPage {
-    /// The version that the changes follow.
+    /// The version that the changes follow, or that the registry has reached if there is no page.
     pub(crate) after: u64,
     /// The registry's generation at the other host.
     pub(crate) generation: Option<Generation>,
+    /// The registry's response; empty if it was too large to relay.
     pub(crate) page: Bytes,
 }
 
@@ -105,6 +106,11 @@
     pub(crate) fn clear(&self) {
         self.pages.borrow_mut().clear();
     }
+
+    /// Drops the queued pages that begin before a version.
+    pub(crate) fn skip_to(&self, version: u64) {
+        self.pages.borrow_mut().retain(|page| page.after >= version);
+    }
 }
 
 /// A clock that implements `Debug`, so that structs with a clock can derive it.
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -81,9 +81,11 @@
     RegistryChanges {
         /// The number of the registry topic.
         topic: u8,
-        /// The registry version that the changes apply to.
+        /// The registry version that the changes apply to. If there is no page, the version that the
+        /// registry has reached.
         after: u64,
-        /// The registry's response, unmodified.
+        /// The registry's response, unmodified; empty if it is too large, so that the receiver must
+        /// ask the registry.
         page: Vec<u8>,
     },
     /// A token that was not used, returned to its quota owner.
