Learn no run time of zero

Callers got 503 'endpoints are full' for every request of a route, with all slots free, from a host on which one answer had come faster than the learned round trip.

Since round trips are learned from opening connections, the way is taken off the response time; under load a connection opens slower than a request is answered, and the run time was cut off at zero. The cost of slot time divides by it, 0/0 passes no comparison, and no request is sent any more that could correct the estimate.

Run times are at least 1 ms now, before anything is learned from them. A test without network fails without the change (no endpoint for the second request) and passes with it.

--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -13,6 +13,10 @@
 use crate::placement::{Choice, Placement, PlacementContext, PlacementRequest, RegionUsage, place};
 use crate::settings::Settings;
 
+/// The shortest run time that is learned. Run times are compared by their ratios, and an answer may
+/// arrive sooner than the learned round trip.
+const RUN_TIME_MIN: Duration = Duration::from_millis(1);
+
 /// The end of a request at an endpoint.
 #[derive(Debug)]
 pub struct Completion<'a> {
@@ -289,19 +293,19 @@
         };
         let round_trip = self.round_trips.learned(endpoint.location).unwrap_or(0.0);
         let way = route.round_trips() * round_trip;
-        let response_time = (response_time - way).max(0.0);
+        let run_time = (response_time - way).max(RUN_TIME_MIN.as_secs_f64());
         let service = endpoint.record.service.clone();
         let observed = self
             .estimates
-            .looks_warm(&route.id, route.target_latency, response_time);
+            .looks_warm(&route.id, route.target_latency, run_time);
         let warm = observed.unwrap_or(choice.warm);
         let expected = self
             .estimates
             .expected_run(&route.id, route.target_latency, warm);
-        if !choice.slot_free && response_time >= expected {
+        if !choice.slot_free && run_time >= expected {
             return;
         }
-        endpoint.record_run_ratio(response_time / expected, now);
+        endpoint.record_run_ratio(run_time / expected, now);
         if let (Some(distance), Some(warm)) = (choice.reuse_distance, observed) {
             self.warm_capacity
                 .entry(service.clone())
@@ -314,13 +318,8 @@
                 (Some(_), true) => RunKind::Warm,
                 (Some(_), false) => RunKind::Cold,
             };
-            self.estimates.learn(
-                &route.id,
-                &service,
-                route.target_latency,
-                kind,
-                response_time,
-            );
+            self.estimates
+                .learn(&route.id, &service, route.target_latency, kind, run_time);
         }
     }
 }
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -172,6 +172,28 @@
     }
 }
 
+/// Guards against a route that is refused for ever because its run time is learned as zero: answers that
+/// take less time than the connection took to open.
+#[test]
+fn answers_faster_than_the_round_trip_do_not_stop_a_route() {
+    let (mut host, clock) = one_endpoint();
+    for _ in 0..3 {
+        let choice = chosen(place(&mut host, &clock)).expect("an idle endpoint");
+        host.record_connection(choice.key, Duration::from_millis(20));
+        clock.advance(Duration::from_millis(5));
+        let route = config(1).routes.remove(0);
+        let completion = Completion {
+            choice: &choice,
+            route: &route,
+            object: None,
+            outcome: Outcome::Answered,
+            response_time: Some(Duration::from_millis(5)),
+            load: None,
+        };
+        host.finish(&completion, clock.now());
+    }
+}
+
 /// Guards against too many requests in a cold start: all hosts together must stay below the
 /// endpoint's cold rate, times a factor plus a slack, in every second.
 #[test]
