Log when a host's knowledge of the registry becomes old

A failed call is a log line, but a follower that waits, hangs or was paused writes none.

The exchange of digests, a duty of its own, checks the age of each topic; past the longest time between two answers of a quiet registry it writes one line, and one when the knowledge is current again.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -250,6 +250,7 @@
                 self.send_demand(now);
             }
             self.update_membership(now);
+            self.core.report_age();
             self.send_digest(far).await;
             tokio::time::sleep(settings.near_period).await;
         }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -42,6 +42,9 @@
     leaving: Cell<bool>,
 }
 
+/// The topics that hosts follow and relay.
+pub(crate) const FOLLOWED: [Topic; 2] = [Topic::Operator, Topic::Endpoints];
+
 /// What the host knows of a topic of the registry.
 #[derive(Debug, Default)]
 struct Knowledge {
@@ -49,6 +52,8 @@
     confirmed: Cell<Option<Instant>>,
     /// Whether the host lacks changes, or could not ask for them.
     doubted: Cell<bool>,
+    /// Whether the log has a line that the knowledge is old.
+    reported_old: Cell<bool>,
 }
 
 /// The queue of relayed changes of one topic that are not yet applied.
@@ -201,8 +206,28 @@
     /// Records that the host has all changes of a topic that the registry had at `at`.
     pub(crate) fn confirm(&self, topic: Topic, at: Instant) {
         let knowledge = self.knowledge(topic);
-        knowledge.confirmed.set(Some(at));
+        let before = knowledge.confirmed.replace(Some(at));
         knowledge.doubted.set(false);
+        if knowledge.reported_old.replace(false) {
+            let age = before.map_or(Duration::ZERO, |before| at.duration_since(before));
+            info!(self.log, "knowledge of the registry is current again";
+                "topic" => %topic, "age_ms" => millis(age));
+        }
+    }
+
+    /// Logs each topic whose knowledge has become older than is normal, once until it is current.
+    pub(crate) fn report_age(&self) {
+        for topic in FOLLOWED {
+            let knowledge = self.knowledge(topic);
+            let Some(at) = knowledge.confirmed.get() else {
+                continue;
+            };
+            let age = self.now().duration_since(at);
+            if age > self.age_limit && !knowledge.reported_old.replace(true) {
+                warn!(self.log, "knowledge of the registry is old";
+                    "topic" => %topic, "age_ms" => millis(age));
+            }
+        }
     }
 
     /// Records that the host lacks changes of a topic, or could not ask for them.
@@ -220,7 +245,7 @@
 
     /// Sets the gauges that tell how old the host's knowledge of the registry is.
     pub(crate) fn record_age(&self) {
-        for topic in [Topic::Operator, Topic::Endpoints] {
+        for topic in FOLLOWED {
             if let Some(at) = self.knowledge(topic).confirmed.get() {
                 let age = millis(self.now().duration_since(at));
                 self.metrics.set("registry_age_ms", &topic.to_string(), age);
