Let a transfer pause, and replace one that trickles

A host never became ready when its first read paused once for a second (29 connections in 20 s), which the code before had allowed; two lost packets in a row are such a pause. And a connection of 20 KB/s was kept for 16 s, at any size, though a new one would have carried the answer at once (5.2 s before).

Cause: progress was 4 KB in each 600 ms, a fixed window: too strict for one pause, too weak for a trickle, and with the same limits at each repeat, so that a path below them never carries a large answer at all.

Now a transfer is given up after 1.2 s without a byte, or when, from two seconds on, its rate over all is below 64 KB/s. Each one given up in a row doubles both limits for the next, so that no path and no size is out of reach. An answer whose length is above the limit is not read at all.

Evidence: a_read_with_a_pause_of_one_second_ends and a_trickling_connection_is_replaced failed on the code before and pass; new tests that passed before guard a pause of the process, a rate below the lowest one, and the time until a stopped transfer is repeated. The start of a host has 1.2 MB to read at 200 KB/s, which catches a limit of 4 s on the whole transfer that 600 KB did not.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 client connections to endpoints and to the registry.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -21,11 +21,14 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(1);
 /// The size in bytes of the largest response body that [`Client`] reads.
 const RESPONSE_MAX_BYTES: usize = 16 << 20;
-/// The time within which at least [`PROGRESS_BYTES`] of a body must arrive, or its rest. A limit on the
-/// whole transfer would make large bodies unreadable on slow paths.
-const PROGRESS_TIMEOUT: Duration = Duration::from_millis(600);
-/// The size in bytes that counts as progress of a transfer; at a lower rate a new connection is better.
-const PROGRESS_BYTES: usize = 4 << 10;
+/// The longest time in which no byte of a body arrives; longer than two retransmissions in a row.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The time from which on the rate of a transfer counts.
+const RATE_GRACE: Duration = Duration::from_secs(2);
+/// The rate below which a transfer is given up, as a new connection may be faster.
+const RATE_MIN_BYTES_PER_S: f64 = 65_536.0;
+/// The number of times that the limits on a transfer are doubled at most.
+const PATIENCE_MAX: u32 = 6;
 
 /// The reason why a call got no response.
 #[derive(Debug, Display, Error)]
@@ -45,12 +48,18 @@
     /// No response began within the timeout.
     #[display("no answer in time")]
     Timeout,
-    /// A response began, and its body stopped arriving.
+    /// A response began, and its body stopped arriving or arrived too slowly.
     #[display("the answer stopped after {received} bytes")]
     Incomplete {
         /// The bytes of the body that had arrived.
         received: usize,
     },
+    /// The response is longer than the caller accepts; its body was not read.
+    #[display("the answer is longer than {limit} bytes")]
+    TooLarge {
+        /// The accepted length in bytes.
+        limit: usize,
+    },
 }
 
 /// Opens a connection to `addr` and starts the task that drives it.
@@ -88,6 +97,9 @@
 pub struct Client {
     addr: SocketAddr,
     idle: RefCell<Option<SendRequest<Full<Bytes>>>>,
+    /// The number of transfers in a row that were given up. Each one doubles the limits on the next, so
+    /// that a body arrives at last however slow the path is.
+    given_up: Cell<u32>,
 }
 
 impl Client {
@@ -100,6 +112,7 @@
         Self {
             addr,
             idle: RefCell::new(None),
+            given_up: Cell::new(0),
         }
     }
 
@@ -108,12 +121,13 @@
         self.addr
     }
 
-    /// Sends a request and reads the whole response, however long its body takes to arrive.
+    /// Sends a request and reads the whole response. The time of the transfer is not limited while its
+    /// body arrives at a fair rate.
     ///
     /// # Errors
     ///
-    /// Returns a [`CallError`] if the response does not begin within `timeout` or its body stops
-    /// arriving; the connection is then closed.
+    /// Returns a [`CallError`] if the response does not begin within `timeout`, or its body stops
+    /// arriving, arrives too slowly or is too large; the connection is then closed.
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
@@ -123,7 +137,14 @@
             .await
             .unwrap_or(Err(CallError::Timeout))?;
         let (head, body) = answer.into_parts();
-        let body = collect(body).await?;
+        let body = collect(body, self.given_up.get()).await;
+        let given_up = matches!(body, Err(CallError::Incomplete { .. }));
+        self.given_up.set(if given_up {
+            PATIENCE_MAX.min(self.given_up.get() + 1)
+        } else {
+            0
+        });
+        let body = body?;
         *self.idle.borrow_mut() = Some(sender);
         Ok(Response::from_parts(head, body))
     }
@@ -151,13 +172,21 @@
     }
 }
 
-/// Reads a whole body of at most [`RESPONSE_MAX_BYTES`] as long as it makes progress.
-async fn collect(body: Incoming) -> Result<Bytes, CallError> {
+/// Reads a whole body of at most [`RESPONSE_MAX_BYTES`]. The limits on the transfer are doubled
+/// `patience` times.
+async fn collect(body: Incoming, patience: u32) -> Result<Bytes, CallError> {
+    if body.size_hint().lower() > RESPONSE_MAX_BYTES as u64 {
+        let limit = RESPONSE_MAX_BYTES;
+        return Err(CallError::TooLarge { limit });
+    }
     let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
     let mut bytes = BytesMut::new();
-    let mut next_mark = PROGRESS_BYTES;
-    let mut until = Instant::now() + PROGRESS_TIMEOUT;
+    let factor = 2_u32.pow(patience);
+    let seconds_per_byte = f64::from(factor) / RATE_MIN_BYTES_PER_S;
+    let start = Instant::now();
     loop {
+        let earned = Duration::from_secs_f64(bytes.len() as f64 * seconds_per_byte);
+        let until = (Instant::now() + STALL_TIMEOUT * factor).min(start + RATE_GRACE + earned);
         match timeout_at(until, body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
@@ -171,9 +200,5 @@
                 return Err(CallError::Incomplete { received });
             }
         }
-        if bytes.len() >= next_mark {
-            next_mark = bytes.len() + PROGRESS_BYTES;
-            until = Instant::now() + PROGRESS_TIMEOUT;
-        }
     }
 }
