Read all entries where the changes are larger

The store's changes list each version of the configuration, so that the page of a host that is behind grows with each one: the pages that failed in the incident held two versions, and no page with one ever failed. A host that was cut off during 12 versions of 300 KB read 3.6 MB and was not served after 20 s at 200 KB/s; one version takes 1.5 s.

Cause: what a host must read to catch up grew with the history, not with the state. Now a call for changes names the size that it accepts, one and a half times all entries as last read; an answer that is larger by its head is not read, and all entries are read instead. Entries older than those in force are ignored. After a transfer that was given up a host asks again at once and does not wait for relays, which cannot help.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -21,6 +21,9 @@
 /// The timeout of a health check; it leaves time for the check to wait in the endpoint's queue.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// The size in bytes of the largest answer to a health check; only its head is used.
+const ANSWER_MAX_BYTES: usize = 64 << 10;
+
 /// Runs the maintenance loop: removes lapsed endpoints, updates weights, closes expired idle
 /// connections and starts the health checks that are due.
 pub(crate) async fn maintain_endpoints(core: Rc<Core>, pool: Rc<Pool>, codec: Rc<dyn HttpCodec>) {
@@ -64,7 +67,8 @@
     let host = HeaderValue::try_from(addr.to_string()).expect("an address is a valid header value");
     request.headers_mut().insert(header::HOST, host);
     core.metrics.count("checks", "health");
-    let cold = match Client::new(addr).call(request, CHECK_TIMEOUT).await {
+    let client = Client::new(addr);
+    let cold = match client.call(request, CHECK_TIMEOUT, ANSWER_MAX_BYTES).await {
         Ok(answer) => {
             let health = codec.decode_health(&answer.into_parts().0);
             let same_endpoint = health.endpoint.as_ref().is_none_or(|e| *e == id);
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -19,8 +19,8 @@
 /// this long, so that a remote end without power or behind a partition is noticed. Longer than one
 /// retransmission between regions.
 const USER_TIMEOUT: Duration = Duration::from_secs(1);
-/// The size in bytes of the largest response body that [`Client`] reads.
-const RESPONSE_MAX_BYTES: usize = 16 << 20;
+/// The size in bytes of the largest response that a host reads from the registry.
+pub const RESPONSE_MAX_BYTES: usize = 16 << 20;
 /// The longest time in which no byte of a body arrives; longer than two retransmissions in a row.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The time from which on the rate of a transfer counts.
@@ -54,7 +54,7 @@
         /// The bytes of the body that had arrived.
         received: usize,
     },
-    /// The response is longer than the caller accepts; its body was not read.
+    /// The response is longer than accepted; its body was not read, or not to its end.
     #[display("the answer is longer than {limit} bytes")]
     TooLarge {
         /// The accepted length in bytes.
@@ -97,8 +97,8 @@
 pub struct Client {
     addr: SocketAddr,
     idle: RefCell<Option<SendRequest<Full<Bytes>>>>,
-    /// The number of transfers in a row that were given up. Each one doubles the limits on the next, so
-    /// that a body arrives at last however slow the path is.
+    /// The number of transfers that were given up since one ended. Each doubles the limits on the next,
+    /// so that a body arrives at last however slow the path is.
     given_up: Cell<u32>,
 }
 
@@ -127,24 +127,28 @@
     /// # Errors
     ///
     /// Returns a [`CallError`] if the response does not begin within `timeout`, or its body stops
-    /// arriving, arrives too slowly or is too large; the connection is then closed.
+    /// arriving, arrives too slowly or has more than `limit` bytes; the connection is then closed.
     pub async fn call(
         &self,
         request: Request<Full<Bytes>>,
         timeout: Duration,
+        limit: usize,
     ) -> Result<Response<Bytes>, CallError> {
         let (sender, answer) = tokio::time::timeout(timeout, self.send(request))
             .await
             .unwrap_or(Err(CallError::Timeout))?;
         let (head, body) = answer.into_parts();
-        let body = collect(body, self.given_up.get()).await;
-        let given_up = matches!(body, Err(CallError::Incomplete { .. }));
-        self.given_up.set(if given_up {
-            PATIENCE_MAX.min(self.given_up.get() + 1)
-        } else {
-            0
-        });
-        let body = body?;
+        let patience = self.given_up.get();
+        let body = match collect(body, limit, patience).await {
+            Ok(body) => body,
+            Err(e) => {
+                if matches!(e, CallError::Incomplete { .. }) {
+                    self.given_up.set(PATIENCE_MAX.min(patience + 1));
+                }
+                return Err(e);
+            }
+        };
+        self.given_up.set(0);
         *self.idle.borrow_mut() = Some(sender);
         Ok(Response::from_parts(head, body))
     }
@@ -172,14 +176,12 @@
     }
 }
 
-/// Reads a whole body of at most [`RESPONSE_MAX_BYTES`]. The limits on the transfer are doubled
+/// Reads a whole body of at most `limit` bytes. The limits on the time of the transfer are doubled
 /// `patience` times.
-async fn collect(body: Incoming, patience: u32) -> Result<Bytes, CallError> {
-    if body.size_hint().lower() > RESPONSE_MAX_BYTES as u64 {
-        let limit = RESPONSE_MAX_BYTES;
+async fn collect(mut body: Incoming, limit: usize, patience: u32) -> Result<Bytes, CallError> {
+    if body.size_hint().lower() > limit as u64 {
         return Err(CallError::TooLarge { limit });
     }
-    let mut body = Limited::new(body, RESPONSE_MAX_BYTES);
     let mut bytes = BytesMut::new();
     let factor = 2_u32.pow(patience);
     let seconds_per_byte = f64::from(factor) / RATE_MIN_BYTES_PER_S;
@@ -192,6 +194,9 @@
                 if let Ok(data) = frame.into_data() {
                     bytes.extend_from_slice(&data);
                 }
+                if bytes.len() > limit {
+                    return Err(CallError::TooLarge { limit });
+                }
             }
             Ok(Some(Err(e))) => return Err(broken(&e)),
             Ok(None) => return Ok(bytes.freeze()),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -127,29 +127,34 @@
         }
     }
 
-    /// Relays registry changes to other hosts. Of a page that does not fit a datagram, they are told
-    /// only the version, so that they ask the registry.
+    /// Relays registry changes to other hosts, or announces only their version if they do not fit a
+    /// datagram.
     pub(crate) fn relay(&self, topic: Topic, after: u64, fetched: &Fetched, to: &[SocketAddr]) {
         if to.is_empty() {
             return;
         }
-        let bytes = fetched.page.len();
-        let fits = bytes <= RELAY_MAX_BYTES;
-        if fits {
-            self.core.metrics.count("registry_relays", "sent");
-        } else {
-            self.core.metrics.count("registry_relays", "too-large");
+        if fetched.page.len() > RELAY_MAX_BYTES {
             info!(self.core.log, "changes are too large to relay; other hosts ask the registry";
-                "topic" => %topic, "bytes" => bytes, "at" => after);
+                "topic" => %topic, "bytes" => fetched.page.len(), "at" => after);
+            return self.announce(topic, fetched.version, to);
         }
+        self.core.metrics.count("registry_relays", "sent");
+        self.send_changes(topic, after, fetched.page.to_vec(), to);
+    }
+
+    /// Tells other hosts that the registry has reached a version, so that they ask it.
+    pub(crate) fn announce(&self, topic: Topic, version: u64, to: &[SocketAddr]) {
+        if !to.is_empty() {
+            self.core.metrics.count("registry_relays", "too-large");
+            self.send_changes(topic, version, Vec::new(), to);
+        }
+    }
+
+    fn send_changes(&self, topic: Topic, after: u64, page: Vec<u8>, to: &[SocketAddr]) {
         let message = Message::RegistryChanges {
             topic: topic.number(),
-            after: if fits { after } else { fetched.version },
-            page: if fits {
-                fetched.page.to_vec()
-            } else {
-                Vec::new()
-            },
+            after,
+            page,
         };
         for peer in to {
             self.try_send(message.clone(), *peer);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -10,6 +10,7 @@
 use wagtail_steer::{Cursor, Extent, Follower, Observation};
 use wagtail_types::millis;
 
+use crate::connect::RESPONSE_MAX_BYTES;
 use crate::exchange::Exchange;
 use crate::host::{Core, Feed, RelayedPage};
 use crate::registry::{Entry, Fetched, Registry, RegistryError, Topic};
@@ -24,6 +25,23 @@
 /// an endpoint.
 const OUTAGE_MIN: Duration = Duration::from_secs(3);
 
+/// The size of changes, in percent of that of all entries, above which all entries are read instead, so
+/// that a host which is far behind reads no more than one that starts.
+const CHANGES_MAX_PERCENT: usize = 150;
+/// The size in bytes up to which changes are read in any case.
+const CHANGES_MIN_BYTES: usize = 64 << 10;
+
+/// The next call to the registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NextCall {
+    /// Waits for changes, of the registry or relayed by another host.
+    Wait,
+    /// Asks at once for the changes so far, since relayed changes cannot help.
+    Now,
+    /// Reads all entries at once, since the changes are larger.
+    All,
+}
+
 /// The state of following one topic of the registry.
 struct Subscription<R> {
     core: Rc<Core>,
@@ -35,9 +53,9 @@
     last_success: Instant,
     /// Whether the last call to the registry failed.
     unreachable: bool,
-    /// Whether the next call only tests whether the registry has something new, and so does not wait
-    /// for a change.
-    test_only: bool,
+    next: NextCall,
+    /// The size in bytes of the last answer with all entries.
+    all_size: usize,
     /// Changes with each restore of the registry.
     restores: watch::Receiver<u64>,
     /// Changes when another host knows of a newer state of the registry.
@@ -65,7 +83,8 @@
         cursor: Cursor::default(),
         last_success,
         unreachable: false,
-        test_only: false,
+        next: NextCall::Wait,
+        all_size: 0,
         restores,
         hints,
         pause: RETRY_PAUSE_MIN,
@@ -99,24 +118,30 @@
     /// if the call failed or everything has to be read again.
     async fn poll_registry(&mut self, wait: Duration, peers: &[SocketAddr]) -> Option<Duration> {
         let (core, registry, topic) = (self.core.clone(), self.registry.clone(), self.topic);
-        let version = self.cursor.version();
+        let next = std::mem::replace(&mut self.next, NextCall::Wait);
+        let read_all = next == NextCall::All;
+        let after = self.cursor.version().filter(|_| !read_all);
         // While the registry is unreachable, a call only tests whether it answers.
         let hinted = self.hints.has_changed().unwrap_or(false);
         self.hints.mark_unchanged();
-        let test_only = std::mem::take(&mut self.test_only) || hinted || self.unreachable;
-        let wait = if test_only { Duration::ZERO } else { wait };
+        let wait = if next != NextCall::Wait || hinted || self.unreachable {
+            Duration::ZERO
+        } else {
+            wait
+        };
+        let limit = self.changes_limit();
         let call = async {
-            match version {
+            match after {
                 None => registry.read(topic).await,
-                Some(after) => registry.changes(topic, after, wait).await,
+                Some(after) => registry.changes(topic, after, wait, limit).await,
             }
         };
-        let waits = version.is_some() && !wait.is_zero();
+        let waits = after.is_some() && !wait.is_zero();
         let answer = tokio::select! {
             biased;
             _ = self.restores.changed() => return Some(self.start_over()),
             _ = self.hints.changed(), if waits => {
-                self.test_only = true;
+                self.next = NextCall::Now;
                 return Some(Duration::ZERO);
             }
             answer = call => answer,
@@ -129,20 +154,49 @@
             }
             Observation::Outdated => return Some(RETRY_PAUSE_MIN),
         }
-        let pause = match answer.result {
-            Ok(fetched) => {
-                if let Some(after) = version {
-                    self.exchange.relay(self.topic, after, &fetched, peers);
-                }
-                self.apply(fetched);
+        let pause = match (answer.result, after) {
+            (Ok(fetched), Some(after)) => {
+                self.exchange.relay(self.topic, after, &fetched, peers);
+                let extent = self.cursor.advance(fetched.version);
+                self.apply(fetched, extent);
                 None
             }
-            Err(e) => Some(self.record_failure(&e)),
+            (Ok(fetched), None) => {
+                if read_all {
+                    self.exchange.announce(self.topic, fetched.version, peers);
+                }
+                self.apply_all(fetched)
+            }
+            (Err(RegistryError::TooLarge { limit }), Some(after)) => {
+                info!(core.log, "changes are larger than all entries; reading all entries";
+                    "topic" => %topic, "limit" => limit, "at" => after);
+                core.metrics.count("registry_failures", "changes-too-large");
+                core.doubt(topic);
+                self.next = NextCall::All;
+                Some(Duration::ZERO)
+            }
+            (Err(e), _) => {
+                if matches!(e, RegistryError::Incomplete { .. }) {
+                    // Other hosts do not relay what takes long to transfer.
+                    self.next = if read_all {
+                        NextCall::All
+                    } else {
+                        NextCall::Now
+                    };
+                }
+                Some(self.record_failure(&e))
+            }
         };
         self.feed().skip_to(self.cursor.version().unwrap_or(0));
         pause
     }
 
+    /// Returns the size in bytes up to which changes are read.
+    fn changes_limit(&self) -> usize {
+        let limit = self.all_size / 100 * CHANGES_MAX_PERCENT;
+        limit.clamp(CHANGES_MIN_BYTES, RESPONSE_MAX_BYTES)
+    }
+
     /// Forgets the version, as it belongs to a generation before the restore. Returns the pause
     /// before the full read.
     fn start_over(&mut self) -> Duration {
@@ -168,6 +222,9 @@
     /// Applies changes that another host relays. Asks the registry if none arrive in time or if
     /// versions are missing in between.
     async fn receive_relayed(&mut self) {
+        if self.next != NextCall::Wait {
+            return self.catch_up().await;
+        }
         let core = self.core.clone();
         let feed = &core.feeds[usize::from(self.topic.number())];
         let received = tokio::select! {
@@ -198,7 +255,10 @@
             return;
         }
         match self.registry.decode(self.topic, page) {
-            Ok(fetched) if self.cursor.continues(after, fetched.version) => self.apply(fetched),
+            Ok(fetched) if self.cursor.continues(after, fetched.version) => {
+                let extent = self.cursor.advance(fetched.version);
+                self.apply(fetched, extent);
+            }
             Ok(_) => self.fetch_missing().await,
             Err(e) => {
                 warn!(self.core.log, "relayed changes could not be decoded; asking the registry";
@@ -212,8 +272,22 @@
         &self.core.feeds[usize::from(self.topic.number())]
     }
 
+    /// Applies all entries of the topic. Returns the pause before the next call if they are older than
+    /// those applied before.
+    fn apply_all(&mut self, fetched: Fetched) -> Option<Duration> {
+        let Some(extent) = self.cursor.replace(fetched.version) else {
+            info!(self.core.log, "entries are older than those in force; ignoring them";
+                "topic" => %self.topic, "at" => fetched.version);
+            self.next = NextCall::Now;
+            return Some(RETRY_PAUSE_MIN);
+        };
+        self.all_size = fetched.size;
+        self.apply(fetched, extent);
+        None
+    }
+
     /// Applies entries that were fetched or relayed, which ends an outage of the registry.
-    fn apply(&mut self, fetched: Fetched) {
+    fn apply(&mut self, fetched: Fetched, extent: Extent) {
         let now = self.core.now();
         let outage = now.duration_since(self.last_success);
         if self.unreachable {
@@ -227,7 +301,6 @@
         self.last_success = now;
         self.core.confirm(self.topic, now);
         self.pause = RETRY_PAUSE_MIN;
-        let extent = self.cursor.advance(fetched.version);
         if extent != Extent::Changes {
             self.remove_missing(&fetched.entries, extent, now);
         }
@@ -332,7 +405,10 @@
                 "topic" => %self.topic, "error" => %e, "at" => self.cursor.version());
         }
         self.unreachable = true;
-        if matches!(e, RegistryError::NoAnswer { .. }) {
+        if matches!(
+            e,
+            RegistryError::NoAnswer { .. } | RegistryError::Incomplete { .. }
+        ) {
             // The call has already waited for the response, so the shortest pause is enough.
             return RETRY_PAUSE_MIN;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,7 +24,7 @@
 pub use codec::{
     Dispatch, Execution, Health, HttpCodec, InvalidRequest, RequestHead, ResponseHead,
 };
-pub use connect::{CallError, Client};
+pub use connect::{CallError, Client, RESPONSE_MAX_BYTES};
 pub use logs::stdout_logger;
 pub use registry::{Answer, Entry, Fetched, Registry, RegistryError, Topic};
 pub use run::{RunError, run};
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -65,6 +65,8 @@
     /// The undecoded response to [`Registry::changes`], to be relayed to other hosts; not used
     /// after a full read.
     pub page: Bytes,
+    /// The size of all responses together, in bytes.
+    pub size: usize,
 }
 
 /// The end of a call to the registry.
@@ -107,6 +109,18 @@
         /// A description of the failure.
         reason: String,
     },
+    /// The response stopped arriving, or arrived too slowly.
+    #[display("no whole answer: {reason}")]
+    Incomplete {
+        /// A description of the failure.
+        reason: String,
+    },
+    /// The response is larger than accepted; it was not read.
+    #[display("the answer is larger than {limit} bytes")]
+    TooLarge {
+        /// The accepted size in bytes.
+        limit: usize,
+    },
     /// The response cannot be decoded.
     #[display("the answer cannot be read: {reason}")]
     BadAnswer {
@@ -121,12 +135,14 @@
     /// Reads all entries of a topic, all of the same generation.
     fn read(&self, topic: Topic) -> impl Future<Output = Answer<Fetched>>;
 
-    /// Waits up to `wait` for changes after the version `after`.
+    /// Waits up to `wait` for changes after the version `after`. Ends with
+    /// [`RegistryError::TooLarge`] if the response has more than `limit` bytes.
     fn changes(
         &self,
         topic: Topic,
         after: u64,
         wait: Duration,
+        limit: usize,
     ) -> impl Future<Output = Answer<Fetched>>;
 
     /// Decodes changes that another host has relayed.
--- a/crates/steer/src/cursor.rs
+++ b/crates/steer/src/cursor.rs
@@ -47,6 +47,20 @@
             .is_some_and(|current| after <= current && current <= version)
     }
 
+    /// Moves the position to the version of all entries, which are about to be applied. Returns `None`
+    /// if they are older than what has been applied, and must be ignored.
+    pub fn replace(&mut self, version: u64) -> Option<Extent> {
+        if self.version.is_some_and(|current| version < current) {
+            return None;
+        }
+        self.version = Some(version);
+        Some(if std::mem::take(&mut self.after_restore) {
+            Extent::Restored
+        } else {
+            Extent::All
+        })
+    }
+
     /// Moves the position to the version of entries that are about to be applied. A lower version is
     /// ignored, since the registry may answer from a replica that lags behind.
     pub fn advance(&mut self, version: u64) -> Extent {
--- a/crates/steer/tests/steer/restore.rs
+++ b/crates/steer/tests/steer/restore.rs
@@ -284,3 +284,17 @@
         "it is no longer starting"
     );
 }
+
+/// Guards against an evacuation or a withdrawn key that ends because a replica of the registry that lags
+/// behind answers a read of all entries.
+#[test]
+fn all_entries_older_than_those_applied_are_ignored() {
+    let mut cursor = Cursor::default();
+    assert_eq!(cursor.replace(7), Some(Extent::All));
+    assert_eq!(cursor.advance(9), Extent::Changes);
+    assert_eq!(cursor.replace(8), None);
+    assert_eq!(cursor.version(), Some(9));
+    assert_eq!(cursor.replace(9), Some(Extent::All));
+    cursor.restart();
+    assert_eq!(cursor.replace(3), Some(Extent::Restored));
+}
