Keep a request at an endpoint whose answer is arriving

A caller with an answer of 400 KB over two seconds had it after 3.93 s of 4, and it ran twice.

The overdue time still applies until the answer begins and whenever nothing arrives for 0.7 s.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a request to endpoints until one responds or no further attempt is allowed.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -189,7 +190,7 @@
 }
 
 /// Sends the request and waits for the response. A safe request that is overdue may move to another
-/// endpoint before its deadline.
+/// endpoint before its deadline, unless its response is arriving.
 async fn await_attempt(
     context: &RequestContext,
     job: &Job,
@@ -198,7 +199,8 @@
     choice: &Choice,
     progress: &Progress,
 ) -> AttemptEnd {
-    let mut attempt = std::pin::pin!(send(context, job, head, body, choice.key));
+    let received = Cell::new(0);
+    let mut attempt = std::pin::pin!(send(context, job, head, body, choice.key, &received));
     let remaining =
         |extra: Duration| (job.deadline + extra).saturating_duration_since(context.core.now());
     let overdue_after = choice
@@ -207,10 +209,21 @@
         .max(OVERDUE_MIN);
     let may_move = job.is_safe() && progress.sent + 1 < job.route.attempts;
     if may_move && overdue_after + choice.expected_time < remaining(Duration::ZERO) {
-        if let Ok(result) = tokio::time::timeout(overdue_after, &mut attempt).await {
-            return AttemptEnd::Finished(result);
-        }
-        if let Some(next) = place_elsewhere(context, job, &progress.tried) {
+        let mut wait = overdue_after;
+        let is_overdue = loop {
+            let before = received.get();
+            if let Ok(result) = tokio::time::timeout(wait, &mut attempt).await {
+                return AttemptEnd::Finished(result);
+            }
+            if received.get() == before {
+                break true;
+            }
+            if remaining(Duration::ZERO) <= OVERDUE_MIN {
+                break false;
+            }
+            wait = OVERDUE_MIN;
+        };
+        if is_overdue && let Some(next) = place_elsewhere(context, job, &progress.tried) {
             return AttemptEnd::Overdue(Some(next));
         }
     }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -1,5 +1,6 @@
 //! One attempt at an endpoint: obtains a connection, sends the request and reads the response.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -63,13 +64,15 @@
     BadAnswer(&'static str),
 }
 
-/// Sends the request to an endpoint once.
+/// Sends the request to an endpoint once. Counts the response's bytes that have arrived in `received`;
+/// its head counts as one.
 pub(crate) async fn send(
     context: &RequestContext,
     job: &Job,
     head: &request::Parts,
     body: &Bytes,
     to: EndpointKey,
+    received: &Cell<usize>,
 ) -> Result<ReceivedResponse, AttemptError> {
     let target = context
         .core
@@ -122,7 +125,8 @@
         .map_err(|e| broken_connection(&e))?;
     let (head, incoming) = response.into_parts();
     let info = context.codec.decode_response(&head);
-    let body = read_response_body(incoming)
+    received.set(1);
+    let body = read_response_body(incoming, received)
         .await
         .map_err(|e| broken_connection(&e))?;
     classify(
@@ -212,11 +216,15 @@
 }
 
 /// Reads a response body up to the buffer limit. Returns `true` with it if it is complete.
-async fn read_response_body(mut incoming: Incoming) -> Result<(Body, bool), hyper::Error> {
+async fn read_response_body(
+    mut incoming: Incoming,
+    received: &Cell<usize>,
+) -> Result<(Body, bool), hyper::Error> {
     let mut start = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
         if let Ok(data) = frame?.into_data() {
             start.extend_from_slice(&data);
+            received.set(1 + start.len());
         }
         if start.len() > BUFFER_MAX_BYTES {
             return Ok((Body::streaming(start.freeze(), incoming), false));
