Hear what ends the use of endpoints during a long transfer

Now the start of an evacuation and endpoints that leave are applied from relayed pages at once during a call; the pages are applied in order after it, and those that its answer already had are passed over instead of being taken for a gap.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -120,6 +120,7 @@
                         after,
                         generation: datagram.registry.and_then(|view| view.generation),
                         page: page.into(),
+                        seen: false,
                     });
                 }
             }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use slog::{error, info, warn};
 use tokio::sync::watch;
-use wagtail_steer::{Cursor, Extent, Follower, Observation};
+use wagtail_steer::{Cursor, EndpointState, Extent, Follower, Generation, Observation};
 use wagtail_types::millis;
 
 use crate::connect::RESPONSE_MAX_BYTES;
@@ -136,15 +137,20 @@
                 Some(after) => registry.changes(topic, after, wait, limit).await,
             }
         };
+        let mut call = std::pin::pin!(call);
+        let feed = &core.feeds[usize::from(topic.number())];
         let waits = after.is_some() && !wait.is_zero();
-        let answer = tokio::select! {
-            biased;
-            _ = self.restores.changed() => return Some(self.start_over()),
-            _ = self.hints.changed(), if waits => {
-                self.next = NextCall::Now;
-                return Some(Duration::ZERO);
+        let answer = loop {
+            tokio::select! {
+                biased;
+                _ = self.restores.changed() => return Some(self.start_over()),
+                _ = self.hints.changed(), if waits => {
+                    self.next = NextCall::Now;
+                    return Some(Duration::ZERO);
+                }
+                answer = &mut call => break answer,
+                pages = feed.look() => self.apply_early(pages),
             }
-            answer = call => answer,
         };
         match core.observe(&answer.generation) {
             Observation::Current => {}
@@ -154,7 +160,7 @@
             }
             Observation::Outdated => return Some(RETRY_PAUSE_MIN),
         }
-        let pause = match (answer.result, after) {
+        match (answer.result, after) {
             (Ok(fetched), Some(after)) => {
                 self.exchange.relay(self.topic, after, &fetched, peers);
                 let extent = self.cursor.advance(fetched.version);
@@ -186,9 +192,7 @@
                 }
                 Some(self.record_failure(&e))
             }
-        };
-        self.feed().skip_to(self.cursor.version().unwrap_or(0));
-        pause
+        }
     }
 
     /// Returns the size in bytes up to which changes are read.
@@ -244,6 +248,7 @@
             after,
             generation,
             page,
+            ..
         } = received;
         if !core.applies(generation) {
             return self.fetch_missing().await;
@@ -259,6 +264,8 @@
                 let extent = self.cursor.advance(fetched.version);
                 self.apply(fetched, extent);
             }
+            // The answer of a call had these changes already.
+            Ok(fetched) if Some(fetched.version) < self.cursor.version() => {}
             Ok(_) => self.fetch_missing().await,
             Err(e) => {
                 warn!(self.core.log, "relayed changes could not be decoded; asking the registry";
@@ -286,6 +293,27 @@
         None
     }
 
+    /// Applies what relayed pages stop, while a call that may take long is under way. The pages are
+    /// applied in order after it.
+    fn apply_early(&self, pages: Vec<(Option<Generation>, Bytes)>) {
+        let now = self.core.now();
+        for (generation, page) in pages {
+            if !self.core.applies(generation) {
+                continue;
+            }
+            // A page that cannot be decoded is logged when its turn comes.
+            let Ok(fetched) = self.registry.decode(self.topic, page) else {
+                continue;
+            };
+            if self.cursor.version() >= Some(fetched.version) {
+                continue;
+            }
+            for entry in fetched.entries.into_iter().filter(stops_requests) {
+                self.apply_entry(entry, fetched.version, Extent::Changes, now);
+            }
+        }
+    }
+
     /// Applies entries that were fetched or relayed, which ends an outage of the registry.
     fn apply(&mut self, fetched: Fetched, extent: Extent) {
         let now = self.core.now();
@@ -417,3 +445,13 @@
         pause
     }
 }
+
+/// Returns whether an entry ends the use of endpoints, which must not wait for other entries.
+fn stops_requests(entry: &Entry) -> bool {
+    match entry {
+        Entry::Evacuate(_, on) => *on,
+        Entry::Endpoint(record) => record.state == EndpointState::Draining,
+        Entry::EndpointGone(_) => true,
+        Entry::Config(_) | Entry::Host(_) | Entry::Unusable { .. } => false,
+    }
+}
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -72,6 +72,8 @@
     pub(crate) generation: Option<Generation>,
     /// The registry's response; empty if it was too large to relay.
     pub(crate) page: Bytes,
+    /// Whether the page has been looked at during a call.
+    pub(crate) seen: bool,
 }
 
 /// The time per host over which the hosts spread their calls after a restore of the registry, up to
@@ -107,15 +109,31 @@
         }
     }
 
+    /// Waits for pages that have not been looked at, and returns them. They stay in the queue.
+    pub(crate) async fn look(&self) -> Vec<(Option<Generation>, Bytes)> {
+        loop {
+            let unseen = self.mark_seen();
+            if !unseen.is_empty() {
+                return unseen;
+            }
+            self.arrived.notified().await;
+        }
+    }
+
+    fn mark_seen(&self) -> Vec<(Option<Generation>, Bytes)> {
+        let mut pages = self.pages.borrow_mut();
+        let unseen = pages.iter_mut().filter(|p| !p.seen && !p.page.is_empty());
+        let mark = |page: &mut RelayedPage| {
+            page.seen = true;
+            (page.generation, page.page.clone())
+        };
+        unseen.map(mark).collect()
+    }
+
     /// Drops all queued pages.
     pub(crate) fn clear(&self) {
         self.pages.borrow_mut().clear();
     }
-
-    /// Drops the queued pages that begin before a version.
-    pub(crate) fn skip_to(&self, version: u64) {
-        self.pages.borrow_mut().retain(|page| page.after >= version);
-    }
 }
 
 /// A clock that implements `Debug`, so that structs with a clock can derive it.
