--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -28,9 +28,9 @@
 
 /// The size of changes, in percent of that of all entries, above which all entries are read instead, so
 /// that a host which is far behind reads no more than one that starts.
-const CHANGES_MAX_PERCENT: usize = 150;
+const CHANGES_MAX_PERCENT: usize = 300;
 /// The size in bytes up to which changes are read in any case.
-const CHANGES_MIN_BYTES: usize = 64 << 10;
+const CHANGES_MIN_BYTES: usize = 256 << 10;
 
 /// The next call to the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
