Remove the learned speed of endpoints

The cause (a guess, not traced run by run): times of one object scatter by more than endpoints differ, so that objects leave the endpoints that know them.

The moving averages of failures and refusals decay to zero now, as nothing else is left; slots of a region count whole. The tests of the decisions pass unchanged.

--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -17,9 +17,7 @@
 
 /// The weight of one outcome in the moving averages of failures and refusals.
 const FAIL_GAIN: f64 = 0.2;
-/// The weight of one answer in the moving average of the relative run time.
-const RUN_RATIO_GAIN: f64 = 0.25;
-/// The half-life with which averages return to their baseline without new samples, so that a
+/// The half-life with which averages return to zero without new samples, so that a
 /// troubled endpoint is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 /// How long the request count in an endpoint's answer takes precedence over the peers' digests.
@@ -117,7 +115,7 @@
     }
 }
 
-/// A moving average that decays towards a baseline while there are no samples.
+/// A moving average that decays towards zero while there are no samples.
 #[derive(Debug)]
 struct Decaying {
     value: f64,
@@ -125,20 +123,20 @@
 }
 
 impl Decaying {
-    fn value_at(&self, baseline: f64, now: Instant) -> f64 {
-        /// Deviations below this are treated as zero, which saves the power function below.
+    fn value_at(&self, now: Instant) -> f64 {
+        /// Values below this are treated as zero, which saves the power function below.
         const NEGLIGIBLE: f64 = 1e-3;
-        if (self.value - baseline).abs() < NEGLIGIBLE {
-            return baseline;
+        if self.value < NEGLIGIBLE {
+            return 0.0;
         }
         let half_lives = now.duration_since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        baseline + (self.value - baseline) * 0.5_f64.powf(half_lives)
+        self.value * 0.5_f64.powf(half_lives)
     }
 
-    fn observe(&mut self, sample: f64, baseline: f64, gain: f64, now: Instant) {
-        let value = self.value_at(baseline, now);
+    fn observe(&mut self, sample: f64, now: Instant) {
+        let value = self.value_at(now);
         *self = Self {
-            value: value + gain * (sample - value),
+            value: value + FAIL_GAIN * (sample - value),
             at: now,
         };
     }
@@ -199,7 +197,6 @@
     self_reported: Option<(f64, Instant)>,
     failures: Decaying,
     refusals: Decaying,
-    run_ratio: Decaying,
 }
 
 impl Endpoint {
@@ -209,7 +206,10 @@
         location: Location,
         now: Instant,
     ) -> Self {
-        let initial = |value| Decaying { value, at: now };
+        let initial = || Decaying {
+            value: 0.0,
+            at: now,
+        };
         Self {
             hash: short_hash(record.id.as_str()),
             cold_until: (!record.cold.is_zero()).then(|| now + record.cold),
@@ -224,9 +224,8 @@
             reported: 0.0,
             reported_at: None,
             self_reported: None,
-            failures: initial(0.0),
-            refusals: initial(0.0),
-            run_ratio: initial(1.0),
+            failures: initial(),
+            refusals: initial(),
             region,
             location,
             record,
@@ -255,17 +254,12 @@
 
     /// Returns the share of failures among recent outcomes.
     pub(crate) fn failure_rate(&self, now: Instant) -> f64 {
-        self.failures.value_at(0.0, now)
+        self.failures.value_at(now)
     }
 
     /// Returns the share of refusals in spite of a free slot among recent outcomes.
     pub(crate) fn refusal_rate(&self, now: Instant) -> f64 {
-        self.refusals.value_at(0.0, now)
-    }
-
-    /// Returns the recent run time relative to the expected one; 1 is normal.
-    pub(crate) fn slowness(&self, now: Instant) -> f64 {
-        self.run_ratio.value_at(1.0, now).clamp(0.3, 20.0)
+        self.refusals.value_at(now)
     }
 
     /// Returns the number of requests from all hosts at the endpoint.
@@ -291,23 +285,17 @@
         self.self_reported = Some((peers, now));
     }
 
-    /// Records an observed run time as a ratio of the expected one.
-    pub(crate) fn record_run_ratio(&mut self, ratio: f64, now: Instant) {
-        self.run_ratio
-            .observe(ratio.min(20.0), 1.0, RUN_RATIO_GAIN, now);
-    }
-
     /// Records the end of a request; `had_slot` tells whether a slot was free for it.
     pub(crate) fn record_outcome(&mut self, outcome: Outcome, had_slot: bool, now: Instant) {
         match outcome {
             Outcome::Answered => {
-                self.failures.observe(0.0, 0.0, FAIL_GAIN, now);
-                self.refusals.observe(0.0, 0.0, FAIL_GAIN, now);
+                self.failures.observe(0.0, now);
+                self.refusals.observe(0.0, now);
             }
-            Outcome::Failed | Outcome::Overdue => self.failures.observe(1.0, 0.0, FAIL_GAIN, now),
+            Outcome::Failed | Outcome::Overdue => self.failures.observe(1.0, now),
             // A refusal by a full endpoint is legitimate. An endpoint that refuses in spite of a
             // free slot will probably refuse other requests too.
-            Outcome::Shed if had_slot => self.refusals.observe(1.0, 0.0, FAIL_GAIN, now),
+            Outcome::Shed if had_slot => self.refusals.observe(1.0, now),
             Outcome::Unreachable => self.check_at = Some(now + CHECK_INTERVAL),
             Outcome::Shed | Outcome::Left | Outcome::Replaced => {}
         }
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -250,12 +250,11 @@
         reuse_distance.is_some_and(|r| context.warm_capacity.unwrap_or(&default).holds(r));
     let warm = expected_warm || request.object.is_none();
     // Runs are assumed to take twice as long during a cold start.
-    let slowdown = endpoint.slowness(context.now)
-        * if endpoint.is_cold(context.now) {
-            2.0
-        } else {
-            1.0
-        };
+    let slowdown = if endpoint.is_cold(context.now) {
+        2.0
+    } else {
+        1.0
+    };
     let Expected {
         cold_run,
         warm_run,
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -113,11 +113,11 @@
                 let record = &endpoint.record;
                 let excluded = self.evacuated.contains(&record.zone) || endpoint.is_unavailable();
                 if record.state == EndpointState::Ready && !excluded {
-                    let slots = f64::from(record.slots) / endpoint.slowness(now).max(1.0);
+                    let slots = f64::from(record.slots);
                     loads.entry(endpoint.region.clone()).or_default().slots += slots;
                     let region = &mut usage[endpoint.location.region];
                     region.busy += endpoint.outstanding(now);
-                    region.slots += f64::from(record.slots);
+                    region.slots += slots;
                 }
             }
             for (i, region) in usage.iter().enumerate().filter(|(_, r)| r.slots > 0.0) {
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -305,7 +305,6 @@
         if !choice.slot_free && run_time >= expected {
             return;
         }
-        endpoint.record_run_ratio(run_time / expected, now);
         if let (Some(distance), Some(warm)) = (choice.reuse_distance, observed) {
             self.warm_capacity
                 .entry(service.clone())
