Log how requests were placed in each shift window

The logs could not tell apart three causes: endpoints that refuse, weights that move too far because digests arrive late, and a region that rejects its own callers, so that the same number of requests elsewhere is a larger share. Request lines are limited to one a second and host, so that shares cannot be taken from them, and rejections are not told apart by region.

Each host now logs the first attempts sent to its own region and to others, and the rejections, once in a shift window. Test: placements_are_counted_by_region_and_rejections_apart.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use slog::info;
-use wagtail_steer::EndpointKey;
+use wagtail_steer::{EndpointKey, PlacementCounts};
 use wagtail_types::millis;
 
 use crate::codec::HttpCodec;
@@ -21,11 +21,18 @@
 /// The timeout of a health check; it leaves time for the check to wait in the endpoint's queue.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Runs the maintenance loop: removes lapsed endpoints, updates weights, closes expired idle
-/// connections and starts the health checks that are due.
+/// Runs the maintenance loop: removes lapsed endpoints, updates weights, logs how requests were
+/// placed in each shift window, closes expired idle connections and starts the health checks that
+/// are due.
 pub(crate) async fn maintain_endpoints(core: Rc<Core>, pool: Rc<Pool>, codec: Rc<dyn HttpCodec>) {
+    let window = core.steer.borrow().settings().shift_window;
+    let mut next_report = core.now() + window;
     loop {
         let now = core.now();
+        if now >= next_report {
+            next_report += window;
+            log_placements(&core);
+        }
         let due = {
             let mut steer = core.steer.borrow_mut();
             steer.remove_lapsed(now);
@@ -44,6 +51,14 @@
     }
 }
 
+fn log_placements(core: &Core) {
+    let counts = core.steer.borrow_mut().take_placement_counts();
+    if counts != PlacementCounts::default() {
+        info!(core.log, "requests placed by region";
+            "local" => counts.local, "remote" => counts.remote, "rejected" => counts.rejected);
+    }
+}
+
 async fn check(core: Rc<Core>, codec: Rc<dyn HttpCodec>, key: EndpointKey) {
     let target = {
         let steer = core.steer.borrow();
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -39,7 +39,7 @@
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 pub use generation::{Generation, GenerationTag, GenerationTracker, Observation};
 pub use peers::{HostRecord, Peer, Peers};
-pub use placement::{Choice, Placement, PlacementRequest, RejectionReason};
+pub use placement::{Choice, Placement, PlacementCounts, PlacementRequest, RejectionReason};
 pub use quota::TokenOutcome;
 pub use settings::Settings;
 pub use shift::ShiftLimiter;
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -106,6 +106,18 @@
     },
 }
 
+/// How many requests were placed in the local region and in others, and how many were rejected;
+/// repeated attempts of a request do not count.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementCounts {
+    /// Requests placed at endpoints of the local region.
+    pub local: u32,
+    /// Requests placed at endpoints of other regions.
+    pub remote: u32,
+    /// Requests that were not placed.
+    pub rejected: u32,
+}
+
 /// The inputs of placement besides the request and the endpoints.
 pub(crate) struct PlacementContext<'a> {
     /// The index of the region that should run the request.
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -22,6 +22,7 @@
 use crate::hash::short_hash;
 use crate::overload::OverloadMeter;
 use crate::peers::{HostRecord, Peers};
+use crate::placement::PlacementCounts;
 use crate::quota::Quota;
 use crate::rate::RateMeter;
 use crate::regions::RegionWeights;
@@ -80,6 +81,8 @@
     overload: OverloadMeter,
     round_trips: RoundTrips,
     warm_capacity: HashMap<ServiceId, WarmCapacity>,
+    /// The placements since they were last taken.
+    placement_counts: PlacementCounts,
     /// The number of requests without an object that were placed so far; wraps around.
     unkeyed_count: u32,
     /// The sequence number of the last digest.
@@ -124,6 +127,7 @@
             overload: OverloadMeter::default(),
             round_trips: RoundTrips::default(),
             warm_capacity: HashMap::new(),
+            placement_counts: PlacementCounts::default(),
             unkeyed_count: 0,
             sequence: 0,
             hosts_known: false,
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -8,9 +8,11 @@
 use super::Steer;
 use crate::budget::RetryBudget;
 use crate::config::{Route, WeightedService};
-use crate::endpoint::{EndpointKey, EndpointState, Load, Outcome};
+use crate::endpoint::{Distance, EndpointKey, EndpointState, Load, Outcome};
 use crate::estimate::RunKind;
-use crate::placement::{Choice, Placement, PlacementContext, PlacementRequest, RegionUsage, place};
+use crate::placement::{
+    Choice, Placement, PlacementContext, PlacementCounts, PlacementRequest, RegionUsage, place,
+};
 use crate::settings::Settings;
 
 /// The end of a request at an endpoint.
@@ -146,9 +148,29 @@
         if let Placement::Send(choice) = &placement {
             self.record_sent(choice, request, now);
         }
+        if request.tried.is_empty() {
+            self.count_placement(&placement);
+        }
         placement
     }
 
+    fn count_placement(&mut self, placement: &Placement) {
+        let counts = &mut self.placement_counts;
+        let count = match placement {
+            Placement::Reject { .. } => &mut counts.rejected,
+            Placement::Send(choice) => match self.endpoints[choice.key].location.distance {
+                Distance::SameZone | Distance::SameRegion => &mut counts.local,
+                Distance::OtherRegion => &mut counts.remote,
+            },
+        };
+        *count += 1;
+    }
+
+    /// Returns the counts of placements since the last call.
+    pub fn take_placement_counts(&mut self) -> PlacementCounts {
+        std::mem::take(&mut self.placement_counts)
+    }
+
     /// Returns the region that should run a request: the one that the weights select if it has
     /// usable endpoints, otherwise the local region, otherwise one of the remaining regions with
     /// usable endpoints.
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use wagtail_steer::{
-    Choice, Completion, EndpointState, Outcome, Placement, PlacementRequest, RejectionReason, Steer,
+    Choice, Completion, EndpointState, Outcome, Placement, PlacementCounts, PlacementRequest,
+    RejectionReason, Steer,
 };
 use wagtail_types::{Clock, ManualClock};
 
@@ -53,6 +54,27 @@
     (host, clock)
 }
 
+/// Guards against counts that cannot explain a shift between regions: a region that rejects its
+/// callers runs a smaller share of its requests although none moved.
+#[test]
+fn placements_are_counted_by_region_and_rejections_apart() {
+    let (mut host, clock) = one_endpoint();
+    assert!(chosen(place(&mut host, &clock)).is_some());
+    host.unregister(&name("e"), clock.now());
+    assert!(chosen(place(&mut host, &clock)).is_none());
+    host.register(endpoint("far", "b1", 2), clock.now());
+    for _ in 0..2 {
+        assert!(chosen(place(&mut host, &clock)).is_some());
+    }
+    let expected = PlacementCounts {
+        local: 1,
+        remote: 2,
+        rejected: 1,
+    };
+    assert_eq!(host.take_placement_counts(), expected);
+    assert_eq!(host.take_placement_counts(), PlacementCounts::default());
+}
+
 #[test]
 fn a_draining_endpoint_receives_no_requests() {
     let (mut host, clock) = one_endpoint();
