Let a region with few slots send requests elsewhere from the first one on

Cause: before the first update of the weights all requests stay in the region, and hosts that have seen a request or two in 0.3 s estimate its demand with a large scatter, so that some keep all. In the first 0.5 s 19 in 100 ran elsewhere, in the first 2 s 46; the endpoints there had up to 2.3 requests a slot at 2 s, and the region rejected 558 of 1,707 placements in the second window against 178 of 1,607 in the first. By the weights the share elsewhere rose from 45 to 50 in 100 of the requests, among those that ran from 46 to 70. Late digests and processor time only make it worse: all 29 peers had reported at 2.1 s with and without it, hosts used 0.004 of a core, and without processor time the same happens (54 to 72 by the hosts' own counts), closer to the bound. initial_demand_shifts_between_regions_gradually does not see it: its region rejects few, and none of its callers is bound to it.

Until the end of the first window the observed demand is mixed with an assumed one: callers spread evenly over all hosts, and a region with the average number of slots per host keeps its requests. It weighs as much as what was observed at 0.3 s. Regions with equal slots start as before.

initial_rejections_by_a_small_region_shift_no_requests failed before: 0.600, 0.816, 0.726, 0.697 elsewhere by window; passes now.

--- a/crates/steer/src/regions.rs
+++ b/crates/steer/src/regions.rs
@@ -11,7 +11,7 @@
 use wagtail_types::{RegionId, ServiceId};
 
 /// The slot utilization of a region up to which it keeps its own requests.
-const MAX_LOCAL_UTILIZATION: f64 = 0.75;
+pub(crate) const MAX_LOCAL_UTILIZATION: f64 = 0.75;
 
 /// Demand and capacity of one region, in slots.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -10,13 +10,16 @@
 use crate::estimate::{COLD_RUN_GUESS, WARM_RUN_GUESS};
 use crate::placement::RegionUsage;
 use crate::rate::arrival_hash;
-use crate::regions::{RegionLoad, ShiftLimit};
+use crate::regions::{MAX_LOCAL_UTILIZATION, RegionLoad, ShiftLimit};
 
 /// The time after the first request from which a peer's digest can include such requests.
 const REPORT_DELAY: Duration = Duration::from_millis(300);
 /// The fraction of the allowed shift that weights may use; spillover of single requests uses the
 /// rest.
 const WEIGHTS_FRACTION: f64 = 0.6;
+/// The time after the first request at which observed and assumed demand weigh the same; a few
+/// requests of a host.
+const ASSUMPTION_TIME: Duration = Duration::from_millis(300);
 
 impl Steer {
     /// Returns the expected slot time of a request for a service, in seconds. In the first shift
@@ -89,6 +92,32 @@
         rates.sum()
     }
 
+    /// Mixes the observed demand with an assumed one until the end of the first shift window: callers
+    /// spread evenly over all hosts, and regions with the average number of slots per host keep
+    /// their requests. A region with fewer slots would otherwise fill up before its demand is known,
+    /// and then reject its callers.
+    fn add_assumed_demand(
+        &self,
+        loads: &mut HashMap<RegionId, RegionLoad>,
+        first_request: Option<Instant>,
+        now: Instant,
+    ) {
+        let age = first_request.map_or(Duration::ZERO, |at| now.duration_since(at));
+        if age >= self.settings.shift_window {
+            return;
+        }
+        let weight = ASSUMPTION_TIME.as_secs_f64() / (ASSUMPTION_TIME + age).as_secs_f64();
+        let slots: f64 = loads.values().map(|l| l.slots).sum();
+        let slots_per_host = slots / self.host_count(now) as f64;
+        for (region, load) in loads {
+            let peers = self.peers.alive(now).filter(|p| p.region == *region);
+            let hosts = peers.count() + usize::from(*region == self.local.region);
+            let assumed = slots_per_host * hosts as f64 * MAX_LOCAL_UTILIZATION;
+            load.demand += weight * (assumed - load.demand);
+            load.pinned *= 1.0 - weight;
+        }
+    }
+
     /// Moves the region weights of every service towards its current demand and capacity.
     pub fn update_weights(&mut self, now: Instant) {
         self.peers.expire_loads(now);
@@ -120,6 +149,7 @@
                     region.slots += f64::from(record.slots);
                 }
             }
+            self.add_assumed_demand(&mut loads, first_request, now);
             for (i, region) in usage.iter().enumerate().filter(|(_, r)| r.slots > 0.0) {
                 let utilization = region.busy / region.slots;
                 self.overload.record(service, i, utilization, now);
--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -6,7 +6,7 @@
 use wagtail_types::Clock;
 
 use crate::simulation::{Simulation, Totals, WARM_RUN};
-use crate::support::TARGET_LATENCY;
+use crate::support::{TARGET_LATENCY, name, settings};
 
 const WARM_UP: Duration = Duration::from_secs(6);
 const SPAN: Duration = Duration::from_secs(20);
@@ -258,6 +258,40 @@
     }
 }
 
+/// Traffic starts at once in a region with a tenth of the slots that its callers need, and some of them may
+/// run nowhere else. If the region takes requests until the demand is known, its endpoints fill up and it
+/// rejects many in the next window; the same number of requests elsewhere is then a larger share of what
+/// runs. From one window to the next, at most the allowed share may change its region.
+#[test]
+fn initial_rejections_by_a_small_region_shift_no_requests() {
+    const SEEDS: u32 = 4;
+    const HOSTS: usize = 28;
+    const PINNED_EVERY: usize = 7;
+    for rate in [6.0, 10.0] {
+        let mut shares = [0.0; 4];
+        for seed in 1..=u64::from(SEEDS) {
+            let mut zones = ["a1"; HOSTS].to_vec();
+            zones.extend(["b1"; 4]);
+            let mut simulation = Simulation::new(&zones, &[("a1", 10), ("b1", 50)]);
+            simulation.seed = seed;
+            simulation.fan_out = Some(settings().fan_out);
+            for host in (0..HOSTS).step_by(PINNED_EVERY) {
+                simulation.permitted_regions[host] = vec![name("a")];
+            }
+            simulation.run(2 * WINDOW, 0, |_, _| 0.0);
+            let start = simulation.clock.now();
+            simulation.run(4 * WINDOW, 500, |_, _| rate);
+            let remote_shares = remote_shares(&simulation, start, |host| host < HOSTS);
+            for (sum, fraction) in shares.iter_mut().zip(remote_shares) {
+                *sum += fraction / f64::from(SEEDS);
+            }
+        }
+        for pair in shares.windows(2) {
+            assert!((pair[1] - pair[0]).abs() <= 0.15, "{rate}: {shares:?}");
+        }
+    }
+}
+
 /// Callers of a large region may be served only in a small one, whose own callers may run anywhere.
 /// Those must make room, as there are enough slots elsewhere, as fast as requests may change their
 /// region. With one endpoint in the small region single runs scatter, so that the mean over many
--- a/crates/steer/tests/steer/simulation.rs
+++ b/crates/steer/tests/steer/simulation.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use wagtail_steer::{
-    Choice, Completion, EndpointKey, EndpointRecord, Load, Outcome, Placement, PlacementRequest,
-    Route, Steer,
+    Choice, Completion, EndpointKey, EndpointRecord, HostState, Load, Outcome, Placement,
+    PlacementRequest, Route, Steer,
 };
 use wagtail_types::{Clock, EndpointId, ManualClock, RegionId};
 
@@ -100,6 +100,8 @@
     steps: u32,
     /// Time steps between two digests.
     pub(crate) digest_steps: u32,
+    /// The number of hosts that receive one digest, in rotation; `None` delivers it to all.
+    pub(crate) fan_out: Option<usize>,
     /// When each request was sent, by which host and to which region.
     pub(crate) sent: Vec<(Instant, usize, RegionId)>,
     /// The seed, and later the state, of the random number generator.
@@ -138,6 +140,7 @@
             permitted_regions,
             steps: 0,
             digest_steps: DIGEST_STEPS,
+            fan_out: None,
             sent: Vec::new(),
             seed: 1,
             totals: Totals::default(),
@@ -301,7 +304,10 @@
             }
         }
         if self.steps.is_multiple_of(self.digest_steps) {
-            exchange(&mut self.hosts, &self.clock);
+            match self.fan_out {
+                Some(fan_out) => self.exchange_in_rotation(fan_out),
+                None => exchange(&mut self.hosts, &self.clock),
+            }
         }
         if self.steps.is_multiple_of(BALANCE_STEPS) {
             for host in &mut self.hosts {
@@ -309,4 +315,18 @@
             }
         }
     }
+
+    /// Delivers every host's digest to the next `fan_out` of the others.
+    fn exchange_in_rotation(&mut self, fan_out: usize) {
+        let now = self.clock.now();
+        let count = self.hosts.len();
+        let round = usize::try_from(self.steps / self.digest_steps).expect("few rounds");
+        for from in 0..count {
+            let digest = self.hosts[from].next_digest(HostState::Ready, now);
+            for i in 0..fan_out {
+                let step = 1 + (round * fan_out + i) % (count - 1);
+                self.hosts[(from + step) % count].apply_digest(digest.clone(), now);
+            }
+        }
+    }
 }
