--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -31,7 +31,8 @@
 /// The cost of running a request outside the region that its object belongs to.
 const OFF_PRIMARY_COST: f64 = 0.15;
 /// The bonus for a designated sender's first request to an endpoint, since its outcome helps to
-/// place all later ones.
+/// place all later ones. Only requests that belong to the endpoint's region have it, so that probes
+/// move no requests between regions.
 const PROBE_BONUS: f64 = 0.5;
 /// The cost of the total response time, per target latency.
 const LATENCY_COST: f64 = 0.1;
@@ -303,12 +304,9 @@
     } else {
         COLD_OBJECT_FACTOR[preference.unwrap_or(2)]
     };
-    let off_primary = if endpoint.location.region == context.primary {
-        0.0
-    } else {
-        OFF_PRIMARY_COST
-    };
-    let probes = endpoint.should_probe && !endpoint.contacted;
+    let in_primary = endpoint.location.region == context.primary;
+    let off_primary = if in_primary { 0.0 } else { OFF_PRIMARY_COST };
+    let probes = in_primary && endpoint.should_probe && !endpoint.contacted;
     let utility = value * (1.0 - endpoint.failure_rate(context.now))
         - traffic_cost
         - off_primary
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -75,6 +75,41 @@
     assert_eq!(host.take_placement_counts(), PlacementCounts::default());
 }
 
+/// Guards against a shift between regions in the first seconds: a host that probes each endpoint of its
+/// region with the next request, whatever the request's region, runs requests there that move away
+/// once all endpoints have been contacted.
+#[test]
+fn requests_that_belong_to_another_region_do_not_probe_endpoints() {
+    const LOCAL_ENDPOINTS: usize = 6;
+    const REQUESTS: usize = 20;
+    let clock = ManualClock::new();
+    let mut hosts = [steer("one", "a1", 100), steer("two", "b1", 200)];
+    for host in &mut hosts {
+        host.configure(config(1)).expect("a valid configuration");
+        for i in 0..LOCAL_ENDPOINTS {
+            host.register(endpoint(&format!("near-{i}"), "a1", 3), clock.now());
+        }
+        for i in 0..9 * LOCAL_ENDPOINTS {
+            host.register(endpoint(&format!("far-{i}"), "b1", 3), clock.now());
+        }
+    }
+    exchange(&mut hosts, &clock);
+    let host = &mut hosts[0];
+    host.update_weights(clock.now());
+    // The region has a fifth of the average number of slots per host.
+    let mut shares = [0, 1].map(|_| {
+        for _ in 0..REQUESTS {
+            let choice = chosen(place(host, &clock)).expect("an endpoint");
+            finish(host, &choice, Outcome::Left, &clock);
+        }
+        let counts = host.take_placement_counts();
+        f64::from(counts.remote) / f64::from(counts.remote + counts.local)
+    });
+    shares.sort_by(f64::total_cmp);
+    let [low, high] = shares;
+    assert!(high - low < 0.15 && low > 0.5, "{shares:?}");
+}
+
 #[test]
 fn a_draining_endpoint_receives_no_requests() {
     let (mut host, clock) = one_endpoint();
