--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -31,7 +31,8 @@
 /// The cost of running a request outside the region that its object belongs to.
 const OFF_PRIMARY_COST: f64 = 0.15;
 /// The bonus for a designated sender's first request to an endpoint, since its outcome helps to
-/// place all later ones.
+/// place all later ones. Only requests that belong to the endpoint's region have it, so that probes
+/// move no requests between regions.
 const PROBE_BONUS: f64 = 0.5;
 /// The cost of the total response time, per target latency.
 const LATENCY_COST: f64 = 0.1;
@@ -106,6 +107,18 @@
     },
 }
 
+/// How many requests were placed in the local region and in others, and how many were rejected;
+/// repeated attempts of a request do not count.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct PlacementCounts {
+    /// Requests placed at endpoints of the local region.
+    pub local: u32,
+    /// Requests placed at endpoints of other regions.
+    pub remote: u32,
+    /// Requests that were not placed.
+    pub rejected: u32,
+}
+
 /// The inputs of placement besides the request and the endpoints.
 pub(crate) struct PlacementContext<'a> {
     /// The index of the region that should run the request.
@@ -290,12 +303,9 @@
     } else {
         COLD_OBJECT_FACTOR[preference.unwrap_or(2)]
     };
-    let off_primary = if endpoint.location.region == context.primary {
-        0.0
-    } else {
-        OFF_PRIMARY_COST
-    };
-    let probes = endpoint.should_probe && !endpoint.contacted;
+    let in_primary = endpoint.location.region == context.primary;
+    let off_primary = if in_primary { 0.0 } else { OFF_PRIMARY_COST };
+    let probes = in_primary && endpoint.should_probe && !endpoint.contacted;
     let utility = value * (1.0 - endpoint.failure_rate(context.now))
         - traffic_cost
         - off_primary
