Limit the silence of a platform call, not its whole duration

A call to a platform that falls silent in the middle of an answer is still given up after the limit.

A call is given up when no byte has moved in either direction for 2 s, counted in the connection itself, so that it holds for the wait for an answer as well. The send buffer is small, as bytes in it count as sent.

--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -17,7 +17,7 @@
 /// Requests the status of one entry host.
 pub(crate) async fn fetch_status(addr: SocketAddr) -> Result<HostStatus, PlatformError> {
     let settings = HttpSettings {
-        call_timeout: STATUS_TIMEOUT,
+        stall_timeout: STATUS_TIMEOUT,
         ..HttpSettings::new(addr)
     };
     HttpClient::new(settings).get_json(STATUS_PATH).await
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -24,8 +24,9 @@
     pub addr: SocketAddr,
     /// The timeout of making a connection.
     pub connect_timeout: Duration,
-    /// The timeout of a call, including making a connection.
-    pub call_timeout: Duration,
+    /// How long a call may go without a byte sent or received, such as while the platform works on
+    /// its answer.
+    pub stall_timeout: Duration,
     /// The most idle connections that are kept.
     pub max_idle: usize,
     /// The largest answer body that is read, in bytes.
@@ -38,7 +39,7 @@
         Self {
             addr,
             connect_timeout: Duration::from_millis(500),
-            call_timeout: Duration::from_secs(2),
+            stall_timeout: Duration::from_secs(2),
             max_idle: 4,
             max_answer: 64 * 1024 * 1024,
         }
--- a/crates/store/src/http/pool.rs
+++ b/crates/store/src/http/pool.rs
@@ -10,17 +10,26 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::time::timeout;
+use wagtail_progress::{Progress, Tracked};
 
 use crate::{HttpSettings, PlatformError};
 
-type Sender = SendRequest<Full<Bytes>>;
+/// Bounds the bytes that count as sent although they wait for a slow link.
+const SEND_BUFFER_BYTES: u32 = 64 * 1024;
+
+/// A connection that carries one call at a time.
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    progress: Progress,
+}
 
 #[derive(Debug)]
 pub(super) struct Pool {
     settings: HttpSettings,
-    idle: Mutex<Vec<Sender>>,
+    idle: Mutex<Vec<Connection>>,
 }
 
 impl Pool {
@@ -33,65 +42,77 @@
         self.settings.addr
     }
 
-    /// Makes a call within the time limit. A connection whose call failed is closed.
+    /// Makes a call, which is given up once it makes no progress. A connection whose call failed is
+    /// closed.
     pub(super) async fn call(
-        &self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        match timeout(self.settings.call_timeout, self.exchange(request)).await {
-            Ok(result) => result,
-            Err(_) => Err(PlatformError::unknown("no answer within the call timeout")),
-        }
-    }
-
-    async fn exchange(
         &self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
-        while let Some(sender) = self.take_idle() {
-            match self.send(sender, request).await {
-                SendResult::Answer(sender, response) => return self.finish(sender, response).await,
-                SendResult::Lost(error) => return Err(error),
-                SendResult::Unsent(unsent) => request = unsent,
+        while let Some(idle) = self.take_idle() {
+            match self.exchange(idle, request).await? {
+                Exchanged::Answer(status, body) => return Ok((status, body)),
+                Exchanged::Unsent(unsent) => request = *unsent,
             }
         }
-        let sender = self.connect().await?;
-        match self.send(sender, request).await {
-            SendResult::Answer(sender, response) => self.finish(sender, response).await,
-            SendResult::Lost(error) => Err(error),
-            SendResult::Unsent(_) => Err(PlatformError::unavailable(
+        match self.exchange(self.connect().await?, request).await? {
+            Exchanged::Answer(status, body) => Ok((status, body)),
+            Exchanged::Unsent(_) => Err(PlatformError::unavailable(
                 "the new connection closed before the request was sent",
             )),
         }
     }
 
-    async fn send(&self, mut sender: Sender, request: Request<Full<Bytes>>) -> SendResult {
-        match sender.try_send_request(request).await {
-            Ok(response) => SendResult::Answer(sender, response),
-            Err(mut error) => match error.take_message() {
-                Some(request) => SendResult::Unsent(request),
-                None => SendResult::Lost(PlatformError::unknown(error.into_error())),
-            },
+    async fn exchange(
+        &self,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchanged, PlatformError> {
+        let Connection {
+            mut sender,
+            progress,
+        } = connection;
+        let exchange = async {
+            let response = match sender.try_send_request(request).await {
+                Ok(response) => response,
+                Err(mut error) => {
+                    return match error.take_message() {
+                        Some(request) => Ok(Exchanged::Unsent(Box::new(request))),
+                        None => Err(PlatformError::unknown(error.into_error())),
+                    };
+                }
+            };
+            let status = response.status();
+            let body = self.read_body(response).await?;
+            Ok(Exchanged::Answer(status, body))
+        };
+        let limit = self.settings.stall_timeout;
+        let exchanged = progress.until_stalled(limit, exchange).await;
+        let exchanged = exchanged.map_err(PlatformError::unknown)??;
+        if matches!(exchanged, Exchanged::Answer(..)) {
+            self.return_idle(Connection { sender, progress });
         }
+        Ok(exchanged)
     }
 
-    async fn finish(
-        &self,
-        sender: Sender,
-        response: Response<Incoming>,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.settings.max_answer).collect().await;
-        let body = body.map_err(PlatformError::unknown)?.to_bytes();
-        self.return_idle(sender);
-        Ok((head.status, body))
+    async fn read_body(&self, response: Response<Incoming>) -> Result<Bytes, PlatformError> {
+        let body = Limited::new(response.into_body(), self.settings.max_answer);
+        let body = body.collect().await.map_err(PlatformError::unknown)?;
+        Ok(body.to_bytes())
     }
 
-    async fn connect(&self) -> Result<Sender, PlatformError> {
-        let stream = timeout(
-            self.settings.connect_timeout,
-            TcpStream::connect(self.settings.addr),
-        );
+    async fn connect(&self) -> Result<Connection, PlatformError> {
+        let addr = self.settings.addr;
+        let socket = if addr.is_ipv4() {
+            TcpSocket::new_v4()
+        } else {
+            TcpSocket::new_v6()
+        };
+        let socket = socket.map_err(PlatformError::unavailable)?;
+        socket
+            .set_send_buffer_size(SEND_BUFFER_BYTES)
+            .and_then(|()| socket.set_nodelay(true))
+            .map_err(PlatformError::unavailable)?;
+        let stream = timeout(self.settings.connect_timeout, socket.connect(addr));
         let stream = match stream.await {
             Ok(stream) => stream.map_err(PlatformError::unavailable)?,
             Err(_) => {
@@ -100,40 +121,37 @@
                 ));
             }
         };
-        stream
-            .set_nodelay(true)
-            .map_err(PlatformError::unavailable)?;
+        let stream = Tracked::new(stream);
+        let progress = stream.progress().clone();
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(PlatformError::unavailable)?;
         tokio::spawn(connection);
-        Ok(sender)
+        Ok(Connection { sender, progress })
     }
 
-    fn take_idle(&self) -> Option<Sender> {
+    fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(sender) = idle.pop() {
-            if !sender.is_closed() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            if !connection.sender.is_closed() {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn return_idle(&self, sender: Sender) {
+    fn return_idle(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < self.settings.max_idle && !sender.is_closed() {
-            idle.push(sender);
+        if idle.len() < self.settings.max_idle && !connection.sender.is_closed() {
+            idle.push(connection);
         }
     }
 }
 
-/// Tells what happened to a request.
-enum SendResult {
-    /// The head of an answer arrived.
-    Answer(Sender, Response<Incoming>),
-    /// The request was sent at least in part, and no answer came.
-    Lost(PlatformError),
+/// Tells what happened to a request whose outcome is known.
+enum Exchanged {
+    /// The whole answer arrived.
+    Answer(StatusCode, Bytes),
     /// No byte of the request was sent.
-    Unsent(Request<Full<Bytes>>),
+    Unsent(Box<Request<Full<Bytes>>>),
 }
