Keep a read of the configuration while its answer is in flight

Evidence: a_host_gets_a_configuration_that_is_large_for_its_link starts a host whose link carries 330 kB/s, with 300 teams of 64 keys (1.4 MB).

The call itself ends once it makes no progress, so the driver reports a read as in flight until then, and each report postpones its expiry. Without reports, as from a driver that is gone, the read expires as before. Contact with the table is now recorded with each page, as a long read would otherwise look like a cut.

--- a/crates/config/src/sync.rs
+++ b/crates/config/src/sync.rs
@@ -57,6 +57,12 @@
         /// The request number of the scan or fetch.
         request: u64,
     },
+    /// A scan or fetch is still in flight; reported at intervals shorter than
+    /// [`SyncSettings::read_timeout`].
+    InFlight {
+        /// The request number of the scan or fetch.
+        request: u64,
+    },
     /// A peer sent a message.
     Message {
         /// The peer that sent it, to which any answer goes.
@@ -96,7 +102,7 @@
     },
     /// The table answered with a state that is no older than the view.
     Contact {
-        /// When the first scan of the read was requested.
+        /// When the scan that was answered was requested.
         requested_at: Instant,
         /// The epoch of the head that was read.
         epoch: Epoch,
@@ -132,6 +138,7 @@
 #[derive(Debug)]
 struct TableRead {
     request: u64,
+    /// When the pending scan or fetch was requested.
     requested_at: Instant,
     expires: Instant,
     /// The view of the snapshot that the delta builds on, if one was fetched.
@@ -196,6 +203,7 @@
             }
             SyncInput::Fetched { request, snapshot } => self.handle_fetch(now, request, snapshot),
             SyncInput::Failed { request } => self.handle_failure(now, request),
+            SyncInput::InFlight { request } => self.extend_read(now, request),
             SyncInput::Message { from, message } => self.handle_message(now, from, message),
         }
     }
--- a/crates/config/src/sync/settings.rs
+++ b/crates/config/src/sync/settings.rs
@@ -9,7 +9,8 @@
     pub poll_interval: Duration,
     /// How many polls a second all hosts of the fleet together may make.
     pub poll_rate: u32,
-    /// How long a read of the platform may take before it is given up.
+    /// How long after the last report of a read in flight it is given up. A read may take longer,
+    /// since a large answer may cross a slow link.
     pub read_timeout: Duration,
     /// How long a pull may take before another peer is asked; doubles with each timeout in a row,
     /// up to `read_timeout`.
--- a/crates/config/src/sync/table.rs
+++ b/crates/config/src/sync/table.rs
@@ -64,30 +64,30 @@
         else {
             return;
         };
+        let head = page.head;
         let first = read.delta.after().is_none();
         let cold = first && read.base.is_none() && read.delta.since() == Epoch(0);
         if cold && page.more && page.rows.is_empty() {
             self.read_all(now, read, snapshot);
             return;
         }
-        match read.delta.add_page(page, self.mutant.joins_inconsistent()) {
+        let progress = read.delta.add_page(page, self.mutant.joins_inconsistent());
+        if !matches!(progress, Progress::Inconsistent) && head >= self.view.epoch() {
+            self.effects.push_back(SyncEffect::Contact {
+                requested_at: read.requested_at,
+                epoch: head,
+            });
+        }
+        match progress {
             Progress::More => {
                 self.adopt_partial(now, &read.delta);
                 read.request = self.next_request();
+                read.requested_at = now;
                 read.expires = now + self.settings.read_timeout;
                 self.table_read = Some(read);
                 self.send_scan(self.settings.page_rows);
             }
-            Progress::Complete(delta) => {
-                if delta.head >= self.view.epoch() {
-                    let (requested_at, epoch) = (read.requested_at, delta.head);
-                    self.effects.push_back(SyncEffect::Contact {
-                        requested_at,
-                        epoch,
-                    });
-                }
-                self.adopt(now, read.base.as_deref(), delta);
-            }
+            Progress::Complete(delta) => self.adopt(now, read.base.as_deref(), delta),
             Progress::Inconsistent => {}
         }
     }
@@ -103,6 +103,7 @@
         let expires = now + self.settings.read_timeout;
         self.table_read = Some(TableRead {
             request,
+            requested_at: now,
             expires,
             fetching: snapshot.is_some(),
             ..read
@@ -117,12 +118,10 @@
     }
 
     pub(super) fn handle_fetch(&mut self, now: Instant, request: u64, snapshot: Snapshot) {
-        let Some(read) = self
-            .table_read
-            .take_if(|r| r.request == request && r.fetching)
-        else {
+        let is_answer = |read: &mut TableRead| read.request == request && read.fetching;
+        if self.table_read.take_if(is_answer).is_none() {
             return;
-        };
+        }
         let base = if self.mutant.drops_floor() {
             View::empty().apply(snapshot.epoch, snapshot.rows)
         } else {
@@ -130,15 +129,23 @@
         };
         self.table_read = Some(TableRead {
             request: self.next_request(),
+            requested_at: now,
             expires: now + self.settings.read_timeout,
             delta: DeltaBuilder::new(base.epoch()),
             base: Some(Arc::new(base)),
             fetching: false,
-            ..read
         });
         self.send_scan(self.settings.page_rows);
     }
 
+    /// Postpones the expiry of a read that is still in flight.
+    pub(super) fn extend_read(&mut self, now: Instant, request: u64) {
+        let timeout = self.settings.read_timeout;
+        if let Some(read) = self.table_read.as_mut().filter(|r| r.request == request) {
+            read.expires = now + timeout;
+        }
+    }
+
     /// Gives up a failed read. If a snapshot could not be fetched, the whole configuration is read
     /// from the table instead.
     pub(super) fn handle_failure(&mut self, now: Instant, request: u64) {
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -1,7 +1,9 @@
 //! Driver of configuration sync.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
 use slog::info;
 use wagtail_config::{SyncEffect, SyncInput, View};
@@ -39,7 +41,8 @@
             let host = host.clone();
             tokio::spawn(async move {
                 let scan = scan_config(&*host.platform, since, after, limit);
-                let input = match calls::call(&host, Priority::Poll, Access::Read, scan).await {
+                let call = calls::call(&host, Priority::Poll, Access::Read, scan);
+                let input = match report_in_flight(&host, request, call).await {
                     Ok((page, snapshot)) => SyncInput::Scanned {
                         request,
                         page,
@@ -54,7 +57,8 @@
             let host = host.clone();
             tokio::spawn(async move {
                 let fetch = fetch_snapshot(&*host.platform, &snapshot);
-                let input = match calls::call(&host, Priority::Bulk, Access::Read, fetch).await {
+                let call = calls::call(&host, Priority::Bulk, Access::Read, fetch);
+                let input = match report_in_flight(&host, request, call).await {
                     Ok(snapshot) => SyncInput::Fetched { request, snapshot },
                     Err(_) => SyncInput::Failed { request },
                 };
@@ -76,6 +80,19 @@
     }
 }
 
+/// Runs a call, and reports it to configuration sync as in flight until it ends. The call itself
+/// ends when it makes no progress.
+async fn report_in_flight<T>(host: &Arc<Host>, request: u64, call: impl Future<Output = T>) -> T {
+    const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+    let mut call = pin!(call);
+    loop {
+        match tokio::time::timeout(REPORT_INTERVAL, call.as_mut()).await {
+            Ok(result) => return result,
+            Err(_) => handle(host, SyncInput::InFlight { request }),
+        }
+    }
+}
+
 /// Puts a view in force on this host and informs membership.
 fn adopt(host: &Arc<Host>, view: &Arc<View>) {
     if !put_in_force(host, view) {
--- a/crates/load/tests/system.rs
+++ b/crates/load/tests/system.rs
@@ -8,5 +8,7 @@
 mod fixture;
 #[path = "system/keys.rs"]
 mod keys;
+#[path = "system/slow_link.rs"]
+mod slow_link;
 #[path = "system/stop.rs"]
 mod stop;
