Let a long call to the platform hold back no others

The host would have lost its quota shards meanwhile.

Evidence: a_slow_call_does_not_hold_back_others_after_a_failure; on the code before, a lease call behind a long bulk call and a failed poll was dropped.

A call that has lasted for 2 s, as long as any call could last before, no longer counts against the limit. The rate of all hosts together is as before, since it bounds the starts of calls.

--- a/crates/store/src/schedule.rs
+++ b/crates/store/src/schedule.rs
@@ -2,7 +2,7 @@
 
 mod pacer;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
@@ -104,8 +104,11 @@
     pub hosts: u32,
     /// The most calls that wait, for reads and writes each.
     pub max_queued: usize,
-    /// The most calls in flight.
+    /// The most calls in flight that have not lasted for `slow_after` yet.
     pub max_flight: usize,
+    /// How long a call may last before it no longer holds back others. Calls that last longer
+    /// transfer what is large for the link.
+    pub slow_after: Duration,
     /// The longest wait after the first failure; doubles with each further one.
     pub first_backoff: Duration,
     /// The upper limit of all waits.
@@ -122,6 +125,7 @@
             hosts: 600,
             max_queued: 1_024,
             max_flight: 8,
+            slow_after: Duration::from_secs(2),
             first_backoff: Duration::from_millis(200),
             max_backoff: Duration::from_secs(2),
         }
@@ -147,14 +151,16 @@
 /// Decides when a host makes its calls to the platform.
 ///
 /// All hosts together keep to the read and write rates of the settings. After a failure a host
-/// makes one call at a time until one is answered. The state machine does no I/O.
+/// makes one call at a time until one is answered. Calls that last long hold no others back. The
+/// state machine does no I/O.
 #[derive(Debug)]
 pub struct Scheduler {
     settings: ScheduleSettings,
     rng: SmallRng,
     reads: CallQueue,
     writes: CallQueue,
-    flight: BTreeSet<u64>,
+    /// The calls in flight and when they started.
+    flight: BTreeMap<u64, Instant>,
     failures: u32,
     /// When calls may start again after a failure.
     blocked_until: Instant,
@@ -177,7 +183,7 @@
             rng,
             reads,
             writes,
-            flight: BTreeSet::new(),
+            flight: BTreeMap::new(),
             failures: 0,
             blocked_until: now,
             last_arrival: 0,
@@ -212,7 +218,7 @@
                 return;
             };
             queue.pacer.start(at);
-            self.flight.insert(call.id);
+            self.flight.insert(call.id, now);
             self.effects
                 .push_back(ScheduleEffect::Start { id: call.id });
         }
@@ -226,8 +232,8 @@
             .flat_map(|q| q.calls.values())
             .map(|c| c.deadline)
             .min();
-        if self.flight.len() >= self.flight_limit() {
-            return deadline;
+        if let Some(slow_at) = self.full_until(now) {
+            return deadline.map(|at| at.min(slow_at));
         }
         let busy = queues.iter().filter(|q| !q.calls.is_empty());
         let start = busy
@@ -257,9 +263,22 @@
         }
     }
 
+    /// Returns when the next call in flight stops to hold back others; `None` if none is held back
+    /// now.
+    fn full_until(&self, now: Instant) -> Option<Instant> {
+        let ends = self
+            .flight
+            .values()
+            .map(|at| *at + self.settings.slow_after);
+        let mut ends: Vec<Instant> = ends.filter(|at| *at > now).collect();
+        ends.sort_unstable();
+        let excess = ends.len().checked_sub(self.flight_limit())?;
+        ends.get(excess).copied()
+    }
+
     /// Returns whether the most urgent call that may start now is a read or a write.
     fn next_access(&self, now: Instant) -> Option<Access> {
-        if now < self.blocked_until || self.flight.len() >= self.flight_limit() {
+        if now < self.blocked_until || self.full_until(now).is_some() {
             return None;
         }
         let queues = [(&self.reads, Access::Read), (&self.writes, Access::Write)];
@@ -308,7 +327,7 @@
     }
 
     fn handle_finished(&mut self, now: Instant, id: u64, outcome: Outcome) {
-        if !self.flight.remove(&id) {
+        if self.flight.remove(&id).is_none() {
             return;
         }
         if outcome == Outcome::Answered {
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -302,3 +302,32 @@
     };
     assert_eq!(total(true), total(false));
 }
+
+// Guards against a large answer that crosses a slow link and holds back every other call: after a
+// failure a host makes one call at a time, so leases would lapse until the answer has arrived.
+#[test]
+fn a_slow_call_does_not_hold_back_others_after_a_failure() {
+    const WAIT: Duration = Duration::from_secs(3);
+    let start = Instant::now();
+    let mut host = Scheduler::new(ScheduleSettings::default(), 1, start);
+    let mut at = start;
+    let mut start_call = |host: &mut Scheduler, id, priority| {
+        submit(host, at, id, priority, WAIT);
+        while let Some(wake) = host.next_wake(at) {
+            at = at.max(wake);
+            host.tick(at);
+            if let Some(effect) = host.poll_effect() {
+                return (effect, at);
+            }
+        }
+        panic!("call {id} neither starts nor is dropped");
+    };
+    let (slow, _) = start_call(&mut host, 1, Priority::Bulk);
+    assert_eq!(slow, ScheduleEffect::Start { id: 1 });
+    let (failing, failed_at) = start_call(&mut host, 2, Priority::Poll);
+    assert_eq!(failing, ScheduleEffect::Start { id: 2 });
+    let outcome = Outcome::Failed;
+    host.handle(failed_at, ScheduleInput::Finished { id: 2, outcome });
+    let (lease, _) = start_call(&mut host, 3, Priority::Lease);
+    assert_eq!(lease, ScheduleEffect::Start { id: 3 });
+}
