Keep a control connection while a large frame goes on arriving

A page of the configuration that took more than 3 s to cross a link cost the connection each time: the sender waited for the acknowledgement of the whole frame, and for the whole frame to be written. What followed the page was sent over another connection, or dropped while that was being made, probes included.

Evidence: a_large_message_over_a_slow_link_does_not_break_the_connection sends 600 kB over 200 kB/s with a stall timeout of 1 s, and a small message every 0.5 s. On the code before, small messages overtook the large one over another connection; now all six arrive in order over one.

The receiver acknowledges each 16 KiB of a frame by a byte of its own, and the sender counts the time since the last acknowledgement of any kind. A frame of up to 16 KiB costs no byte more. Earlier builds take the new byte for the acknowledgement of a frame and so notice a stall later at worst; a new build that sends to an earlier one gives a large frame as long as before.

--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,13 +1,17 @@
 //! Control connections: packed frames in one direction, one acknowledgement byte per frame in the
-//! other.
+//! other, and further bytes while a large frame arrives.
 
+use std::cell::Cell;
+use std::future::pending;
+use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use wagtail_progress::Progress;
 
 use crate::client::{Channel, Connection};
 use crate::codec;
@@ -19,7 +23,12 @@
 
 const BATCH_MESSAGES: usize = 64;
 const QUEUED_FRAMES: usize = 16;
+/// Acknowledges a whole frame.
 const ACK: u8 = 1;
+/// Acknowledges `PARTIAL_BYTES` of a frame. Earlier builds take it for an [`ACK`], and then only
+/// notice a stall later.
+const PARTIAL_ACK: u8 = 2;
+const PARTIAL_BYTES: usize = 16 * 1024;
 
 /// Queues frames for a connection.
 pub(crate) struct FrameSender(mpsc::Sender<Vec<u8>>);
@@ -36,35 +45,60 @@
     }
 }
 
-/// Writes frames until the connection breaks or the receiver acknowledges none of those in flight
-/// for the stall timeout.
-async fn write_frames(
-    link: Link,
-    mut queued: mpsc::Receiver<Vec<u8>>,
-    stall_timeout: std::time::Duration,
-) {
-    const ACKS_PER_READ: usize = 64;
+/// Writes frames until the connection breaks or nothing of those in flight is acknowledged for the
+/// stall timeout.
+async fn write_frames(link: Link, mut queued: mpsc::Receiver<Vec<u8>>, stall_timeout: Duration) {
     let (mut read, mut write) = tokio::io::split(link);
-    let (mut in_flight, mut last_progress) = (0_usize, Instant::now());
-    let mut acks = [0; ACKS_PER_READ];
-    loop {
-        tokio::select! {
-            frame = queued.recv() => {
-                let Some(frame) = frame else { return };
-                if in_flight == 0 {
-                    last_progress = Instant::now();
-                }
-                in_flight += 1;
-                if !matches!(timeout(stall_timeout, write.write_all(&frame)).await, Ok(Ok(()))) {
-                    return;
-                }
+    let in_flight = InFlight::default();
+    let write_all = async {
+        while let Some(frame) = queued.recv().await {
+            in_flight.add();
+            if write.write_all(&frame).await.is_err() {
+                return;
             }
-            count = read.read(&mut acks) => {
-                let Ok(count @ 1..) = count else { return };
-                in_flight = in_flight.saturating_sub(count);
-                last_progress = Instant::now();
+        }
+    };
+    tokio::select! {
+        () = write_all => {}
+        () = in_flight.read_acks(&mut read) => {}
+        () = in_flight.detect_stall(stall_timeout) => {}
+    }
+}
+
+/// Counts the frames that were sent and not acknowledged.
+#[derive(Default)]
+struct InFlight {
+    frames: Cell<usize>,
+    acknowledged: Progress,
+}
+
+impl InFlight {
+    fn add(&self) {
+        if self.frames.get() == 0 {
+            self.acknowledged.record();
+        }
+        self.frames.set(self.frames.get() + 1);
+    }
+
+    /// Reads acknowledgements until the connection ends.
+    async fn read_acks(&self, read: &mut (impl AsyncRead + Unpin)) {
+        const ACKS_PER_READ: usize = 64;
+        let mut acks = [0; ACKS_PER_READ];
+        while let Ok(count @ 1..) = read.read(&mut acks).await {
+            let whole = acks[..count].iter().filter(|ack| **ack != PARTIAL_ACK);
+            self.frames
+                .set(self.frames.get().saturating_sub(whole.count()));
+            self.acknowledged.record();
+        }
+    }
+
+    /// Returns once frames are in flight and no acknowledgement arrives for `limit`.
+    async fn detect_stall(&self, limit: Duration) {
+        loop {
+            let stalled = self.acknowledged.until_stalled(limit, pending::<()>());
+            if stalled.await.is_err() && self.frames.get() > 0 {
+                return;
             }
-            () = sleep_until(last_progress + stall_timeout), if in_flight > 0 => return,
         }
     }
 }
@@ -115,7 +149,7 @@
             return;
         }
         let mut bytes = vec![0; length as usize];
-        if read.read_exact(&mut bytes).await.is_err() {
+        if read_frame(&mut read, &mut write, &mut bytes).await.is_err() {
             return;
         }
         let unpacked = codec::unpack(&bytes, limit, |message| match message {
@@ -136,3 +170,19 @@
         }
     }
 }
+
+/// Fills `frame` and acknowledges each part of it except the last.
+async fn read_frame(
+    read: &mut (impl AsyncRead + Unpin),
+    write: &mut (impl AsyncWrite + Unpin),
+    frame: &mut [u8],
+) -> io::Result<()> {
+    let mut parts = frame.chunks_mut(PARTIAL_BYTES).peekable();
+    while let Some(part) = parts.next() {
+        read.read_exact(part).await?;
+        if parts.peek().is_some() {
+            write.write_u8(PARTIAL_ACK).await?;
+        }
+    }
+    Ok(())
+}
--- a/crates/peer/tests/contract/main.rs
+++ b/crates/peer/tests/contract/main.rs
@@ -4,3 +4,4 @@
 mod fleet;
 mod handshake;
 mod relay;
+mod slow_link;
--- /dev/null
+++ b/crates/peer/tests/contract/slow_link.rs
@@ -0,0 +1,88 @@
+//! Connections over a link that is slow but steady: they must stay open as long as bytes arrive.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+use wagtail_peer::{Control, Limits, Peer};
+use wagtail_standin::link::{self, Link};
+
+use crate::fleet::{FakeHandler, SECRET, host, peer};
+
+const BYTES_PER_SECOND: u32 = 200_000;
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Takes the link three times the stall timeout.
+const LARGE_BYTES: usize = 600_000;
+const TIMEOUT: Duration = Duration::from_secs(60);
+
+struct SlowFleet {
+    entry: Peer,
+    _owner: Peer,
+    _link: Link,
+    handler: Arc<FakeHandler>,
+}
+
+impl SlowFleet {
+    /// Starts two hosts, the first of which reaches the second over a slow link.
+    fn start(handler: FakeHandler) -> Self {
+        let limits = Limits {
+            stall_timeout: STALL_TIMEOUT,
+            ..Limits::default()
+        };
+        let handler = Arc::new(handler);
+        let entry = peer(
+            "entry",
+            SECRET,
+            limits.clone(),
+            Arc::new(FakeHandler::echo()),
+        );
+        let owner = peer("owner", SECRET, limits, handler.clone());
+        let link = link::start(owner.addr(), BYTES_PER_SECOND).expect("starts");
+        entry.set_addresses(HashMap::from([(host("owner"), link.addr)]));
+        Self {
+            entry,
+            _owner: owner,
+            _link: link,
+            handler,
+        }
+    }
+}
+
+fn push(bytes: usize) -> Control {
+    let row = wagtail_config::Row {
+        key: "team/lead".parse().expect("key"),
+        epoch: wagtail_types::Epoch(1),
+        schema: 1,
+        body: Some("b".repeat(bytes).into()),
+    };
+    let page = wagtail_config::Page {
+        since: wagtail_types::Epoch(0),
+        head: wagtail_types::Epoch(1),
+        floor: wagtail_types::Epoch(0),
+        rows: vec![row],
+        more: false,
+    };
+    Control::Config(wagtail_config::Message::Push { page })
+}
+
+// Guards against a limit on the time until a whole frame is acknowledged: one that takes longer to
+// cross the link would cost the connection, and what follows it would need another one.
+#[tokio::test]
+async fn a_large_message_over_a_slow_link_does_not_break_the_connection() {
+    let fleet = SlowFleet::start(FakeHandler::echo());
+    let small = || Control::Leaving("e1".parse().expect("endpoint name"));
+    fleet.entry.send(&host("owner"), push(LARGE_BYTES));
+    for _ in 0..5 {
+        sleep(STALL_TIMEOUT / 2).await;
+        fleet.entry.send(&host("owner"), small());
+    }
+    let received = timeout(TIMEOUT, fleet.handler.controls(6)).await;
+    let received: Vec<_> = received.expect("arrive").into_iter().collect();
+    assert!(
+        received[0].2 == push(LARGE_BYTES),
+        "another message arrived"
+    );
+    assert!(received[1..].iter().all(|(_, _, m)| *m == small()));
+    assert_eq!(fleet.entry.counts().connects, 1);
+}
