Do not take a busy relay connection for a broken one

Callers whose requests were relayed over a slow link got may-have-run, or an answer cut short: while a relay waits, its host pings the other, and 3 s without an answer closed the connection with all relays on it. The answer to a ping waits behind up to 256 KiB of each body on its way.

Evidence: a_large_answer_over_a_slow_link_does_not_break_the_connection relays two requests over 200 kB/s with a stall timeout of 1 s, one with an answer of 600 kB, one answered after 3 s. On the code before, the second ended as may-have-run (relay-lost); now both arrive whole over one connection.

The connection is closed only when nothing at all has been received for the timeout. A link that fails while an answer is on its way is noticed as before, 3 s after the last byte.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -17,6 +17,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, error::Elapsed, timeout};
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
+use wagtail_progress::Progress;
 use wagtail_types::Bytes;
 
 use crate::handshake::{self, HandshakeError, Purpose};
@@ -83,6 +84,7 @@
 /// A connection to another host.
 pub(crate) struct Connection<C> {
     pub(crate) channel: C,
+    received: Progress,
     closed: CloseSignal,
     task: AbortHandle,
     last_used: Cell<Instant>,
@@ -115,6 +117,7 @@
     }
 
     fn start(link: Link, limits: &Limits) -> Self {
+        let received = link.received().clone();
         let (channel, running) = C::start(link, limits);
         let (close_guard, closed) = watch::channel(());
         let task = tokio::task::spawn_local(async move {
@@ -123,6 +126,7 @@
         });
         Self {
             channel,
+            received,
             closed: CloseSignal(closed),
             task: task.abort_handle(),
             last_used: Cell::new(Instant::now()),
@@ -136,6 +140,11 @@
         self.closed.clone()
     }
 
+    /// Returns the record of when bytes were last received.
+    pub(crate) fn received(&self) -> &Progress {
+        &self.received
+    }
+
     /// Returns whether the connection can still be used.
     pub(crate) fn is_open(&self) -> bool {
         !self.task.is_finished()
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -14,6 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
+use wagtail_progress::Progress;
 use wagtail_types::HostId;
 
 use crate::counts::{Counter, Counters};
@@ -27,6 +28,7 @@
 /// A stream that counts its bytes by purpose.
 pub(crate) struct Link {
     read: OwnedReadHalf,
+    received: Progress,
     write: Writer,
     counters: Arc<Counters>,
     purpose: Option<Purpose>,
@@ -43,12 +45,18 @@
         let (read, write) = stream.into_split();
         Self {
             read,
+            received: Progress::default(),
             write: Writer::Direct(write),
             counters,
             purpose: None,
         }
     }
 
+    /// Returns the record of when bytes were last received.
+    pub(crate) fn received(&self) -> &Progress {
+        &self.received
+    }
+
     /// Sets the purpose under which the following bytes are counted.
     pub(crate) fn set_purpose(&mut self, purpose: Purpose) {
         self.purpose = Some(purpose);
@@ -126,7 +134,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.read).poll_read(cx, buf);
-        self.count(buf.filled().len() - before, 0);
+        let count = buf.filled().len() - before;
+        if count > 0 {
+            self.received.record();
+        }
+        self.count(count, 0);
         polled
     }
 }
--- a/crates/peer/src/relay.rs
+++ b/crates/peer/src/relay.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use wagtail_types::{Cause, Reason, Verdict};
 
 use crate::body::{self, Body, BodyServer, Chunks};
@@ -72,14 +72,15 @@
     })
 }
 
-/// Pings the other host, and closes the connection and returns once a ping goes unanswered for the
-/// stall timeout.
+/// Pings the other host, and closes the connection and returns once a ping goes unanswered and
+/// nothing else is received for the stall timeout. The answer may wait behind large bodies.
 async fn detect_stall(shared: &Shared, connection: &Connection<peer::Client>) {
     let stall_timeout = shared.settings.limits.stall_timeout;
     loop {
         sleep(stall_timeout / 2).await;
         let ping = connection.channel.ping_request().send().promise;
-        if !matches!(timeout(stall_timeout, ping).await, Ok(Ok(_))) {
+        let answered = connection.received().until_stalled(stall_timeout, ping);
+        if !matches!(answered.await, Ok(Ok(_))) {
             connection.close();
             return;
         }
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -65,8 +65,8 @@
     pub queue: usize,
     /// Timeout of opening a connection, including its handshake.
     pub connect_timeout: Duration,
-    /// Time without an acknowledgement of a control frame, or without an answer to a ping, after
-    /// which a connection is closed.
+    /// Time after which a connection is closed: on a control connection without an acknowledgement
+    /// of frames in flight, on a relay connection without an answer to a ping or any other byte.
     pub stall_timeout: Duration,
     /// Time after which an unused connection is closed.
     pub idle_timeout: Duration,
--- a/crates/peer/tests/contract/slow_link.rs
+++ b/crates/peer/tests/contract/slow_link.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::{sleep, timeout};
-use wagtail_peer::{Control, Limits, Peer};
+use wagtail_peer::{Control, Limits, Peer, empty_body, full_body};
 use wagtail_standin::link::{self, Link};
 
-use crate::fleet::{FakeHandler, SECRET, host, peer};
+use crate::fleet::{FakeHandler, SECRET, head, host, peer, read_body};
 
 const BYTES_PER_SECOND: u32 = 200_000;
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -86,3 +87,34 @@
     assert!(received[1..].iter().all(|(_, _, m)| *m == small()));
     assert_eq!(fleet.entry.counts().connects, 1);
 }
+
+// Guards against a busy connection that is taken for a broken one: the answer to a ping waits behind
+// the bodies of other relays, all of which would be cut off.
+#[tokio::test]
+async fn a_large_answer_over_a_slow_link_does_not_break_the_connection() {
+    let handler = FakeHandler::new(|head, body| async move {
+        if head.path == "/large" {
+            let body = full_body(Bytes::from(vec![b'a'; LARGE_BYTES]));
+            return Ok(crate::relay::answer(body));
+        }
+        sleep(STALL_TIMEOUT * 3).await;
+        Ok(crate::relay::answer(body))
+    });
+    let fleet = SlowFleet::start(handler);
+    let mut large = head();
+    large.path = "/large".to_owned();
+    let to = host("owner");
+    let read_large = async {
+        let answer = fleet.entry.relay(&to, large, empty_body()).await;
+        read_body(answer.expect("answers")).await
+    };
+    let read_late = async {
+        let answer = fleet.entry.relay(&to, head(), full_body("late")).await;
+        read_body(answer.expect("answers")).await
+    };
+    let both = async { tokio::join!(read_large, read_late) };
+    let (large, late) = timeout(TIMEOUT, both).await.expect("arrive");
+    assert_eq!(large.map(|body| body.len()), Ok(LARGE_BYTES));
+    assert_eq!(late, Ok(Bytes::from_static(b"late")));
+    assert_eq!(fleet.entry.counts().connects, 1);
+}
