Do not ask again for a page that is arriving from a peer

Over a link on which a page of the configuration takes longer than the timeout of a pull, a host asked for the page again while it was arriving. Each further answer took the link as well and delayed the pages that followed, so that the pulls grew faster than the answers came.

The connection tells its handler when a part of a large message has arrived, and a pull from that host is then kept for another timeout.

--- a/crates/config/src/sync.rs
+++ b/crates/config/src/sync.rs
@@ -63,6 +63,11 @@
         /// The request number of the scan or fetch.
         request: u64,
     },
+    /// A part of a large message of a peer has arrived.
+    Receiving {
+        /// The peer that sends it.
+        from: HostId,
+    },
     /// A peer sent a message.
     Message {
         /// The peer that sent it, to which any answer goes.
@@ -209,6 +214,7 @@
             SyncInput::Fetched { request, snapshot } => self.handle_fetch(now, request, snapshot),
             SyncInput::Failed { request } => self.handle_failure(now, request),
             SyncInput::InFlight { request } => self.extend_read(now, request),
+            SyncInput::Receiving { from } => self.extend_pull(now, &from),
             SyncInput::Message { from, message } => self.handle_message(now, from, message),
         }
     }
--- a/crates/config/src/sync/peers.rs
+++ b/crates/config/src/sync/peers.rs
@@ -164,6 +164,15 @@
         self.effects.push_back(SyncEffect::Send { to, message });
     }
 
+    /// Postpones the expiry of a pull from a peer whose answer, or what comes before it, is arriving.
+    pub(super) fn extend_pull(&mut self, now: Instant, from: &HostId) {
+        let timeout = self.pull_timeout;
+        let pull = self.pull.as_mut();
+        if let Some(pull) = pull.filter(|pull| pull.asked.contains(from)) {
+            pull.expires = pull.expires.max(now + timeout);
+        }
+    }
+
     pub(super) fn handle_page(&mut self, now: Instant, from: &HostId, request: u64, page: Page) {
         let is_answer = |p: &mut PeerPull| p.request == request && p.asked.contains(from);
         let Some(mut pull) = self.pull.take_if(is_answer) else {
--- a/crates/config/tests/sync.rs
+++ b/crates/config/tests/sync.rs
@@ -252,14 +252,27 @@
     assert_eq!((pages[0].rows.len(), pages[0].more), (2, true));
 }
 
-/// Pulls a configuration of many pages from one peer, which answers each pull after `delay` unless
-/// `loses` holds for its number. Returns the epoch adopted within `limit`, and how many pulls it took.
-fn pull_pages(delay: Duration, limit: Duration, loses: impl Fn(usize) -> bool) -> (Epoch, usize) {
+/// The link from a peer to a host that pulls from it.
+struct PullLink {
+    /// The time until an answer begins to arrive.
+    latency: Duration,
+    /// The time that each answer takes the link, one after the other.
+    transfer: Duration,
+    /// Whether the host is told that an answer is arriving.
+    reports: bool,
+    /// Tells whether the answer to the pull with this number is lost.
+    loses: fn(usize) -> bool,
+}
+
+const PULL_PAGES: u64 = 12;
+
+/// Pulls a configuration of [`PULL_PAGES`] pages from one peer. Returns the epoch adopted within
+/// `limit`, and how many pulls were sent.
+fn pull_pages(link: &PullLink, limit: Duration) -> (Epoch, usize) {
     const STEP: Duration = Duration::from_millis(10);
-    const ROWS: u64 = 12;
     let start = Instant::now();
-    let rows = (1..=ROWS).map(|n| region(&format!("r{n}"), n));
-    let source = View::empty().apply(Epoch(ROWS), rows);
+    let rows = (1..=PULL_PAGES).map(|n| region(&format!("r{n}"), n));
+    let source = View::empty().apply(Epoch(PULL_PAGES), rows);
     let mut sync = ConfigSync::new(SyncSettings::default(), 1, start);
     let peer: wagtail_types::HostId = "peer".parse().unwrap();
     sync.handle(start, SyncInput::Peers(vec![peer.clone()]));
@@ -267,7 +280,7 @@
     let from = peer.clone();
     sync.handle(start, SyncInput::PeerEpoch { from, epoch });
     let mut answers = VecDeque::new();
-    let (mut pulls, mut now) = (0, start);
+    let (mut pulls, mut now, mut free_at) = (0, start, start);
     while now < start + limit && sync.view().epoch() < epoch {
         now += STEP;
         sync.tick(now);
@@ -283,18 +296,25 @@
             {
                 pulls += 1;
                 let page = source.page(since, after.as_ref(), 1);
-                if !loses(pulls) {
-                    answers.push_back((now + delay, Message::Page { request, page }));
+                if !(link.loses)(pulls) {
+                    let begins = free_at.max(now + link.latency);
+                    free_at = begins + link.transfer;
+                    answers.push_back((begins, free_at, Message::Page { request, page }));
                 }
             }
         }
-        while answers.front().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, message)) = answers.pop_front() else {
+        while answers.front().is_some_and(|(_, ends, _)| *ends <= now) {
+            let Some((_, _, message)) = answers.pop_front() else {
                 break;
             };
             let from = peer.clone();
             sync.handle(now, SyncInput::Message { from, message });
         }
+        let arriving = answers.front().is_some_and(|(begins, ..)| *begins < now);
+        if link.reports && arriving {
+            let from = peer.clone();
+            sync.handle(now, SyncInput::Receiving { from });
+        }
     }
     (sync.view().epoch(), pulls)
 }
@@ -303,9 +323,14 @@
 // of many pages would never be complete.
 #[test]
 fn a_pull_goes_on_where_an_answer_was_lost() {
-    let delay = Duration::from_millis(20);
-    let (epoch, pulls) = pull_pages(delay, Duration::from_secs(60), |pull| pull % 3 == 0);
-    assert_eq!(epoch, Epoch(12));
+    let link = PullLink {
+        latency: Duration::from_millis(20),
+        transfer: Duration::ZERO,
+        reports: false,
+        loses: |pull| pull % 3 == 0,
+    };
+    let (epoch, pulls) = pull_pages(&link, Duration::from_secs(60));
+    assert_eq!(epoch, Epoch(PULL_PAGES));
     assert!(pulls <= 18, "{pulls} pulls");
 }
 
@@ -313,7 +338,29 @@
 // arrives and asked for again.
 #[test]
 fn an_answer_that_is_later_than_the_timeout_counts() {
-    let delay = SyncSettings::default().read_timeout * 2;
-    let (epoch, _) = pull_pages(delay, delay * 20, |_| false);
-    assert_eq!(epoch, Epoch(12));
+    let latency = SyncSettings::default().read_timeout * 2;
+    let link = PullLink {
+        latency,
+        transfer: Duration::ZERO,
+        reports: false,
+        loses: |_| false,
+    };
+    let (epoch, _) = pull_pages(&link, latency * 20);
+    assert_eq!(epoch, Epoch(PULL_PAGES));
+}
+
+// Guards against a page that is asked for again while it is arriving: the second answer would take
+// the slow link as well, and delay all that follow.
+#[test]
+fn a_page_that_is_arriving_is_not_asked_for_again() {
+    let pages = u32::try_from(PULL_PAGES).expect("few");
+    let link = PullLink {
+        latency: Duration::from_millis(20),
+        transfer: SyncSettings::default().read_timeout * 2,
+        reports: true,
+        loses: |_| false,
+    };
+    let wait = SyncSettings::default().initial_wait;
+    let limit = wait + (link.transfer + link.latency * 3) * pages;
+    assert_eq!(pull_pages(&link, limit), (Epoch(PULL_PAGES), 12));
 }
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -28,6 +28,13 @@
         }
     }
 
+    fn receiving(&self, from: &HostId) {
+        if let Some(host) = self.0.upgrade() {
+            let from = from.clone();
+            drive::sync_input(&host, wagtail_config::SyncInput::Receiving { from });
+        }
+    }
+
     fn relay(
         &self,
         from: HostId,
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -3,13 +3,12 @@
 
 use std::cell::Cell;
 use std::future::pending;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::FutureExt as _;
 use futures_util::future::LocalBoxFuture;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::sync::mpsc;
 use wagtail_progress::Progress;
 
@@ -149,8 +148,17 @@
             return;
         }
         let mut bytes = vec![0; length as usize];
-        if read_frame(&mut read, &mut write, &mut bytes).await.is_err() {
-            return;
+        let mut parts = bytes.chunks_mut(PARTIAL_BYTES).peekable();
+        while let Some(part) = parts.next() {
+            if read.read_exact(part).await.is_err() {
+                return;
+            }
+            if parts.peek().is_some() {
+                shared.handler.receiving(&from.host);
+                if write.write_u8(PARTIAL_ACK).await.is_err() {
+                    return;
+                }
+            }
         }
         let unpacked = codec::unpack(&bytes, limit, |message| match message {
             Ok(message) => {
@@ -170,19 +178,3 @@
         }
     }
 }
-
-/// Fills `frame` and acknowledges each part of it except the last.
-async fn read_frame(
-    read: &mut (impl AsyncRead + Unpin),
-    write: &mut (impl AsyncWrite + Unpin),
-    frame: &mut [u8],
-) -> io::Result<()> {
-    let mut parts = frame.chunks_mut(PARTIAL_BYTES).peekable();
-    while let Some(part) = parts.next() {
-        read.read_exact(part).await?;
-        if parts.peek().is_some() {
-            write.write_u8(PARTIAL_ACK).await?;
-        }
-    }
-    Ok(())
-}
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -90,6 +90,10 @@
     /// since that thread serves every connection.
     fn control(&self, from: &HostId, incarnation: Incarnation, message: Control);
 
+    /// Handles the arrival of a part of a large control message, before the whole of it. It must
+    /// return without blocking, as [`control`](Self::control) must.
+    fn receiving(&self, _from: &HostId) {}
+
     /// Runs a relayed request. The future runs on the runtime passed to
     /// [`Peer::start`](crate::Peer::start) and is dropped when the caller cancels the request or its
     /// connection closes.
--- a/crates/peer/tests/contract/fleet.rs
+++ b/crates/peer/tests/contract/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -27,6 +28,7 @@
     started: watch::Sender<usize>,
     dropped: watch::Sender<usize>,
     controls: watch::Sender<Vec<(HostId, Incarnation, Control)>>,
+    parts: AtomicUsize,
 }
 
 impl FakeHandler {
@@ -41,6 +43,7 @@
             started: watch::Sender::default(),
             dropped: watch::Sender::default(),
             controls: watch::Sender::default(),
+            parts: AtomicUsize::new(0),
         }
     }
 
@@ -60,6 +63,11 @@
         self.heads.lock().expect("heads").clone()
     }
 
+    /// Returns how many parts of large control messages have been announced.
+    pub(crate) fn parts(&self) -> usize {
+        self.parts.load(Ordering::Relaxed)
+    }
+
     /// Waits until `count` requests have started.
     pub(crate) async fn started(&self, count: usize) {
         let mut started = self.started.subscribe();
@@ -95,6 +103,10 @@
         self.controls.send_modify(|list| list.push(received));
     }
 
+    fn receiving(&self, _: &HostId) {
+        self.parts.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn relay(
         &self,
         _: HostId,
--- a/crates/peer/tests/contract/slow_link.rs
+++ b/crates/peer/tests/contract/slow_link.rs
@@ -85,6 +85,11 @@
         "another message arrived"
     );
     assert!(received[1..].iter().all(|(_, _, m)| *m == small()));
+    let parts = fleet.handler.parts();
+    assert!(
+        parts > 1,
+        "{parts} parts of the large message were announced"
+    );
     assert_eq!(fleet.entry.counts().connects, 1);
 }
 
