Bound the wait for a change, not the status of an entry host

wagtail-ctl took at most 1 s for the status of an entry host, whatever had arrived, so the status of a large fleet never crossed a slow link.

--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -5,19 +5,20 @@
 use std::time::Duration;
 
 use tokio::task::JoinSet;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use wagtail_config::{Acceptance, Confirmation, HostStatus, MemberState, View, acceptance};
 use wagtail_store::{HttpClient, HttpSettings, PlatformError};
 use wagtail_types::{Epoch, HostId, ZoneId};
 
 const STATUS_PATH: &str = "/v1/status";
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an entry host may send nothing of its status.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Requests the status of one entry host.
 pub(crate) async fn fetch_status(addr: SocketAddr) -> Result<HostStatus, PlatformError> {
     let settings = HttpSettings {
-        stall_timeout: STATUS_TIMEOUT,
+        stall_timeout: STALL_TIMEOUT,
         ..HttpSettings::new(addr)
     };
     HttpClient::new(settings).get_json(STATUS_PATH).await
@@ -44,7 +45,9 @@
     let mut known = BTreeMap::new();
     let mut round = 0;
     loop {
-        if let Some(status) = fetch_any(entries, round).await {
+        // The first round may take the time in which a silent host is noticed.
+        let round_end = deadline.max(Instant::now() + STALL_TIMEOUT);
+        if let Ok(Some(status)) = timeout_at(round_end, fetch_any(entries, round)).await {
             status
                 .members
                 .iter()
@@ -53,7 +56,7 @@
             record_confirmation(&mut known, self_confirmation(&status));
         }
         if let Acceptance::Committed { missing, .. } = evaluate(view, &zones, &known) {
-            for status in fetch_each(view, &missing).await {
+            for status in fetch_each(view, &missing, round_end).await {
                 record_confirmation(&mut known, self_confirmation(&status));
             }
         }
@@ -79,15 +82,17 @@
     None
 }
 
-/// Queries up to `MAX_QUERIES` of the hosts concurrently and returns the statuses received.
-async fn fetch_each(view: &View, hosts: &BTreeSet<HostId>) -> Vec<HostStatus> {
+/// Queries up to `MAX_QUERIES` of the hosts concurrently and returns the statuses received until
+/// `end`.
+async fn fetch_each(view: &View, hosts: &BTreeSet<HostId>, end: Instant) -> Vec<HostStatus> {
     const MAX_QUERIES: usize = 64;
     let known = hosts.iter().filter_map(|id| view.hosts().get(id));
     let queries: JoinSet<_> = known
         .take(MAX_QUERIES)
-        .map(|host| fetch_status(host.api))
+        .map(|host| timeout_at(end, fetch_status(host.api)))
         .collect();
-    queries.join_all().await.into_iter().flatten().collect()
+    let answers = queries.join_all().await.into_iter();
+    answers.flatten().flatten().collect()
 }
 
 /// Returns the confirmation that a host's status gives for the host itself.
