Log that the configuration cannot be read, and that it can again

The first failure is one line with the reason and the epoch in force, and the next success one with the time between.

--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -5,11 +5,11 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use slog::info;
+use slog::{info, warn};
 use wagtail_config::{SyncEffect, SyncInput, View};
 use wagtail_member::HostInfo;
 use wagtail_peer::Control;
-use wagtail_store::{Access, Priority, fetch_snapshot, scan_config};
+use wagtail_store::{Access, PlatformError, Priority, fetch_snapshot, scan_config};
 
 use super::route::send;
 use crate::calls;
@@ -42,7 +42,9 @@
             tokio::spawn(async move {
                 let scan = scan_config(&*host.platform, since, after, limit);
                 let call = calls::call(&host, Priority::Poll, Access::Read, scan);
-                let input = match report_in_flight(&host, request, call).await {
+                let result = report_in_flight(&host, request, call).await;
+                log_failure(&host, result.as_ref().err());
+                let input = match result {
                     Ok((page, snapshot)) => SyncInput::Scanned {
                         request,
                         page,
@@ -58,7 +60,9 @@
             tokio::spawn(async move {
                 let fetch = fetch_snapshot(&*host.platform, &snapshot);
                 let call = calls::call(&host, Priority::Bulk, Access::Read, fetch);
-                let input = match report_in_flight(&host, request, call).await {
+                let result = report_in_flight(&host, request, call).await;
+                log_failure(&host, result.as_ref().err());
+                let input = match result {
                     Ok(snapshot) => SyncInput::Fetched { request, snapshot },
                     Err(_) => SyncInput::Failed { request },
                 };
@@ -93,6 +97,28 @@
     }
 }
 
+/// Logs the first failure to read the configuration, and the next success.
+fn log_failure(host: &Host, error: Option<&PlatformError>) {
+    let now = host.now();
+    let mut failing = host
+        .reads_failing
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    match (error, *failing) {
+        (Some(error), None) => {
+            *failing = Some(now);
+            warn!(host.log, "reading the configuration failed; retrying"; "reason" => %error,
+                "epoch" => %host.view.load().epoch());
+        }
+        (None, Some(since)) => {
+            *failing = None;
+            info!(host.log, "the configuration can be read again";
+                "after_ms" => now.saturating_duration_since(since).as_millis());
+        }
+        (Some(_), Some(_)) | (None, None) => {}
+    }
+}
+
 /// Puts a view in force on this host and informs membership.
 fn adopt(host: &Arc<Host>, view: &Arc<View>) {
     if !put_in_force(host, view) {
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -65,6 +65,8 @@
     pub(crate) lifecycle: Watch,
     /// Held while a view is put in force; locked before any state machine.
     pub(crate) adoption: Mutex<()>,
+    /// Since when the configuration cannot be read from the platform; `None` if it can.
+    pub(crate) reads_failing: Mutex<Option<Instant>>,
     /// The configuration in force.
     pub(crate) view: ArcSwap<View>,
     /// Client address blocks and sites of the configuration in force.
--- a/crates/load/tests/system.rs
+++ b/crates/load/tests/system.rs
@@ -12,3 +12,5 @@
 mod slow_link;
 #[path = "system/stop.rs"]
 mod stop;
+#[path = "system/visibility.rs"]
+mod visibility;
--- /dev/null
+++ b/crates/load/tests/system/visibility.rs
@@ -0,0 +1,66 @@
+//! What operators see of a host that cannot read its configuration.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use slog::{Drain, Logger, OwnedKVList, Record, o};
+
+use crate::fixture::{Fixture, block_on};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Records the messages of all log lines.
+#[derive(Clone, Default)]
+struct Messages(Arc<Mutex<Vec<String>>>);
+
+impl Messages {
+    fn logger(&self) -> Logger {
+        Logger::root(self.clone().fuse(), o!())
+    }
+
+    fn count(&self, message: &str) -> usize {
+        let messages = self.0.lock().expect("not poisoned");
+        messages.iter().filter(|m| *m == message).count()
+    }
+
+    async fn wait_for(&self, message: &str) {
+        let wait = async {
+            while self.count(message) == 0 {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let waited = tokio::time::timeout(TIMEOUT, wait).await;
+        waited.unwrap_or_else(|_| panic!("no line: {message}"));
+    }
+}
+
+impl Drain for Messages {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut messages = self.0.lock().expect("not poisoned");
+        messages.push(record.msg().to_string());
+        Ok(())
+    }
+}
+
+// Guards against a host that keeps an old configuration without a trace: one line says that its
+// reads fail, and one that they succeed again.
+#[test]
+fn failed_reads_of_the_configuration_are_logged() {
+    const FAILED: &str = "reading the configuration failed; retrying";
+    const READ_AGAIN: &str = "the configuration can be read again";
+    block_on(async {
+        let messages = Messages::default();
+        let fixture = Fixture::start(&messages.logger(), &[("poll-interval", "50ms")]).await;
+        fixture.fleet.platform.faults.update(|f| f.down = true);
+        messages.wait_for(FAILED).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        fixture.fleet.platform.faults.update(|f| f.down = false);
+        messages.wait_for(READ_AGAIN).await;
+        let hosts = fixture.addrs().len();
+        assert!(messages.count(FAILED) <= 2 * hosts, "one line a failure");
+    });
+}
