Report the counts of connections between hosts as gauges

PEER.md tells operators which counts of the protocol to watch, messages that were dropped for their size or for want of a connection among them, but the daemon never reported any of them.

--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinSet;
-use wagtail_peer::Control;
+use wagtail_peer::{Control, Peer};
 use wagtail_store::{Access, ListedState, Priority};
 
 use crate::calls;
@@ -144,7 +144,7 @@
     }
 }
 
-/// Sets the gauges of capacity and running requests periodically.
+/// Sets the gauges of capacity, of running requests and of connections to other hosts periodically.
 async fn gauges(host: Arc<Host>) {
     let mut period = tokio::time::interval(GAUGE_PERIOD);
     loop {
@@ -158,5 +158,9 @@
         }
         host.metrics
             .gauge("running", host.lifecycle.running() as u64);
+        let counts = host.peer().map(Peer::counts).unwrap_or_default();
+        for (name, count) in counts.iter() {
+            host.metrics.gauge(&format!("peer.{name}"), count);
+        }
     }
 }
--- a/crates/load/tests/system/visibility.rs
+++ b/crates/load/tests/system/visibility.rs
@@ -1,11 +1,12 @@
-//! What operators see of a host that cannot read its configuration.
+//! What operators see of a host that cannot read its configuration or drops messages.
 
+use std::net::UdpSocket;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use slog::{Drain, Logger, OwnedKVList, Record, o};
 
-use crate::fixture::{Fixture, block_on};
+use crate::fixture::{Fixture, block_on, quiet};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -64,3 +65,25 @@
         assert!(messages.count(FAILED) <= 2 * hosts, "one line a failure");
     });
 }
+
+// Guards against messages between hosts that are dropped without a trace: operators watch the
+// counts of the connections to other hosts.
+#[test]
+fn counts_of_messages_between_hosts_are_gauges() {
+    block_on(async {
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("binds");
+        let addr = socket.local_addr().expect("is bound").to_string();
+        let _fixture = Fixture::start(&quiet(), &[("statsd", &addr)]).await;
+        let receive = tokio::task::spawn_blocking(move || {
+            socket.set_read_timeout(Some(TIMEOUT)).expect("is set");
+            let mut buffer = [0; 65_536];
+            let mut text = String::new();
+            while !text.contains("wagtail.peer.messages_dropped:") {
+                let count = socket.recv(&mut buffer).expect("the gauges come");
+                text += &String::from_utf8_lossy(&buffer[..count]);
+            }
+        });
+        let received = tokio::time::timeout(TIMEOUT, receive).await;
+        received.expect("in time").expect("the gauges come");
+    });
+}
