--- a/crates/load/tests/system/visibility.rs
+++ b/crates/load/tests/system/visibility.rs
@@ -76,7 +76,7 @@
         let _fixture = Fixture::start(&quiet(), &[("statsd", &addr)]).await;
         let receive = tokio::task::spawn_blocking(move || {
             socket.set_read_timeout(Some(TIMEOUT)).expect("is set");
-            let mut buffer = [0; 65_536];
+            let mut buffer = vec![0; 65_536];
             let mut text = String::new();
             while !text.contains("wagtail.peer.messages_dropped:") {
                 let count = socket.recv(&mut buffer).expect("the gauges come");
