Do not deny a relayed request for a record that the sender has

Callers of a new team got 403 (forbidden) where their host relayed the request to one that did not have the configuration with the team yet: the host that answers looked its records up and refused for good what it lacked, and the other host passed that on, although it had just found the same records itself.

Either host may be the one that is behind, so a missing record of a relayed request is answered "unavailable" with a time to come back.

--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -23,8 +23,8 @@
 use crate::stats::Series;
 use crate::tracked::{End, track};
 
-/// Retry delay for callers of a host that is cut off or has no configuration yet.
-const RETRY_AFTER_UNAVAILABLE: std::time::Duration = std::time::Duration::from_secs(1);
+/// Retry delay for callers of a host that is cut off or does not have the configuration yet.
+pub(crate) const RETRY_AFTER_UNAVAILABLE: std::time::Duration = std::time::Duration::from_secs(1);
 /// Unit in which the memory for buffered bodies is counted.
 pub(crate) const BODY_UNIT_BYTES: u64 = 1_024;
 /// Retry delay for callers of a host whose limit on requests or body memory is reached.
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -16,6 +16,7 @@
 use crate::job::Job;
 use crate::paced::pace;
 use crate::reports;
+use crate::request::RETRY_AFTER_UNAVAILABLE;
 use crate::tracked::{End, track};
 
 const MAX_ATTEMPTS: u32 = 4;
@@ -396,20 +397,18 @@
 }
 
 /// Finds the service and team records that a relayed head names.
+///
+/// # Errors
+///
+/// A missing record is no reason to refuse for good: the host that relays the request has found it,
+/// so the configurations of the two hosts differ.
 pub(crate) fn find_records(view: &View, head: &RelayHead) -> Result<Records, Verdict> {
+    let differs = || Verdict::not_run(Reason::Unavailable, RETRY_AFTER_UNAVAILABLE);
     let service = view.services().get(&head.service);
-    let service = service
-        .ok_or(Verdict::not_run(Reason::UnknownService, None))?
-        .clone();
+    let service = service.ok_or_else(differs)?.clone();
     let team = match &head.team {
         None => None,
-        Some(id) => {
-            let team = view.teams().get(id);
-            Some(
-                team.ok_or(Verdict::not_run(Reason::Forbidden, None))?
-                    .clone(),
-            )
-        }
+        Some(id) => Some(view.teams().get(id).ok_or_else(differs)?.clone()),
     };
     Ok(Records { service, team })
 }
--- a/crates/load/tests/system/fixture.rs
+++ b/crates/load/tests/system/fixture.rs
@@ -1,14 +1,16 @@
 //! The fixture of the system tests: two hosts in two zones, with every endpoint in the second zone.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use serde_json::{Value, json};
 use slog::Logger;
 use wagtail_config::RawRecord;
+use wagtail_entryd::Options;
 use wagtail_load::client::{Call, CallOutcome, Caller};
 use wagtail_load::fleet::{Fleet, default_options, digest};
 use wagtail_standin::endpoint::{self, Settings};
+use wagtail_standin::platform;
 
 /// The key of the only team.
 pub(crate) const KEY: &str = "key-of-the-lead-team";
@@ -30,13 +32,26 @@
 impl Fixture {
     /// Starts the deployment and waits until both hosts answer requests of both services.
     pub(crate) async fn start(log: &Logger, flags: &[(&str, &str)]) -> Self {
+        let platform = platform::start((Ipv4Addr::LOCALHOST, 0).into()).await;
+        let platform = platform.expect("starts");
+        Self::start_with(platform, &default_options(log), flags).await
+    }
+
+    /// Does the same as [`Fixture::start`] with a platform that is already running and other options
+    /// of the hosts.
+    pub(crate) async fn start_with(
+        platform: platform::Running,
+        options: &dyn Fn(&str) -> Options,
+        flags: &[(&str, &str)],
+    ) -> Self {
         let endpoints = |_: &str, _: &str| Settings::default();
         let all: Vec<_> = [("lookup-ttl", "200ms")]
             .iter()
             .chain(flags)
             .copied()
             .collect();
-        let fleet = Fleet::start(records(), &endpoints, &default_options(log), &all).await;
+        let start = Fleet::start_with_platform(platform, records(), &endpoints, options, &all);
+        let fleet = start.await;
         let fixture = Self {
             fleet: fleet.expect("the fleet starts"),
             caller: Caller::new("test"),
@@ -104,7 +119,7 @@
     ]
 }
 
-fn raw(kind: &str, name: &str, schema: u32, body: Value) -> RawRecord {
+pub(crate) fn raw(kind: &str, name: &str, schema: u32, body: Value) -> RawRecord {
     RawRecord {
         kind: kind.to_owned(),
         name: name.to_owned(),
