Do not deny for good what may be in a newer configuration

A host denies for good only by the newest configuration that it knows of. A withdrawn key stays refused either way. The router gets a new configuration just after requests are checked against it; a service that it lacks for that moment is "unavailable" too (found by reading, without a test).

--- a/crates/config/src/sync.rs
+++ b/crates/config/src/sync.rs
@@ -129,6 +129,8 @@
     peers: Vec<HostId>,
     /// Peers with a higher epoch, and that epoch.
     ahead: BTreeMap<HostId, Epoch>,
+    /// The epoch that the table named last.
+    table_epoch: Epoch,
     table_read: Option<TableRead>,
     pull: Option<PeerPull>,
     /// The last pull that expired, which the next one continues.
@@ -177,6 +179,7 @@
             view: Arc::new(View::empty()),
             peers: Vec::new(),
             ahead: BTreeMap::new(),
+            table_epoch: Epoch(0),
             table_read: None,
             pull: None,
             expired_pull: None,
@@ -199,6 +202,12 @@
         &self.view
     }
 
+    /// Returns whether this host, the table or a peer is known to have a higher epoch than `epoch`.
+    pub fn knows_newer(&self, epoch: Epoch) -> bool {
+        let own = self.view.epoch().max(self.table_epoch);
+        own > epoch || self.ahead.values().any(|ahead| *ahead > epoch)
+    }
+
     /// Handles an event.
     pub fn handle(&mut self, now: Instant, input: SyncInput) {
         match input {
--- a/crates/config/src/sync/table.rs
+++ b/crates/config/src/sync/table.rs
@@ -65,6 +65,7 @@
             return;
         };
         let head = page.head;
+        self.table_epoch = head;
         let first = read.delta.after().is_none();
         let cold = first && read.base.is_none() && read.delta.since() == Epoch(0);
         if cold && page.more && page.rows.is_empty() {
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -158,7 +158,7 @@
     service: &ServiceId,
     digest: Option<&KeyDigest>,
 ) -> Result<(Arc<Service>, Option<Arc<Team>>), Verdict> {
-    let refuse = |reason| Verdict::not_run(reason, None);
+    let refuse = |reason| deny(host, view, reason);
     if view.epoch().0 == 0 {
         return Err(Verdict::not_run(
             Reason::Unavailable,
@@ -176,10 +176,7 @@
             if !team.services.contains(&service.id) && !service.open {
                 return Err(refuse(Reason::Forbidden));
             }
-            let stale = host
-                .cut_off(host.now())
-                .is_some_and(|t| t > host.settings.times.staleness);
-            if stale && team.cutoff == CutOff::Refuse && !service.open {
+            if is_stale(host) && team.cutoff == CutOff::Refuse && !service.open {
                 return Err(Verdict::not_run(Reason::CutOff, RETRY_AFTER_UNAVAILABLE));
             }
             Ok((service, Some(team)))
@@ -187,6 +184,25 @@
     }
 }
 
+/// Returns whether this host has been cut off for longer than its records may be trusted.
+fn is_stale(host: &Host) -> bool {
+    host.cut_off(host.now())
+        .is_some_and(|t| t > host.settings.times.staleness)
+}
+
+/// Refuses a request for what `view` lacks: for good only if it is the newest, as far as this host
+/// knows.
+fn deny(host: &Host, view: &View, reason: Reason) -> Verdict {
+    let newer = host.config_sync.lock().machine.knows_newer(view.epoch());
+    if newer {
+        Verdict::not_run(Reason::Unavailable, RETRY_AFTER_UNAVAILABLE)
+    } else if is_stale(host) {
+        Verdict::not_run(Reason::CutOff, RETRY_AFTER_UNAVAILABLE)
+    } else {
+        Verdict::not_run(reason, None)
+    }
+}
+
 /// Spends a token of the team; waits if the token has to come from another host.
 pub(crate) async fn admit(
     host: &Arc<Host>,
--- a/crates/entryd/src/run.rs
+++ b/crates/entryd/src/run.rs
@@ -107,7 +107,9 @@
     let now = host.now();
     let mut routing = host.routing.lock();
     let Some(service) = routing.machine.service(&job.service.id) else {
-        return Placed::Refused(Verdict::not_run(Reason::UnknownService, None));
+        // The router gets a new configuration just after requests are checked against it.
+        let verdict = Verdict::not_run(Reason::Unavailable, RETRY_AFTER_UNAVAILABLE);
+        return Placed::Refused(verdict);
     };
     let team = job.team.as_ref().and_then(|t| routing.machine.team(&t.id));
     let request = Request {
--- a/crates/load/tests/system/outdated.rs
+++ b/crates/load/tests/system/outdated.rs
@@ -12,13 +12,15 @@
 use wagtail_load::fleet::digest;
 use wagtail_peer::{LinkEmulation, LinkState};
 use wagtail_standin::{link, platform};
-use wagtail_store::{HttpClient, HttpSettings};
+use wagtail_store::{HttpClient, HttpSettings, Platform};
 use wagtail_types::Epoch;
 
-use crate::fixture::{Fixture, READS, block_on, quiet, raw};
+use crate::fixture::{Fixture, KEY, READS, block_on, quiet, raw};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// The service that is added.
+const ADDED: &str = "added";
 
 /// A deployment whose second host can be kept from getting changes, although it hears of them.
 struct Behind {
@@ -27,6 +29,8 @@
     platform_link: Option<link::Link>,
     /// The link from the second host to the first.
     peer_link: watch::Sender<LinkState>,
+    /// The link from the first host to the second.
+    back_link: watch::Sender<LinkState>,
 }
 
 impl Behind {
@@ -36,17 +40,17 @@
         let platform = platform.expect("starts");
         let platform_link = link::start(platform.addr, BYTES_PER_SECOND).expect("starts");
         let client = Arc::new(HttpClient::new(HttpSettings::new(platform_link.addr)));
-        let (peer_link, state) = watch::channel(LinkState::Up(Duration::ZERO));
-        let emulation = LinkEmulation::new(move |_| *state.borrow());
+        let (peer_link, emulation) = emulated_link();
+        let (back_link, back_emulation) = emulated_link();
         let options = |host: &str| {
-            let options = Options::new(quiet());
-            if host == "entry-1" {
-                return options;
-            }
+            let (platform, emulation) = match host {
+                "entry-1" => (None, back_emulation.clone()),
+                _ => (Some(client.clone()), emulation.clone()),
+            };
             Options {
-                platform: Some(client.clone()),
-                emulation: Some(emulation.clone()),
-                ..options
+                platform: platform.map(|client| client as Arc<dyn Platform>),
+                emulation: Some(emulation),
+                ..Options::new(quiet())
             }
         };
         let flags = [("poll-interval", "50ms")];
@@ -54,17 +58,18 @@
             fixture: Fixture::start_with(platform, &options, &flags).await,
             platform_link: Some(platform_link),
             peer_link,
+            back_link,
         }
     }
 
-    /// Adds a team with `key`, which only the first host gets.
+    /// Adds a service and a team with `key`, which only the first host gets.
     async fn add_records(&mut self, key: &str) {
         self.platform_link = None;
         self.peer_link.send_replace(LinkState::Down);
         // Too many keys for the change to be pushed; it is announced.
         let keys: Vec<_> = (0..60).map(|n| digest(&format!("{key}-{n}"))).collect();
         let mut team = json!({
-            "rate": "2000/s", "burst": 2000, "keys": keys, "services": [READS],
+            "rate": "2000/s", "burst": 2000, "keys": keys, "services": [READS, ADDED],
         });
         if let Value::Array(keys) = &mut team["keys"] {
             keys.push(json!(digest(key)));
@@ -91,6 +96,11 @@
     }
 }
 
+fn emulated_link() -> (watch::Sender<LinkState>, LinkEmulation) {
+    let (link, state) = watch::channel(LinkState::Up(Duration::ZERO));
+    (link, LinkEmulation::new(move |_| *state.borrow()))
+}
+
 fn not_run(reason: &str) -> CallOutcome {
     CallOutcome::NotRun {
         reason: reason.to_owned(),
@@ -117,3 +127,65 @@
         assert!(proper, "{}", reply.outcome);
     });
 }
+
+// Guards against a proper request that is refused for good by a host that has heard of a newer
+// configuration and does not have it yet.
+#[test]
+fn a_host_that_knows_of_a_newer_configuration_does_not_deny_what_it_lacks() {
+    block_on(async {
+        let mut behind = Behind::start().await;
+        behind.add_records("key-of-a-new-team").await;
+        let [_, second] = behind.fixture.addrs();
+        let calls = [
+            Call::read(READS, "key-of-a-new-team"),
+            Call::read(ADDED, KEY),
+            Call::read(ADDED, "key-of-a-new-team"),
+        ];
+        for call in &calls {
+            let caller = &behind.fixture.caller;
+            let until_heard = async {
+                while caller.call(second, call).await.outcome != not_run("unavailable") {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+            };
+            let heard = tokio::time::timeout(TIMEOUT, until_heard).await;
+            let last = caller.call(second, call).await.outcome;
+            assert!(heard.is_ok(), "{}: {last}", call.service);
+        }
+        behind.peer_link.send_replace(LinkState::Up(Duration::ZERO));
+        let until_adopted = async {
+            while behind.fixture.caller.call(second, &calls[0]).await.outcome != CallOutcome::Answer
+            {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let adopted = tokio::time::timeout(TIMEOUT, until_adopted).await;
+        adopted.expect("the second host gets the change from the first");
+        let unknown = Call::read(READS, "key-of-no-team");
+        let reply = behind.fixture.caller.call(second, &unknown).await;
+        assert_eq!(reply.outcome, not_run("unauthorized"));
+    });
+}
+
+// Guards against a key that is denied for good by a host that is cut off, and so cannot know whether
+// the key has been granted since.
+#[test]
+fn a_host_that_is_cut_off_does_not_deny_what_it_lacks() {
+    block_on(async {
+        let mut behind = Behind::start().await;
+        behind.platform_link = None;
+        behind.peer_link.send_replace(LinkState::Down);
+        behind.back_link.send_replace(LinkState::Down);
+        let [_, second] = behind.fixture.addrs();
+        let unknown = Call::read(READS, "key-of-no-team");
+        let caller = &behind.fixture.caller;
+        let until_cut_off = async {
+            while caller.call(second, &unknown).await.outcome != not_run("cut-off") {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        let cut_off = tokio::time::timeout(TIMEOUT, until_cut_off).await;
+        let last = caller.call(second, &unknown).await.outcome;
+        assert!(cut_off.is_ok(), "{last}");
+    });
+}
