Mark issued idempotency keys with a tag of their fleet

The checksum of issued keys has a seed "the same on every host of the fleet", but wagtail-entryd left it at 0 in every fleet.

Evidence: an_idempotency_key_of_another_fleet_does_not_run, two fleets with different secrets and equal incarnations; on the code before, the request with the other fleet's key was answered, in the place of the host's own key.

Another seed of the checksum would not do: hosts of earlier builds check it before they pass a key on, and would say "not run" for keys of updated hosts that may have run. So the checksum stays, and the upper 16 bits of the number in a key are a tag, derived from the fleet's secret; earlier builds take the whole number for the counter and leave it to the issuer. Keys without a tag are accepted as keys of earlier builds, except by the incarnation that would have issued them. A key with another tag may also be one from before a change of the secret, so a repeat of it gets "may have run", as with an issuer that is gone.

--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -7,6 +7,7 @@
 
 use derive_more::{Display, Error, From};
 use rand::Rng;
+use sha2::{Digest, Sha256};
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
@@ -33,7 +34,7 @@
 use crate::reports::LastReports;
 use crate::request::BODY_UNIT_BYTES;
 use crate::server::{self, Server};
-use crate::settings::Settings;
+use crate::settings::{Secret, Settings};
 use crate::stats::Stats;
 use crate::tasks;
 use crate::upstream::Upstreams;
@@ -296,10 +297,21 @@
         key_ttl: settings.times.outcome_ttl,
         memory: settings.limits.outcome_memory,
         answer_max: settings.limits.buffered_body,
+        checksum_seed: checksum_seed(&settings.secret),
         ..wagtail_once::Settings::default()
     }
 }
 
+/// Derives the seed of the tag in idempotency keys from the fleet's secret, which it does not reveal.
+fn checksum_seed(secret: &Secret) -> u64 {
+    let digest = Sha256::new_with_prefix(b"idempotency keys")
+        .chain_update(secret.0.as_bytes())
+        .finalize();
+    digest[..8]
+        .iter()
+        .fold(0, |seed, byte| seed << 8 | u64::from(*byte))
+}
+
 fn member_settings(settings: &Settings, incarnation: Incarnation) -> wagtail_member::Settings {
     let own = HostInfo::new(
         settings.host.clone(),
--- a/crates/load/tests/system/keys.rs
+++ b/crates/load/tests/system/keys.rs
@@ -1,14 +1,20 @@
-//! A team's key must not reach an endpoint, a log line or a metric.
+//! A team's key must not reach an endpoint, a log line or a metric, and an idempotency key must not
+//! count in another fleet.
 
-use std::net::UdpSocket;
+use std::net::{Ipv4Addr, UdpSocket};
 use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime};
 
+use http::Method;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 use slog::{Drain, Logger, o};
-use wagtail_load::client::Call;
+use wagtail_entryd::{Keys, Options};
+use wagtail_load::client::{Call, CallOutcome};
+use wagtail_standin::platform;
+use wagtail_types::{Clock, SystemClock};
 
-use crate::fixture::{Fixture, KEY, READS, WRITES, block_on};
+use crate::fixture::{Fixture, KEY, READS, WRITES, block_on, quiet};
 
 /// A log drain that stores every line as text.
 #[derive(Clone, Default)]
@@ -102,3 +108,54 @@
         }
     });
 }
+
+/// A clock whose wall time stands still, so that all hosts have the same incarnation.
+#[derive(Clone, Copy)]
+struct SameWall;
+
+impl Clock for SameWall {
+    fn now(&self) -> Instant {
+        SystemClock.now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000_000)
+    }
+}
+
+/// Starts a fleet and has its first host issue an idempotency key.
+async fn fleet_with_key(secret: &str) -> (Fixture, String) {
+    let platform = platform::start((Ipv4Addr::LOCALHOST, 0).into()).await;
+    let options = |_: &str| Options {
+        clock: Arc::new(SameWall),
+        ..Options::new(quiet())
+    };
+    let flags = [("fleet-secret", secret)];
+    let fixture = Fixture::start_with(platform.expect("starts"), &options, &flags).await;
+    let [first, _] = fixture.addrs();
+    let issued = fixture
+        .caller
+        .json::<Keys>(Method::POST, first, "/v1/keys?count=1");
+    let key = issued.await.expect("keys").keys.remove(0);
+    (fixture, key)
+}
+
+// Guards against an idempotency key of another fleet that is taken for one of this fleet: hosts of
+// one name and one incarnation would run it, or answer it with the outcome of their own key.
+#[test]
+fn an_idempotency_key_of_another_fleet_does_not_run() {
+    block_on(async {
+        let (_other, foreign) = fleet_with_key("the secret of another fleet").await;
+        let (fixture, own) = fleet_with_key("the secret of this one fleet").await;
+        for addr in fixture.addrs() {
+            let call = Call::submit(WRITES, KEY, "body").with_idempotency_key(&foreign);
+            let reply = fixture.caller.call(addr, &call).await;
+            assert_ne!(reply.outcome, CallOutcome::Answer, "{addr}");
+            assert_eq!(fixture.ran(WRITES, &reply.id), 0);
+        }
+        let call = Call::submit(WRITES, KEY, "body").with_idempotency_key(&own);
+        let [_, second] = fixture.addrs();
+        let reply = fixture.caller.call(second, &call).await;
+        assert_eq!(reply.outcome, CallOutcome::Answer);
+    });
+}
--- a/crates/once/src/begin.rs
+++ b/crates/once/src/begin.rs
@@ -6,6 +6,7 @@
 
 use crate::entry::{Entry, EntryId, EntryKey, State};
 use crate::issue::KeyStatus;
+use crate::key::Origin;
 use crate::settings::Mutant;
 use crate::{ChosenKey, Decision, Deduplicator, IssuedKey, Key, Permit, Request};
 
@@ -42,10 +43,19 @@
         key: &IssuedKey,
         attempt: Option<AttemptId>,
     ) -> Decision {
-        if !key.verify(self.settings.checksum_seed) {
-            return Decision::Refuse(Verdict::not_run(Reason::KeyExpired, None));
-        }
         let is_own = key.host == self.host && self.is_own_incarnation(key.incarnation);
+        match key.origin(self.settings.checksum_seed) {
+            Origin::Fleet => {}
+            // An own key without a tag was issued by an incarnation with an earlier build.
+            Origin::Untagged if !is_own => {}
+            Origin::Elsewhere if !is_own => {
+                return Decision::Refuse(self.issuer_gone_verdict(request.repeat));
+            }
+            // This incarnation has never issued it, so that nothing has run under it.
+            Origin::Untagged | Origin::Elsewhere | Origin::Nowhere => {
+                return Decision::Refuse(Verdict::not_run(Reason::KeyExpired, None));
+            }
+        }
         if !is_own && !self.settings.has_mutant(Mutant::RunForeignKeys) {
             return if key.host != self.host && self.may_be_alive(&key.host, key.incarnation) {
                 Decision::Relay {
--- a/crates/once/src/key.rs
+++ b/crates/once/src/key.rs
@@ -11,10 +11,17 @@
 const ISSUED_PREFIX: &str = "wt1-";
 const CHOSEN_MAX_CHARS: usize = 128;
 
+/// How many bits of the number in a key's text hold the counter; the tag takes the others.
+const COUNTER_BITS: u32 = 48;
+/// The tag of keys that earlier builds have issued.
+const NO_TAG: u64 = 0;
+
 /// An idempotency key issued by a host, the only one that may run requests under it.
 ///
-/// The text form is `wt1-INCARNATION-COUNTER-CHECKSUM-HOST`, with the numbers in hexadecimal; it is
-/// a valid HTTP header value.
+/// The text form is `wt1-INCARNATION-NUMBER-CHECKSUM-HOST`, with the numbers in hexadecimal; it is
+/// a valid HTTP header value. The upper bits of the number are a tag of the fleet, its other bits
+/// are the counter. Earlier builds, which know no tag, take the whole number for the counter and
+/// pass such a key on to its issuer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct IssuedKey {
     /// The host that issued the key.
@@ -23,33 +30,73 @@
     pub incarnation: Incarnation,
     /// The sequence number of the key within that incarnation, from 0.
     pub counter: u64,
+    tag: u64,
     checksum: u64,
 }
 
+/// What the checksum and the tag of a key tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A host of this fleet has issued it.
+    Fleet,
+    /// It has no tag: a host with an earlier build has issued it.
+    Untagged,
+    /// A host of another fleet has issued it, or one of this fleet before its secret was changed.
+    Elsewhere,
+    /// No host has issued it.
+    Nowhere,
+}
+
 impl IssuedKey {
-    /// Creates a key and computes its checksum with the fleet's `seed`.
+    /// Creates a key with the tag that follows from the fleet's `seed`.
     pub fn new(host: HostId, incarnation: Incarnation, counter: u64, seed: u64) -> Self {
-        let checksum = checksum(&host, incarnation, counter, seed);
-        Self {
+        let mut key = Self {
             host,
             incarnation,
             counter,
-            checksum,
+            tag: NO_TAG,
+            checksum: 0,
+        };
+        key.tag = key.expected_tag(seed);
+        key.checksum = key.expected_checksum();
+        key
+    }
+
+    /// Returns where the key comes from, as seen in the fleet with `seed`.
+    pub(crate) fn origin(&self, seed: u64) -> Origin {
+        if self.checksum != self.expected_checksum() {
+            Origin::Nowhere
+        } else if self.tag == NO_TAG {
+            Origin::Untagged
+        } else if self.tag == self.expected_tag(seed) {
+            Origin::Fleet
+        } else {
+            Origin::Elsewhere
         }
     }
 
-    /// Returns whether the checksum matches the rest of the key under the fleet's `seed`.
-    pub fn verify(&self, seed: u64) -> bool {
-        self.checksum == checksum(&self.host, self.incarnation, self.counter, seed)
+    fn expected_tag(&self, seed: u64) -> u64 {
+        (self.hash(self.counter, seed) >> COUNTER_BITS).max(NO_TAG + 1)
+    }
+
+    fn expected_checksum(&self) -> u64 {
+        const SEED: u64 = 0;
+        self.hash(self.number(), SEED)
     }
-}
 
-fn checksum(host: &HostId, incarnation: Incarnation, counter: u64, seed: u64) -> u64 {
-    let mut input = Vec::with_capacity(host.as_str().len() + 16);
-    input.extend_from_slice(&incarnation.0.to_be_bytes());
-    input.extend_from_slice(&counter.to_be_bytes());
-    input.extend_from_slice(host.as_str().as_bytes());
-    xxh3_64_with_seed(&input, seed)
+    /// Returns the number in the text of the key.
+    fn number(&self) -> u64 {
+        self.tag << COUNTER_BITS | self.counter
+    }
+
+    fn hash(&self, number: u64, seed: u64) -> u64 {
+        let host = self.host.as_str().as_bytes();
+        let mut input = Vec::with_capacity(host.len() + 16);
+        input.extend_from_slice(&self.incarnation.0.to_be_bytes());
+        input.extend_from_slice(&number.to_be_bytes());
+        input.extend_from_slice(host);
+        xxh3_64_with_seed(&input, seed)
+    }
 }
 
 impl fmt::Display for IssuedKey {
@@ -57,7 +104,10 @@
         write!(
             f,
             "{ISSUED_PREFIX}{:x}-{:x}-{:016x}-{}",
-            self.incarnation.0, self.counter, self.checksum, self.host
+            self.incarnation.0,
+            self.number(),
+            self.checksum,
+            self.host
         )
     }
 }
@@ -82,7 +132,7 @@
                 .map_err(|_| fail("the numbers must be lower-case hexadecimal of 64 bits"))
         };
         let incarnation = Incarnation(hex(part()?)?);
-        let counter = hex(part()?)?;
+        let number = hex(part()?)?;
         let checksum = hex(part()?)?;
         let host = part()?
             .parse()
@@ -90,7 +140,8 @@
         Ok(Self {
             host,
             incarnation,
-            counter,
+            counter: number & ((1 << COUNTER_BITS) - 1),
+            tag: number >> COUNTER_BITS,
             checksum,
         })
     }
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -30,7 +30,7 @@
     pub row_retention: Duration,
     /// How often to check for dropped permits while an attempt is running.
     pub permit_interval: Duration,
-    /// The seed of the checksum in issued keys, the same on every host of the fleet.
+    /// The seed of the tag in issued keys, the same on every host of the fleet and in no other fleet.
     pub checksum_seed: u64,
     /// The deliberate fault that a test injects.
     #[cfg(feature = "mutants")]
