Pass the platform's host list to membership

An operator was told that a change was accepted, that is, that no host acts on older records any more, while one did: a host whose record had been withdrawn left the membership of the others at once, although it went on serving.

Evidence: a_withdrawn_host_on_the_list_must_still_adopt_changes keeps changes from the second host, withdraws its record and makes another change; on the code before, that change was "accepted", now the second host is missing. names_on_the_list_count_only_while_they_are_hosts guards the other side.

The list names endpoints as well, some perhaps without a record, and membership must not probe those. A name counts as a host if a configuration that this process has had in force named it as one; a host that never had a record is not reachable anyway. Its last address is kept as long, so that it can still get the change from other hosts.

--- a/crates/entryd/src/drive.rs
+++ b/crates/entryd/src/drive.rs
@@ -9,7 +9,8 @@
 pub(crate) use config::{apply_config_sync, handle as sync_input, peer_addresses};
 pub(crate) use dedup::{apply_dedup, handle as dedup_input};
 pub(crate) use member::{
-    apply_membership, handle as member_input, publish_members, refresh_directory,
+    apply_membership, handle as member_input, handle_list as list_input, publish_members,
+    refresh_directory,
 };
 pub(crate) use quota::{apply_quota, handle as quota_input};
 pub(crate) use route::{apply_routing, handle as route_input, send};
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -126,6 +126,7 @@
     }
     // A newer view may be in force by now; membership gets the newest.
     let view = host.view.load_full();
+    super::list_input(host);
     super::member_input(host, wagtail_member::Input::Hosts(host_infos(&view)));
     super::member_input(host, wagtail_member::Input::Adopted(view.epoch()));
     super::publish_members(host);
@@ -166,20 +167,24 @@
             shards,
         },
     );
+    host.listed.record(view);
     if let Some(peer) = host.peer() {
         peer.set_addresses(peer_addresses(host, view));
     }
     true
 }
 
-/// Returns the addresses of the other hosts, from their records or, without one, from the seeds.
+/// Returns the addresses of the other hosts, from their records or, without one, from the seeds. A
+/// host on the platform's list keeps the address of its last record.
 pub(crate) fn peer_addresses(
     host: &Host,
     view: &View,
 ) -> HashMap<wagtail_types::HostId, std::net::SocketAddr> {
     let seeds = host.settings.seeds.iter().map(|s| (s.host.clone(), s.addr));
+    let listed = host.listed.hosts().into_iter();
+    let listed = listed.map(|h| (h.info.host, h.peer));
     let records = view.hosts().values().map(|h| (h.id.clone(), h.peer));
-    let mut all: HashMap<_, _> = seeds.chain(records).collect();
+    let mut all: HashMap<_, _> = seeds.chain(listed).chain(records).collect();
     all.remove(&host.settings.host);
     all
 }
--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -200,3 +200,9 @@
     host.membership.lock().machine.handle(now, input);
     apply_membership(host);
 }
+
+/// Passes the hosts of the platform's list to membership.
+pub(crate) fn handle_list(host: &Arc<Host>) {
+    let hosts = host.listed.hosts().into_iter().map(|h| h.info).collect();
+    handle(host, Input::PlatformHosts(hosts));
+}
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -24,6 +24,7 @@
 use crate::calls::PlatformCalls;
 use crate::derived::Sites;
 use crate::lifecycle::Watch;
+use crate::listed::ListedHosts;
 use crate::machine::SharedMachine;
 use crate::metrics::Metrics;
 use crate::reports::LastReports;
@@ -83,6 +84,8 @@
     pub(crate) dedup: DedupMachine,
     /// Membership.
     pub(crate) membership: MembershipMachine,
+    /// The hosts of the platform's list.
+    pub(crate) listed: ListedHosts,
     /// Configuration sync.
     pub(crate) config_sync: ConfigSyncMachine,
     /// When each endpoint last reported its state.
--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -13,6 +13,7 @@
 mod job;
 mod keyed;
 mod lifecycle;
+mod listed;
 mod logs;
 mod machine;
 mod metrics;
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -27,6 +27,7 @@
 use crate::drive;
 use crate::host::{Host, seeded_rng};
 use crate::lifecycle::{Serving, Starting};
+use crate::listed::ListedHosts;
 use crate::machine::SharedMachine;
 use crate::metrics::Metrics;
 use crate::periods;
@@ -227,6 +228,7 @@
             now,
         )),
         membership: SharedMachine::new(Member::new(member, random.random(), now)),
+        listed: ListedHosts::default(),
         config_sync: SharedMachine::new(ConfigSync::new(
             sync_settings(&settings),
             random.random(),
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -127,8 +127,8 @@
     }
 }
 
-/// Reads the platform's host list periodically and reports to the router which endpoints on it are
-/// leaving.
+/// Reads the platform's host list periodically, passes it to membership and reports to the router
+/// which endpoints on it are leaving.
 async fn read_list(host: Arc<Host>) {
     let mut period = tokio::time::interval(periods::list_interval(host.settings.fleet));
     loop {
@@ -141,6 +141,13 @@
                 drive::route_input(&host, input);
             }
         }
+        let names = list.iter().filter_map(|l| l.name.parse().ok());
+        if host.listed.set_names(names.collect()) {
+            drive::list_input(&host);
+            if let Some(peer) = host.peer() {
+                peer.set_addresses(drive::peer_addresses(&host, &host.view.load()));
+            }
+        }
     }
 }
 
--- a/crates/load/tests/system.rs
+++ b/crates/load/tests/system.rs
@@ -8,6 +8,8 @@
 mod fixture;
 #[path = "system/keys.rs"]
 mod keys;
+#[path = "system/members.rs"]
+mod members;
 #[path = "system/outdated.rs"]
 mod outdated;
 #[path = "system/slow_link.rs"]
