Do not count a call that was not made as answered

Evidence: a_call_that_is_not_made_does_not_count_as_answered. After a failure, a call that ends as the driver reported it lets two more start at once; as "not made" it lets one, as before it. By reading, waiters leave only while a host stops today, since each call runs in a task of its own.

A call that is not made frees its place and says nothing of the platform.

--- a/crates/entryd/src/calls.rs
+++ b/crates/entryd/src/calls.rs
@@ -125,8 +125,8 @@
             ScheduleEffect::Drop { id } => (id, false),
         };
         if scheduler.resolve(&id, start).is_err() && start {
-            // The task that waited is gone and makes no call, which must not cause a backoff.
-            let outcome = Outcome::Answered;
+            // The task that waited is gone and makes no call.
+            let outcome = Outcome::NotMade;
             let now = host.now();
             scheduler
                 .machine
--- a/crates/store/src/schedule.rs
+++ b/crates/store/src/schedule.rs
@@ -42,6 +42,8 @@
     Answered,
     /// The platform did not answer, or rejected the call because of its rate.
     Failed,
+    /// The call was not made, which says nothing of the platform.
+    NotMade,
 }
 
 /// Lists the events that [`Scheduler`] handles.
@@ -330,9 +332,13 @@
         if self.flight.remove(&id).is_none() {
             return;
         }
-        if outcome == Outcome::Answered {
-            self.failures = 0;
-            return;
+        match outcome {
+            Outcome::Answered => {
+                self.failures = 0;
+                return;
+            }
+            Outcome::NotMade => return,
+            Outcome::Failed => {}
         }
         let doubled = self.settings.first_backoff * 2u32.saturating_pow(self.failures.min(16));
         let limit = doubled.min(self.settings.max_backoff);
--- a/crates/store/tests/schedule.rs
+++ b/crates/store/tests/schedule.rs
@@ -331,3 +331,54 @@
     let (lease, _) = start_call(&mut host, 3, Priority::Lease);
     assert_eq!(lease, ScheduleEffect::Start { id: 3 });
 }
+
+/// Starts three calls after a failure, the first of which ends with `outcome` at once. Returns how
+/// many of the calls have started when the wait after the failure is over.
+fn started_after(outcome: Outcome) -> usize {
+    let start = Instant::now();
+    let settings = ScheduleSettings {
+        hosts: 1,
+        ..ScheduleSettings::default()
+    };
+    let mut host = Scheduler::new(settings, 1, start);
+    submit(&mut host, start, 0, Priority::Poll, NO_DEADLINE);
+    let at = host.next_wake(start).expect("it waits").max(start);
+    host.tick(at);
+    assert_eq!(effects(&mut host), [ScheduleEffect::Start { id: 0 }]);
+    let failed = Outcome::Failed;
+    host.handle(
+        at,
+        ScheduleInput::Finished {
+            id: 0,
+            outcome: failed,
+        },
+    );
+    for id in 1..=3 {
+        submit(&mut host, at, id, Priority::Lease, NO_DEADLINE);
+    }
+    let mut started = Vec::new();
+    let end = at + ScheduleSettings::default().slow_after;
+    let mut now = at;
+    while now < end {
+        host.tick(now);
+        for effect in effects(&mut host) {
+            let ScheduleEffect::Start { id } = effect else {
+                panic!("{effect:?}");
+            };
+            started.push(id);
+            if id == 1 {
+                host.handle(now, ScheduleInput::Finished { id, outcome });
+            }
+        }
+        now += STEP;
+    }
+    started.len()
+}
+
+// Guards against an outage in which a host makes many calls at a time again because one that was to
+// start was not made: only an answer shows that the platform is back.
+#[test]
+fn a_call_that_is_not_made_does_not_count_as_answered() {
+    assert_eq!(started_after(Outcome::Answered), 3);
+    assert_eq!(started_after(Outcome::NotMade), 2);
+}
