--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -49,10 +49,9 @@
 pub(crate) async fn serve(State(host): State<Arc<Host>>, request: Request<Body>) -> Response<Body> {
     let start = host.now();
     let Some(running) = host.lifecycle.enter(host.settings.limits.requests) else {
-        return refuse(
-            &host,
-            &Verdict::not_run(Reason::Overloaded, RETRY_AFTER_OVERLOAD).into(),
-        );
+        host.metrics.count("requests.over_limit");
+        let verdict = Verdict::not_run(Reason::Overloaded, RETRY_AFTER_OVERLOAD);
+        return answer::from_verdict(&verdict, None);
     };
     let (parts, body) = request.into_parts();
     let length = hyper::body::Body::size_hint(&body);
@@ -79,7 +78,7 @@
     bad("the body is longer than this host takes")
 }
 
-/// Refuses a request that belongs to no series and counts it as malformed.
+/// Refuses a malformed request, which belongs to no series.
 fn refuse(host: &Host, refusal: &Refusal) -> Response<Body> {
     host.metrics.count("requests.malformed");
     answer::from_verdict(&refusal.verdict, refusal.detail)
