Abort a relayed answer whose link falls silent

A caller waited without end for the rest of an answer when the link between the two hosts failed without a word: the host that relays pinged the other only until the head of the answer had come.

The test also has an endpoint that is silent for five times the timeout on a link that works: its answer is not cut.

The pings go on until the body has ended.

--- a/crates/peer/src/body.rs
+++ b/crates/peer/src/body.rs
@@ -4,7 +4,6 @@
 //! flight ([`receive`]) and passes chunks on as fast as its consumer takes them.
 
 use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +16,6 @@
 use tokio::sync::{Mutex, mpsc};
 use tokio::time::{Instant, timeout_at};
 
-use crate::client::CloseSignal;
 use crate::peer_capnp::chunk::State;
 use crate::peer_capnp::{body, chunk};
 
@@ -176,13 +174,12 @@
     End,
 }
 
-/// Returns the body that starts with `first` and continues with the chunks read through `more`.
-/// `guard` is kept alive until the body ends.
+/// Returns the body that starts with `first` and continues with the chunks read through `more`. The
+/// body is aborted when `broken` ends, which is dropped when the body ends.
 pub(crate) fn receive(
     first: Chunk,
     more: Option<body::Client>,
-    closed: CloseSignal,
-    guard: Rc<dyn std::any::Any>,
+    broken: impl Future<Output = ()> + 'static,
 ) -> Body {
     match first.state {
         State::End if first.data.is_empty() => return empty_body(),
@@ -191,14 +188,13 @@
     }
     let (events, receiver) = mpsc::channel(READS_IN_FLIGHT);
     tokio::task::spawn_local(async move {
-        let _guard = guard;
         if !first.data.is_empty() && events.send(BodyEvent::Data(first.data)).await.is_err() {
             return;
         }
         if let (State::More, Some(more)) = (first.state, more) {
             tokio::select! {
                 () = read_chunks(more, &events) => {}
-                () = closed.wait() => {}
+                () = broken => {}
                 () = events.closed() => {}
             }
         }
--- a/crates/peer/src/relay.rs
+++ b/crates/peer/src/relay.rs
@@ -1,6 +1,5 @@
 //! Outgoing relays.
 
-use std::any::Any;
 use std::rc::Rc;
 
 use tokio::sync::oneshot;
@@ -66,7 +65,7 @@
         () = detect_stall(shared, &connection) => return Err(lost()),
     };
     let results = response.get().map_err(|_| lost())?;
-    read_answer(results, connection).unwrap_or_else(|_| {
+    read_answer(shared, results, connection).unwrap_or_else(|_| {
         shared.counters.malformed.increment();
         Err(Verdict::may_have_run(Cause::BadAnswer))
     })
@@ -88,6 +87,7 @@
 }
 
 fn read_answer(
+    shared: &Rc<Shared>,
     results: relay_results::Reader<'_>,
     connection: Rc<Connection<peer::Client>>,
 ) -> Result<Result<RelayAnswer, Verdict>, codec::Malformed> {
@@ -97,11 +97,16 @@
     };
     let first = body::Chunk::read(results.get_body()?)?;
     let more = results.has_more().then(|| results.get_more()).transpose()?;
-    let closed = connection.closed();
-    let guard: Rc<dyn Any> = connection;
+    let shared = shared.clone();
+    let broken = async move {
+        tokio::select! {
+            () = connection.closed().wait() => {}
+            () = detect_stall(&shared, &connection) => {}
+        }
+    };
     Ok(Ok(RelayAnswer {
         status,
         headers,
-        body: body::receive(first, more, closed, guard),
+        body: body::receive(first, more, broken),
     }))
 }
--- a/crates/peer/src/serve.rs
+++ b/crates/peer/src/serve.rs
@@ -78,7 +78,7 @@
         let head = codec::relay::read_head(params.get_head()?)?;
         let first = Chunk::read(params.get_body()?)?;
         let more = params.has_more().then(|| params.get_more()).transpose()?;
-        let body = body::receive(first, more, self.closed.clone(), Rc::new(()));
+        let body = body::receive(first, more, self.closed.clone().wait());
         Ok((head, body))
     }
 }
--- a/crates/peer/tests/contract/slow_link.rs
+++ b/crates/peer/tests/contract/slow_link.rs
@@ -1,15 +1,21 @@
 //! Connections over a link that is slow but steady: they must stay open as long as bytes arrive.
 
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
-use wagtail_peer::{Control, Limits, Peer, empty_body, full_body};
+use wagtail_peer::{
+    Aborted, Control, Limits, LinkEmulation, LinkState, Peer, Settings, empty_body, full_body,
+};
 use wagtail_standin::link::{self, Link};
 
-use crate::fleet::{FakeHandler, SECRET, head, host, peer, read_body};
+use crate::fleet::{FakeHandler, SECRET, head, host, peer, read_body, settings};
 
 const BYTES_PER_SECOND: u32 = 200_000;
 const STALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -123,3 +129,49 @@
     assert_eq!(late, Ok(Bytes::from_static(b"late")));
     assert_eq!(fleet.entry.counts().connects, 1);
 }
+
+// Guards against a caller that waits without end for the rest of an answer whose link has failed
+// without a word, and against an answer that is cut off because its endpoint is silent for a while.
+#[tokio::test]
+async fn an_answer_is_aborted_when_its_link_falls_silent_and_not_before() {
+    const STALL_TIMEOUT: Duration = Duration::from_millis(200);
+    let limits = Limits {
+        stall_timeout: STALL_TIMEOUT,
+        ..Limits::default()
+    };
+    let (link, state) = watch::channel(LinkState::Up(Duration::ZERO));
+    let (send, chunks) = mpsc::unbounded_channel::<Bytes>();
+    let chunks = Mutex::new(Some(chunks));
+    let handler = Arc::new(FakeHandler::new(move |_, _| {
+        let chunks = chunks.lock().expect("not poisoned").take();
+        let chunks = chunks.expect("one request");
+        let frames = stream::unfold(chunks, |mut chunks| async {
+            let data = chunks.recv().await?;
+            Some((Ok::<_, Aborted>(Frame::data(data)), chunks))
+        });
+        let body = StreamBody::new(frames).boxed_unsync();
+        async { Ok(crate::relay::answer(body)) }
+    }));
+    let owner = Settings {
+        emulation: Some(LinkEmulation::new(move |_| *state.borrow())),
+        ..settings("owner", SECRET, limits.clone())
+    };
+    let runtime = tokio::runtime::Handle::current();
+    let owner = Peer::start(owner, handler, runtime).expect("starts");
+    let entry = peer("entry", SECRET, limits, Arc::new(FakeHandler::echo()));
+    entry.set_addresses(HashMap::from([(host("owner"), owner.addr())]));
+    let mut body = entry
+        .relay(&host("owner"), head(), empty_body())
+        .await
+        .expect("answers")
+        .body;
+    sleep(STALL_TIMEOUT * 5).await;
+    send.send(Bytes::from_static(b"part")).expect("is sent");
+    let part = timeout(TIMEOUT, body.frame()).await.expect("arrives");
+    let part = part.expect("a frame").expect("data").into_data();
+    assert_eq!(part.ok(), Some(Bytes::from_static(b"part")));
+    link.send_replace(LinkState::Down);
+    let end = timeout(TIMEOUT, body.frame()).await;
+    let end = end.expect("ends").expect("not as a whole");
+    assert_eq!(end.err(), Some(Aborted));
+}
