--- a/crates/ctl/src/cli/output.rs
+++ b/crates/ctl/src/cli/output.rs
@@ -43,7 +43,7 @@
         hosts,
         ..
     } = outcome;
-    match &outcome.acceptance {
+    let mut text = match &outcome.acceptance {
         Acceptance::Accepted => {
             let (hosts, zones) = (hosts.len(), zones.len());
             format!("accepted: epoch {epoch} is in force ({hosts} hosts, {zones} zones)\n")
@@ -61,11 +61,15 @@
             }
             text
         }
+    };
+    if let Some(reason) = &outcome.snapshot_failure {
+        let _ = writeln!(text, "snapshot not stored: {reason}");
     }
+    text
 }
 
 fn as_json(outcome: &Outcome) -> String {
-    let value = match &outcome.acceptance {
+    let mut value = match &outcome.acceptance {
         Acceptance::Accepted => json!({
             "epoch": outcome.epoch,
             "state": "accepted",
@@ -79,5 +83,8 @@
             "missing": missing,
         }),
     };
+    if let Some(reason) = &outcome.snapshot_failure {
+        value["snapshot_failure"] = json!(reason.to_string());
+    }
     format!("{value:#}\n")
 }
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use serde_json::{Map, Value};
 use wagtail_config::{Acceptance, HostStatus, RawRecord, RecordKey, View};
-use wagtail_store::{Change, CommitError, Committed, Platform, commit, load_config};
+use wagtail_store::{Change, CommitError, Committed, Platform, PlatformError, commit, load_config};
 use wagtail_types::{Epoch, HostId, KeyDigest, TeamId, ZoneId};
 
 use crate::{CtlError, DrainSpec, MoveSpec, watch};
@@ -47,6 +47,8 @@
     pub zones: BTreeSet<ZoneId>,
     /// The entry hosts of the configuration.
     pub hosts: BTreeSet<HostId>,
+    /// Why a snapshot that was due was not stored. Hosts that start read the table meanwhile.
+    pub snapshot_failure: Option<PlatformError>,
 }
 
 /// Reads and changes the configuration on behalf of an operator.
@@ -218,8 +220,11 @@
                 ..build_change(view)?
             })
         };
-        let Committed { epoch, view } =
-            commit(&*self.platform, &mut self.rng, build_change).await?;
+        let Committed {
+            epoch,
+            view,
+            snapshot_failure,
+        } = commit(&*self.platform, &mut self.rng, build_change).await?;
         let configured = &self.settings.entries;
         let host_addresses = if configured.is_empty() {
             host_addresses(&view)
@@ -234,6 +239,7 @@
             answered: watch_result.answered,
             zones: view.hosts().values().map(|h| h.zone.clone()).collect(),
             hosts: view.hosts().keys().cloned().collect(),
+            snapshot_failure,
         })
     }
 }
--- a/crates/ctl/tests/command_line.rs
+++ b/crates/ctl/tests/command_line.rs
@@ -363,3 +363,34 @@
         assert_eq!(result.output, format!("{records} records, no faults\n"));
     }
 }
+
+// Guards against snapshots that are not stored without a trace: each host that starts would read the
+// whole configuration from the table.
+#[tokio::test]
+async fn a_snapshot_that_is_not_stored_is_reported() {
+    const EPOCHS_PER_SNAPSHOT: u32 = 64;
+    let cluster = TestCluster::new().await.with_records().await;
+    for epoch in 2..=EPOCHS_PER_SNAPSHOT {
+        let result = cluster
+            .run(&format!("change team lab rate={epoch}/s"))
+            .await;
+        assert_eq!(result.status, 3, "{}", result.errors);
+        assert!(!result.output.contains("snapshot"), "{}", result.output);
+    }
+    cluster.platform.faults.update(|f| f.refuse_next = 1);
+    let result = cluster.run("change team lab rate=1/s").await;
+    assert_eq!(result.status, 3, "{}", result.errors);
+    insta::assert_snapshot!(result.output, @r"
+    committed: epoch 65, not yet accepted (0 of 1 zones)
+    no entry host answered
+    missing: entry-1
+    snapshot not stored: not applied: not applied: turned down by the fault table
+    ");
+    cluster.platform.faults.update(|f| f.refuse_next = 1);
+    let result = cluster.run("change team lab rate=2/s --output json").await;
+    let value: Value = serde_json::from_str(&result.output).unwrap();
+    let reason = "not applied: not applied: turned down by the fault table";
+    assert_eq!(value["snapshot_failure"], json!(reason));
+    let result = cluster.run("change team lab rate=3/s").await;
+    assert!(!result.output.contains("snapshot"), "{}", result.output);
+}
--- a/crates/store/src/config/commit.rs
+++ b/crates/store/src/config/commit.rs
@@ -31,6 +31,8 @@
     pub epoch: Epoch,
     /// The configuration that includes the change.
     pub view: View,
+    /// Why a snapshot that was due was not stored; the next change tries again.
+    pub snapshot_failure: Option<PlatformError>,
 }
 
 /// Tells why a change was not committed.
@@ -86,10 +88,11 @@
         check_race(&view, &change, base_epoch)?;
         let next = apply_change(&view, &change)?;
         match write(platform, rng, &view, &next).await {
-            Ok(()) => {
+            Ok(snapshot_failure) => {
                 return Ok(Committed {
                     epoch: next.epoch(),
                     view: next,
+                    snapshot_failure,
                 });
             }
             Err(error @ PlatformError::Conflict { .. }) => conflict = Some(error),
@@ -158,13 +161,14 @@
 }
 
 /// Writes the log row of the change, the head and the rows changed at `next`'s epoch in one
-/// transaction. The log row comes first, because [`TxnRetry`](crate::TxnRetry) reads it back.
+/// transaction. The log row comes first, because [`TxnRetry`](crate::TxnRetry) reads it back. Returns
+/// why a snapshot that was due was not stored.
 async fn write(
     platform: &dyn Platform,
     rng: &mut (impl Rng + Send),
     view: &View,
     next: &View,
-) -> Result<(), PlatformError> {
+) -> Result<Option<PlatformError>, PlatformError> {
     let attempt = AttemptId::random(rng);
     let seed = rng.random();
     let found = platform.read(&head_key()).await?;
@@ -174,9 +178,10 @@
     if old.epoch != view.epoch() {
         return Err(PlatformError::Conflict { key: head_key() });
     }
+    let (snapshot, snapshot_failure) = update_snapshot(platform, view, old.snapshot).await;
     let head = Head {
         epoch: next.epoch(),
-        snapshot: update_snapshot(platform, view, old.snapshot).await,
+        snapshot,
     };
     let changed: Vec<_> = next
         .rows()
@@ -193,26 +198,25 @@
         let key = RowKey::new(RECORD_SPACE, &row.key.to_string());
         txn = txn.write(Write::put(key, &to_json(&**row)?).mark(row.epoch.0));
     }
-    transact_with_retry(platform, RetrySettings::default(), txn, seed)
-        .await
-        .map(drop)
+    transact_with_retry(platform, RetrySettings::default(), txn, seed).await?;
+    Ok(snapshot_failure)
 }
 
 /// Stores a snapshot of `view` if the last one is old, and returns the reference for the head. If
-/// storing fails, the last snapshot stays.
+/// storing fails, the last snapshot stays, and the failure is returned with it.
 async fn update_snapshot(
     platform: &dyn Platform,
     view: &View,
     last: Option<SnapshotRef>,
-) -> Option<SnapshotRef> {
+) -> (Option<SnapshotRef>, Option<PlatformError>) {
     let since = last.as_ref().map_or(0, |s| s.epoch.0);
     if view.epoch().0 < since + EPOCHS_PER_SNAPSHOT {
-        return last;
+        return (last, None);
     }
     let (bytes, reference) = Snapshot::of(view).encode();
     match platform.put(&reference.name, Bytes::from(bytes)).await {
-        Ok(()) => Some(reference),
-        Err(_) => last,
+        Ok(()) => (Some(reference), None),
+        Err(error) => (last, Some(error)),
     }
 }
 
