--- a/crates/config/src/sync.rs
+++ b/crates/config/src/sync.rs
@@ -57,6 +57,17 @@
         /// The request number of the scan or fetch.
         request: u64,
     },
+    /// A scan or fetch is still in flight; reported at intervals shorter than
+    /// [`SyncSettings::read_timeout`].
+    InFlight {
+        /// The request number of the scan or fetch.
+        request: u64,
+    },
+    /// A part of a large message of a peer has arrived.
+    Receiving {
+        /// The peer that sends it.
+        from: HostId,
+    },
     /// A peer sent a message.
     Message {
         /// The peer that sent it, to which any answer goes.
@@ -96,7 +107,7 @@
     },
     /// The table answered with a state that is no older than the view.
     Contact {
-        /// When the first scan of the read was requested.
+        /// When the scan that was answered was requested.
         requested_at: Instant,
         /// The epoch of the head that was read.
         epoch: Epoch,
@@ -118,8 +129,12 @@
     peers: Vec<HostId>,
     /// Peers with a higher epoch, and that epoch.
     ahead: BTreeMap<HostId, Epoch>,
+    /// The epoch that the table named last.
+    table_epoch: Epoch,
     table_read: Option<TableRead>,
     pull: Option<PeerPull>,
+    /// The last pull that expired, which the next one continues.
+    expired_pull: Option<PeerPull>,
     poll_at: Instant,
     pull_at: Option<Instant>,
     /// The timeout of the next pull; doubles with each that expires.
@@ -132,6 +147,7 @@
 #[derive(Debug)]
 struct TableRead {
     request: u64,
+    /// When the pending scan or fetch was requested.
     requested_at: Instant,
     expires: Instant,
     /// The view of the snapshot that the delta builds on, if one was fetched.
@@ -144,8 +160,10 @@
 /// Tracks a pull from a peer in flight.
 #[derive(Debug)]
 struct PeerPull {
+    /// The request number, the same for all peers that were asked for the next page.
     request: u64,
-    from: HostId,
+    /// The peers that were asked for the next page, the current one last.
+    asked: Vec<HostId>,
     expires: Instant,
     delta: DeltaBuilder,
 }
@@ -161,8 +179,10 @@
             view: Arc::new(View::empty()),
             peers: Vec::new(),
             ahead: BTreeMap::new(),
+            table_epoch: Epoch(0),
             table_read: None,
             pull: None,
+            expired_pull: None,
             poll_at: now,
             pull_at: None,
             pull_timeout,
@@ -182,6 +202,12 @@
         &self.view
     }
 
+    /// Returns whether this host, the table or a peer is known to have a higher epoch than `epoch`.
+    pub fn knows_newer(&self, epoch: Epoch) -> bool {
+        let own = self.view.epoch().max(self.table_epoch);
+        own > epoch || self.ahead.values().any(|ahead| *ahead > epoch)
+    }
+
     /// Handles an event.
     pub fn handle(&mut self, now: Instant, input: SyncInput) {
         match input {
@@ -196,6 +222,8 @@
             }
             SyncInput::Fetched { request, snapshot } => self.handle_fetch(now, request, snapshot),
             SyncInput::Failed { request } => self.handle_failure(now, request),
+            SyncInput::InFlight { request } => self.extend_read(now, request),
+            SyncInput::Receiving { from } => self.extend_pull(now, &from),
             SyncInput::Message { from, message } => self.handle_message(now, from, message),
         }
     }
@@ -206,9 +234,10 @@
             self.table_read = None;
         }
         if let Some(pull) = self.pull.take_if(|p| p.expires <= now) {
-            if self.ahead.len() > 1 {
-                self.ahead.remove(&pull.from);
+            if let Some(peer) = pull.asked.last().filter(|_| self.ahead.len() > 1) {
+                self.ahead.remove(peer);
             }
+            self.expired_pull = Some(pull);
             self.pull_at = Some(now);
             self.pull_timeout = (self.pull_timeout * 2).min(self.settings.read_timeout);
         }
--- a/crates/entryd/src/drive/config.rs
+++ b/crates/entryd/src/drive/config.rs
@@ -1,13 +1,15 @@
 //! Driver of configuration sync.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::{Arc, PoisonError};
+use std::time::Duration;
 
-use slog::info;
+use slog::{info, warn};
 use wagtail_config::{SyncEffect, SyncInput, View};
 use wagtail_member::HostInfo;
 use wagtail_peer::Control;
-use wagtail_store::{Access, Priority, fetch_snapshot, scan_config};
+use wagtail_store::{Access, PlatformError, Priority, fetch_snapshot, scan_config};
 
 use super::route::send;
 use crate::calls;
@@ -39,7 +41,10 @@
             let host = host.clone();
             tokio::spawn(async move {
                 let scan = scan_config(&*host.platform, since, after, limit);
-                let input = match calls::call(&host, Priority::Poll, Access::Read, scan).await {
+                let call = calls::call(&host, Priority::Poll, Access::Read, scan);
+                let result = report_in_flight(&host, request, call).await;
+                log_failure(&host, result.as_ref().err());
+                let input = match result {
                     Ok((page, snapshot)) => SyncInput::Scanned {
                         request,
                         page,
@@ -54,7 +59,10 @@
             let host = host.clone();
             tokio::spawn(async move {
                 let fetch = fetch_snapshot(&*host.platform, &snapshot);
-                let input = match calls::call(&host, Priority::Bulk, Access::Read, fetch).await {
+                let call = calls::call(&host, Priority::Bulk, Access::Read, fetch);
+                let result = report_in_flight(&host, request, call).await;
+                log_failure(&host, result.as_ref().err());
+                let input = match result {
                     Ok(snapshot) => SyncInput::Fetched { request, snapshot },
                     Err(_) => SyncInput::Failed { request },
                 };
@@ -76,6 +84,41 @@
     }
 }
 
+/// Runs a call, and reports it to configuration sync as in flight until it ends. The call itself
+/// ends when it makes no progress.
+async fn report_in_flight<T>(host: &Arc<Host>, request: u64, call: impl Future<Output = T>) -> T {
+    const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+    let mut call = pin!(call);
+    loop {
+        match tokio::time::timeout(REPORT_INTERVAL, call.as_mut()).await {
+            Ok(result) => return result,
+            Err(_) => handle(host, SyncInput::InFlight { request }),
+        }
+    }
+}
+
+/// Logs the first failure to read the configuration, and the next success.
+fn log_failure(host: &Host, error: Option<&PlatformError>) {
+    let now = host.now();
+    let mut failing = host
+        .reads_failing
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    match (error, *failing) {
+        (Some(error), None) => {
+            *failing = Some(now);
+            warn!(host.log, "reading the configuration failed; retrying"; "reason" => %error,
+                "epoch" => %host.view.load().epoch());
+        }
+        (None, Some(since)) => {
+            *failing = None;
+            info!(host.log, "the configuration can be read again";
+                "after_ms" => now.saturating_duration_since(since).as_millis());
+        }
+        (Some(_), Some(_)) | (None, None) => {}
+    }
+}
+
 /// Puts a view in force on this host and informs membership.
 fn adopt(host: &Arc<Host>, view: &Arc<View>) {
     if !put_in_force(host, view) {
@@ -83,6 +126,7 @@
     }
     // A newer view may be in force by now; membership gets the newest.
     let view = host.view.load_full();
+    super::list_input(host);
     super::member_input(host, wagtail_member::Input::Hosts(host_infos(&view)));
     super::member_input(host, wagtail_member::Input::Adopted(view.epoch()));
     super::publish_members(host);
@@ -123,20 +167,24 @@
             shards,
         },
     );
+    host.listed.record(view);
     if let Some(peer) = host.peer() {
         peer.set_addresses(peer_addresses(host, view));
     }
     true
 }
 
-/// Returns the addresses of the other hosts, from their records or, without one, from the seeds.
+/// Returns the addresses of the other hosts, from their records or, without one, from the seeds. A
+/// host on the platform's list keeps the address of its last record.
 pub(crate) fn peer_addresses(
     host: &Host,
     view: &View,
 ) -> HashMap<wagtail_types::HostId, std::net::SocketAddr> {
     let seeds = host.settings.seeds.iter().map(|s| (s.host.clone(), s.addr));
+    let listed = host.listed.hosts().into_iter();
+    let listed = listed.map(|h| (h.info.host, h.peer));
     let records = view.hosts().values().map(|h| (h.id.clone(), h.peer));
-    let mut all: HashMap<_, _> = seeds.chain(records).collect();
+    let mut all: HashMap<_, _> = seeds.chain(listed).chain(records).collect();
     all.remove(&host.settings.host);
     all
 }
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -24,6 +24,7 @@
 use crate::calls::PlatformCalls;
 use crate::derived::Sites;
 use crate::lifecycle::Watch;
+use crate::listed::ListedHosts;
 use crate::machine::SharedMachine;
 use crate::metrics::Metrics;
 use crate::reports::LastReports;
@@ -65,6 +66,8 @@
     pub(crate) lifecycle: Watch,
     /// Held while a view is put in force; locked before any state machine.
     pub(crate) adoption: Mutex<()>,
+    /// Since when the configuration cannot be read from the platform; `None` if it can.
+    pub(crate) reads_failing: Mutex<Option<Instant>>,
     /// The configuration in force.
     pub(crate) view: ArcSwap<View>,
     /// Client address blocks and sites of the configuration in force.
@@ -81,6 +84,8 @@
     pub(crate) dedup: DedupMachine,
     /// Membership.
     pub(crate) membership: MembershipMachine,
+    /// The hosts of the platform's list.
+    pub(crate) listed: ListedHosts,
     /// Configuration sync.
     pub(crate) config_sync: ConfigSyncMachine,
     /// When each endpoint last reported its state.
--- a/crates/entryd/src/request.rs
+++ b/crates/entryd/src/request.rs
@@ -23,8 +23,8 @@
 use crate::stats::Series;
 use crate::tracked::{End, track};
 
-/// Retry delay for callers of a host that is cut off or has no configuration yet.
-const RETRY_AFTER_UNAVAILABLE: std::time::Duration = std::time::Duration::from_secs(1);
+/// Retry delay for callers of a host that is cut off or does not have the configuration yet.
+pub(crate) const RETRY_AFTER_UNAVAILABLE: std::time::Duration = std::time::Duration::from_secs(1);
 /// Unit in which the memory for buffered bodies is counted.
 pub(crate) const BODY_UNIT_BYTES: u64 = 1_024;
 /// Retry delay for callers of a host whose limit on requests or body memory is reached.
@@ -49,10 +49,9 @@
 pub(crate) async fn serve(State(host): State<Arc<Host>>, request: Request<Body>) -> Response<Body> {
     let start = host.now();
     let Some(running) = host.lifecycle.enter(host.settings.limits.requests) else {
-        return refuse(
-            &host,
-            &Verdict::not_run(Reason::Overloaded, RETRY_AFTER_OVERLOAD).into(),
-        );
+        host.metrics.count("requests.over_limit");
+        let verdict = Verdict::not_run(Reason::Overloaded, RETRY_AFTER_OVERLOAD);
+        return answer::from_verdict(&verdict, None);
     };
     let (parts, body) = request.into_parts();
     let length = hyper::body::Body::size_hint(&body);
@@ -79,7 +78,7 @@
     bad("the body is longer than this host takes")
 }
 
-/// Refuses a request that belongs to no series and counts it as malformed.
+/// Refuses a malformed request, which belongs to no series.
 fn refuse(host: &Host, refusal: &Refusal) -> Response<Body> {
     host.metrics.count("requests.malformed");
     answer::from_verdict(&refusal.verdict, refusal.detail)
@@ -158,7 +157,7 @@
     service: &ServiceId,
     digest: Option<&KeyDigest>,
 ) -> Result<(Arc<Service>, Option<Arc<Team>>), Verdict> {
-    let refuse = |reason| Verdict::not_run(reason, None);
+    let refuse = |reason| deny(host, view, reason);
     if view.epoch().0 == 0 {
         return Err(Verdict::not_run(
             Reason::Unavailable,
@@ -176,10 +175,7 @@
             if !team.services.contains(&service.id) && !service.open {
                 return Err(refuse(Reason::Forbidden));
             }
-            let stale = host
-                .cut_off(host.now())
-                .is_some_and(|t| t > host.settings.times.staleness);
-            if stale && team.cutoff == CutOff::Refuse && !service.open {
+            if is_stale(host) && team.cutoff == CutOff::Refuse && !service.open {
                 return Err(Verdict::not_run(Reason::CutOff, RETRY_AFTER_UNAVAILABLE));
             }
             Ok((service, Some(team)))
@@ -187,6 +183,25 @@
     }
 }
 
+/// Returns whether this host has been cut off for longer than its records may be trusted.
+fn is_stale(host: &Host) -> bool {
+    host.cut_off(host.now())
+        .is_some_and(|t| t > host.settings.times.staleness)
+}
+
+/// Refuses a request for what `view` lacks: for good only if it is the newest, as far as this host
+/// knows.
+fn deny(host: &Host, view: &View, reason: Reason) -> Verdict {
+    let newer = host.config_sync.lock().machine.knows_newer(view.epoch());
+    if newer {
+        Verdict::not_run(Reason::Unavailable, RETRY_AFTER_UNAVAILABLE)
+    } else if is_stale(host) {
+        Verdict::not_run(Reason::CutOff, RETRY_AFTER_UNAVAILABLE)
+    } else {
+        Verdict::not_run(reason, None)
+    }
+}
+
 /// Spends a token of the team; waits if the token has to come from another host.
 pub(crate) async fn admit(
     host: &Arc<Host>,
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::task::JoinSet;
-use wagtail_peer::Control;
+use wagtail_peer::{Control, Peer};
 use wagtail_store::{Access, ListedState, Priority};
 
 use crate::calls;
@@ -127,8 +127,8 @@
     }
 }
 
-/// Reads the platform's host list periodically and reports to the router which endpoints on it are
-/// leaving.
+/// Reads the platform's host list periodically, passes it to membership and reports to the router
+/// which endpoints on it are leaving.
 async fn read_list(host: Arc<Host>) {
     let mut period = tokio::time::interval(periods::list_interval(host.settings.fleet));
     loop {
@@ -141,10 +141,17 @@
                 drive::route_input(&host, input);
             }
         }
+        let names = list.iter().filter_map(|l| l.name.parse().ok());
+        if host.listed.set_names(names.collect()) {
+            drive::list_input(&host);
+            if let Some(peer) = host.peer() {
+                peer.set_addresses(drive::peer_addresses(&host, &host.view.load()));
+            }
+        }
     }
 }
 
-/// Sets the gauges of capacity and running requests periodically.
+/// Sets the gauges of capacity, of running requests and of connections to other hosts periodically.
 async fn gauges(host: Arc<Host>) {
     let mut period = tokio::time::interval(GAUGE_PERIOD);
     loop {
@@ -158,5 +165,9 @@
         }
         host.metrics
             .gauge("running", host.lifecycle.running() as u64);
+        let counts = host.peer().map(Peer::counts).unwrap_or_default();
+        for (name, count) in counts.iter() {
+            host.metrics.gauge(&format!("peer.{name}"), count);
+        }
     }
 }
--- a/crates/load/tests/system.rs
+++ b/crates/load/tests/system.rs
@@ -8,5 +8,13 @@
 mod fixture;
 #[path = "system/keys.rs"]
 mod keys;
+#[path = "system/members.rs"]
+mod members;
+#[path = "system/outdated.rs"]
+mod outdated;
+#[path = "system/slow_link.rs"]
+mod slow_link;
 #[path = "system/stop.rs"]
 mod stop;
+#[path = "system/visibility.rs"]
+mod visibility;
--- a/crates/peer/src/relay.rs
+++ b/crates/peer/src/relay.rs
@@ -1,10 +1,9 @@
 //! Outgoing relays.
 
-use std::any::Any;
 use std::rc::Rc;
 
 use tokio::sync::oneshot;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use wagtail_types::{Cause, Reason, Verdict};
 
 use crate::body::{self, Body, BodyServer, Chunks};
@@ -66,20 +65,21 @@
         () = detect_stall(shared, &connection) => return Err(lost()),
     };
     let results = response.get().map_err(|_| lost())?;
-    read_answer(results, connection).unwrap_or_else(|_| {
+    read_answer(shared, results, connection).unwrap_or_else(|_| {
         shared.counters.malformed.increment();
         Err(Verdict::may_have_run(Cause::BadAnswer))
     })
 }
 
-/// Pings the other host, and closes the connection and returns once a ping goes unanswered for the
-/// stall timeout.
+/// Pings the other host, and closes the connection and returns once a ping goes unanswered and
+/// nothing else is received for the stall timeout. The answer may wait behind large bodies.
 async fn detect_stall(shared: &Shared, connection: &Connection<peer::Client>) {
     let stall_timeout = shared.settings.limits.stall_timeout;
     loop {
         sleep(stall_timeout / 2).await;
         let ping = connection.channel.ping_request().send().promise;
-        if !matches!(timeout(stall_timeout, ping).await, Ok(Ok(_))) {
+        let answered = connection.received().until_stalled(stall_timeout, ping);
+        if !matches!(answered.await, Ok(Ok(_))) {
             connection.close();
             return;
         }
@@ -87,6 +87,7 @@
 }
 
 fn read_answer(
+    shared: &Rc<Shared>,
     results: relay_results::Reader<'_>,
     connection: Rc<Connection<peer::Client>>,
 ) -> Result<Result<RelayAnswer, Verdict>, codec::Malformed> {
@@ -96,11 +97,16 @@
     };
     let first = body::Chunk::read(results.get_body()?)?;
     let more = results.has_more().then(|| results.get_more()).transpose()?;
-    let closed = connection.closed();
-    let guard: Rc<dyn Any> = connection;
+    let shared = shared.clone();
+    let broken = async move {
+        tokio::select! {
+            () = connection.closed().wait() => {}
+            () = detect_stall(&shared, &connection) => {}
+        }
+    };
     Ok(Ok(RelayAnswer {
         status,
         headers,
-        body: body::receive(first, more, closed, guard),
+        body: body::receive(first, more, broken),
     }))
 }
