Lose one request, connection or message to a panic, and count it

Callers of a host in which the handling of a request panicked saw the connection close without an answer, and lost the requests behind it on the connection too. A panic in the handling of one datagram ended the task that handles all of them: the host went on serving, heard no other host any more, and answered no token requests. Nothing was logged.

Cause: every request, connection and health check runs in a task whose handle is dropped, or whose panic is taken for a disconnect; datagrams are handled in the loop that receives them.

Change: each piece of work is contained; a panic in it is a log line and `wagtail_panics{kind}`. A request is contained in two parts. Before it is admitted no endpoint is involved, so that 503 with the time to come back is true; afterwards the answer is 502, which promises nothing. The digest and the removal of the row at a stop are contained, so that a panic there does not cut the stop short.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -15,6 +15,7 @@
 use crate::connect::Client;
 use crate::host::Core;
 use crate::pool::Pool;
+use crate::work::{Work, contain};
 
 /// The period of endpoint maintenance; short compared with the time in which endpoints come and go.
 const MAINTENANCE_PERIOD: Duration = Duration::from_millis(300);
@@ -38,13 +39,16 @@
         };
         pool.prune(now);
         for key in due {
-            tokio::task::spawn_local(check(core.clone(), codec.clone(), key));
+            let (core, codec) = (core.clone(), codec.clone());
+            tokio::task::spawn_local(async move {
+                contain(&core, Work::HealthCheck, check(&core, &*codec, key)).await;
+            });
         }
         tokio::time::sleep(MAINTENANCE_PERIOD).await;
     }
 }
 
-async fn check(core: Rc<Core>, codec: Rc<dyn HttpCodec>, key: EndpointKey) {
+async fn check(core: &Core, codec: &dyn HttpCodec, key: EndpointKey) {
     let target = {
         let steer = core.steer.borrow();
         steer.endpoint(key).and_then(|e| {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::host::{Core, RelayedPage};
 use crate::registry::{Entry, Registry, Topic};
+use crate::work::{Work, contain_sync};
 
 /// The size in bytes of the largest datagram that is received; digests of large fleets stay well
 /// below it.
@@ -75,11 +76,15 @@
                     continue;
                 }
             };
-            match Datagram::decode(&buffer[..size]) {
-                Ok(datagram) => self.handle(datagram, from),
-                Err(e) => warn!(self.core.log, "peer message could not be decoded; dropping it";
-                    "from" => %from, "error" => %e),
-            }
+            contain_sync(&self.core, Work::PeerMessage, || {
+                match Datagram::decode(&buffer[..size]) {
+                    Ok(datagram) => self.handle(datagram, from),
+                    Err(e) => {
+                        warn!(self.core.log, "peer message could not be decoded; dropping it";
+                            "from" => %from, "error" => %e);
+                    }
+                }
+            });
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod server;
 mod settings;
 mod stop;
+mod work;
 
 pub use codec::{
     Dispatch, Execution, Health, HttpCodec, InvalidRequest, RequestHead, ResponseHead,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,16 +9,22 @@
 mod send;
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::host::RequestContext;
+use crate::work::{Work, contain};
 
 pub(crate) use body::Body;
+use reply::Reply;
 pub(crate) use reply::retry_after;
 pub(crate) use request_log::LogBudget;
 
+/// The `Retry-After` wait if the admission of a request panicked.
+const PANIC_WAIT: Duration = Duration::from_millis(300);
+
 /// Serves one request of a caller. A request with a framing error is refused.
 pub(crate) async fn serve(
     context: Rc<RequestContext>,
@@ -28,10 +34,22 @@
     let arrived = context.core.now();
     let (head, body) = request.into_parts();
     let mut request_log = request_log::RequestLog::new(context.clone(), arrived);
-    let reply = match admit::admit(&context, &head, framing_error, arrived, &mut request_log).await
-    {
-        Ok(job) => attempt::run(&context, &job, &head, body, &mut request_log).await,
-        Err(reply) => *reply,
+    let admission = admit::admit(&context, &head, framing_error, arrived, &mut request_log);
+    let reply = match contain(&context.core, Work::Request, admission).await {
+        Some(Ok(job)) => {
+            let attempts = attempt::run(&context, &job, &head, body, &mut request_log);
+            let reply = contain(&context.core, Work::Request, attempts).await;
+            reply.unwrap_or_else(|| {
+                request_log.may_have_run = true;
+                Reply::fail(StatusCode::BAD_GATEWAY, "the host failed; it may have run")
+            })
+        }
+        Some(Err(reply)) => *reply,
+        None => Reply::refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the host failed",
+            PANIC_WAIT,
+        ),
     };
     request_log.finish(&reply);
     reply.into_response()
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,6 +26,7 @@
     Bounds, CallerLeft, ConnectionState, PIPELINE_MAX, RequestReader, write_responses,
 };
 use crate::stop::ShutdownStage;
+use crate::work::{Work, contain};
 
 /// The pause after a failure to accept a connection, such as a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -61,7 +62,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(handle_connection(context.clone(), stream, stage.clone()));
+                let (context, stage) = (context.clone(), stage.clone());
+                tokio::task::spawn_local(async move {
+                    let core = context.core.clone();
+                    let connection = handle_connection(context, stream, stage);
+                    contain(&core, Work::Connection, connection).await;
+                });
             }
             Err(e) => {
                 warn!(context.core.log, "accepting a connection failed; retrying after a pause";
@@ -139,19 +145,19 @@
                 continue;
             }
         };
-        let answer = answer.clone();
+        let (core, answer) = (core.clone(), answer.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: http::Request<Incoming>| {
                 let (head, _) = request.into_parts();
                 let response = answer(&head);
                 async move { Ok::<_, Infallible>(response) }
             });
-            // A client that disconnects early needs no response.
-            let _ = http1::Builder::new()
+            let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+                .serve_connection(TokioIo::new(stream), service);
+            // A client that disconnects early needs no response.
+            let _ = contain(&core, Work::AdminConnection, connection).await;
         });
     }
 }
--- a/crates/gateway/src/server/pipeline.rs
+++ b/crates/gateway/src/server/pipeline.rs
@@ -24,6 +24,7 @@
 use crate::host::RequestContext;
 use crate::request::serve;
 use crate::stop::ShutdownStage;
+use crate::work::{Work, contain};
 
 /// The capacity of the queue of requests on a connection that run or wait until their response is
 /// sent.
@@ -88,7 +89,8 @@
 #[derive(Debug)]
 pub(crate) struct PendingResponse {
     answer: ReadHalf<DuplexStream>,
-    task: JoinHandle<hyper::Result<()>>,
+    /// Ends with `None` if it panicked.
+    task: JoinHandle<Option<hyper::Result<()>>>,
 }
 
 impl Drop for PendingResponse {
@@ -278,8 +280,9 @@
         &self,
         remote: DuplexStream,
         framing_error: Option<&'static str>,
-    ) -> impl Future<Output = hyper::Result<()>> + 'static {
+    ) -> impl Future<Output = Option<hyper::Result<()>>> + 'static {
         let (context, connection) = (self.context.clone(), self.connection.clone());
+        let core = context.core.clone();
         let number = connection.accepted.get();
         let service = service_fn(move |request: http::Request<Incoming>| {
             let answer = serve(context.clone(), request, framing_error);
@@ -293,10 +296,11 @@
                 Ok::<Response<_>, Infallible>(answer)
             })
         });
-        http1::Builder::new()
+        let serving = http1::Builder::new()
             .half_close(true)
             .max_buf_size(self.bounds.head)
-            .serve_connection(TokioIo::new(remote), service)
+            .serve_connection(TokioIo::new(remote), service);
+        async move { contain(&core, Work::Request, serving).await }
     }
 }
 
@@ -322,12 +326,12 @@
             }
         }
         match (&mut response.task).await {
-            Ok(Ok(())) => {}
+            Ok(Some(Ok(()))) => {}
             // The HTTP library has sent an error response to the caller.
-            Ok(Err(e)) if e.is_parse() => {}
+            Ok(Some(Err(e))) if e.is_parse() => {}
             // No response may follow one that ended early, because the caller would take it for the
             // missing part.
-            Ok(Err(_)) | Err(_) => return false,
+            Ok(Some(Err(_)) | None) | Err(_) => return false,
         }
         connection.answered.set(connection.answered.get() + 1);
         connection.idle_since.set(context.core.now());
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -10,6 +10,7 @@
 use crate::exchange::Exchange;
 use crate::host::Core;
 use crate::registry::Registry;
+use crate::work::{Work, contain};
 
 /// The stages of the shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,14 +44,8 @@
     core.start_leaving();
     info!(core.log, "stopping"; "grace_ms" => millis(grace));
     stage.send_replace(ShutdownStage::Leaving);
-    exchange.send_digest(true).await;
-    let record = core.steer.borrow().local_host().record.clone();
-    let log = core.log.clone();
-    tokio::task::spawn_local(async move {
-        if let Err(e) = registry.withdraw(&record).await.result {
-            warn!(log, "host registration could not be removed"; "error" => %e);
-        }
-    });
+    contain(&core, Work::LeaveNotice, exchange.send_digest(true)).await;
+    tokio::task::spawn_local(withdraw(core.clone(), registry));
     tokio::time::sleep(ACCEPT_TIME.min(grace / 2)).await;
     stage.send_replace(ShutdownStage::Closed);
     // Each open connection holds one receiver.
@@ -59,3 +54,12 @@
     }
     info!(core.log, "stopped"; "connections" => stage.receiver_count());
 }
+
+/// Removes the registration of this host.
+async fn withdraw<R: Registry>(core: Rc<Core>, registry: Rc<R>) {
+    let record = core.steer.borrow().local_host().record.clone();
+    let answer = contain(&core, Work::LeaveNotice, registry.withdraw(&record)).await;
+    if let Some(Err(e)) = answer.map(|a| a.result) {
+        warn!(core.log, "host registration could not be removed"; "error" => %e);
+    }
+}
