Stop a host when one of its duties ends

A host whose follower, gossip or accept loop had panicked or returned stayed ready and served on what it knew: a configuration and endpoints that stood still, withdrawn keys included. Nothing was logged, and only tests, which count panics, noticed.

Cause: run() started each duty in a task of its own and dropped the handle.

Change: one supervisor starts the ten duties, by name. The end of one, by panic or return, takes readiness away at once, is logged (`duty ended`, with duty and cause) and counted (`wagtail_duties_ended{kind}`), and begins the same graceful stop as SIGTERM: other hosts are told, the row is removed, what is in flight is answered, and connections are accepted for as long. For that time the duty is started once more, on the socket that it had, so that connections in its queue are served; if it ends again it stays ended. run() then returns the first such end as an error. A duty that panics during a stop doesn't cut it short, and is an error too. Only the accept loop and the registration may return, and only while the host leaves; their sockets close then.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -14,7 +14,7 @@
 /// Seconds after a request's arrival in which its host may have detected the cause of the outcome.
 const CONTEXT_AFTER_S: f64 = 5.0;
 /// Messages about the state of the whole host, which may concern every request.
-const GENERAL_MESSAGES: [&str; 10] = [
+const GENERAL_MESSAGES: [&str; 12] = [
     "configuration in force",
     "configuration refused",
     "evacuation",
@@ -24,6 +24,8 @@
     // Written by earlier builds, whose logs are read as well.
     "host silent",
     "no digest from host within the failure-detection timeout",
+    "duty ended",
+    "work panicked and was given up",
     "stopping",
     "lines dropped",
 ];
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod server;
 mod settings;
 mod stop;
+mod supervisor;
 mod work;
 
 pub use codec::{
@@ -30,3 +31,4 @@
 pub use registry::{Answer, Entry, Fetched, Registry, RegistryError, Topic};
 pub use run::{RunError, run};
 pub use settings::{Listen, Settings};
+pub use supervisor::{Duty, DutyEnded};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,4 +1,4 @@
-//! Starts the tasks of a host and waits until it has shut down.
+//! Starts the duties of a host and waits until it has shut down.
 
 use std::cell::RefCell;
 use std::io;
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 
 use derive_more::{Display, Error};
+use http::Response;
 use http::request::Parts;
 use slog::{Logger, info};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
 use wagtail_steer::Steer;
 use wagtail_types::SystemClock;
 
@@ -22,12 +22,13 @@
 use crate::host::{Core, RequestContext};
 use crate::pool::Pool;
 use crate::registry::{Registry, Topic};
-use crate::request::LogBudget;
+use crate::request::{Body, LogBudget};
 use crate::server::{accept, bind, serve_admin};
 use crate::settings::Settings;
 use crate::stop::{ShutdownStage, shut_down};
+use crate::supervisor::{Duties, Duty, DutyEnded};
 
-/// The reason why a host could not start.
+/// The reason why a host could not start or had to stop.
 #[derive(Debug, Display, Error)]
 pub enum RunError {
     /// A socket could not be bound to an address.
@@ -38,14 +39,18 @@
         /// The error of the operating system.
         source: io::Error,
     },
+    /// A duty ended while the host was to serve or was stopping.
+    #[display("{_0}")]
+    DutyEnded(DutyEnded),
 }
 
-/// Runs a host until `stop` resolves and the graceful shutdown that follows has ended: all requests
-/// are answered or the grace time is over. Must be called within a [`tokio::task::LocalSet`].
+/// Runs a host until `stop` resolves or a duty ends, and the graceful shutdown that follows has ended:
+/// all requests are answered or the grace time is over. Must be called within a
+/// [`tokio::task::LocalSet`].
 ///
 /// # Errors
 ///
-/// Returns a [`RunError`] if an address cannot be listened on.
+/// Returns a [`RunError`] if an address cannot be listened on, or if a duty ended.
 pub async fn run<R: Registry>(
     settings: Settings,
     steer: Steer,
@@ -70,49 +75,92 @@
         codec: codec.clone(),
         log_budget,
     });
-    let (stage, stage_updates) = watch::channel(ShutdownStage::Open);
+    let stage = Rc::new(watch::Sender::new(ShutdownStage::Open));
     info!(core.log, "starting"; "host" => %core.steer.borrow().local_host().record.id,
         "front" => %listen.front, "peer" => %listen.peer);
 
+    let mut duties = Duties::new(core.clone());
     let callers = bind(listen.front)
         .await
         .map_err(listen_error(listen.front))?;
-    spawn_local(accept(context, callers, stage_updates));
+    let updates = stage.clone();
+    duties.start(Duty::Callers, move || {
+        accept(context.clone(), callers.clone(), updates.subscribe())
+    });
     if let Some(addr) = listen.ready {
         let listener = bind(addr).await.map_err(listen_error(addr))?;
         let (shared, codec) = (core.clone(), codec.clone());
         let answer = move |head: &Parts| admin::ready(&shared, &*codec, head);
-        spawn_local(serve_admin(core.clone(), listener, answer));
+        start_admin(&mut duties, Duty::Readiness, core.clone(), listener, answer);
     }
     if let Some(addr) = listen.directory {
         let listener = bind(addr).await.map_err(listen_error(addr))?;
         let (shared, codec) = (core.clone(), codec.clone());
         let ttl = settings.directory_ttl;
         let answer = move |head: &Parts| admin::directory(&shared, &*codec, ttl, head);
-        spawn_local(serve_admin(core.clone(), listener, answer));
+        start_admin(&mut duties, Duty::Directory, core.clone(), listener, answer);
     }
     if let Some(addr) = listen.metrics {
         let listener = bind(addr).await.map_err(listen_error(addr))?;
         let shared = core.clone();
         let answer = move |head: &Parts| admin::metrics(&shared, head);
-        spawn_local(serve_admin(core.clone(), listener, answer));
+        start_admin(&mut duties, Duty::Metrics, core.clone(), listener, answer);
     }
 
-    spawn_local(exchange.clone().receive());
-    spawn_local(exchange.clone().gossip());
-    spawn_local(register(core.clone(), exchange.clone(), registry.clone()));
-    for topic in [Topic::Operator, Topic::Endpoints] {
-        spawn_local(follow(
-            core.clone(),
-            exchange.clone(),
-            registry.clone(),
-            topic,
-            settings.clone(),
-        ));
+    let messages = exchange.clone();
+    duties.start(Duty::PeerMessages, move || messages.clone().receive());
+    let digests = exchange.clone();
+    duties.start(Duty::Gossip, move || digests.clone().gossip());
+    let (shared, peers, rows) = (core.clone(), exchange.clone(), registry.clone());
+    duties.start(Duty::Registration, move || {
+        register(shared.clone(), peers.clone(), rows.clone())
+    });
+    for (duty, topic) in [
+        (Duty::OperatorChanges, Topic::Operator),
+        (Duty::EndpointChanges, Topic::Endpoints),
+    ] {
+        let (shared, peers, rows) = (core.clone(), exchange.clone(), registry.clone());
+        let settings = settings.clone();
+        duties.start(duty, move || {
+            follow(
+                shared.clone(),
+                peers.clone(),
+                rows.clone(),
+                topic,
+                settings.clone(),
+            )
+        });
     }
-    spawn_local(maintain_endpoints(core.clone(), pool, codec));
+    let shared = core.clone();
+    duties.start(Duty::EndpointChecks, move || {
+        maintain_endpoints(shared.clone(), pool.clone(), codec.clone())
+    });
 
-    stop.await;
-    shut_down(core, exchange, registry, stage, settings.grace).await;
-    Ok(())
+    let mut ended = None;
+    tokio::select! {
+        () = stop => {}
+        end = duties.next_end() => {
+            core.start_leaving();
+            duties.restart(end.duty);
+            ended = Some(end);
+        }
+    }
+    let stopping = shut_down(core, exchange, registry, &stage, settings.grace);
+    duties.run_until(stopping, &mut ended).await;
+    ended.map_or(Ok(()), |end| Err(RunError::DutyEnded(end)))
+}
+
+fn start_admin<F>(
+    duties: &mut Duties,
+    duty: Duty,
+    core: Rc<Core>,
+    listener: Rc<TcpListener>,
+    answer: F,
+) where
+    F: Fn(&Parts) -> Response<Body> + 'static,
+{
+    let answer = Rc::new(answer);
+    duties.start(duty, move || {
+        serve_admin(core.clone(), listener.clone(), answer.clone())
+    });
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -49,7 +49,7 @@
 /// own task.
 pub(crate) async fn accept(
     context: Rc<RequestContext>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     mut stage: watch::Receiver<ShutdownStage>,
 ) {
     loop {
@@ -124,17 +124,16 @@
 }
 
 /// Binds a TCP listener to `addr`.
-pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(addr).await
+pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<Rc<TcpListener>> {
+    TcpListener::bind(addr).await.map(Rc::new)
 }
 
 /// Serves readiness, directory or metrics requests until the process ends; `answer` builds the
 /// response from the request head.
-pub(crate) async fn serve_admin<F>(core: Rc<Core>, listener: TcpListener, answer: F)
+pub(crate) async fn serve_admin<F>(core: Rc<Core>, listener: Rc<TcpListener>, answer: Rc<F>)
 where
     F: Fn(&http::request::Parts) -> Response<Body> + 'static,
 {
-    let answer = Rc::new(answer);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -37,7 +37,7 @@
     core: Rc<Core>,
     exchange: Rc<Exchange>,
     registry: Rc<R>,
-    stage: watch::Sender<ShutdownStage>,
+    stage: &watch::Sender<ShutdownStage>,
     grace: Duration,
 ) {
     let deadline = core.now() + grace.saturating_sub(EXIT_MARGIN);
