Drop a replacement attempt only after the borrow of the state has ended

Found by reading every borrow of the state: when an overdue request finds a free slot elsewhere, and the retry budget that allowed it a moment before does not any more, the attempt was dropped inside the expression that held the mutable borrow.

The borrow ends in a statement of its own now, like the others.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -237,12 +237,13 @@
     let next = place_request(context, job, tried)
         .ok()
         .filter(|in_flight| in_flight.choice.slot_free)?;
-    context
+    let taken = context
         .core
         .steer
         .borrow_mut()
-        .take_retry(&job.service, context.core.now())
-        .then_some(next)
+        .take_retry(&job.service, context.core.now());
+    // The borrow ends before `next` is dropped, which borrows the state again.
+    taken.then_some(next)
 }
 
 /// Records the end of an attempt. Returns a reply if no further attempt is needed.
