Lose one log line to a value that panics when it is formatted

A panic while a line was formatted poisoned the lock of the logger, and the drain around it panics on any error: from then on every log line, and with it every request and duty, would have panicked. Found by reading; with duties that end the process, it would have ended it without a line.

Cause: one formatter behind a lock. Change: each line is formatted by itself into a buffer of its own, so that there is neither a lock nor half a line to leave behind; a line that cannot be written is counted as dropped.

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
 
 /// The size in bytes of the buffer; lines that do not fit are dropped and counted.
 const BUFFER_MAX_BYTES: usize = 256 << 10;
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Counts a line that cannot be written.
+    fn drop_line(&self) {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        buffer.dropped += 1;
+    }
+
     fn wait_and_take(&self) -> Buffer {
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
         while buffer.bytes.is_empty() {
@@ -51,23 +57,29 @@
     }
 }
 
-/// A writer that collects the parts of a line and queues the line when it is complete.
-struct LineWriter {
-    queue: Arc<Queue>,
-    line: Vec<u8>,
-}
+/// Formats each record on its own, so that a value whose formatting panics leaves neither a lock nor a
+/// part of a line behind.
+struct LineDrain(Arc<Queue>);
 
-impl Write for LineWriter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        if self.line.ends_with(b"\n") {
-            self.queue.push(&self.line);
-            self.line.clear();
-        }
-        Ok(bytes.len())
-    }
+impl Drain for LineDrain {
+    type Ok = ();
+    type Err = Never;
 
-    fn flush(&mut self) -> io::Result<()> {
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let mut line = Vec::new();
+        let json = slog_json::Json::new(&mut line)
+            .add_key_value(o!(
+                "ts" => slog::FnValue(|_| wall_seconds()),
+                "level" => slog::FnValue(|r| r.level().as_short_str()),
+                "msg" => slog::PushFnValue(|r, ser| ser.emit(r.msg())),
+            ))
+            .build();
+        let formatted = json.log(record, values);
+        drop(json);
+        match formatted {
+            Ok(()) => self.0.push(&line),
+            Err(_) => self.0.drop_line(),
+        }
         Ok(())
     }
 }
@@ -121,18 +133,7 @@
                 std::thread::sleep(WRITE_INTERVAL);
             }
         })?;
-    let line_writer = LineWriter {
-        queue: queue.clone(),
-        line: Vec::new(),
-    };
-    let json = slog_json::Json::new(line_writer)
-        .add_key_value(o!(
-            "ts" => slog::FnValue(|_| wall_seconds()),
-            "level" => slog::FnValue(|r| r.level().as_short_str()),
-            "msg" => slog::PushFnValue(|r, ser| ser.emit(r.msg())),
-        ))
-        .build();
-    let logger = Logger::root(Mutex::new(json).fuse(), o!());
+    let logger = Logger::root(LineDrain(queue.clone()), o!());
     Ok((logger, LogFlusher(queue)))
 }
 
