--- a/crates/gateway/src/work.rs
+++ b/crates/gateway/src/work.rs
@@ -36,7 +36,6 @@
     work: impl Future<Output = T>,
 ) -> Option<T> {
     let done = catch(async {
-        #[cfg(feature = "faults")]
         hit(core, kind);
         work.await
     });
@@ -48,7 +47,6 @@
 /// Does a piece of work like [`contain`].
 pub(crate) fn contain_sync<T>(core: &Core, kind: Work, work: impl FnOnce() -> T) -> Option<T> {
     let done = catch_sync(|| {
-        #[cfg(feature = "faults")]
         hit(core, kind);
         work()
     });
@@ -61,7 +59,8 @@
 }
 
 /// Panics if a test asked for it.
-#[cfg(feature = "faults")]
+#[cfg_attr(not(feature = "faults"), expect(unused_variables))]
 fn hit(core: &Core, kind: Work) {
+    #[cfg(feature = "faults")]
     wagtail_task::faults::hit(&core.steer.borrow().local_host().record.peer, &kind);
 }
