--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,7 @@
     Dispatch, Execution, Health, HttpCodec, InvalidRequest, RequestHead, ResponseHead,
 };
 pub use connect::{CallError, Client};
-pub use logs::stdout_logger;
+pub use logs::{LogFlusher, log_panics, stdout_logger};
 pub use registry::{Answer, Entry, Fetched, Registry, RegistryError, Topic};
 pub use run::{RunError, run};
 pub use settings::{Listen, Settings};
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use slog::{Drain, Logger, Never, OwnedKVList, Record, o};
+use slog::{Drain, Logger, Never, OwnedKVList, Record, error, o};
+use wagtail_task::panic_message;
 
 /// The size in bytes of the buffer; lines that do not fit are dropped and counted.
 const BUFFER_MAX_BYTES: usize = 256 << 10;
@@ -84,13 +85,12 @@
     }
 }
 
-/// A handle that writes out the buffered lines at the end of a process.
-#[derive(Debug, Clone)]
+/// Writes out the buffered lines when it is dropped at the end of a process.
+#[derive(Debug)]
 pub struct LogFlusher(Arc<Queue>);
 
-impl LogFlusher {
-    /// Writes all buffered lines.
-    pub fn flush(&self) {
+impl Drop for LogFlusher {
+    fn drop(&mut self) {
         let buffer = {
             let mut waiting = self.0.buffer.lock().unwrap_or_else(PoisonError::into_inner);
             std::mem::take(&mut *waiting)
@@ -114,7 +114,7 @@
 }
 
 /// Creates a logger that writes JSON lines to standard output, and a handle that flushes its
-/// buffer.
+/// buffer when it is dropped.
 ///
 /// # Errors
 ///
@@ -137,6 +137,17 @@
     Ok((logger, LogFlusher(queue)))
 }
 
+/// Logs each panic of the process with its place, instead of a report on standard error.
+pub fn log_panics(log: &Logger) {
+    let log = log.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        let thread = std::thread::current();
+        let at = panic.location().map(ToString::to_string);
+        error!(log, "the program panicked"; "cause" => panic_message(panic.payload()), "at" => at,
+            "thread" => thread.name());
+    }));
+}
+
 /// Returns the wall-clock time in seconds, to the millisecond; only for readers of the log.
 fn wall_seconds() -> f64 {
     use wagtail_types::{Clock, SystemClock};
--- a/crates/task/src/lib.rs
+++ b/crates/task/src/lib.rs
@@ -6,5 +6,5 @@
 mod panic;
 mod supervisor;
 
-pub use panic::{Panic, catch, catch_sync};
+pub use panic::{Panic, catch, catch_sync, panic_message};
 pub use supervisor::{End, Supervisor};
--- a/crates/task/src/panic.rs
+++ b/crates/task/src/panic.rs
@@ -14,16 +14,19 @@
     message: String,
 }
 
+/// Returns the message in the payload of a panic.
+pub fn panic_message(payload: &(dyn Any + Send)) -> &str {
+    let literal = payload.downcast_ref::<&str>().copied();
+    literal
+        .or_else(|| payload.downcast_ref::<String>().map(String::as_str))
+        .unwrap_or("no message")
+}
+
 impl Panic {
-    /// Takes the message out of the payload of a panic.
-    pub(crate) fn new(payload: Box<dyn Any + Send>) -> Self {
-        let message = match payload.downcast::<String>() {
-            Ok(text) => *text,
-            Err(other) => other
-                .downcast_ref::<&str>()
-                .map_or_else(|| "no message".to_owned(), |text| (*text).to_owned()),
-        };
-        Self { message }
+    pub(crate) fn new(payload: &(dyn Any + Send)) -> Self {
+        Self {
+            message: panic_message(payload).to_owned(),
+        }
     }
 }
 
@@ -35,7 +38,7 @@
 ///
 /// Returns the [`Panic`].
 pub fn catch_sync<T>(work: impl FnOnce() -> T) -> Result<T, Panic> {
-    catch_unwind(AssertUnwindSafe(work)).map_err(Panic::new)
+    catch_unwind(AssertUnwindSafe(work)).map_err(|payload| Panic::new(&*payload))
 }
 
 /// Runs `work` to its end and catches a panic in it, like [`catch_sync`].
--- a/crates/task/src/supervisor.rs
+++ b/crates/task/src/supervisor.rs
@@ -68,7 +68,7 @@
                 Some(Ok((id, ()))) => (id, End::Returned),
                 Some(Err(e)) => {
                     let id = e.id();
-                    let end = e.try_into_panic().map(|p| End::Panicked(Panic::new(p)));
+                    let end = e.try_into_panic().map(|p| End::Panicked(Panic::new(&*p)));
                     // Only a runtime that shuts down cancels tasks; they count as returned.
                     (id, end.unwrap_or(End::Returned))
                 }
