Let the accept loop return only once a stopping host accepts no more

In a host that was stopping the accept loop ended 0.9 s after SIGTERM, 1.1 s before the host accepts no more connections; callers were refused early, and the process ended with status 0.

Cause: any return of the accept loop while the host leaves passed for its regular end. Now it does so only in the stage in which the host accepts no more. The registration may return whenever the host leaves, as it does by itself; the soak doesn't check the status after that.

Test: a_duty_that_ends_during_a_stop_is_reported ends the loop in both ways; by a return, it failed before (no answer on a new connection).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -79,7 +79,7 @@
     info!(core.log, "starting"; "host" => %core.steer.borrow().local_host().record.id,
         "front" => %listen.front, "peer" => %listen.peer);
 
-    let mut duties = Duties::new(core.clone());
+    let mut duties = Duties::new(core.clone(), stage.clone());
     let callers = bind(listen.front)
         .await
         .map_err(listen_error(listen.front))?;
--- a/crates/gateway/src/supervisor.rs
+++ b/crates/gateway/src/supervisor.rs
@@ -6,9 +6,11 @@
 
 use derive_more::{Display, Error};
 use slog::error;
+use tokio::sync::watch;
 use wagtail_task::{End, Supervisor};
 
 use crate::host::Core;
+use crate::stop::ShutdownStage;
 
 /// A task that runs for the life of a host. The host stops when one ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
@@ -59,11 +61,6 @@
         Self::EndpointChanges,
         Self::EndpointChecks,
     ];
-
-    /// Returns whether the duty ends when the host leaves.
-    fn ends_with_stop(self) -> bool {
-        matches!(self, Self::Callers | Self::Registration)
-    }
 }
 
 /// A duty that ended while the host was to serve, and how.
@@ -81,16 +78,18 @@
 /// Runs the duties of a host.
 pub(crate) struct Duties {
     core: Rc<Core>,
+    stage: Rc<watch::Sender<ShutdownStage>>,
     supervisor: Supervisor<Duty>,
     starts: HashMap<Duty, Start>,
     restarted: HashSet<Duty>,
 }
 
 impl Duties {
-    pub(crate) fn new(core: Rc<Core>) -> Self {
+    pub(crate) fn new(core: Rc<Core>, stage: Rc<watch::Sender<ShutdownStage>>) -> Self {
         let supervisor = Supervisor::new(&core.steer.borrow().local_host().record.peer);
         Self {
             core,
+            stage,
             supervisor,
             starts: HashMap::new(),
             restarted: HashSet::new(),
@@ -110,7 +109,7 @@
     pub(crate) async fn next_end(&mut self) -> DutyEnded {
         loop {
             let (duty, end) = self.supervisor.next_end().await;
-            if duty.ends_with_stop() && end == End::Returned && self.core.is_leaving() {
+            if end == End::Returned && self.may_return(duty) {
                 // Closes the socket of the duty.
                 self.starts.remove(&duty);
                 continue;
@@ -121,6 +120,15 @@
         }
     }
 
+    /// Returns whether the stop of the host is far enough for the duty to return.
+    fn may_return(&self, duty: Duty) -> bool {
+        match duty {
+            Duty::Callers => *self.stage.borrow() == ShutdownStage::Closed,
+            Duty::Registration => self.core.is_leaving(),
+            _ => false,
+        }
+    }
+
     /// Starts a duty once more, so that a stopping host keeps what it can for its callers: the
     /// connections that wait to be accepted, for example.
     pub(crate) fn restart(&mut self, duty: Duty) {
