Tell injected panics from others in one place

The hooks of the tests leave injected panics unreported, since a backtrace takes up to a second in which the thread does nothing: the wire tests' hook compared the message itself, and the daemon's tests need the same.

--- a/crates/task/src/faults.rs
+++ b/crates/task/src/faults.rs
@@ -2,15 +2,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
+use std::panic::PanicHookInfo;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::oneshot;
 
-use crate::End;
+use crate::{End, panic_message};
 
 /// The message of injected panics.
 pub const MESSAGE: &str = "injected by a test";
 
+/// Returns whether a panic was injected. A hook should not report it: a backtrace takes up to a second, in
+/// which the thread does nothing else.
+pub fn is_injected(panic: &PanicHookInfo<'_>) -> bool {
+    panic_message(panic.payload()) == MESSAGE
+}
+
 /// The scope and the name of a duty or of a kind of work.
 type Target = (String, String);
 
