Stop the daemon when one of its duties ends

A daemon whose timer, probe or accept loop had panicked or returned went on serving with that part standing still: leases not renewed, membership not probed, the configuration not read. Nothing was logged but the panic's own report.

Cause: the tasks were kept in a set that nobody asked for ends, the accept loops in another, and the thread of the peer connections ended unnoticed; a panic of its accept task was dropped with the handle.

Change: one supervisor has the fourteen duties by name, the accept loops and the peer thread included. run() stops the host as at SIGTERM when one ends, with a log line and the counter `duties_ended{kind}`, and returns the end as an error, so that the process exits with 1. Programs that embed a host wait with Running::duty_ended(); stop() returns the end as an error in any case. Timers and periodic tasks, which the stop depends on, are started once more for it. A host whose duty ends before it has a configuration fails to start. The peer thread ends when its accept task does. A panic while one message of another host is handled costs that message, not its connection, and is logged and counted.

The accept task of the peer thread has no test of its own.

--- a/crates/entryd/src/lib.rs
+++ b/crates/entryd/src/lib.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod derived;
 mod drive;
+mod duty;
 mod host;
 mod intake;
 mod job;
@@ -32,6 +33,7 @@
 mod upstream;
 
 pub use api::{Keys, Lookup, LookupHost};
+pub use duty::{Duty, DutyEnded};
 pub use lifecycle::Phase;
 pub use settings::{
     Action, Limits, LogFormat, Secret, Seed, Settings, SettingsError, Times, from_env, help,
--- a/crates/entryd/src/metrics.rs
+++ b/crates/entryd/src/metrics.rs
@@ -5,6 +5,8 @@
 use cadence::{Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
 use wagtail_types::{HostId, ServiceId, TeamId, Verdict, ZoneId};
 
+use crate::duty::Duty;
+
 const PREFIX: &str = "wagtail";
 /// Lines that may wait to be sent; further ones are dropped.
 const QUEUE_LINES: usize = 65_536;
@@ -57,6 +59,22 @@
             .send();
     }
 
+    /// Counts the end of a duty.
+    pub(crate) fn duty_ended(&self, duty: Duty) {
+        self.0
+            .count_with_tags("duties_ended", 1)
+            .with_tag("kind", &duty.to_string())
+            .send();
+    }
+
+    /// Counts a panic in a piece of work that was given up.
+    pub(crate) fn panicked(&self, kind: &str) {
+        self.0
+            .count_with_tags("panics", 1)
+            .with_tag("kind", kind)
+            .send();
+    }
+
     /// Counts one event.
     pub(crate) fn count(&self, name: &str) {
         self.0.count_with_tags(name, 1).send();
--- a/crates/entryd/src/relay.rs
+++ b/crates/entryd/src/relay.rs
@@ -5,9 +5,11 @@
 use axum::body::Body;
 use http::Response;
 use http_body_util::BodyExt;
+use slog::error;
 use wagtail_once::{Decision, Outcome, Permit};
 use wagtail_peer::{Aborted, BoxFuture, Control, Handler, RelayAnswer, RelayHead, RelayRole};
 use wagtail_route::Origin;
+use wagtail_task::catch_sync;
 use wagtail_types::{Cause, HostId, Incarnation, Reason, Verdict};
 
 use crate::drive;
@@ -24,7 +26,19 @@
 impl Handler for PeerHandler {
     fn control(&self, from: &HostId, _: Incarnation, message: Control) {
         if let Some(host) = self.0.upgrade() {
-            drive::control(&host, from, message);
+            // A panic would close the connection, and with it lose the messages behind this one.
+            let handled = catch_sync(|| {
+                #[cfg(feature = "faults")]
+                if let Some(peer) = host.peer() {
+                    wagtail_task::faults::hit(&peer.addr(), &"peer-message");
+                }
+                drive::control(&host, from, message);
+            });
+            if let Err(panic) = handled {
+                host.metrics.panicked("peer-message");
+                error!(host.log, "message of another host could not be handled; dropping it";
+                    "from" => %from, "error" => %panic);
+            }
         }
     }
 
--- a/crates/entryd/src/server.rs
+++ b/crates/entryd/src/server.rs
@@ -40,12 +40,13 @@
 }
 
 impl Server {
-    /// Serves `router` on a bound listener until [`Server::stop`].
-    pub(crate) fn start(
+    /// Creates a server of `router` on a bound listener. The future accepts connections until
+    /// [`Server::stop`].
+    pub(crate) fn new(
         listener: TcpListener,
         router: Router,
         limits: Limits,
-    ) -> std::io::Result<Self> {
+    ) -> std::io::Result<(Self, impl Future<Output = ()> + Send + use<>)> {
         let addr = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let tasks = TaskTracker::new();
@@ -57,13 +58,14 @@
             abort: abort.clone(),
             tasks: tasks.clone(),
         };
-        tasks.spawn(acceptor.run(listener));
-        Ok(Self {
+        let accept = tasks.track_future(acceptor.run(listener));
+        let server = Self {
             addr,
             stop,
             abort,
             tasks,
-        })
+        };
+        Ok((server, accept))
     }
 
     /// Returns the bound address.
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -10,7 +10,6 @@
 use slog::{Logger, info, o, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, Semaphore};
-use tokio::task::JoinSet;
 use wagtail_config::{ConfigSync, SyncInput, SyncSettings, View};
 use wagtail_member::{HostInfo, Member};
 use wagtail_once::Deduplicator;
@@ -18,12 +17,14 @@
 use wagtail_quota::Quota;
 use wagtail_route::{Directory, Router};
 use wagtail_store::{HttpClient, HttpSettings, Platform, ScheduleSettings, Scheduler};
+use wagtail_task::Supervisor;
 use wagtail_types::{Bytes, Clock, Incarnation, SystemClock};
 
 use crate::api;
 use crate::calls::PlatformCalls;
 use crate::derived::Sites;
 use crate::drive;
+use crate::duty::{Duties, Duty, DutyEnded};
 use crate::host::{Host, seeded_rng};
 use crate::lifecycle::{Serving, Starting};
 use crate::machine::SharedMachine;
@@ -80,6 +81,9 @@
         /// Number of running requests.
         requests: usize,
     },
+    /// A duty ended before the host stopped.
+    #[display("{_0}")]
+    DutyEnded(DutyEnded),
 }
 
 /// A running entry host.
@@ -88,7 +92,7 @@
     serving: Serving,
     callers: Server,
     operators: Server,
-    tasks: JoinSet<()>,
+    duties: Duties,
 }
 
 /// A host whose sockets are bound and whose tasks run, but that has no configuration yet.
@@ -97,16 +101,16 @@
     starting: Starting,
     callers: Server,
     operators: Server,
-    tasks: JoinSet<()>,
+    duties: Duties,
 }
 
 /// Starts a host and returns once it serves, which requires a configuration.
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be bound or a thread cannot be started.
+/// Fails if an address cannot be bound, a thread cannot be started or a duty ends.
 pub async fn start(settings: Settings, options: Options) -> Result<Running, RunError> {
-    Ok(bind(settings, options).await?.serve().await)
+    bind(settings, options).await?.serve().await
 }
 
 /// Binds the sockets of a host and starts its tasks.
@@ -126,10 +130,20 @@
         connections: host.settings.limits.connections,
         header: host.settings.limits.header.as_usize(),
     };
-    let callers = Server::start(callers, api::callers(host.clone()), limits)?;
-    let operators = Server::start(operators, api::operators(host.clone()), limits)?;
-    let mut tasks = JoinSet::new();
-    tasks::spawn(&host, &mut tasks);
+    let (callers, accept) = Server::new(callers, api::callers(host.clone()), limits)?;
+    let mut duties = Duties::new(Supervisor::new(&callers.addr()));
+    duties.start(Duty::Callers, accept);
+    let (operators, accept) = Server::new(operators, api::operators(host.clone()), limits)?;
+    duties.start(Duty::Operators, accept);
+    let peers = host.clone();
+    duties.start(Duty::Peers, async move {
+        if let Some(peer) = peers.peer() {
+            peer.ended().await;
+        }
+    });
+    for duty in Duty::ALL {
+        tasks::start(&host, &mut duties, duty);
+    }
     let seeds = host.settings.seeds.iter().map(|s| s.host.clone()).collect();
     drive::sync_input(&host, SyncInput::Peers(seeds));
     info!(host.log, "started"; "listen" => %callers.addr(), "ops" => %operators.addr(),
@@ -139,7 +153,7 @@
         starting,
         callers,
         operators,
-        tasks,
+        duties,
     })
 }
 
@@ -160,25 +174,36 @@
     }
 
     /// Waits for a configuration, then lists this host in look-ups.
-    pub async fn serve(self) -> Running {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a duty ends before that.
+    pub async fn serve(self) -> Result<Running, RunError> {
         let Self {
             host,
             starting,
             callers,
             operators,
-            tasks,
+            mut duties,
         } = self;
-        host.adopted.notified().await;
+        tokio::select! {
+            () = host.adopted.notified() => {}
+            ended = duties.next_end(&host) => {
+                callers.abort();
+                operators.abort();
+                return Err(RunError::DutyEnded(ended));
+            }
+        }
         let serving = starting.serve();
         drive::publish_members(&host);
         info!(host.log, "serving"; "epoch" => %host.view.load().epoch());
-        Running {
+        Ok(Running {
             host,
             serving,
             callers,
             operators,
-            tasks,
-        }
+            duties,
+        })
     }
 }
 
@@ -358,40 +383,49 @@
         self.host.replaced.notified().await;
     }
 
+    /// Waits until a duty ends. The host must be stopped then, since it no longer does all its work.
+    pub async fn duty_ended(&mut self) -> DutyEnded {
+        self.duties.next_end(&self.host).await
+    }
+
     /// Removes the host from look-ups, waits for running requests, releases its quota shards and
     /// stops.
     ///
     /// # Errors
     ///
-    /// Fails if requests were still running when the stop timeout expired.
+    /// Fails if requests were still running when the stop timeout expired, or if a duty has ended.
     pub async fn stop(self) -> Result<(), RunError> {
         let Self {
             host,
             serving,
             callers,
             operators,
-            tasks,
+            mut duties,
         } = self;
         let leaving = serving.leave();
         info!(host.log, "stopping; waiting for running requests"; "running" => host.lifecycle.running());
         drive::member_input(&host, wagtail_member::Input::Leave);
         drive::publish_members(&host);
         let times = &host.settings.times;
-        let drained = leaving.drain(times.lookup_ttl, times.stop_timeout).await;
-        release(&host).await;
-        let ended = tokio::time::timeout(RELEASE_TIMEOUT, async {
-            callers.stop().await;
-            operators.stop().await;
-        });
-        let ended = ended.await.is_ok();
-        drop(tasks);
+        let stopping = async {
+            let drained = leaving.drain(times.lookup_ttl, times.stop_timeout).await;
+            release(&host).await;
+            let ended = tokio::time::timeout(RELEASE_TIMEOUT, async {
+                callers.stop().await;
+                operators.stop().await;
+            });
+            (drained, ended.await.is_ok())
+        };
+        let (drained, ended) = duties.run_until(&host, stopping).await;
+        let duty_ended = duties.ended.take();
+        drop(duties);
         if let Some(peer) = host.peer() {
             peer.stop().await;
         }
         match drained {
             Ok(_) => {
                 info!(host.log, "stopped"; "connections_ended" => ended);
-                Ok(())
+                duty_ended.map_or(Ok(()), |ended| Err(RunError::DutyEnded(ended)))
             }
             Err(requests) => {
                 warn!(host.log, "stop timeout expired; running requests were cut off"; "requests" => requests);
@@ -406,10 +440,10 @@
             host,
             callers,
             operators,
-            tasks,
+            duties,
             ..
         } = self;
-        drop(tasks);
+        drop(duties);
         callers.abort();
         operators.abort();
         if let Some(peer) = host.peer() {
@@ -433,7 +467,7 @@
     }
 }
 
-/// Runs a host until SIGTERM, SIGINT or a newer incarnation stops it.
+/// Runs a host until SIGTERM, SIGINT, a newer incarnation or the end of a duty stops it.
 ///
 /// # Errors
 ///
@@ -444,13 +478,15 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
-        let running = tokio::select! {
+        let mut running = tokio::select! {
             running = start(settings, Options::new(log)) => running?,
             stop = stop_signal() => return Ok(stop?),
         };
+        let host = running.host.clone();
         tokio::select! {
             stop = stop_signal() => stop?,
-            () = running.replaced() => {}
+            () = host.replaced.notified() => {}
+            _ = running.duty_ended() => {}
         }
         running.stop().await
     })
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -3,109 +3,90 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::task::JoinSet;
 use wagtail_peer::Control;
 use wagtail_store::{Access, ListedState, Priority};
 
 use crate::calls;
 use crate::drive;
+use crate::duty::{Duties, Duty};
 use crate::host::Host;
 use crate::periods;
 use crate::reports;
 
 const GAUGE_PERIOD: Duration = Duration::from_secs(5);
 
-/// Spawns the timer of each state machine and the periodic tasks.
-pub(crate) fn spawn(host: &Arc<Host>, tasks: &mut JoinSet<()>) {
-    let timers = host.clone();
-    tasks.spawn(async move {
-        let next = |m: &wagtail_route::Router, _| m.next_wake();
-        drive::timer(
-            &timers,
-            |h| &h.routing,
-            next,
-            |h, now| {
-                h.routing.lock().machine.tick(now);
-                drive::apply_routing(h);
-            },
-        )
-        .await;
-    });
-    let timers = host.clone();
-    tasks.spawn(async move {
-        let next = |m: &wagtail_quota::Quota, _| m.next_wake();
-        drive::timer(
-            &timers,
-            |h| &h.quota,
-            next,
-            |h, now| {
-                h.quota.lock().machine.tick(now);
-                drive::apply_quota(h);
-            },
-        )
-        .await;
-    });
-    let timers = host.clone();
-    tasks.spawn(async move {
-        let next = |m: &wagtail_once::Deduplicator, _| m.next_wake();
-        drive::timer(
-            &timers,
-            |h| &h.dedup,
-            next,
-            |h, now| {
-                h.dedup.lock().machine.tick(now);
-                drive::apply_dedup(h);
-            },
-        )
-        .await;
-    });
-    let timers = host.clone();
-    tasks.spawn(async move {
-        let next = |m: &wagtail_member::Member, _| m.next_wake();
-        drive::timer(
-            &timers,
-            |h| &h.membership,
-            next,
-            |h, now| {
-                h.membership.lock().machine.tick(now);
-                drive::apply_membership(h);
-            },
-        )
-        .await;
-    });
-    let timers = host.clone();
-    tasks.spawn(async move {
-        let next = |m: &wagtail_config::ConfigSync, _| m.next_wake();
-        drive::timer(
-            &timers,
-            |h| &h.config_sync,
-            next,
-            |h, now| {
-                h.config_sync.lock().machine.tick(now);
-                drive::apply_config_sync(h);
-            },
-        )
-        .await;
-    });
-    let timers = host.clone();
-    tasks.spawn(async move {
-        let next = |s: &wagtail_store::Scheduler, now| s.next_wake(now);
-        drive::timer(
-            &timers,
-            |h| &h.calls.scheduler,
-            next,
-            |h, now| {
-                h.calls.scheduler.lock().machine.tick(now);
-                calls::apply_effects(h);
-            },
-        )
-        .await;
-    });
-    tasks.spawn(reports::probe_all(host.clone()));
-    tasks.spawn(advertise(host.clone()));
-    tasks.spawn(read_list(host.clone()));
-    tasks.spawn(drive::refresh_directory(host.clone()));
-    tasks.spawn(gauges(host.clone()));
+/// Starts a timer of a state machine or a periodic task. The duties that own a socket are started
+/// with it.
+pub(crate) fn start(host: &Arc<Host>, duties: &mut Duties, duty: Duty) {
+    let host = host.clone();
+    match duty {
+        Duty::Callers | Duty::Operators | Duty::Peers => {}
+        Duty::RoutingTimer => duties.start(duty, routing_timer(host)),
+        Duty::QuotaTimer => duties.start(duty, quota_timer(host)),
+        Duty::DedupTimer => duties.start(duty, dedup_timer(host)),
+        Duty::MembershipTimer => duties.start(duty, membership_timer(host)),
+        Duty::ConfigTimer => duties.start(duty, config_timer(host)),
+        Duty::CallTimer => duties.start(duty, call_timer(host)),
+        Duty::EndpointProbes => duties.start(duty, reports::probe_all(host)),
+        Duty::Adverts => duties.start(duty, advertise(host)),
+        Duty::HostList => duties.start(duty, read_list(host)),
+        Duty::Directory => duties.start(duty, drive::refresh_directory(host)),
+        Duty::Gauges => duties.start(duty, gauges(host)),
+    }
+}
+
+async fn routing_timer(host: Arc<Host>) {
+    let next = |m: &wagtail_route::Router, _| m.next_wake();
+    let tick = |h: &Arc<Host>, now| {
+        h.routing.lock().machine.tick(now);
+        drive::apply_routing(h);
+    };
+    drive::timer(&host, |h| &h.routing, next, tick).await;
+}
+
+async fn quota_timer(host: Arc<Host>) {
+    let next = |m: &wagtail_quota::Quota, _| m.next_wake();
+    let tick = |h: &Arc<Host>, now| {
+        h.quota.lock().machine.tick(now);
+        drive::apply_quota(h);
+    };
+    drive::timer(&host, |h| &h.quota, next, tick).await;
+}
+
+async fn dedup_timer(host: Arc<Host>) {
+    let next = |m: &wagtail_once::Deduplicator, _| m.next_wake();
+    let tick = |h: &Arc<Host>, now| {
+        h.dedup.lock().machine.tick(now);
+        drive::apply_dedup(h);
+    };
+    drive::timer(&host, |h| &h.dedup, next, tick).await;
+}
+
+async fn membership_timer(host: Arc<Host>) {
+    let next = |m: &wagtail_member::Member, _| m.next_wake();
+    let tick = |h: &Arc<Host>, now| {
+        h.membership.lock().machine.tick(now);
+        drive::apply_membership(h);
+    };
+    drive::timer(&host, |h| &h.membership, next, tick).await;
+}
+
+async fn config_timer(host: Arc<Host>) {
+    let next = |m: &wagtail_config::ConfigSync, _| m.next_wake();
+    let tick = |h: &Arc<Host>, now| {
+        h.config_sync.lock().machine.tick(now);
+        drive::apply_config_sync(h);
+    };
+    drive::timer(&host, |h| &h.config_sync, next, tick).await;
+}
+
+async fn call_timer(host: Arc<Host>) {
+    let next = |s: &wagtail_store::Scheduler, now| s.next_wake(now);
+    let tick = |h: &Arc<Host>, now| {
+        h.calls.scheduler.lock().machine.tick(now);
+        calls::apply_effects(h);
+    };
+    drive::timer(&host, |h| &h.calls.scheduler, next, tick).await;
 }
 
 /// Advertises this host's free slots to other hosts periodically.
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -108,7 +108,7 @@
         };
         fleet.commit(fleet.records.clone()).await?;
         for (name, host) in bound {
-            fleet.hosts.insert(name, host.serve().await);
+            fleet.hosts.insert(name, host.serve().await?);
         }
         Ok(fleet)
     }
--- a/crates/load/tests/system.rs
+++ b/crates/load/tests/system.rs
@@ -2,6 +2,8 @@
 
 #[path = "system/bad_input.rs"]
 mod bad_input;
+#[path = "system/duties.rs"]
+mod duties;
 #[path = "system/faults.rs"]
 mod faults;
 #[path = "system/fixture.rs"]
--- a/crates/peer/src/peer.rs
+++ b/crates/peer/src/peer.rs
@@ -145,12 +145,17 @@
         self.counters.snapshot()
     }
 
+    /// Waits until the thread has ended: after [`Peer::stop`], or because of a fault.
+    pub async fn ended(&self) {
+        let mut stopped = self.stopped.clone();
+        while stopped.changed().await.is_ok() {}
+    }
+
     /// Closes every connection and ends the thread. Messages and relays in flight are lost, so
     /// relays should have ended before the call.
     pub async fn stop(&self) {
         self.stop.send_replace(true);
-        let mut stopped = self.stopped.clone();
-        while stopped.changed().await.is_ok() {}
+        self.ended().await;
     }
 }
 
--- a/crates/peer/src/worker.rs
+++ b/crates/peer/src/worker.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Runs the event loop until `stop` becomes true.
+    /// Runs the event loop until `stop` becomes true or no more connections are accepted.
     pub(crate) async fn run(
         mut self,
         listener: TcpListener,
@@ -89,13 +89,14 @@
         mut addresses: watch::Receiver<Addresses>,
         mut stop: watch::Receiver<bool>,
     ) {
-        let accepting = tokio::task::spawn_local(accept_all(self.shared.clone(), listener));
+        let mut accepting = tokio::task::spawn_local(accept_all(self.shared.clone(), listener));
         let mut idle_check = interval(self.shared.settings.limits.idle_timeout / 2);
         idle_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 biased;
                 _ = stop.wait_for(|stop| *stop) => break,
+                _ = &mut accepting => break,
                 Ok(()) = addresses.changed() => {
                     let listed = addresses.borrow_and_update().clone();
                     self.update_addresses(&listed);
