Never pass an older list of hosts to the router after a newer one

Callers of a daemon that had just started were refused with no-endpoint for as long as no host came or went: it was serving, with all hosts live and its configuration in force, and had no slots. Seen in 2 of about 130 runs of the system tests, one of 28 fleets at a time: "the host answers" after 60 s, and with a status in the log of the second run `"phase": "serving"`, `"slots": 0` for both services.

Cause: publish_members reads the known hosts and the phase of its own, and passes them to the router in a second step. Two tasks may do so at the same time: one that handles a message of another host reads "starting", the start sets "serving" and publishes, and then the first passes what it had read. The router takes a host that doesn't serve for one that leaves and gives its slots up; nothing tells it otherwise until the next change. Ruled out: connections of fleets that had ended to ports given out again (seen with a secret of its own for each fleet, too).

Change: reading and passing on happen under a lock.

--- a/crates/entryd/src/drive/member.rs
+++ b/crates/entryd/src/drive/member.rs
@@ -1,6 +1,6 @@
 //! Driver of membership.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use slog::{info, warn};
 use wagtail_member::{Effect, HostView, Input, MemberChange, State};
@@ -70,6 +70,24 @@
 
 /// Passes the known hosts to the other state machines and rebuilds the look-up answers.
 pub(crate) fn publish_members(host: &Arc<Host>) {
+    let views = publish_to_router(host);
+    let live = views.iter().filter(|v| is_other(host, v) && v.is_live());
+    let live = live.map(|v| v.info.host.clone()).collect();
+    super::sync_input(host, wagtail_config::SyncInput::Peers(live));
+    let hosts = u32::try_from(views.len()).unwrap_or(u32::MAX);
+    let hosts = hosts.max(host.settings.fleet);
+    calls::handle(host, ScheduleInput::Fleet { hosts });
+}
+
+/// Passes the known hosts to the router, admission and the look-up answers, which keep them until the
+/// next change. Returns the hosts.
+fn publish_to_router(host: &Arc<Host>) -> Vec<HostView> {
+    // Two tasks may publish at the same time. The lock serializes them, so that what one has read
+    // never replaces what another has read later, the phase of this host above all.
+    let _guard = host
+        .publishing
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
     let views: Vec<HostView> = host.membership.lock().machine.members().cloned().collect();
     let hosts = views.iter().map(|v| wagtail_route::HostView {
         id: v.info.host.clone(),
@@ -79,13 +97,8 @@
     let hosts = wagtail_route::Input::Hosts(hosts.collect());
     super::route_input(host, hosts);
     super::quota_input(host, wagtail_quota::Input::Peers(peers(host, &views)));
-    let live = views.iter().filter(|v| is_other(host, v) && v.is_live());
-    let live = live.map(|v| v.info.host.clone()).collect();
-    super::sync_input(host, wagtail_config::SyncInput::Peers(live));
     rebuild_directory(host, &views);
-    let hosts = u32::try_from(views.len()).unwrap_or(u32::MAX);
-    let hosts = hosts.max(host.settings.fleet);
-    calls::handle(host, ScheduleInput::Fleet { hosts });
+    views
 }
 
 fn is_other(host: &Host, view: &HostView) -> bool {
--- a/crates/entryd/src/host.rs
+++ b/crates/entryd/src/host.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of one entry host.
 //!
-//! Lock order: `adoption` before a state machine; at most one state machine is locked at a time,
-//! and no lock is held across an `await`.
+//! Lock order: `adoption` or `publishing`, never both, before a state machine; at most one state
+//! machine is locked at a time, and no lock is held across an `await`.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -65,6 +65,8 @@
     pub(crate) lifecycle: Watch,
     /// Held while a view is put in force; locked before any state machine.
     pub(crate) adoption: Mutex<()>,
+    /// Held while the known hosts are passed to the router; locked before any state machine.
+    pub(crate) publishing: Mutex<()>,
     /// The configuration in force.
     pub(crate) view: ArcSwap<View>,
     /// Client address blocks and sites of the configuration in force.
--- a/crates/entryd/src/start.rs
+++ b/crates/entryd/src/start.rs
@@ -228,6 +228,7 @@
         stats: Stats::new(now),
         lifecycle: starting.watch(),
         adoption: std::sync::Mutex::new(()),
+        publishing: std::sync::Mutex::new(()),
         view: View::empty().into_swap(),
         sites: Sites::default().into_swap(),
         directory: Directory::default().into_swap(),
