--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,12 +20,15 @@
 mod server;
 mod settings;
 mod stop;
+mod supervisor;
+mod work;
 
 pub use codec::{
     Dispatch, Execution, Health, HttpCodec, InvalidRequest, RequestHead, ResponseHead,
 };
 pub use connect::{CallError, Client, RESPONSE_MAX_BYTES};
-pub use logs::stdout_logger;
+pub use logs::{LogFlusher, log_panics, stdout_logger};
 pub use registry::{Answer, Entry, Fetched, Registry, RegistryError, Topic};
 pub use run::{RunError, run};
 pub use settings::{Listen, Settings};
+pub use supervisor::{Duty, DutyEnded};
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use slog::{Drain, Logger, o};
+use slog::{Drain, Logger, Never, OwnedKVList, Record, error, o};
+use wagtail_task::panic_message;
 
 /// The size in bytes of the buffer; lines that do not fit are dropped and counted.
 const BUFFER_MAX_BYTES: usize = 256 << 10;
@@ -39,6 +40,12 @@
         }
     }
 
+    /// Counts a line that cannot be written.
+    fn drop_line(&self) {
+        let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
+        buffer.dropped += 1;
+    }
+
     fn wait_and_take(&self) -> Buffer {
         let mut buffer = self.buffer.lock().unwrap_or_else(PoisonError::into_inner);
         while buffer.bytes.is_empty() {
@@ -51,34 +58,39 @@
     }
 }
 
-/// A writer that collects the parts of a line and queues the line when it is complete.
-struct LineWriter {
-    queue: Arc<Queue>,
-    line: Vec<u8>,
-}
+/// Formats each record on its own, so that a value whose formatting panics leaves neither a lock nor a
+/// part of a line behind.
+struct LineDrain(Arc<Queue>);
 
-impl Write for LineWriter {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(bytes);
-        if self.line.ends_with(b"\n") {
-            self.queue.push(&self.line);
-            self.line.clear();
-        }
-        Ok(bytes.len())
-    }
+impl Drain for LineDrain {
+    type Ok = ();
+    type Err = Never;
 
-    fn flush(&mut self) -> io::Result<()> {
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
+        let mut line = Vec::new();
+        let json = slog_json::Json::new(&mut line)
+            .add_key_value(o!(
+                "ts" => slog::FnValue(|_| wall_seconds()),
+                "level" => slog::FnValue(|r| r.level().as_short_str()),
+                "msg" => slog::PushFnValue(|r, ser| ser.emit(r.msg())),
+            ))
+            .build();
+        let formatted = json.log(record, values);
+        drop(json);
+        match formatted {
+            Ok(()) => self.0.push(&line),
+            Err(_) => self.0.drop_line(),
+        }
         Ok(())
     }
 }
 
-/// A handle that writes out the buffered lines at the end of a process.
-#[derive(Debug, Clone)]
+/// Writes out the buffered lines when it is dropped at the end of a process.
+#[derive(Debug)]
 pub struct LogFlusher(Arc<Queue>);
 
-impl LogFlusher {
-    /// Writes all buffered lines.
-    pub fn flush(&self) {
+impl Drop for LogFlusher {
+    fn drop(&mut self) {
         let buffer = {
             let mut waiting = self.0.buffer.lock().unwrap_or_else(PoisonError::into_inner);
             std::mem::take(&mut *waiting)
@@ -102,7 +114,7 @@
 }
 
 /// Creates a logger that writes JSON lines to standard output, and a handle that flushes its
-/// buffer.
+/// buffer when it is dropped.
 ///
 /// # Errors
 ///
@@ -121,21 +133,21 @@
                 std::thread::sleep(WRITE_INTERVAL);
             }
         })?;
-    let line_writer = LineWriter {
-        queue: queue.clone(),
-        line: Vec::new(),
-    };
-    let json = slog_json::Json::new(line_writer)
-        .add_key_value(o!(
-            "ts" => slog::FnValue(|_| wall_seconds()),
-            "level" => slog::FnValue(|r| r.level().as_short_str()),
-            "msg" => slog::PushFnValue(|r, ser| ser.emit(r.msg())),
-        ))
-        .build();
-    let logger = Logger::root(Mutex::new(json).fuse(), o!());
+    let logger = Logger::root(LineDrain(queue.clone()), o!());
     Ok((logger, LogFlusher(queue)))
 }
 
+/// Logs each panic of the process with its place, instead of a report on standard error.
+pub fn log_panics(log: &Logger) {
+    let log = log.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        let thread = std::thread::current();
+        let at = panic.location().map(ToString::to_string);
+        error!(log, "the program panicked"; "cause" => panic_message(panic.payload()), "at" => at,
+            "thread" => thread.name());
+    }));
+}
+
 /// Returns the wall-clock time in seconds, to the millisecond; only for readers of the log.
 fn wall_seconds() -> f64 {
     use wagtail_types::{Clock, SystemClock};
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -26,6 +26,7 @@
     Bounds, CallerLeft, ConnectionState, PIPELINE_MAX, RequestReader, write_responses,
 };
 use crate::stop::ShutdownStage;
+use crate::work::{Work, contain};
 
 /// The pause after a failure to accept a connection, such as a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -48,7 +49,7 @@
 /// own task.
 pub(crate) async fn accept(
     context: Rc<RequestContext>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     mut stage: watch::Receiver<ShutdownStage>,
 ) {
     loop {
@@ -61,7 +62,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(handle_connection(context.clone(), stream, stage.clone()));
+                let (context, stage) = (context.clone(), stage.clone());
+                tokio::task::spawn_local(async move {
+                    let core = context.core.clone();
+                    let connection = handle_connection(context, stream, stage);
+                    contain(&core, Work::Connection, connection).await;
+                });
             }
             Err(e) => {
                 warn!(context.core.log, "accepting a connection failed; retrying after a pause";
@@ -118,17 +124,16 @@
 }
 
 /// Binds a TCP listener to `addr`.
-pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
-    TcpListener::bind(addr).await
+pub(crate) async fn bind(addr: SocketAddr) -> std::io::Result<Rc<TcpListener>> {
+    TcpListener::bind(addr).await.map(Rc::new)
 }
 
 /// Serves readiness, directory or metrics requests until the process ends; `answer` builds the
 /// response from the request head.
-pub(crate) async fn serve_admin<F>(core: Rc<Core>, listener: TcpListener, answer: F)
+pub(crate) async fn serve_admin<F>(core: Rc<Core>, listener: Rc<TcpListener>, answer: Rc<F>)
 where
     F: Fn(&http::request::Parts) -> Response<Body> + 'static,
 {
-    let answer = Rc::new(answer);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -139,19 +144,19 @@
                 continue;
             }
         };
-        let answer = answer.clone();
+        let (core, answer) = (core.clone(), answer.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request: http::Request<Incoming>| {
                 let (head, _) = request.into_parts();
                 let response = answer(&head);
                 async move { Ok::<_, Infallible>(response) }
             });
-            // A client that disconnects early needs no response.
-            let _ = http1::Builder::new()
+            let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(DEFAULT_IDLE)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+                .serve_connection(TokioIo::new(stream), service);
+            // A client that disconnects early needs no response.
+            let _ = contain(&core, Work::AdminConnection, connection).await;
         });
     }
 }
