--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -20,7 +20,8 @@
 /// The pause after the first failed call; doubled with each further one up to [`RETRY_PAUSE_MAX`].
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls; shorter than the time within which a reconnected host must
-/// know of changes.
+/// know of changes. A host for which another one follows the registry waits for that one's pages
+/// instead, since each call is billed.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(600);
 /// The shortest registry outage during which registrations can have lapsed: two renewal periods of
 /// an endpoint.
