Reproduce retries beyond the budget of a service

Three tests without network fail on this code. Hosts that restart spend the part of the process before again (111 retries of 102 allowed, 20 requests/s on 11 hosts). Hosts that hear nothing for longer than forget_after take the parts of the others (180 of 102). Bursts slightly less than a window apart both fit into one window (366 of 358). A fourth one, which passes, keeps that retries within the budget are granted.

--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -7,5 +7,6 @@
 mod patterns;
 mod registry_model;
 mod restore;
+mod retries;
 mod simulation;
 mod support;
