Do not spend a retry budget again after a restart

Cause: a host counted its retries over a sliding window in memory. A process that starts has an empty count, and may at once spend the part that the process before it has just spent; each further restart within the window adds another part. On a small load the parts of the slack alone exceed the bound. Besides, retries were counted by intervals of a second that expire as a whole, up to a second early, so that two bursts 9 to 10 s apart both fitted into a window.

Now a host holds retries that its requests and time earn, and saves at most a quarter of what a window's requests earn and half of the slack. In any window it spends at most what was saved at its start and what is earned within it, which together are the window's budget. A process starts with nothing, so restarts add nothing, however many there are.

--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -4,68 +4,96 @@
 use std::time::{Duration, Instant};
 
 /// The fraction of the fleet-wide budget that hosts use, so that the bound holds although the
-/// hosts' views differ.
-const USED_FRACTION: f64 = 0.8;
+/// hosts' views differ and some requests that they count are not covered by it.
+const USED_FRACTION: f64 = 0.9;
+/// The fraction of a window's retries per request that can be saved for a burst. The rest is earned
+/// within the window, so that both together stay within its budget.
+const SAVED_FRACTION: f64 = 0.25;
+/// The same for the slack.
+const SAVED_SLACK_FRACTION: f64 = 0.5;
 
-/// Counts the requests and retries of one service on one host over a sliding window.
+/// The deployment's bound on the retries of a service in any window, across all hosts.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryLimits {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Retries beyond that ratio.
+    pub slack: f64,
+    /// The length of a window.
+    pub window: Duration,
+}
+
+/// Holds the retries that one host may spend on one service.
+///
+/// It starts empty, because an earlier process of the host may have spent its part just before.
 #[derive(Debug)]
 pub struct RetryBudget {
-    window: Duration,
-    /// Requests and retries in intervals of one second: start, requests, retries.
-    intervals: VecDeque<(Instant, u32, u32)>,
+    limits: RetryLimits,
+    /// The retries available at `filled_at`.
+    level: f64,
+    filled_at: Instant,
+    /// Requests in intervals of one second: start, count.
+    intervals: VecDeque<(Instant, u32)>,
 }
 
 impl RetryBudget {
-    /// Creates an empty budget over a sliding window.
-    pub fn new(window: Duration) -> Self {
+    /// Creates an empty budget.
+    pub fn new(limits: RetryLimits, now: Instant) -> Self {
         Self {
-            window,
+            limits,
+            level: 0.0,
+            filled_at: now,
             intervals: VecDeque::new(),
         }
     }
 
-    fn interval(&mut self, now: Instant) -> &mut (Instant, u32, u32) {
-        while let Some(&(at, ..)) = self.intervals.front() {
-            if now.duration_since(at) < self.window {
+    /// Counts a request, which earns a part of a retry. `hosts` is the number of hosts that share
+    /// the slack.
+    pub fn request(&mut self, hosts: usize, now: Instant) {
+        while let Some(&(at, _)) = self.intervals.front() {
+            if now.duration_since(at) < self.limits.window {
                 break;
             }
             self.intervals.pop_front();
         }
-        let current = |&(at, ..): &(Instant, u32, u32)| now.duration_since(at).as_secs() == 0;
-        if !self.intervals.back().is_some_and(current) {
-            self.intervals.push_back((now, 0, 0));
+        match self.intervals.back_mut() {
+            Some((at, count)) if now.duration_since(*at).as_secs() == 0 => *count += 1,
+            _ => self.intervals.push_back((now, 1)),
         }
-        self.intervals
-            .back_mut()
-            .expect("an entry was pushed if there was none")
+        let earned = self.limits.ratio * (1.0 - SAVED_FRACTION) * USED_FRACTION;
+        self.level = (self.level(hosts, now) + earned).min(self.capacity(hosts, now));
+        self.filled_at = now;
+    }
+
+    /// Returns the number of retries that can be saved.
+    fn capacity(&self, hosts: usize, now: Instant) -> f64 {
+        let is_recent = |&&(at, _): &&(Instant, u32)| now.duration_since(at) < self.limits.window;
+        let recent = self.intervals.iter().filter(is_recent);
+        let requests: u32 = recent.map(|(_, count)| count).sum();
+        let earned = self.limits.ratio * f64::from(requests) * SAVED_FRACTION;
+        let slack = self.limits.slack / hosts.max(1) as f64 * SAVED_SLACK_FRACTION;
+        (earned + slack) * USED_FRACTION
     }
 
-    /// Counts a request, which raises the number of retries allowed in the window.
-    pub fn request(&mut self, now: Instant) {
-        self.interval(now).1 += 1;
+    /// Returns the number of retries available now.
+    fn level(&self, hosts: usize, now: Instant) -> f64 {
+        let elapsed = now.duration_since(self.filled_at).as_secs_f64();
+        let slack = self.limits.slack / hosts.max(1) as f64 * (1.0 - SAVED_SLACK_FRACTION);
+        let rate = slack / self.limits.window.as_secs_f64() * USED_FRACTION;
+        (self.level + elapsed * rate).min(self.capacity(hosts, now))
     }
 
     /// Returns whether the local host's part of the budget allows one more retry.
-    ///
-    /// `ratio` is the number of retries per request. `slack` is the number of retries beyond it, in
-    /// one window, that all `hosts` hosts share.
-    pub fn allows(&self, ratio: f64, slack: f64, hosts: usize, now: Instant) -> bool {
-        let recent = self
-            .intervals
-            .iter()
-            .filter(|s| now.duration_since(s.0) < self.window);
-        let (requests, retries) = recent.fold((0, 0), |(requests, retries), s| {
-            (requests + s.1, retries + s.2)
-        });
-        let allowed = ratio * f64::from(requests) + slack / hosts.max(1) as f64;
-        f64::from(retries) + 1.0 <= allowed * USED_FRACTION
+    pub fn allows(&self, hosts: usize, now: Instant) -> bool {
+        self.level(hosts, now) >= 1.0
     }
 
     /// Takes one retry if [`allows`](Self::allows) permits it.
-    pub fn take(&mut self, ratio: f64, slack: f64, hosts: usize, now: Instant) -> bool {
-        let allowed = self.allows(ratio, slack, hosts, now);
+    pub fn take(&mut self, hosts: usize, now: Instant) -> bool {
+        let allowed = self.allows(hosts, now);
         if allowed {
-            self.interval(now).2 += 1;
+            self.level = self.level(hosts, now) - 1.0;
+            self.filled_at = now;
         }
         allowed
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -28,7 +28,7 @@
 mod tokens;
 mod warm;
 
-pub use budget::RetryBudget;
+pub use budget::{RetryBudget, RetryLimits};
 pub use catalog::Catalog;
 pub use config::{
     ApiKey, Config, ConfigError, ConfigVersion, Limits, RetryPolicy, Route, RouteId, Service, Team,
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -159,6 +159,11 @@
         Follower::Local(peers.iter().map(|p| p.record.peer).collect())
     }
 
+    /// Returns the number of hosts that share the limits of the deployment, alive or not.
+    pub(crate) fn sharing_hosts(&self) -> usize {
+        self.peers.all().count() + 1
+    }
+
     /// Removes hosts that have been silent for `Settings::forget_after` and returns their ids.
     pub fn prune_peers(&mut self, now: Instant) -> Vec<HostId> {
         self.peers.prune(&self.settings, now)
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -6,14 +6,13 @@
 use wagtail_types::{RegionId, ServiceId};
 
 use super::Steer;
-use crate::budget::RetryBudget;
+use crate::budget::{RetryBudget, RetryLimits};
 use crate::config::{Route, WeightedService};
 use crate::endpoint::{Distance, EndpointKey, EndpointState, Load, Outcome};
 use crate::estimate::RunKind;
 use crate::placement::{
     Choice, Placement, PlacementContext, PlacementCounts, PlacementRequest, RegionUsage, place,
 };
-use crate::settings::Settings;
 
 /// The shortest run time that is learned. Run times are compared by their ratios, and an answer may
 /// arrive sooner than the learned round trip.
@@ -66,36 +65,29 @@
             .entry((service.clone(), pinned))
             .or_default()
             .record(now);
-        let window = self.settings.retry_window;
-        let budget = self
-            .budgets
+        let limits = RetryLimits {
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            window: self.settings.retry_window,
+        };
+        let hosts = self.sharing_hosts();
+        self.budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(window));
-        budget.request(now);
+            .or_insert_with(|| RetryBudget::new(limits, now))
+            .request(hosts, now);
     }
 
     /// Takes one retry from the service's budget. Returns `false` if the budget is used up.
     pub fn take_retry(&mut self, service: &ServiceId, now: Instant) -> bool {
-        let hosts = self.peers.all().count() + 1;
-        let Settings {
-            retry_ratio,
-            retry_slack,
-            ..
-        } = self.settings;
+        let hosts = self.sharing_hosts();
         let budget = self.budgets.get_mut(service);
-        budget.is_some_and(|b| b.take(retry_ratio, retry_slack, hosts, now))
+        budget.is_some_and(|b| b.take(hosts, now))
     }
 
     /// Returns whether [`take_retry`](Self::take_retry) would succeed.
     pub fn may_retry(&self, service: &ServiceId, now: Instant) -> bool {
-        let hosts = self.peers.all().count() + 1;
-        let Settings {
-            retry_ratio,
-            retry_slack,
-            ..
-        } = self.settings;
         let budget = self.budgets.get(service);
-        budget.is_some_and(|b| b.allows(retry_ratio, retry_slack, hosts, now))
+        budget.is_some_and(|b| b.allows(self.sharing_hosts(), now))
     }
 
     /// Selects an endpoint for a request and, if there is one, counts the request as in flight
--- a/crates/steer/src/tokens.rs
+++ b/crates/steer/src/tokens.rs
@@ -95,7 +95,7 @@
         let Some(limits) = self.quota_limits(team) else {
             return TokenOutcome::Granted;
         };
-        let hosts = self.peers.all().count() + 1;
+        let hosts = self.sharing_hosts();
         self.quota.take_isolated(&team.id, limits, hosts, now)
     }
 
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use wagtail_steer::{
-    RetryBudget, ShiftLimiter, Steer, Team, TokenOutcome, TokenSource, WeightedService,
-    WeightedSplit,
+    RetryBudget, RetryLimits, ShiftLimiter, Steer, Team, TokenOutcome, TokenSource,
+    WeightedService, WeightedSplit,
 };
 use wagtail_types::{Clock, ManualClock};
 
@@ -227,16 +227,20 @@
 #[test]
 fn retries_stay_within_the_budget_of_all_hosts() {
     let clock = ManualClock::new();
-    let window = Duration::from_secs(10);
+    let limits = RetryLimits {
+        ratio: 0.2,
+        slack: 56.0,
+        window: Duration::from_secs(10),
+    };
     let mut taken = 0;
     for _host in 0..8 {
-        let mut budget = RetryBudget::new(window);
+        let mut budget = RetryBudget::new(limits, clock.now());
         for _ in 0..100 {
-            budget.request(clock.now());
-            taken += u32::from(budget.take(0.2, 56.0, 8, clock.now()));
+            budget.request(8, clock.now());
+            taken += u32::from(budget.take(8, clock.now()));
         }
         for _ in 0..100 {
-            taken += u32::from(budget.take(0.2, 56.0, 8, clock.now()));
+            taken += u32::from(budget.take(8, clock.now()));
         }
     }
     assert!(f64::from(taken) <= 0.2 * 800.0 + 56.0, "{taken} retries");
