Count hosts that are no longer heard among those that share the limits

Cause: the number of hosts that share a limit was the number of hosts known at the moment.

Now it is the largest number that were known at the same time since the process started. A fleet that shrinks leaves the parts of the hosts that went unused until its processes restart.

--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -46,6 +46,8 @@
 pub struct Peers {
     local_region: RegionId,
     by_id: HashMap<HostId, Peer>,
+    /// The largest number of hosts that were known at the same time.
+    most_known: usize,
     /// The failure-detection timeouts for hosts of the local region and of other regions.
     timeouts: [Duration; 2],
     /// The time of the last digest from any host.
@@ -71,6 +73,7 @@
         Self {
             local_region,
             by_id: HashMap::new(),
+            most_known: 0,
             timeouts: [settings.failure_timeout; 2],
             last_digest: None,
             joined_at: None,
@@ -144,6 +147,7 @@
                         arrivals: HashMap::new(),
                     },
                 );
+                self.most_known = self.most_known.max(self.by_id.len());
                 self.update_timeouts(settings);
             }
         }
@@ -244,6 +248,12 @@
         self.by_id.values()
     }
 
+    /// Returns the number of other hosts that may share the limits of the deployment: the most that
+    /// were known at the same time, as hosts that are no longer heard may only be cut off.
+    pub fn sharing(&self) -> usize {
+        self.most_known
+    }
+
     /// Returns whether the local host is cut off: other hosts are known, but no digest arrived
     /// within the shortest failure-detection timeout although some are due at any time.
     pub fn is_cut_off(&self, settings: &Settings, now: Instant) -> bool {
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -161,7 +161,7 @@
 
     /// Returns the number of hosts that share the limits of the deployment, alive or not.
     pub(crate) fn sharing_hosts(&self) -> usize {
-        self.peers.all().count() + 1
+        self.peers.sharing() + 1
     }
 
     /// Removes hosts that have been silent for `Settings::forget_after` and returns their ids.
