Start a token bucket with a quarter of its tokens

The owner of a team's limit started each new bucket with 0.6 of its tokens. If all hosts restart twice within the window in which a team begins to send much more, the team runs more requests than its limit allows: 87 of 86 at 10/s and burst 10, 402 of 372 at 40/s and burst 120 (three restarts: 101 and 472).

Now a new bucket starts with a quarter, so that three restarts within a window keep the limit (with 0.3 it was 378 of 372 at 40/s and burst 120).

Evidence: restarted_hosts_do_not_grant_the_burst_of_a_team_again fails without the change. Limits on cold endpoints lose one request a restart, within their slack; the daemon's retry budget starts empty.

--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -23,9 +23,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(3_300);
 /// The fraction of a limit that all hosts together use while they cannot reach an owner.
 const ISOLATED_FRACTION: f64 = 0.5;
-/// The fraction of the tokens that a new bucket starts with, since a previous incarnation of the
-/// owner may have spent the rest just before.
-const INITIAL_FRACTION: f64 = 0.6;
+/// The fraction of the tokens that a new bucket starts with, since previous incarnations of the
+/// owner, up to three within a window, may have spent the rest just before.
+const INITIAL_FRACTION: f64 = 0.25;
 /// The fraction of the allowed tokens that is handed out, so that the limit holds although the
 /// owners' views differ.
 const POOL_FRACTION: f64 = 0.85;
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -45,6 +45,31 @@
         fleet
     }
 
+    /// Replaces every host by a new process that has read the registrations of the others.
+    fn restart(&mut self, limit: &Team) {
+        let records: Vec<_> = self
+            .hosts
+            .iter()
+            .map(|h| h.local_host().record.clone())
+            .collect();
+        let mut config = config(1);
+        config.teams = vec![limit.clone()];
+        for (host, record) in self.hosts.iter_mut().zip(&records) {
+            *host = steer(
+                record.id.as_str(),
+                record.zone.as_str(),
+                record.front.port(),
+            );
+            host.configure(config.clone())
+                .expect("a valid configuration");
+            for other in &records {
+                host.register_host(other.clone(), self.clock.now());
+            }
+            host.mark_hosts_read();
+        }
+        self.exchange_reports(0);
+    }
+
     /// Exchanges digests and demand reports between all hosts except the first `cut`.
     fn exchange_reports(&mut self, cut: usize) {
         let now = self.clock.now();
@@ -224,6 +249,32 @@
     }
 }
 
+/// All hosts restart, and again, half a second after a team below its limit has begun to send many
+/// times as much. The new processes must not grant the burst that the ones before have granted.
+#[test]
+fn restarted_hosts_do_not_grant_the_burst_of_a_team_again() {
+    for (rate, burst) in [(10, 10), (40, 40), (40, 120)] {
+        for restarts in 1..=3 {
+            let limit = team("blue", "key", Some(rate), burst);
+            let mut fleet = Fleet::new(&limit, 8);
+            fleet.run(&limit, rate as f64 * 0.6, Duration::from_secs(8), 0);
+            fleet.run(&limit, rate as f64 * 8.0, Duration::from_millis(500), 0);
+            for _ in 0..restarts {
+                fleet.clock.advance(Duration::from_millis(500));
+                fleet.restart(&limit);
+                fleet.run(&limit, rate as f64 * 8.0, Duration::from_millis(700), 0);
+            }
+            fleet.run(&limit, rate as f64 * 8.0, WINDOW, 0);
+            let max_in_window = fleet.max_in_window(WINDOW) as f64;
+            let allowed = allowed(rate as f64, f64::from(burst));
+            assert!(
+                max_in_window <= allowed,
+                "{rate}/s, burst {burst}, {restarts} restarts: {max_in_window} of {allowed}"
+            );
+        }
+    }
+}
+
 #[test]
 fn retries_stay_within_the_budget_of_all_hosts() {
     let clock = ManualClock::new();
