Let a process that has just started retry requests

A tenth of a host's part of the slack is now there at the start, and three tenths instead of half are earned by time, so that three processes of a host within a window stay within its part.

--- a/crates/steer/src/budget.rs
+++ b/crates/steer/src/budget.rs
@@ -9,8 +9,13 @@
 /// The fraction of a window's retries per request that can be saved for a burst. The rest is earned
 /// within the window, so that both together stay within its budget.
 const SAVED_FRACTION: f64 = 0.25;
-/// The same for the slack.
-const SAVED_SLACK_FRACTION: f64 = 0.5;
+/// The fraction of the slack that can be saved for a burst.
+const SAVED_SLACK_FRACTION: f64 = 0.4;
+/// The fraction of the slack that time earns within a window.
+const EARNED_SLACK_FRACTION: f64 = 0.3;
+/// The fraction of the slack that a new process has. Up to three processes of a host within a window
+/// stay within the slack.
+const INITIAL_SLACK_FRACTION: f64 = 0.1;
 
 /// The deployment's bound on the retries of a service in any window, across all hosts.
 #[derive(Debug, Clone, Copy)]
@@ -25,7 +30,7 @@
 
 /// Holds the retries that one host may spend on one service.
 ///
-/// It starts empty, because an earlier process of the host may have spent its part just before.
+/// It starts with few, because earlier processes of the host may have spent its part just before.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
@@ -37,18 +42,17 @@
 }
 
 impl RetryBudget {
-    /// Creates an empty budget.
-    pub fn new(limits: RetryLimits, now: Instant) -> Self {
+    /// Creates the budget of a new process. `hosts` is the number of hosts that share the slack.
+    pub fn new(limits: RetryLimits, hosts: usize, now: Instant) -> Self {
         Self {
             limits,
-            level: 0.0,
+            level: slack_part(limits, hosts, INITIAL_SLACK_FRACTION),
             filled_at: now,
             intervals: VecDeque::new(),
         }
     }
 
-    /// Counts a request, which earns a part of a retry. `hosts` is the number of hosts that share
-    /// the slack.
+    /// Counts a request, which earns a part of a retry.
     pub fn request(&mut self, hosts: usize, now: Instant) {
         while let Some(&(at, _)) = self.intervals.front() {
             if now.duration_since(at) < self.limits.window {
@@ -71,14 +75,14 @@
         let recent = self.intervals.iter().filter(is_recent);
         let requests: u32 = recent.map(|(_, count)| count).sum();
         let earned = self.limits.ratio * f64::from(requests) * SAVED_FRACTION;
-        let slack = self.limits.slack / hosts.max(1) as f64 * SAVED_SLACK_FRACTION;
+        let slack = slack_part(self.limits, hosts, SAVED_SLACK_FRACTION);
         (earned + slack) * USED_FRACTION
     }
 
     /// Returns the number of retries available now.
     fn level(&self, hosts: usize, now: Instant) -> f64 {
         let elapsed = now.duration_since(self.filled_at).as_secs_f64();
-        let slack = self.limits.slack / hosts.max(1) as f64 * (1.0 - SAVED_SLACK_FRACTION);
+        let slack = slack_part(self.limits, hosts, EARNED_SLACK_FRACTION);
         let rate = slack / self.limits.window.as_secs_f64() * USED_FRACTION;
         (self.level + elapsed * rate).min(self.capacity(hosts, now))
     }
@@ -98,3 +102,8 @@
         allowed
     }
 }
+
+/// Returns a fraction of one host's part of the slack.
+fn slack_part(limits: RetryLimits, hosts: usize, fraction: f64) -> f64 {
+    limits.slack / hosts.max(1) as f64 * fraction
+}
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -73,7 +73,7 @@
         let hosts = self.sharing_hosts();
         self.budgets
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(limits, now))
+            .or_insert_with(|| RetryBudget::new(limits, hosts, now))
             .request(hosts, now);
     }
 
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -285,7 +285,7 @@
     };
     let mut taken = 0;
     for _host in 0..8 {
-        let mut budget = RetryBudget::new(limits, clock.now());
+        let mut budget = RetryBudget::new(limits, 8, clock.now());
         for _ in 0..100 {
             budget.request(8, clock.now());
             taken += u32::from(budget.take(8, clock.now()));
--- a/crates/steer/tests/steer/retries.rs
+++ b/crates/steer/tests/steer/retries.rs
@@ -184,3 +184,14 @@
     assert!(granted >= 85, "{granted} of 88 in a burst");
     fleet.assert_within_budget();
 }
+
+/// The first request of a lone host, and one of the first of each host of a fleet, must get a retry
+/// if its first attempt fails.
+#[test]
+fn a_host_that_has_just_started_may_retry() {
+    for (hosts, first) in [(1, 1), (11, 44)] {
+        let mut fleet = Fleet::new(hosts);
+        fleet.run(100.0, 1.0, Duration::from_millis(10 * first + 10));
+        assert!(!fleet.retries.is_empty(), "{hosts} hosts");
+    }
+}
