--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -173,11 +173,15 @@
     }
     (job.is_safe() || !progress.may_have_run)
         && progress.sent < job.route.attempts
-        && context
-            .core
-            .steer
-            .borrow_mut()
-            .take_retry(&job.service, now)
+        && take_retry(&context.core, job)
+}
+
+/// Takes a retry from the service's budget, and counts whether there was one.
+fn take_retry(core: &Core, job: &Job) -> bool {
+    let taken = core.steer.borrow_mut().take_retry(&job.service, core.now());
+    core.metrics
+        .count("retries", if taken { "taken" } else { "refused" });
+    taken
 }
 
 /// How the wait for an attempt ended.
@@ -249,12 +253,8 @@
     let next = place_request(context, job, tried)
         .ok()
         .filter(|in_flight| in_flight.choice.slot_free)?;
-    let taken = context
-        .core
-        .steer
-        .borrow_mut()
-        .take_retry(&job.service, context.core.now());
     // The borrow ends before `next` is dropped, which borrows the state again.
+    let taken = take_retry(&context.core, job);
     taken.then_some(next)
 }
 
