Notice a silent connection to the registry within the bound on contact

Cause: a call for changes waited for up to 3.5 s and was given up 0.6 s later, so that a host handled requests by an old configuration for up to 4.1 s. A call that began on an idle connection which had fallen silent during the pause before it was noticed another 0.8 s later.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -121,6 +121,11 @@
         self.addr
     }
 
+    /// Closes the idle connection, so that the next call opens a new one.
+    pub fn close_idle(&self) {
+        self.idle.take();
+    }
+
     /// Sends a request and reads the whole response. The time of the transfer is not limited while its
     /// body arrives at a fair rate.
     ///
