Heed endpoints that say they leave or want a pause

From the head of any answer or health check on that says so, the host places nothing new at this process of the endpoint, and sends nothing that was placed there and still waited for its connection; idle connections close. What the registry, a relayed page or a restored copy says does not take it back, also if the registration lapses and returns; a new process is not bound by it. If all endpoints that a request may use pause, it is rejected at once with the time until the first is back.

Not shown by a test: that a request which waits for its connection is not sent (connections open at once on loopback).

--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -41,6 +41,25 @@
     ");
 }
 
+/// Guards against a report that does not tell why no endpoint was used.
+#[test]
+fn endpoints_that_leave_or_pause_are_named() {
+    const LOG: &str = r#"
+{"msg":"endpoint says that it leaves; sending it no further requests","level":"INFO","ts":99.0,"endpoint":"e-4"}
+{"msg":"endpoint asks for a pause; sending it no requests meanwhile","level":"INFO","ts":100.0,"pause_ms":2500,"endpoint":"e-5"}
+{"msg":"request","level":"INFO","ts":101.0,"skipped":0,"ms":0,"ran":false,"reason":"no endpoint","status":503,"miss":"NoEndpoint retry=1500","attempts":"","config":4,"object":"19","team":"blue","route":"r-1","request":"id-9"}
+"#;
+    let mut logs = Logs::default();
+    logs.read("host-1.log", LOG.as_bytes()).expect("readable");
+    insta::assert_snapshot!(logs.explain("id-9").expect("a line"), @r#"
+    request id-9 in host-1.log: 503 after 0 ms (no endpoint), ran: no
+      route r-1, team blue, object 19, configuration 4
+      no further endpoint: NoEndpoint retry=1500
+      -2.000 s: endpoint says that it leaves; sending it no further requests endpoint="e-4"
+      -1.000 s: endpoint asks for a pause; sending it no requests meanwhile endpoint="e-5" pause_ms=2500
+    "#);
+}
+
 #[test]
 fn missing_request_reports_how_many_were_not_logged() {
     let error = logs().explain("id-3").expect_err("no line");
--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -8,13 +8,14 @@
 use http::{HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use slog::info;
-use wagtail_steer::{EndpointKey, PlacementCounts};
+use wagtail_steer::{EndpointKey, LeftOut, PlacementCounts};
 use wagtail_types::millis;
 
 use crate::codec::HttpCodec;
 use crate::connect::Client;
 use crate::host::Core;
 use crate::pool::Pool;
+use crate::signals::{Process, heed};
 use crate::work::{Work, contain};
 
 /// The period of endpoint maintenance; short compared with the time in which endpoints come and go.
@@ -46,11 +47,12 @@
             steer.update_weights(now);
             steer.due_checks(now)
         };
+        report_left_out(&core);
         pool.prune(now);
         for key in due {
-            let (core, codec) = (core.clone(), codec.clone());
+            let (core, pool, codec) = (core.clone(), pool.clone(), codec.clone());
             tokio::task::spawn_local(async move {
-                contain(&core, Work::HealthCheck, check(&core, &*codec, key)).await;
+                contain(&core, Work::HealthCheck, check(&core, &pool, &*codec, key)).await;
             });
         }
         tokio::time::sleep(MAINTENANCE_PERIOD).await;
@@ -65,21 +67,37 @@
     }
 }
 
-async fn check(core: &Core, codec: &dyn HttpCodec, key: EndpointKey) {
-    let target = {
-        let steer = core.steer.borrow();
-        steer.endpoint(key).and_then(|e| {
-            let service = steer.catalog()?.service(&e.record.service)?;
-            Some((
-                e.record.id.clone(),
-                e.record.addr,
-                service.health_path.clone(),
-            ))
-        })
-    };
-    let Some((id, addr, path)) = target else {
+fn report_left_out(core: &Core) {
+    let LeftOut {
+        leaving,
+        evacuated,
+        unreachable,
+        paused,
+    } = core.steer.borrow().left_out(core.now());
+    let counts = [
+        ("leaving", leaving),
+        ("evacuated", evacuated),
+        ("unreachable", unreachable),
+        ("paused", paused),
+    ];
+    for (reason, count) in counts {
+        core.metrics.set("endpoints_left_out", reason, count.into());
+    }
+}
+
+/// Returns the path of the health check of an endpoint.
+fn health_path(core: &Core, key: EndpointKey) -> Option<Rc<str>> {
+    let steer = core.steer.borrow();
+    let service = &steer.endpoint(key)?.record.service;
+    Some(steer.catalog()?.service(service)?.health_path.clone())
+}
+
+async fn check(core: &Core, pool: &Pool, codec: &dyn HttpCodec, key: EndpointKey) {
+    let target = Process::registered(core, key).zip(health_path(core, key));
+    let Some((process, path)) = target else {
         return;
     };
+    let addr = process.addr;
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = path.parse().unwrap_or_else(|_| Uri::from_static("/"));
     let host = HeaderValue::try_from(addr.to_string()).expect("an address is a valid header value");
@@ -91,14 +109,17 @@
     let cold = match tokio::time::timeout(CHECK_TIMEOUT, call).await {
         Ok(Ok(answer)) => {
             let health = codec.decode_health(&answer.into_parts().0);
-            let same_endpoint = health.endpoint.as_ref().is_none_or(|e| *e == id);
+            let same_endpoint = health.endpoint.as_ref().is_none_or(|e| *e == process.id);
+            if same_endpoint {
+                heed(core, pool, &process, health.signals);
+            }
             (health.healthy && same_endpoint).then_some(health.cold)
         }
         // The endpoint remains out of use and is checked again later.
         Ok(Err(_)) | Err(_) => None,
     };
     if let Some(cold) = cold {
-        info!(core.log, "endpoint passed its health check and is usable again"; "endpoint" => %id,
+        info!(core.log, "endpoint passed its health check and is usable again"; "endpoint" => %process.id,
             "cold_ms" => millis(cold));
     }
     let now = core.now();
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -52,6 +52,15 @@
     Unknown,
 }
 
+/// What an endpoint's response says of the endpoint itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Signals {
+    /// Whether the endpoint leaves, so that it must receive no further requests.
+    pub leaving: bool,
+    /// How long the endpoint wants no requests of this host.
+    pub pause: Option<Duration>,
+}
+
 /// The decoded head of an endpoint's response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
@@ -65,6 +74,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the endpoint closes the connection after the response.
     pub close: bool,
+    /// What the endpoint says of itself; nothing if another endpoint responded.
+    pub signals: Signals,
 }
 
 /// The decoded response to a health check.
@@ -76,6 +87,8 @@
     pub healthy: bool,
     /// The remaining time of the endpoint's cold start.
     pub cold: Duration,
+    /// What the endpoint says of itself.
+    pub signals: Signals,
 }
 
 /// Encodes and decodes requests, responses, health checks and directory look-ups in HTTP.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -92,6 +92,11 @@
         if let Some(view) = datagram.registry {
             self.core.learn(view);
         }
+        for report in datagram.leaving {
+            if self.core.steer.borrow_mut().hint_leaving(report, now) {
+                self.core.metrics.count("endpoint_signals", "leaving-hint");
+            }
+        }
         match datagram.message {
             Message::Digest(digest) => self.apply_digest(digest, from),
             Message::Demand { zone, teams } => {
@@ -167,11 +172,21 @@
         }
     }
 
-    /// Adds what this host knows of the registry to a message.
+    /// Adds what this host knows of the registry to a message, and to a digest what endpoints have
+    /// said of themselves.
     fn datagram(&self, message: Message) -> Datagram {
+        let leaving = match message {
+            Message::Digest(_) => self
+                .core
+                .steer
+                .borrow_mut()
+                .leaving_reports(self.core.now()),
+            _ => Vec::new(),
+        };
         Datagram {
             message,
             registry: Some(self.core.registry_view()),
+            leaving,
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,12 +19,13 @@
 mod run;
 mod server;
 mod settings;
+mod signals;
 mod stop;
 mod supervisor;
 mod work;
 
 pub use codec::{
-    Dispatch, Execution, Health, HttpCodec, InvalidRequest, RequestHead, ResponseHead,
+    Dispatch, Execution, Health, HttpCodec, InvalidRequest, RequestHead, ResponseHead, Signals,
 };
 pub use connect::{CallError, Client, RESPONSE_MAX_BYTES};
 pub use logs::{LogFlusher, log_panics, stdout_logger};
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a request to endpoints until one responds or no further attempt is allowed.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Method, StatusCode, header, request};
@@ -78,6 +78,9 @@
             && !progress.tried.is_empty()
             && !may_try_again(context, job, &progress)
         {
+            if let Some(wait) = wait_for_pauses(context, job) {
+                progress.retry_after = Some(wait);
+            }
             return final_reply(progress, None, head);
         }
         let in_flight = match replacement
@@ -130,14 +133,12 @@
     }
 }
 
-/// Selects an endpoint and counts the request as in flight there.
-fn place_request(
-    context: &RequestContext,
-    job: &Job,
-    tried: &[EndpointKey],
-) -> Result<InFlight, (RejectionReason, Duration)> {
-    let now = context.core.now();
-    let request = PlacementRequest {
+fn placement_request<'a>(
+    job: &'a Job,
+    tried: &'a [EndpointKey],
+    now: Instant,
+) -> PlacementRequest<'a> {
+    PlacementRequest {
         route: &job.route,
         service: &job.service,
         object: job.object,
@@ -145,7 +146,24 @@
         tried,
         elapsed: now.duration_since(job.arrived),
         remaining: job.deadline.saturating_duration_since(now),
-    };
+    }
+}
+
+/// Returns the time until an endpoint takes requests again, if all of them pause.
+fn wait_for_pauses(context: &RequestContext, job: &Job) -> Option<Duration> {
+    let now = context.core.now();
+    let request = placement_request(job, &[], now);
+    context.core.steer.borrow().wait_for_pauses(&request, now)
+}
+
+/// Selects an endpoint and counts the request as in flight there.
+fn place_request(
+    context: &RequestContext,
+    job: &Job,
+    tried: &[EndpointKey],
+) -> Result<InFlight, (RejectionReason, Duration)> {
+    let now = context.core.now();
+    let request = placement_request(job, tried, now);
     let placement = context.core.steer.borrow_mut().place(&request, now);
     match placement {
         Placement::Send(choice) => Ok(InFlight::new(
@@ -308,6 +326,8 @@
             progress.sent += 1;
             let outcome = if received.info.execution == Execution::Replaced {
                 Outcome::Replaced
+            } else if received.info.signals.pause.is_some() {
+                Outcome::Paused
             } else {
                 Outcome::Shed
             };
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -16,6 +16,7 @@
 use crate::connect::{CallError, open};
 use crate::host::RequestContext;
 use crate::pool::Sender;
+use crate::signals::{Process, heed};
 
 /// The timeout for opening a connection: a round trip between regions, and one lost packet on a
 /// fast network.
@@ -50,7 +51,7 @@
     /// The connection could not be opened; nothing was sent.
     #[display("unreachable: {_0}")]
     Unreachable(String),
-    /// The endpoint is no longer registered; nothing was sent.
+    /// The endpoint is no longer registered or wants no requests; nothing was sent.
     #[display("left")]
     Gone,
     /// The endpoint states that it has not executed the request.
@@ -74,13 +75,7 @@
     to: EndpointKey,
     received: &Cell<usize>,
 ) -> Result<ReceivedResponse, AttemptError> {
-    let target = context
-        .core
-        .steer
-        .borrow()
-        .endpoint(to)
-        .map(|e| (e.record.id.clone(), e.record.addr));
-    let Some((endpoint, addr)) = target else {
+    let Some(process) = Process::registered(&context.core, to) else {
         return Err(AttemptError::Gone);
     };
     let now = context.core.now();
@@ -96,7 +91,7 @@
     } else {
         let timeout = CONNECT_TIMEOUT.min(job.deadline.saturating_duration_since(now));
         context.core.metrics.count("connections", "endpoint");
-        let sender = open(addr, timeout)
+        let sender = open(process.addr, timeout)
             .await
             .map_err(|e| AttemptError::Unreachable(e.to_string()))?;
         let elapsed = context.core.now().duration_since(now);
@@ -107,14 +102,19 @@
             .record_connection(to, elapsed);
         sender
     };
-    let remaining = job.deadline.saturating_duration_since(context.core.now());
+    let now = context.core.now();
+    // The endpoint may have asked for no further requests while the connection was being opened.
+    if !context.core.steer.borrow().may_send(to, now) {
+        return Err(AttemptError::Gone);
+    }
+    let remaining = job.deadline.saturating_duration_since(now);
     let team = job.team.as_ref().map(|t| &t.id);
     let request = endpoint_request(
         context,
         head,
         body,
         &Dispatch {
-            endpoint: &endpoint,
+            endpoint: &process.id,
             team,
             remaining,
         },
@@ -125,6 +125,7 @@
         .map_err(|e| broken_connection(&e))?;
     let (head, incoming) = response.into_parts();
     let info = context.codec.decode_response(&head);
+    heed(&context.core, &context.pool, &process, info.signals);
     received.set(1);
     let body = read_response_body(incoming, received)
         .await
@@ -160,7 +161,7 @@
     sender: Sender,
     received: &ReceivedResponse,
 ) {
-    if !received.info.close {
+    if !received.info.close && !received.info.signals.leaving {
         context
             .pool
             .put(to, sender, received.info.keep_alive, context.core.now());
--- /dev/null
+++ b/crates/gateway/src/signals.rs
@@ -0,0 +1,66 @@
+//! Acts on what endpoints say of themselves in their answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slog::info;
+use wagtail_steer::EndpointKey;
+use wagtail_types::{EndpointId, millis};
+
+use crate::codec::Signals;
+use crate::host::Core;
+use crate::pool::Pool;
+
+/// Pauses shorter than this are counted but not logged.
+const LOGGED_PAUSE_MIN: Duration = Duration::from_secs(1);
+
+/// The process of an endpoint that a request is sent to. Its answer says nothing of a later process
+/// under the same name.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) key: EndpointKey,
+    pub(crate) id: EndpointId,
+    pub(crate) addr: SocketAddr,
+    started: Option<u64>,
+}
+
+impl Process {
+    /// Returns the registered process of an endpoint.
+    pub(crate) fn registered(core: &Core, key: EndpointKey) -> Option<Self> {
+        let steer = core.steer.borrow();
+        let record = &steer.endpoint(key)?.record;
+        Some(Self {
+            key,
+            id: record.id.clone(),
+            addr: record.addr,
+            started: record.started,
+        })
+    }
+}
+
+/// Records what the head of an answer says of the endpoint. Closes the idle connections to one that
+/// leaves.
+pub(crate) fn heed(core: &Core, pool: &Pool, process: &Process, signals: Signals) {
+    let now = core.now();
+    let (key, started) = (process.key, process.started);
+    if signals.leaving {
+        let news = core.steer.borrow_mut().record_leaving(key, started, now);
+        if news {
+            pool.drop_endpoint(key);
+            core.metrics.count("endpoint_signals", "leaving");
+            info!(core.log, "endpoint says that it leaves; sending it no further requests";
+                "endpoint" => %process.id);
+        }
+    }
+    if let Some(pause) = signals.pause {
+        let begins = core
+            .steer
+            .borrow_mut()
+            .record_pause(key, started, pause, now);
+        core.metrics.count("endpoint_signals", "pause");
+        if begins && pause >= LOGGED_PAUSE_MIN {
+            info!(core.log, "endpoint asks for a pause; sending it no requests meanwhile";
+                "endpoint" => %process.id, "pause_ms" => millis(pause));
+        }
+    }
+}
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -105,7 +105,16 @@
     pub lost_config: Option<ConfigVersion>,
 }
 
-/// A message, and what its sender knows of the registry.
+/// An endpoint that has said that it leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingEndpoint {
+    /// The hash of the endpoint's name.
+    pub endpoint: u32,
+    /// The start of the endpoint's process in milliseconds of wall-clock time, if registered.
+    pub started: Option<u64>,
+}
+
+/// A message, and what its sender knows of the registry and of endpoints.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Datagram {
     /// The message.
@@ -113,6 +122,9 @@
     /// What the sender knows of the registry. Follows the message, so that builds that do not know
     /// it ignore it; `None` in the datagrams of such builds.
     pub registry: Option<RegistryView>,
+    /// Endpoints that have said to the sender that they leave. Follow what the sender knows of the
+    /// registry, and are sent only with it.
+    pub leaving: Vec<LeavingEndpoint>,
 }
 
 /// Why a datagram cannot be encoded or decoded.
@@ -135,10 +147,14 @@
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
         let bytes =
             postcard::to_extend(&self.message, vec![FORMAT]).map_err(MessageError::Codec)?;
-        match &self.registry {
-            Some(view) => postcard::to_extend(view, bytes).map_err(MessageError::Codec),
-            None => Ok(bytes),
+        let Some(view) = &self.registry else {
+            return Ok(bytes);
+        };
+        let bytes = postcard::to_extend(view, bytes).map_err(MessageError::Codec)?;
+        if self.leaving.is_empty() {
+            return Ok(bytes);
         }
+        postcard::to_extend(&self.leaving, bytes).map_err(MessageError::Codec)
     }
 
     /// Decodes a datagram.
@@ -152,10 +168,22 @@
             return Err(MessageError::Format);
         };
         let (message, rest) = postcard::take_from_bytes(rest).map_err(MessageError::Codec)?;
-        let registry = match rest {
-            [] => None,
-            rest => Some(postcard::from_bytes(rest).map_err(MessageError::Codec)?),
+        if rest.is_empty() {
+            return Ok(Self {
+                message,
+                registry: None,
+                leaving: Vec::new(),
+            });
+        }
+        let (view, rest) = postcard::take_from_bytes(rest).map_err(MessageError::Codec)?;
+        let leaving = match rest {
+            [] => Vec::new(),
+            rest => postcard::from_bytes(rest).map_err(MessageError::Codec)?,
         };
-        Ok(Self { message, registry })
+        Ok(Self {
+            message,
+            registry: Some(view),
+            leaving,
+        })
     }
 }
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -8,6 +8,7 @@
 
 use crate::cold::ColdLimit;
 use crate::hash::short_hash;
+use crate::pause::Pause;
 use crate::warm::WarmSet;
 
 new_key_type! {
@@ -42,6 +43,17 @@
     Draining,
 }
 
+/// Who has said that an endpoint leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Notice {
+    /// Nobody.
+    None,
+    /// Another host, which has heard it from the endpoint.
+    Hinted,
+    /// The endpoint, to the local host.
+    Given,
+}
+
 /// The registration of an endpoint.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EndpointRecord {
@@ -93,6 +105,8 @@
     Answered,
     /// The endpoint refused the request without running it.
     Shed,
+    /// The endpoint refused the request without running it, and asked for a pause.
+    Paused,
     /// No connection could be established.
     Unreachable,
     /// The endpoint failed, or its answer was incomplete.
@@ -110,7 +124,7 @@
     pub(crate) fn may_have_run(self) -> bool {
         match self {
             Self::Answered | Self::Failed | Self::Overdue => true,
-            Self::Shed | Self::Unreachable | Self::Left | Self::Replaced => false,
+            Self::Shed | Self::Paused | Self::Unreachable | Self::Left | Self::Replaced => false,
         }
     }
 }
@@ -179,6 +193,9 @@
     /// Whether the local host is a designated sender that should probe the endpoint with a first
     /// request.
     pub(crate) should_probe: bool,
+    /// Who has said that the endpoint leaves, besides its registration.
+    pub(crate) notice: Notice,
+    pub(crate) pause: Pause,
     pub(crate) cold_until: Option<Instant>,
     pub(crate) cold_limit: ColdLimit,
     pub(crate) warm: WarmSet,
@@ -218,6 +235,8 @@
             in_flight: 0,
             contacted: false,
             should_probe: false,
+            notice: Notice::None,
+            pause: Pause::default(),
             check_at: None,
             lapses_at: None,
             sender: false,
@@ -232,19 +251,35 @@
         }
     }
 
+    /// Returns whether the endpoint leaves, by its registration or its own word.
+    pub fn is_leaving(&self) -> bool {
+        self.has_given_notice() || self.record.state == EndpointState::Draining
+    }
+
+    /// Returns whether the endpoint itself has said that it leaves.
+    pub(crate) fn has_given_notice(&self) -> bool {
+        self.notice == Notice::Given
+    }
+
+    /// Returns whether the endpoint has asked for a pause that is not over.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.pause.end(now).is_some()
+    }
+
     /// Returns whether the endpoint is still in its cold start.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether the local host may send a request to the endpoint. During a cold start only
-    /// the designated senders may, within the cold rate. Also marks the endpoint to be probed if
+    /// Returns whether the local host may send a request to the endpoint, which does not pause. During
+    /// a cold start only the designated senders may, within the cold rate. Also marks the endpoint to be probed if
     /// the local host is a designated sender and has not sent it a request yet.
     pub(crate) fn accepts(&mut self, cold_rate: f64, now: Instant) -> bool {
         if !self.contacted && self.sender {
             self.should_probe = true;
         }
-        !self.is_cold(now) || self.sender && self.cold_limit.allows(cold_rate, now)
+        self.pause.admits(self.in_flight, now)
+            && (!self.is_cold(now) || self.sender && self.cold_limit.allows(cold_rate, now))
     }
 
     /// Returns whether the endpoint is out of use until a health check succeeds.
@@ -291,13 +326,14 @@
             Outcome::Answered => {
                 self.failures.observe(0.0, now);
                 self.refusals.observe(0.0, now);
+                self.pause.record_answer(self.record.slots);
             }
             Outcome::Failed | Outcome::Overdue => self.failures.observe(1.0, now),
             // A refusal by a full endpoint is legitimate. An endpoint that refuses in spite of a
             // free slot will probably refuse other requests too.
             Outcome::Shed if had_slot => self.refusals.observe(1.0, now),
             Outcome::Unreachable => self.check_at = Some(now + CHECK_INTERVAL),
-            Outcome::Shed | Outcome::Left | Outcome::Replaced => {}
+            Outcome::Shed | Outcome::Paused | Outcome::Left | Outcome::Replaced => {}
         }
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -15,6 +15,7 @@
 mod generation;
 mod hash;
 mod overload;
+mod pause;
 mod peers;
 mod placement;
 mod quota;
@@ -35,7 +36,9 @@
     WeightedService,
 };
 pub use cursor::{Cursor, Extent};
-pub use digest::{Datagram, Digest, HostState, Message, MessageError, RegistryView};
+pub use digest::{
+    Datagram, Digest, HostState, LeavingEndpoint, Message, MessageError, RegistryView,
+};
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 pub use generation::{Generation, GenerationTag, GenerationTracker, Observation};
 pub use peers::{HostRecord, Peer, Peers};
@@ -46,5 +49,6 @@
 pub use split::WeightedSplit;
 pub use steer::fleet::Follower;
 pub use steer::requests::Completion;
+pub use steer::signals::LeftOut;
 pub use steer::{LocalHost, Steer};
 pub use tokens::TokenSource;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -4,6 +4,7 @@
 pub(crate) mod fleet;
 pub(crate) mod requests;
 mod restore;
+pub(crate) mod signals;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -15,8 +16,9 @@
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
 use crate::config::{Config, ConfigError, ConfigVersion, RouteId};
+use crate::digest::LeavingEndpoint;
 use crate::endpoint::{
-    CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, EndpointState, Location,
+    CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location, Notice,
 };
 use crate::estimate::Estimates;
 use crate::hash::short_hash;
@@ -96,6 +98,8 @@
     /// Objects that recently became warm, as (time, endpoint hash, object hash), to report in
     /// digests.
     newly_warm: VecDeque<(Instant, u32, u32)>,
+    /// Endpoints that recently said that they leave, to report in digests.
+    newly_leaving: VecDeque<(Instant, LeavingEndpoint)>,
 }
 
 impl Steer {
@@ -134,6 +138,7 @@
             recovered_at: None,
             restore: Restore::default(),
             newly_warm: VecDeque::new(),
+            newly_leaving: VecDeque::new(),
         }
     }
 
@@ -261,8 +266,12 @@
         }
         let id = record.id.clone();
         let service = record.service.clone();
+        let leaves = self.restore.has_left(&record);
         self.restore.forget_departure(&id);
         let mut endpoint = Endpoint::new(record, region, location, now);
+        if leaves {
+            endpoint.notice = Notice::Given;
+        }
         endpoint.record_peer_load(self.peers.peer_load(endpoint.hash), now);
         let hash = endpoint.hash;
         let key = self.endpoints.insert(endpoint);
@@ -282,7 +291,7 @@
             .recovered_at
             .filter(|&at| now.duration_since(at) < LAPSE_GRACE);
         match recovery {
-            Some(at) if self.endpoints[key].record.state == EndpointState::Ready => {
+            Some(at) if !self.endpoints[key].is_leaving() => {
                 self.endpoints[key].lapses_at = Some(at + LAPSE_GRACE);
             }
             _ => self.remove_endpoint(key, now),
@@ -304,8 +313,8 @@
 
     fn remove_endpoint(&mut self, key: EndpointKey, now: Instant) {
         if let Some(endpoint) = self.endpoints.remove(key) {
-            self.restore.record_departure(&endpoint.record, now);
-            if endpoint.record.state == EndpointState::Ready {
+            self.restore.record_departure(&endpoint, now);
+            if !endpoint.is_leaving() {
                 self.shift_limiter.suspend(now + SUSPENSION);
             }
             self.by_id.remove(&endpoint.record.id);
@@ -343,6 +352,8 @@
             if let Some(at) = endpoint.check_at
                 && at <= now
                 && !evacuated
+                && !endpoint.has_given_notice()
+                && !endpoint.is_paused(now)
             {
                 endpoint.check_at = Some(now + CHECK_INTERVAL);
                 due.push(key);
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -6,7 +6,6 @@
 use wagtail_types::{RegionId, ServiceId};
 
 use super::Steer;
-use crate::endpoint::EndpointState;
 use crate::estimate::{COLD_RUN_GUESS, WARM_RUN_GUESS};
 use crate::placement::RegionUsage;
 use crate::rate::arrival_hash;
@@ -140,8 +139,11 @@
             let mut usage = vec![RegionUsage::default(); self.regions.len()];
             for endpoint in keys.iter().map(|&k| &self.endpoints[k]) {
                 let record = &endpoint.record;
-                let excluded = self.evacuated.contains(&record.zone) || endpoint.is_unavailable();
-                if record.state == EndpointState::Ready && !excluded {
+                let excluded = self.evacuated.contains(&record.zone)
+                    || endpoint.is_unavailable()
+                    || endpoint.is_leaving()
+                    || endpoint.is_paused(now);
+                if !excluded {
                     let slots = f64::from(record.slots);
                     loads.entry(endpoint.region.clone()).or_default().slots += slots;
                     let region = &mut usage[endpoint.location.region];
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -8,10 +8,11 @@
 use super::Steer;
 use crate::budget::{RetryBudget, RetryLimits};
 use crate::config::{Route, WeightedService};
-use crate::endpoint::{Distance, EndpointKey, EndpointState, Load, Outcome};
+use crate::endpoint::{Distance, Endpoint, EndpointKey, Load, Outcome};
 use crate::estimate::RunKind;
 use crate::placement::{
-    Choice, Placement, PlacementContext, PlacementCounts, PlacementRequest, RegionUsage, place,
+    Choice, Placement, PlacementContext, PlacementCounts, PlacementRequest, RegionUsage,
+    RejectionReason, place,
 };
 
 /// The shortest run time that is learned. Run times are compared by their ratios, and an answer may
@@ -141,8 +142,13 @@
         if matches!(placement, Placement::Reject { .. }) && none_open() {
             placement = place(request, &context, endpoints(false));
         }
-        if let Placement::Send(choice) = &placement {
-            self.record_sent(choice, request, now);
+        match &mut placement {
+            Placement::Send(choice) => self.record_sent(choice, request, now),
+            Placement::Reject {
+                reason: RejectionReason::NoEndpoint,
+                retry_after,
+            } => *retry_after = self.wait_for_pauses(request, now).unwrap_or(*retry_after),
+            Placement::Reject { .. } => {}
         }
         if request.tried.is_empty() {
             self.count_placement(&placement);
@@ -233,21 +239,23 @@
             .map_or(1.0, |s| s.cold_rate);
         let mut usable = Vec::with_capacity(keys.len());
         for &key in keys {
-            let endpoint = &mut self.endpoints[key];
-            let record = &endpoint.record;
-            let open = record.state == EndpointState::Ready
-                && endpoint.check_at.is_none()
-                && !request.tried.contains(&key)
-                && !self.evacuated.contains(&record.zone)
-                && (request.permitted_regions.is_empty()
-                    || request.permitted_regions.contains(&endpoint.region));
-            if open && endpoint.accepts(cold_rate, now) {
+            let open = !request.tried.contains(&key) && self.is_open(&self.endpoints[key], request);
+            if open && self.endpoints[key].accepts(cold_rate, now) {
                 usable.push(key);
             }
         }
         usable
     }
 
+    /// Returns whether an endpoint may run a request, apart from its own limits on requests.
+    pub(super) fn is_open(&self, endpoint: &Endpoint, request: &PlacementRequest<'_>) -> bool {
+        !endpoint.is_leaving()
+            && !endpoint.is_unavailable()
+            && !self.evacuated.contains(&endpoint.record.zone)
+            && (request.permitted_regions.is_empty()
+                || request.permitted_regions.contains(&endpoint.region))
+    }
+
     /// Records how long a connection to an endpoint took to open.
     pub fn record_connection(&mut self, key: EndpointKey, time: Duration) {
         if let Some(endpoint) = self.endpoints.get(key) {
--- a/crates/steer/src/steer/restore.rs
+++ b/crates/steer/src/steer/restore.rs
@@ -4,13 +4,14 @@
 //! what the host knows is newer than the copy.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use wagtail_types::{EndpointId, ZoneId};
 
 use super::Steer;
 use crate::config::ConfigVersion;
-use crate::endpoint::{EndpointKey, EndpointRecord, EndpointState};
+use crate::endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState};
 
 /// How long an evacuation that the copy lacks stays in force without the operator's row. Longer than
 /// endpoints have for registering again, because sending requests to an evacuated zone is worse than
@@ -25,6 +26,9 @@
 #[derive(Debug)]
 struct Departure {
     started: Option<u64>,
+    addr: SocketAddr,
+    /// Whether the endpoint itself had said that it leaves.
+    leaves: bool,
     at: Instant,
 }
 
@@ -44,14 +48,24 @@
 }
 
 impl Restore {
-    pub(super) fn record_departure(&mut self, record: &EndpointRecord, now: Instant) {
+    pub(super) fn record_departure(&mut self, endpoint: &Endpoint, now: Instant) {
+        let record = &endpoint.record;
         let departure = Departure {
             started: record.started,
+            addr: record.addr,
+            leaves: endpoint.has_given_notice(),
             at: now,
         };
         self.departures.insert(record.id.clone(), departure);
     }
 
+    /// Returns whether this process of the endpoint has said that it leaves before it departed.
+    pub(super) fn has_left(&self, record: &EndpointRecord) -> bool {
+        self.departures
+            .get(&record.id)
+            .is_some_and(|d| d.leaves && d.started == record.started && d.addr == record.addr)
+    }
+
     pub(super) fn forget_departure(&mut self, id: &EndpointId) {
         self.departures.remove(id);
     }
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -11,7 +11,7 @@
 
 use crate::support::{SERVICE, config, endpoint, exchange, name, steer};
 
-fn place(host: &mut Steer, clock: &ManualClock) -> Placement {
+pub(crate) fn place(host: &mut Steer, clock: &ManualClock) -> Placement {
     let route = Rc::new(config(1).routes.remove(0));
     let service = name(SERVICE);
     let request = PlacementRequest {
@@ -26,14 +26,14 @@
     host.place(&request, clock.now())
 }
 
-fn chosen(placement: Placement) -> Option<Choice> {
+pub(crate) fn chosen(placement: Placement) -> Option<Choice> {
     match placement {
         Placement::Send(choice) => Some(choice),
         Placement::Reject { .. } => None,
     }
 }
 
-fn finish(host: &mut Steer, choice: &Choice, outcome: Outcome, clock: &ManualClock) {
+pub(crate) fn finish(host: &mut Steer, choice: &Choice, outcome: Outcome, clock: &ManualClock) {
     let route = config(1).routes.remove(0);
     let completion = Completion {
         choice,
@@ -46,7 +46,7 @@
     host.finish(&completion, clock.now());
 }
 
-fn one_endpoint() -> (Steer, ManualClock) {
+pub(crate) fn one_endpoint() -> (Steer, ManualClock) {
     let clock = ManualClock::new();
     let mut host = steer("host", "a1", 100);
     host.configure(config(1)).expect("a valid configuration");
--- a/crates/steer/tests/steer/fleet.rs
+++ b/crates/steer/tests/steer/fleet.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use wagtail_steer::{
-    ConfigVersion, Datagram, Follower, Generation, HostState, Message, RegistryView,
+    ConfigVersion, Datagram, Follower, Generation, HostState, LeavingEndpoint, Message,
+    RegistryView,
 };
 use wagtail_types::{Clock, ManualClock};
 
@@ -19,14 +20,25 @@
     Datagram {
         message: Message::Digest(digest),
         registry,
+        leaving: Vec::new(),
     }
 }
 
 #[test]
 fn a_digest_round_trips() {
     let clock = ManualClock::new();
-    for registry in [None, Some(VIEW)] {
-        let digest = digest(registry, &clock);
+    let report = |started| LeavingEndpoint {
+        endpoint: 7,
+        started,
+    };
+    let leaving = vec![report(Some(1)), report(None)];
+    for (registry, leaving) in [
+        (None, Vec::new()),
+        (Some(VIEW), Vec::new()),
+        (Some(VIEW), leaving),
+    ] {
+        let mut digest = digest(registry, &clock);
+        digest.leaving = leaving;
         let bytes = digest.encode().expect("it encodes");
         assert_eq!(Datagram::decode(&bytes).expect("it decodes"), digest);
     }
--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -8,5 +8,6 @@
 mod registry_model;
 mod restore;
 mod retries;
+mod signals;
 mod simulation;
 mod support;
