Keep what an endpoint has said while its registration changes

- A pause was forgotten when the registration lapsed, or another endpoint had answered at the address, and the same process registered again.
A notice was kept.

What has been said is now kept with the wall-clock time of the answer, and applied to a process that registers again, or whose announced start lies before that time.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bytes::Bytes;
 use rand::Rng;
@@ -167,6 +167,12 @@
         self.clock.now()
     }
 
+    /// Returns the wall-clock time in milliseconds; zero if the clock is set before 1970.
+    pub(crate) fn wall_millis(&self) -> u64 {
+        let wall = self.clock.wall().duration_since(UNIX_EPOCH);
+        millis(wall.unwrap_or_default())
+    }
+
     /// Marks the host as leaving; it never becomes ready again.
     pub(crate) fn start_leaving(&self) {
         self.leaving.set(true);
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -44,7 +44,10 @@
     let now = core.now();
     let (key, started) = (process.key, process.started);
     if signals.leaving {
-        let news = core.steer.borrow_mut().record_leaving(key, started, now);
+        let news = core
+            .steer
+            .borrow_mut()
+            .record_leaving(key, started, core.wall_millis(), now);
         if news {
             pool.drop_endpoint(key);
             core.metrics.count("endpoint_signals", "leaving");
@@ -53,10 +56,10 @@
         }
     }
     if let Some(pause) = signals.pause {
-        let begins = core
-            .steer
-            .borrow_mut()
-            .record_pause(key, started, pause, now);
+        let begins =
+            core.steer
+                .borrow_mut()
+                .record_pause(key, started, pause, core.wall_millis(), now);
         core.metrics.count("endpoint_signals", "pause");
         if begins && pause >= LOGGED_PAUSE_MIN {
             info!(core.log, "endpoint asks for a pause; sending it no requests meanwhile";
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -9,6 +9,7 @@
 use crate::cold::ColdLimit;
 use crate::hash::short_hash;
 use crate::pause::Pause;
+use crate::said::Said;
 use crate::warm::WarmSet;
 
 new_key_type! {
@@ -196,6 +197,7 @@
     /// Who has said that the endpoint leaves, besides its registration.
     pub(crate) notice: Notice,
     pub(crate) pause: Pause,
+    pub(crate) said: Said,
     pub(crate) cold_until: Option<Instant>,
     pub(crate) cold_limit: ColdLimit,
     pub(crate) warm: WarmSet,
@@ -237,6 +239,7 @@
             should_probe: false,
             notice: Notice::None,
             pause: Pause::default(),
+            said: Said::default(),
             check_at: None,
             lapses_at: None,
             sender: false,
@@ -308,6 +311,17 @@
         f64::from(self.in_flight) + self_reported.map_or(self.reported, |(peers, _)| peers)
     }
 
+    /// Applies what the endpoint has said before it was registered, or registered again.
+    pub(crate) fn recall(&mut self, said: Said, now: Instant) {
+        self.said = said;
+        if said.leaving.is_some() {
+            self.notice = Notice::Given;
+        }
+        if let Some((_, end)) = said.pause {
+            self.pause.extend(end.saturating_duration_since(now), now);
+        }
+    }
+
     /// Records the peers' in-flight requests, according to their digests.
     pub(crate) fn record_peer_load(&mut self, count: u32, now: Instant) {
         self.reported = f64::from(count);
@@ -352,8 +366,10 @@
         if restarted {
             let (in_flight, reported, reported_at) =
                 (self.in_flight, self.reported, self.reported_at);
+            let said = self.said.by_process(record.started);
             *self = Self::new(record, region, location, now);
             (self.in_flight, self.reported, self.reported_at) = (in_flight, reported, reported_at);
+            self.recall(said, now);
             return;
         }
         (self.region, self.location) = (region, location);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -22,6 +22,7 @@
 mod rate;
 mod regions;
 mod round_trip;
+mod said;
 mod settings;
 mod shift;
 mod split;
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -17,9 +17,7 @@
 use crate::catalog::Catalog;
 use crate::config::{Config, ConfigError, ConfigVersion, RouteId};
 use crate::digest::LeavingEndpoint;
-use crate::endpoint::{
-    CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location, Notice,
-};
+use crate::endpoint::{CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location};
 use crate::estimate::Estimates;
 use crate::hash::short_hash;
 use crate::overload::OverloadMeter;
@@ -266,12 +264,10 @@
         }
         let id = record.id.clone();
         let service = record.service.clone();
-        let leaves = self.restore.has_left(&record);
-        self.restore.forget_departure(&id);
         let mut endpoint = Endpoint::new(record, region, location, now);
-        if leaves {
-            endpoint.notice = Notice::Given;
-        }
+        let said = self.restore.said(&endpoint.record);
+        endpoint.recall(said, now);
+        self.restore.forget_departure(&id);
         endpoint.record_peer_load(self.peers.peer_load(endpoint.hash), now);
         let hash = endpoint.hash;
         let key = self.endpoints.insert(endpoint);
--- a/crates/steer/src/steer/restore.rs
+++ b/crates/steer/src/steer/restore.rs
@@ -12,6 +12,7 @@
 use super::Steer;
 use crate::config::ConfigVersion;
 use crate::endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState};
+use crate::said::Said;
 
 /// How long an evacuation that the copy lacks stays in force without the operator's row. Longer than
 /// endpoints have for registering again, because sending requests to an evacuated zone is worse than
@@ -27,8 +28,7 @@
 struct Departure {
     started: Option<u64>,
     addr: SocketAddr,
-    /// Whether the endpoint itself had said that it leaves.
-    leaves: bool,
+    said: Said,
     at: Instant,
 }
 
@@ -53,17 +53,22 @@
         let departure = Departure {
             started: record.started,
             addr: record.addr,
-            leaves: endpoint.has_given_notice(),
+            said: endpoint.said,
             at: now,
         };
         self.departures.insert(record.id.clone(), departure);
     }
 
-    /// Returns whether this process of the endpoint has said that it leaves before it departed.
-    pub(super) fn has_left(&self, record: &EndpointRecord) -> bool {
-        self.departures
-            .get(&record.id)
-            .is_some_and(|d| d.leaves && d.started == record.started && d.addr == record.addr)
+    /// Returns what the process of an endpoint that is registered again has said before.
+    pub(super) fn said(&self, record: &EndpointRecord) -> Said {
+        let Some(departure) = self.departures.get(&record.id) else {
+            return Said::default();
+        };
+        if departure.started == record.started && departure.addr == record.addr {
+            departure.said
+        } else {
+            departure.said.by_process(record.started)
+        }
     }
 
     pub(super) fn forget_departure(&mut self, id: &EndpointId) {
--- a/crates/steer/src/steer/signals.rs
+++ b/crates/steer/src/steer/signals.rs
@@ -58,12 +58,19 @@
     }
 
     /// Records that the process of an endpoint that was started at `started` has said that it leaves.
-    /// It receives no further requests, whatever the registry says. Returns `false` if that was known
-    /// or another process is registered.
-    pub fn record_leaving(&mut self, key: EndpointKey, started: Option<u64>, now: Instant) -> bool {
+    /// It receives no further requests, whatever the registry says. `wall` is the wall-clock time in
+    /// milliseconds. Returns `false` if that was known or another process is registered.
+    pub fn record_leaving(
+        &mut self,
+        key: EndpointKey,
+        started: Option<u64>,
+        wall: u64,
+        now: Instant,
+    ) -> bool {
         let Some(endpoint) = self.process(key, started) else {
             return false;
         };
+        endpoint.said.leaving.get_or_insert(wall);
         if endpoint.has_given_notice() {
             return false;
         }
@@ -77,13 +84,14 @@
     }
 
     /// Records that the process of an endpoint that was started at `started` wants no request of the
-    /// local host for `time`. Returns `false` if it had asked for that before or another process is
-    /// registered.
+    /// local host for `time`. `wall` is the wall-clock time in milliseconds. Returns `false` if it had
+    /// asked for that before or another process is registered.
     pub fn record_pause(
         &mut self,
         key: EndpointKey,
         started: Option<u64>,
         time: Duration,
+        wall: u64,
         now: Instant,
     ) -> bool {
         let Some(endpoint) = self.process(key, started) else {
@@ -91,6 +99,7 @@
         };
         let paused = endpoint.is_paused(now);
         endpoint.pause.extend(time, now);
+        endpoint.said.pause = endpoint.pause.end(now).map(|end| (wall, end));
         !paused
     }
 
--- a/crates/steer/tests/steer/signals.rs
+++ b/crates/steer/tests/steer/signals.rs
@@ -12,18 +12,20 @@
 
 /// The start time that the tests' endpoints register.
 const STARTED: Option<u64> = Some(1);
+/// The wall-clock time of answers; the tests' endpoints restart after it.
+const HEARD: u64 = 2;
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Sends a request and ends it as a refusal with a pause. Returns the choice.
 fn pause(host: &mut Steer, time: Duration, clock: &ManualClock) -> Choice {
     let choice = chosen(place(host, clock)).expect("an endpoint");
-    assert!(host.record_pause(choice.key, STARTED, time, clock.now()));
+    assert!(host.record_pause(choice.key, STARTED, time, HEARD, clock.now()));
     finish(host, &choice, Outcome::Paused, clock);
     choice
 }
 
 fn restarted(mut record: EndpointRecord) -> EndpointRecord {
-    record.started = Some(2);
+    record.started = Some(3);
     record
 }
 
@@ -34,8 +36,8 @@
     let (mut host, clock) = one_endpoint();
     let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
     assert!(host.may_send(choice.key, clock.now()));
-    assert!(host.record_leaving(choice.key, STARTED, clock.now()));
-    assert!(!host.record_leaving(choice.key, STARTED, clock.now()));
+    assert!(host.record_leaving(choice.key, STARTED, HEARD, clock.now()));
+    assert!(!host.record_leaving(choice.key, STARTED, HEARD, clock.now()));
     finish(&mut host, &choice, Outcome::Answered, &clock);
     assert!(!host.may_send(choice.key, clock.now()));
     // A row or a relayed page that is older than the answer.
@@ -56,8 +58,8 @@
     for lapses in [false, true] {
         let (mut host, clock) = one_endpoint();
         let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
-        assert!(host.record_leaving(choice.key, STARTED, clock.now()));
-        host.record_pause(choice.key, STARTED, 60 * SECOND, clock.now());
+        assert!(host.record_leaving(choice.key, STARTED, HEARD, clock.now()));
+        host.record_pause(choice.key, STARTED, 60 * SECOND, HEARD, clock.now());
         finish(&mut host, &choice, Outcome::Answered, &clock);
         if lapses {
             host.unregister(&name("e"), clock.now());
@@ -65,12 +67,39 @@
         host.register(restarted(endpoint("e", "a1", 2)), clock.now());
         let next = chosen(place(&mut host, &clock)).expect("the new process");
         // A late answer of the process before.
-        assert!(!host.record_leaving(next.key, STARTED, clock.now()));
-        assert!(!host.record_pause(next.key, STARTED, SECOND, clock.now()));
+        assert!(!host.record_leaving(next.key, STARTED, HEARD, clock.now()));
+        assert!(!host.record_pause(next.key, STARTED, SECOND, HEARD, clock.now()));
         assert!(host.may_send(next.key, clock.now()));
     }
 }
 
+/// Guards against a pause or a notice that is forgotten because the registration of the process which
+/// has said so arrives after its answer.
+#[test]
+fn what_a_new_process_says_before_its_registration_arrives_holds() {
+    for lapses in [false, true] {
+        for leaves in [false, true] {
+            let (mut host, clock) = one_endpoint();
+            let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
+            // The process has been started at 3, and its registration has not arrived.
+            if leaves {
+                host.record_leaving(choice.key, STARTED, 4, clock.now());
+            } else {
+                host.record_pause(choice.key, STARTED, 2 * SECOND, 4, clock.now());
+            }
+            finish(&mut host, &choice, Outcome::Paused, &clock);
+            if lapses {
+                host.unregister(&name("e"), clock.now());
+            }
+            host.register(restarted(endpoint("e", "a1", 2)), clock.now());
+            clock.advance(SECOND);
+            assert!(chosen(place(&mut host, &clock)).is_none());
+            clock.advance(SECOND);
+            assert_eq!(chosen(place(&mut host, &clock)).is_none(), leaves);
+        }
+    }
+}
+
 /// Guards against a departed process without a start time that retires the one after it at another
 /// address.
 #[test]
@@ -81,7 +110,7 @@
     host.unregister(&name("e"), clock.now());
     host.register(record.clone(), clock.now());
     let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
-    assert!(host.record_leaving(choice.key, None, clock.now()));
+    assert!(host.record_leaving(choice.key, None, HEARD, clock.now()));
     host.unregister(&name("f"), clock.now());
     host.register(record.clone(), clock.now());
     assert!(chosen(place(&mut host, &clock)).is_none());
@@ -103,7 +132,7 @@
     exchange(&mut hosts, &clock);
     let [one, two] = &mut hosts;
     let choice = chosen(place(one, &clock)).expect("an endpoint");
-    one.record_leaving(choice.key, STARTED, clock.now());
+    one.record_leaving(choice.key, STARTED, HEARD, clock.now());
     let reports = one.leaving_reports(clock.now());
     assert_eq!(reports.len(), 1);
     assert!(two.hint_leaving(reports[0], clock.now()));
@@ -127,7 +156,7 @@
     let (mut host, clock) = one_endpoint();
     let choice = pause(&mut host, 3 * SECOND, &clock);
     // A shorter pause does not end a longer one; what a restart of the zone's use asks for waits.
-    host.record_pause(choice.key, STARTED, SECOND, clock.now());
+    host.record_pause(choice.key, STARTED, SECOND, HEARD, clock.now());
     host.evacuate(&name("a1"), true, clock.now());
     host.evacuate(&name("a1"), false, clock.now());
     for _ in 0..29 {
@@ -142,6 +171,20 @@
     assert!(chosen(place(&mut host, &clock)).is_some());
 }
 
+/// Guards against a pause that is forgotten when the registration lapses, or another endpoint answers
+/// at the address, and the same process registers again.
+#[test]
+fn a_pause_outlasts_the_registration() {
+    let (mut host, clock) = one_endpoint();
+    pause(&mut host, 2 * SECOND, &clock);
+    host.unregister(&name("e"), clock.now());
+    clock.advance(SECOND);
+    host.register(endpoint("e", "a1", 2), clock.now());
+    assert!(chosen(place(&mut host, &clock)).is_none());
+    clock.advance(SECOND);
+    assert!(chosen(place(&mut host, &clock)).is_some());
+}
+
 /// Guards against callers who wait out their deadline, or come back too early, while all endpoints
 /// pause.
 #[test]
@@ -170,7 +213,7 @@
     }
     for _ in 0..2 {
         let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
-        host.record_pause(choice.key, Some(2), 5 * SECOND, clock.now());
+        host.record_pause(choice.key, Some(3), 5 * SECOND, HEARD, clock.now());
     }
     assert_eq!(rejected(place(&mut host, &clock)).1, SECOND);
 }
@@ -214,7 +257,7 @@
     for _ in 0..5 {
         let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
         assert_eq!(choice.key, first.key);
-        host.record_pause(choice.key, STARTED, SECOND, clock.now());
+        host.record_pause(choice.key, STARTED, SECOND, HEARD, clock.now());
         finish(&mut host, &choice, Outcome::Paused, &clock);
         clock.advance(SECOND);
     }
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -8,7 +8,8 @@
     /// Returns monotonic time, which never goes back and advances while the process is paused.
     fn now(&self) -> Instant;
 
-    /// Returns wall-clock time, for records and reports only; no decision depends on it.
+    /// Returns wall-clock time, for records and reports, and to compare with the start times that other
+    /// processes announce.
     fn wall(&self) -> SystemTime;
 }
 
