End answers of endpoints and of the store that have no end

A body beyond what is held was passed on without a bound in time, so that a caller got bytes until it left, and the endpoint counted as good. A safe request stayed at an endpoint of which one byte arrived now and then. A host read 16 MB of a store's answer without a length before it asked again, at worst at 64 KB a second.

Now a head may have 64 KB (400 before, by the library's default), and 128 KB of a body are held (512 before). What is passed on ends at the caller's deadline, as a broken connection; the request counts as in flight until then, and as overdue. A request that is overdue stays at its endpoint only if at least 1 KB arrives in 0.7 s. An answer of the store that tells no length may have 2 MB, twice its largest page.

Evidence: seven kinds (headers, one header line, interim answers, body in chunks, chunk extension, bytes beyond the length, one byte at a time). a_request_ends_in_time_at_an_endpoint_whose_answer_- has_no_end, a_safe_request_is_sent_elsewhere_when_an_answer_does_not_end, answers_without_end_- count_against_the_endpoint and a_host_follows_the_store_after_answers_without_end fail without the change.

Left: a store whose answer arrives at just over 64 KB a second, without a length, holds a host for up to 32 s. A safe request at an endpoint that sends more than 1 KB in 0.7 s without end is not tried elsewhere, and ends at its deadline. An endless body that is passed on is not tried elsewhere.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -19,8 +19,14 @@
 /// this long, so that a remote end without power or behind a partition is noticed. Longer than one
 /// retransmission between regions.
 const USER_TIMEOUT: Duration = Duration::from_secs(1);
+/// The size in bytes of the largest head of a response, and of the part of a connection's bytes that is
+/// held before it is parsed.
+const HEAD_MAX_BYTES: usize = 64 << 10;
 /// The size in bytes of the largest response that a host reads from the registry.
 pub const RESPONSE_MAX_BYTES: usize = 16 << 20;
+/// The same for one that does not tell its length, which may have no end. The registry's pages are no
+/// larger than half of that.
+const UNSIZED_MAX_BYTES: usize = 2 << 20;
 /// The longest time in which no byte of a body arrives; longer than two retransmissions in a row.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// The time from which on the rate of a transfer counts.
@@ -82,7 +88,9 @@
         Ok(Err(e)) => return Err(failed(&e)),
         Err(_) => return Err(failed(&"timeout")),
     };
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_MAX_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| failed(&e))?;
     tokio::task::spawn_local(async move {
@@ -184,9 +192,14 @@
 /// Reads a whole body of at most `limit` bytes. The limits on the time of the transfer are doubled
 /// `patience` times.
 async fn collect(mut body: Incoming, limit: usize, patience: u32) -> Result<Bytes, CallError> {
-    if body.size_hint().lower() > limit as u64 {
+    let hint = body.size_hint();
+    if hint.lower() > limit as u64 {
         return Err(CallError::TooLarge { limit });
     }
+    let limit = match hint.exact() {
+        Some(_) => limit,
+        None => limit.min(UNSIZED_MAX_BYTES),
+    };
     let mut bytes = BytesMut::new();
     let factor = 2_u32.pow(patience);
     let seconds_per_byte = f64::from(factor) / RATE_MIN_BYTES_PER_S;
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -86,6 +86,8 @@
     pub(crate) arrived: Instant,
     /// The time by which the reply must be sent.
     pub(crate) deadline: Instant,
+    /// The time until which the caller waits for the end of the reply.
+    pub(crate) caller_deadline: Instant,
 }
 
 impl Job {
@@ -189,6 +191,7 @@
         body_max: limits.body.as_usize(),
         arrived,
         deadline: arrived + time_limit,
+        caller_deadline: arrived + timeout,
     })
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -24,6 +24,9 @@
 const OVERDUE_FACTOR: f64 = 3.0;
 /// The shortest time after which a safe request is sent to another endpoint.
 const OVERDUE_MIN: Duration = Duration::from_millis(700);
+/// The number of bytes of an answer that must arrive in [`OVERDUE_MIN`] for a request that is overdue
+/// to stay at its endpoint.
+const PROGRESS_MIN_BYTES: usize = 1_024;
 /// The time after the deadline for which the endpoint's own deadline response is awaited.
 const DEADLINE_GRACE: Duration = Duration::from_millis(40);
 /// The `Retry-After` wait after a failure that does not tell when capacity is expected.
@@ -237,7 +240,7 @@
             if let Ok(result) = tokio::time::timeout(wait, &mut attempt).await {
                 return AttemptEnd::Finished(result);
             }
-            if received.get() == before {
+            if received.get() < before + PROGRESS_MIN_BYTES {
                 break true;
             }
             if remaining(Duration::ZERO) <= OVERDUE_MIN {
@@ -297,7 +300,7 @@
         }
     };
     match result {
-        Ok(received) => {
+        Ok(mut received) => {
             progress.sent += 1;
             progress.may_have_run = true;
             let failed = received.head.status.is_server_error();
@@ -306,7 +309,13 @@
             } else {
                 Outcome::Answered
             };
-            in_flight.complete(outcome, Some(elapsed), received.info.load);
+            let in_flight = if received.body.is_streaming() && !failed {
+                Some(in_flight)
+            } else {
+                in_flight.complete(outcome, Some(elapsed), received.info.load);
+                None
+            };
+            received.body.bind(job.caller_deadline.into(), in_flight);
             if failed && job.is_safe() {
                 progress.failure = Some(received);
                 return None;
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -17,6 +17,14 @@
     completed: bool,
 }
 
+impl std::fmt::Debug for InFlight {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("InFlight")
+            .field("choice", &self.choice)
+            .finish_non_exhaustive()
+    }
+}
+
 impl InFlight {
     pub(crate) fn new(
         core: Rc<Core>,
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -23,7 +23,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Responses up to this size are read completely before the caller receives any part, so that a
 /// broken response can be requested again.
-const BUFFER_MAX_BYTES: usize = 512 << 10;
+const BUFFER_MAX_BYTES: usize = 128 << 10;
 
 /// The hop-by-hop headers, which concern one connection only.
 const HOP_HEADERS: [HeaderName; 8] = [
