--- a/crates/steer/tests/steer/patterns.rs
+++ b/crates/steer/tests/steer/patterns.rs
@@ -292,6 +292,33 @@
     }
 }
 
+/// Half of a region's endpoints ask for a pause of some seconds, and come back. The region's slots are
+/// missing meanwhile, but from one window to the next at most the allowed share of its requests may
+/// change their region.
+#[test]
+fn a_pause_of_many_endpoints_shifts_requests_gradually() {
+    const SEEDS: u32 = 8;
+    let mut shares = [0.0; 6];
+    for seed in 1..=u64::from(SEEDS) {
+        let zones = ["a1", "a2", "a1", "a2", "b1", "b2", "b1", "b2"];
+        let mut simulation = Simulation::new(&zones, &[("a1", 6), ("b1", 6)]);
+        simulation.seed = seed;
+        simulation.run(4 * WINDOW, 24, |_, _| 10.0);
+        simulation.sent.clear();
+        let start = simulation.clock.now();
+        simulation.run(WINDOW, 24, |_, _| 10.0);
+        simulation.pause(3, 2 * WINDOW);
+        simulation.run(5 * WINDOW, 24, |_, _| 10.0);
+        let remote_shares = remote_shares(&simulation, start, |host| host < 4);
+        for (sum, fraction) in shares.iter_mut().zip(remote_shares) {
+            *sum += fraction / f64::from(SEEDS);
+        }
+    }
+    for pair in shares.windows(2) {
+        assert!((pair[1] - pair[0]).abs() <= 0.15, "{shares:?}");
+    }
+}
+
 /// Callers of a large region may be served only in a small one, whose own callers may run anywhere.
 /// Those must make room, as there are enough slots elsewhere, as fast as requests may change their
 /// region. With one endpoint in the small region single runs scatter, so that the mean over many
--- a/crates/steer/tests/steer/simulation.rs
+++ b/crates/steer/tests/steer/simulation.rs
@@ -211,6 +211,19 @@
         }
     }
 
+    /// Makes the first `count` endpoints ask all hosts for a pause.
+    pub(crate) fn pause(&mut self, count: usize, time: Duration) {
+        let now = self.clock.now();
+        for host in &mut self.hosts {
+            for server in &self.servers[..count] {
+                let record = server.record.clone();
+                let started = record.started;
+                let key = host.register(record, now).expect("a known zone");
+                assert!(host.record_pause(key, started, time, 0, now));
+            }
+        }
+    }
+
     fn send_request(&mut self, host: usize, object: u32) {
         let now = self.clock.now();
         self.totals.requests += 1;
