--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -214,6 +214,15 @@
     Overdue(Option<InFlight>),
 }
 
+impl AttemptEnd {
+    fn has_no_answer(&self) -> bool {
+        matches!(
+            self,
+            Self::Overdue(_) | Self::Finished(Err(AttemptError::Broken(_)))
+        )
+    }
+}
+
 /// Sends the request and waits for the response. A safe request that is overdue may move to another
 /// endpoint before its deadline, unless its response is arriving.
 async fn await_attempt(
@@ -225,7 +234,10 @@
     progress: &Progress,
 ) -> AttemptEnd {
     let received = Cell::new(0);
-    let mut attempt = std::pin::pin!(send(context, job, head, body, choice.key, &received));
+    let repeated = progress.tried.len() > 1;
+    let mut attempt = std::pin::pin!(send(
+        context, job, head, body, choice.key, repeated, &received
+    ));
     let remaining =
         |extra: Duration| (job.deadline + extra).saturating_duration_since(context.core.now());
     let overdue_after = choice
@@ -290,6 +302,10 @@
     progress: &mut Progress,
 ) -> Option<Reply> {
     let key = in_flight.choice.key;
+    if elapsed >= OVERDUE_MIN && attempt_end.has_no_answer() {
+        // Idle connections to the endpoint may have fallen silent as well.
+        context.pool.drop_endpoint(key);
+    }
     let result = match attempt_end {
         AttemptEnd::Finished(result) => result,
         AttemptEnd::Overdue(_) => {
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -65,7 +65,7 @@
     BadAnswer(&'static str),
 }
 
-/// Sends the request to an endpoint once. Counts the response's bytes that have arrived in `received`;
+/// Sends the request to an endpoint once; `repeated` tells whether another attempt went before. Counts the response's bytes that have arrived in `received`;
 /// its head counts as one.
 pub(crate) async fn send(
     context: &RequestContext,
@@ -73,15 +73,16 @@
     head: &request::Parts,
     body: &Bytes,
     to: EndpointKey,
+    repeated: bool,
     received: &Cell<usize>,
 ) -> Result<ReceivedResponse, AttemptError> {
     let Some(process) = Process::registered(&context.core, to) else {
         return Err(AttemptError::Gone);
     };
     let now = context.core.now();
-    // Requests that must not be executed twice always get a new connection, because a pooled one
-    // may have failed unnoticed.
-    let pooled = if job.is_safe() {
+    // Requests that must not be executed twice, and further attempts, always get a new connection,
+    // because a pooled one may have failed unnoticed.
+    let pooled = if job.is_safe() && !repeated {
         context.pool.take(to, now)
     } else {
         None
