Show the limit that an endpoint names

The header is decoded in platform/, with a defined reading of each value, and the host records it, writes a log line when a limit begins, changes or ends, and counts the answers that name one (`wagtail_endpoint_signals{kind="limit"}`) and the endpoints that do (`wagtail_endpoints_left_out{kind="limited"}`). An answer without it ends a limit only if it is signed, belongs to its request, and the request was sent after the limit was last named, as answers can overtake each other. Placement does not heed it yet.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -73,12 +73,14 @@
         evacuated,
         unreachable,
         paused,
+        limited,
     } = core.steer.borrow().left_out(core.now());
     let counts = [
         ("leaving", leaving),
         ("evacuated", evacuated),
         ("unreachable", unreachable),
         ("paused", paused),
+        ("limited", limited),
     ];
     for (reason, count) in counts {
         core.metrics.set("endpoints_left_out", reason, count.into());
@@ -103,6 +105,7 @@
     let host = HeaderValue::try_from(addr.to_string()).expect("an address is a valid header value");
     request.headers_mut().insert(header::HOST, host);
     core.metrics.count("checks", "health");
+    let sent = core.now();
     let client = Client::new(addr);
     let call = client.call(request, CHECK_TIMEOUT, ANSWER_MAX_BYTES);
     // The limit counts the body too, so that checks of an endpoint do not add up.
@@ -111,7 +114,7 @@
             let health = codec.decode_health(&answer.into_parts().0);
             let same_endpoint = health.endpoint.as_ref().is_none_or(|e| *e == process.id);
             if same_endpoint {
-                heed(core, pool, &process, health.signals);
+                heed(core, pool, &process, health.signals, sent);
             }
             (health.healthy && same_endpoint).then_some(health.cold)
         }
--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, request, response};
-use wagtail_steer::{ApiKey, Load};
+use wagtail_steer::{ApiKey, LimitNotice, Load};
 use wagtail_types::{EndpointId, TeamId, ZoneId};
 
 /// The decoded head of a caller's request.
@@ -59,6 +59,8 @@
     pub leaving: bool,
     /// How long the endpoint wants no requests of this host.
     pub pause: Option<Duration>,
+    /// The limit that the endpoint names on the requests of all hosts together.
+    pub limit: LimitNotice,
 }
 
 /// The decoded head of an endpoint's response.
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderName, Request, Uri, header, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use wagtail_steer::EndpointKey;
+use wagtail_steer::{EndpointKey, LimitNotice};
 
 use super::admit::Job;
 use super::body::Body;
@@ -125,8 +125,12 @@
         .await
         .map_err(|e| broken_connection(&e))?;
     let (head, incoming) = response.into_parts();
-    let info = context.codec.decode_response(&head);
-    heed(&context.core, &context.pool, &process, info.signals);
+    let mut info = context.codec.decode_response(&head);
+    if info.id.as_ref().is_some_and(|id| *id != job.id) {
+        // A late answer to an earlier request does not tell that a limit has ended since.
+        info.signals.limit = LimitNotice::Unknown;
+    }
+    heed(&context.core, &context.pool, &process, info.signals, now);
     received.set(1);
     let body = read_response_body(incoming, received)
         .await
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -1,10 +1,10 @@
 //! Acts on what endpoints say of themselves in their answers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use slog::info;
-use wagtail_steer::EndpointKey;
+use wagtail_steer::{EndpointKey, LimitChange, LimitNotice};
 use wagtail_types::{EndpointId, millis};
 
 use crate::codec::Signals;
@@ -38,9 +38,9 @@
     }
 }
 
-/// Records what the head of an answer says of the endpoint. Closes the idle connections to one that
-/// leaves.
-pub(crate) fn heed(core: &Core, pool: &Pool, process: &Process, signals: Signals) {
+/// Records what the head of the answer to a request that was sent at `sent` says of the endpoint. Closes
+/// the idle connections to one that leaves.
+pub(crate) fn heed(core: &Core, pool: &Pool, process: &Process, signals: Signals, sent: Instant) {
     let now = core.now();
     let (key, started) = (process.key, process.started);
     if signals.leaving {
@@ -66,4 +66,22 @@
                 "endpoint" => %process.id, "pause_ms" => millis(pause));
         }
     }
+    if matches!(signals.limit, LimitNotice::Limited(_)) {
+        core.metrics.count("endpoint_signals", "limit");
+    }
+    let change = core
+        .steer
+        .borrow_mut()
+        .record_limit(key, started, signals.limit, sent, now);
+    match change {
+        Some(LimitChange::Set(rate)) => {
+            info!(core.log, "endpoint names a limit on its requests";
+                "endpoint" => %process.id, "limit" => %rate);
+        }
+        Some(LimitChange::Ended) => {
+            info!(core.log, "endpoint names no limit on its requests any more";
+                "endpoint" => %process.id);
+        }
+        None => {}
+    }
 }
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -8,6 +8,7 @@
 
 use crate::cold::ColdLimit;
 use crate::hash::short_hash;
+use crate::limit::EndpointLimit;
 use crate::pause::Pause;
 use crate::said::Said;
 use crate::warm::WarmSet;
@@ -197,6 +198,7 @@
     /// Who has said that the endpoint leaves, besides its registration.
     pub(crate) notice: Notice,
     pub(crate) pause: Pause,
+    pub(crate) limit: EndpointLimit,
     pub(crate) said: Said,
     pub(crate) cold_until: Option<Instant>,
     pub(crate) cold_limit: ColdLimit,
@@ -239,6 +241,7 @@
             should_probe: false,
             notice: Notice::None,
             pause: Pause::default(),
+            limit: EndpointLimit::default(),
             said: Said::default(),
             check_at: None,
             lapses_at: None,
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -14,6 +14,7 @@
 mod estimate;
 mod generation;
 mod hash;
+mod limit;
 mod overload;
 mod pause;
 mod peers;
@@ -42,6 +43,7 @@
 };
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 pub use generation::{Generation, GenerationTag, GenerationTracker, Observation};
+pub use limit::{LimitChange, LimitNotice};
 pub use peers::{HostRecord, Peer, Peers};
 pub use placement::{Choice, Placement, PlacementCounts, PlacementRequest, RejectionReason};
 pub use quota::TokenOutcome;
--- a/crates/steer/src/steer/signals.rs
+++ b/crates/steer/src/steer/signals.rs
@@ -1,10 +1,12 @@
-//! What endpoints say of themselves in their answers: that they leave, or want a pause.
+//! What endpoints say of themselves in their answers: that they leave, want a pause, or limit the
+//! requests of all hosts together.
 
 use std::time::{Duration, Instant};
 
 use super::Steer;
 use crate::digest::LeavingEndpoint;
 use crate::endpoint::{Endpoint, EndpointKey, Notice};
+use crate::limit::{LimitChange, LimitNotice};
 use crate::placement::PlacementRequest;
 
 /// How long the word of another host that an endpoint leaves holds. The registry, or the endpoint's
@@ -16,7 +18,7 @@
 /// How long digests repeat that an endpoint leaves; two digest periods between regions.
 const LEAVING_REPORT_TIME: Duration = Duration::from_millis(2_200);
 
-/// How many registered endpoints receive no requests, by reason. One with several reasons counts under
+/// How many registered endpoints receive no requests, or few, by reason. One with several reasons counts under
 /// the first of them.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct LeftOut {
@@ -28,10 +30,12 @@
     pub unreachable: u32,
     /// It wants a pause.
     pub paused: u32,
+    /// It names a limit on the requests of all hosts together, so that it receives few.
+    pub limited: u32,
 }
 
 impl Steer {
-    /// Returns how many endpoints receive no requests.
+    /// Returns how many endpoints receive no requests, or few.
     pub fn left_out(&self, now: Instant) -> LeftOut {
         let mut counts = LeftOut::default();
         for endpoint in self.endpoints.values() {
@@ -43,6 +47,8 @@
                 &mut counts.unreachable
             } else if endpoint.is_paused(now) {
                 &mut counts.paused
+            } else if endpoint.limit.rate().is_some() {
+                &mut counts.limited
             } else {
                 continue;
             };
@@ -103,6 +109,20 @@
         !paused
     }
 
+    /// Records what the process of an endpoint that was started at `started` says of its limit, in the
+    /// answer to a request that was sent at `sent`. Returns the change of the limit, if any.
+    pub fn record_limit(
+        &mut self,
+        key: EndpointKey,
+        started: Option<u64>,
+        notice: LimitNotice,
+        sent: Instant,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let endpoint = self.process(key, started)?;
+        endpoint.limit.hear(notice, sent, now)
+    }
+
     /// Returns whether a request that was placed at an endpoint may still be sent there.
     pub fn may_send(&self, key: EndpointKey, now: Instant) -> bool {
         let endpoint = self.endpoints.get(key);
