--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod fleet;
 mod limits;
+mod named_limits;
 mod patterns;
 mod registry_model;
 mod restore;
