Divide the limit that an endpoint names between a few hosts

While a limit is in force, the three hosts of the endpoint's region with the highest rendezvous scores divide nine tenths of it; each has a bucket that starts empty and saves one request, so that any 4 s hold 3.6 times the limit and 3 requests at most. Other hosts send nothing. First and second attempts, replacements of overdue ones and health checks draw on the same bucket. Digests carry the limit with its age, so that all hosts know of it within a digest period, a host that starts before it serves callers, and hosts which may not send hear of its end. Hosts leave the parts of those that are not heard, as these may only be cut off. The limit stays with the process of the endpoint while its registration changes. The region's slots count as what the limit allows. Where no endpoint takes another request now, callers are refused with the time until one does.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,7 +11,8 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use wagtail_steer::{
-    Datagram, Digest, HostState, Message, Observation, Steer, Team, TokenOutcome, TokenSource,
+    Datagram, Digest, HostState, LimitReport, Message, Observation, Steer, Team, TokenOutcome,
+    TokenSource,
 };
 use wagtail_types::HostId;
 
@@ -97,6 +98,9 @@
                 self.core.metrics.count("endpoint_signals", "leaving-hint");
             }
         }
+        for report in &datagram.limits {
+            self.learn_limit(report, now);
+        }
         match datagram.message {
             Message::Digest(digest) => self.apply_digest(digest, from),
             Message::Demand { zone, teams } => {
@@ -138,6 +142,16 @@
         }
     }
 
+    fn learn_limit(&self, report: &LimitReport, now: Instant) {
+        let wall = self.core.wall_millis();
+        let mut steer = self.core.steer.borrow_mut();
+        let change = steer.learn_limit(report, wall, now);
+        drop(steer);
+        if change.is_some() {
+            self.core.metrics.count("endpoint_signals", "limit-hint");
+        }
+    }
+
     /// Relays registry changes to other hosts, or announces only their version if they do not fit a
     /// datagram.
     pub(crate) fn relay(&self, topic: Topic, after: u64, fetched: &Fetched, to: &[SocketAddr]) {
@@ -175,18 +189,19 @@
     /// Adds what this host knows of the registry to a message, and to a digest what endpoints have
     /// said of themselves.
     fn datagram(&self, message: Message) -> Datagram {
-        let leaving = match message {
-            Message::Digest(_) => self
-                .core
-                .steer
-                .borrow_mut()
-                .leaving_reports(self.core.now()),
-            _ => Vec::new(),
+        let now = self.core.now();
+        let (leaving, limits) = match message {
+            Message::Digest(_) => {
+                let mut steer = self.core.steer.borrow_mut();
+                (steer.leaving_reports(now), steer.limit_reports(now))
+            }
+            _ => Default::default(),
         };
         Datagram {
             message,
             registry: Some(self.core.registry_view()),
             leaving,
+            limits,
         }
     }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -81,7 +81,7 @@
             && !progress.tried.is_empty()
             && !may_try_again(context, job, &progress)
         {
-            if let Some(wait) = wait_for_pauses(context, job) {
+            if let Some(wait) = wait_for_endpoints(context, job) {
                 progress.retry_after = Some(wait);
             }
             return final_reply(progress, None, head);
@@ -153,10 +153,14 @@
 }
 
 /// Returns the time until an endpoint takes requests again, if all of them pause.
-fn wait_for_pauses(context: &RequestContext, job: &Job) -> Option<Duration> {
+fn wait_for_endpoints(context: &RequestContext, job: &Job) -> Option<Duration> {
     let now = context.core.now();
     let request = placement_request(job, &[], now);
-    context.core.steer.borrow().wait_for_pauses(&request, now)
+    context
+        .core
+        .steer
+        .borrow()
+        .wait_for_endpoints(&request, now)
 }
 
 /// Selects an endpoint and counts the request as in flight there.
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -69,10 +69,14 @@
     if matches!(signals.limit, LimitNotice::Limited(_)) {
         core.metrics.count("endpoint_signals", "limit");
     }
-    let change = core
-        .steer
-        .borrow_mut()
-        .record_limit(key, started, signals.limit, sent, now);
+    let change = core.steer.borrow_mut().record_limit(
+        key,
+        started,
+        signals.limit,
+        sent,
+        core.wall_millis(),
+        now,
+    );
     match change {
         Some(LimitChange::Set(rate)) => {
             info!(core.log, "endpoint names a limit on its requests";
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -8,6 +8,7 @@
 
 use crate::config::ConfigVersion;
 use crate::generation::Generation;
+use crate::limit::LimitReport;
 
 /// The version of the message format, sent as the first byte of every datagram.
 const FORMAT: u8 = 2;
@@ -125,6 +126,8 @@
     /// Endpoints that have said to the sender that they leave. Follow what the sender knows of the
     /// registry, and are sent only with it.
     pub leaving: Vec<LeavingEndpoint>,
+    /// What endpoints have said to the sender of their limits. Follows the endpoints that leave.
+    pub limits: Vec<LimitReport>,
 }
 
 /// Why a datagram cannot be encoded or decoded.
@@ -151,10 +154,14 @@
             return Ok(bytes);
         };
         let bytes = postcard::to_extend(view, bytes).map_err(MessageError::Codec)?;
-        if self.leaving.is_empty() {
+        if self.leaving.is_empty() && self.limits.is_empty() {
             return Ok(bytes);
         }
-        postcard::to_extend(&self.leaving, bytes).map_err(MessageError::Codec)
+        let bytes = postcard::to_extend(&self.leaving, bytes).map_err(MessageError::Codec)?;
+        if self.limits.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.limits, bytes).map_err(MessageError::Codec)
     }
 
     /// Decodes a datagram.
@@ -173,17 +180,25 @@
                 message,
                 registry: None,
                 leaving: Vec::new(),
+                limits: Vec::new(),
             });
         }
         let (view, rest) = postcard::take_from_bytes(rest).map_err(MessageError::Codec)?;
-        let leaving = match rest {
-            [] => Vec::new(),
-            rest => postcard::from_bytes(rest).map_err(MessageError::Codec)?,
-        };
+        let (leaving, rest) = take_list(rest)?;
+        let (limits, _) = take_list(rest)?;
         Ok(Self {
             message,
             registry: Some(view),
             leaving,
+            limits,
         })
     }
 }
+
+/// Takes a list off the front of `bytes`; an empty one if builds that do not know it have sent none.
+fn take_list<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<(Vec<T>, &'a [u8]), MessageError> {
+    if bytes.is_empty() {
+        return Ok((Vec::new(), bytes));
+    }
+    postcard::take_from_bytes(bytes).map_err(MessageError::Codec)
+}
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -208,7 +208,7 @@
     /// When the endpoint is removed, if its registration lapsed during a registry outage and is not
     /// renewed.
     pub(crate) lapses_at: Option<Instant>,
-    /// Whether the local host is one of the designated senders, which may send to the endpoint
+    /// Whether the local host is one of the designated senders of a cold endpoint, which may send to it
     /// while it is cold and which probe it first.
     pub(crate) sender: bool,
     /// In-flight requests of the peers according to their digests.
@@ -241,7 +241,7 @@
             should_probe: false,
             notice: Notice::None,
             pause: Pause::default(),
-            limit: EndpointLimit::default(),
+            limit: EndpointLimit::new(now),
             said: Said::default(),
             check_at: None,
             lapses_at: None,
@@ -272,19 +272,29 @@
         self.pause.end(now).is_some()
     }
 
+    /// Returns the number of requests that the endpoint can run at once, if each takes `run_time`
+    /// seconds: its slots, or what its limit allows.
+    pub(crate) fn usable_slots(&self, run_time: f64) -> f64 {
+        let slots = f64::from(self.record.slots);
+        let limit = self.limit.per_second();
+        limit.map_or(slots, |limit| slots.min(limit * run_time))
+    }
+
     /// Returns whether the endpoint is still in its cold start.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
 
-    /// Returns whether the local host may send a request to the endpoint, which does not pause. During
-    /// a cold start only the designated senders may, within the cold rate. Also marks the endpoint to be probed if
+    /// Returns whether the local host may send a request to the endpoint, which does not pause. While the
+    /// endpoint names a limit, and during a cold start, only the designated senders may, within their
+    /// part of the limit and the cold rate. Also marks the endpoint to be probed if
     /// the local host is a designated sender and has not sent it a request yet.
     pub(crate) fn accepts(&mut self, cold_rate: f64, now: Instant) -> bool {
         if !self.contacted && self.sender {
             self.should_probe = true;
         }
         self.pause.admits(self.in_flight, now)
+            && self.limit.admits(now)
             && (!self.is_cold(now) || self.sender && self.cold_limit.allows(cold_rate, now))
     }
 
@@ -323,6 +333,9 @@
         if let Some((_, end)) = said.pause {
             self.pause.extend(end.saturating_duration_since(now), now);
         }
+        if let Some((_, named)) = said.limit {
+            self.limit.set(named, now);
+        }
     }
 
     /// Records the peers' in-flight requests, according to their digests.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -4,6 +4,7 @@
 //! is the entry point and combines the configuration in force, the registered endpoints, the other
 //! entry hosts, rate limits, retry budgets and placement.
 
+mod bucket;
 mod budget;
 mod catalog;
 mod cold;
@@ -24,6 +25,7 @@
 mod regions;
 mod round_trip;
 mod said;
+mod senders;
 mod settings;
 mod shift;
 mod split;
@@ -43,7 +45,7 @@
 };
 pub use endpoint::{Endpoint, EndpointKey, EndpointRecord, EndpointState, Load, Outcome};
 pub use generation::{Generation, GenerationTag, GenerationTracker, Observation};
-pub use limit::{LimitChange, LimitNotice};
+pub use limit::{LimitChange, LimitNotice, LimitReport};
 pub use peers::{HostRecord, Peer, Peers};
 pub use placement::{Choice, Placement, PlacementCounts, PlacementRequest, RejectionReason};
 pub use quota::TokenOutcome;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -48,6 +48,8 @@
     by_id: HashMap<HostId, Peer>,
     /// The largest number of hosts that were known at the same time.
     most_known: usize,
+    /// The same for each region.
+    most_known_in: HashMap<RegionId, usize>,
     /// The failure-detection timeouts for hosts of the local region and of other regions.
     timeouts: [Duration; 2],
     /// The time of the last digest from any host.
@@ -74,6 +76,7 @@
             local_region,
             by_id: HashMap::new(),
             most_known: 0,
+            most_known_in: HashMap::new(),
             timeouts: [settings.failure_timeout; 2],
             last_digest: None,
             joined_at: None,
@@ -133,6 +136,10 @@
             None => {
                 self.joined_at.get_or_insert(now);
                 let id = record.id.clone();
+                let near = self.by_id.values().filter(|p| p.region == region);
+                let known_in = near.count() + 1;
+                let most = self.most_known_in.entry(region.clone()).or_default();
+                *most = known_in.max(*most);
                 self.by_id.insert(
                     id,
                     Peer {
@@ -254,6 +261,11 @@
         self.most_known
     }
 
+    /// Like [`sharing`](Self::sharing), of one region.
+    pub(crate) fn most_known_in(&self, region: &RegionId) -> usize {
+        self.most_known_in.get(region).copied().unwrap_or(0)
+    }
+
     /// Returns whether the local host is cut off: other hosts are known, but no digest arrived
     /// within the shortest failure-detection timeout although some are due at any time.
     pub fn is_cut_off(&self, settings: &Settings, now: Instant) -> bool {
--- a/crates/steer/src/said.rs
+++ b/crates/steer/src/said.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use crate::limit::NamedLimit;
+
 /// What an endpoint has said in its answers. Wall-clock times are in milliseconds, and comparable with
 /// the start times that endpoints register.
 #[derive(Debug, Default, Clone, Copy)]
@@ -10,6 +12,8 @@
     pub(crate) leaving: Option<u64>,
     /// When the last answer arrived that asked for a pause, in wall-clock time, and the pause's end.
     pub(crate) pause: Option<(u64, Instant)>,
+    /// When its last word on its limit arrived, in wall-clock time, and that word.
+    pub(crate) limit: Option<(u64, NamedLimit)>,
 }
 
 impl Said {
@@ -20,6 +24,7 @@
         Self {
             leaving: self.leaving.filter(|&at| runs(at)),
             pause: self.pause.filter(|&(at, _)| runs(at)),
+            limit: self.limit.filter(|&(at, _)| runs(at)),
         }
     }
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -16,7 +16,7 @@
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
 use crate::config::{Config, ConfigError, ConfigVersion, RouteId};
-use crate::digest::LeavingEndpoint;
+use crate::digest::{HostState, LeavingEndpoint};
 use crate::endpoint::{CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location};
 use crate::estimate::Estimates;
 use crate::hash::short_hash;
@@ -87,6 +87,8 @@
     unkeyed_count: u32,
     /// The sequence number of the last digest.
     sequence: u32,
+    /// The local host's state in the last digest.
+    state: HostState,
     /// Whether the registrations of all hosts have been read.
     hosts_known: bool,
     /// When the registry last recovered from an outage.
@@ -132,6 +134,7 @@
             placement_counts: PlacementCounts::default(),
             unkeyed_count: 0,
             sequence: 0,
+            state: HostState::Starting,
             hosts_known: false,
             recovered_at: None,
             restore: Restore::default(),
@@ -350,7 +353,9 @@
                 && !evacuated
                 && !endpoint.has_given_notice()
                 && !endpoint.is_paused(now)
+                && endpoint.limit.admits(now)
             {
+                endpoint.limit.take();
                 endpoint.check_at = Some(now + CHECK_INTERVAL);
                 due.push(key);
             }
--- a/crates/steer/src/steer/balance.rs
+++ b/crates/steer/src/steer/balance.rs
@@ -144,7 +144,7 @@
                     || endpoint.is_leaving()
                     || endpoint.is_paused(now);
                 if !excluded {
-                    let slots = f64::from(record.slots);
+                    let slots = endpoint.usable_slots(slot_time);
                     loads.entry(endpoint.region.clone()).or_default().slots += slots;
                     let region = &mut usage[endpoint.location.region];
                     region.busy += endpoint.outstanding(now);
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -7,12 +7,14 @@
 use wagtail_types::{HostId, RegionId, ZoneId};
 
 use super::Steer;
-use crate::cold::is_sender;
+use crate::cold::COLD_SENDERS;
 use crate::digest::{Digest, HostState};
-use crate::endpoint::Distance;
+use crate::endpoint::{Distance, Endpoint};
 use crate::hash::{name_hash, tenths};
+use crate::limit::LIMIT_SENDERS;
 use crate::peers::{HostRecord, Peer};
 use crate::rate::arrival_hash;
+use crate::senders::is_sender;
 
 /// How long digests repeat that an object became warm; two digest periods between regions.
 const WARM_REPORT_TIME: Duration = Duration::from_millis(2_200);
@@ -88,20 +90,61 @@
     /// Recomputes for which endpoints the local host is a designated sender.
     pub(super) fn choose_senders(&mut self, now: Instant) {
         self.senders_stale = false;
-        let region = &self.local.region;
-        let near = self.peers.alive(now);
-        let near = near.filter(|p| p.region == *region && p.state == Some(HostState::Ready));
-        let near: Vec<u64> = near.map(|p| name_hash(p.record.id.as_str())).collect();
+        let near = self.ready_peers(Some(&self.local.region), now);
         let local = name_hash(self.local.record.id.as_str());
+        let limited = self.endpoints.iter().filter(|(_, e)| e.limit.is_named());
+        let shares: Vec<_> = limited
+            .map(|(key, e)| (key, self.limit_share(e, now)))
+            .collect();
         for endpoint in self.endpoints.values_mut() {
+            let id = name_hash(endpoint.record.id.as_str());
             endpoint.sender = endpoint.location.distance != Distance::OtherRegion
-                && is_sender(name_hash(endpoint.record.id.as_str()), local, &near);
+                && is_sender(id, local, &near, COLD_SENDERS);
+        }
+        for (key, share) in shares {
+            self.endpoints[key].limit.set_share(share);
         }
     }
 
+    /// Returns the name hashes of the other hosts that are ready, in a region or in all.
+    fn ready_peers(&self, region: Option<&RegionId>, now: Instant) -> Vec<u64> {
+        let ready = |p: &&Peer| {
+            p.state == Some(HostState::Ready) && region.is_none_or(|region| p.region == *region)
+        };
+        let peers = self.peers.alive(now).filter(ready);
+        peers.map(|p| name_hash(p.record.id.as_str())).collect()
+    }
+
+    /// Returns the local host's part of the limit of an endpoint. The designated senders are hosts of the
+    /// endpoint's region, or of all if it has none that is ready. They leave the parts of hosts that are
+    /// not heard, as these may send too if they are only cut off.
+    fn limit_share(&self, endpoint: &Endpoint, now: Instant) -> f64 {
+        let is_near = endpoint.region == self.local.region;
+        let near = self.ready_peers(Some(&endpoint.region), now);
+        let (peers, known) = if is_near {
+            (near, self.peers.most_known_in(&endpoint.region) + 1)
+        } else if near.is_empty() {
+            (self.ready_peers(None, now), self.sharing_hosts())
+        } else {
+            return 0.0;
+        };
+        let id = name_hash(endpoint.record.id.as_str());
+        let local = name_hash(self.local.record.id.as_str());
+        if self.state == HostState::Leaving || !is_sender(id, local, &peers, LIMIT_SENDERS) {
+            return 0.0;
+        }
+        let present = peers.len() + 1;
+        let heard = present as f64 / known.max(present) as f64;
+        heard / present.min(LIMIT_SENDERS) as f64
+    }
+
     /// Builds the next digest of the local host.
     pub fn next_digest(&mut self, state: HostState, now: Instant) -> Digest {
         self.sequence += 1;
+        if self.state != state {
+            self.state = state;
+            self.senders_stale = true;
+        }
         while self
             .newly_warm
             .front()
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -147,7 +147,10 @@
             Placement::Reject {
                 reason: RejectionReason::NoEndpoint,
                 retry_after,
-            } => *retry_after = self.wait_for_pauses(request, now).unwrap_or(*retry_after),
+            } => {
+                let wait = self.wait_for_endpoints(request, now);
+                *retry_after = wait.unwrap_or(*retry_after);
+            }
             Placement::Reject { .. } => {}
         }
         if request.tried.is_empty() {
@@ -216,6 +219,7 @@
         if endpoint.is_cold(now) {
             endpoint.cold_limit.take();
         }
+        endpoint.limit.take();
         if request.tried.is_empty() {
             self.shift_limiter.record(&endpoint.region, now);
         }
--- a/crates/steer/src/steer/signals.rs
+++ b/crates/steer/src/steer/signals.rs
@@ -3,10 +3,12 @@
 
 use std::time::{Duration, Instant};
 
+use wagtail_types::Rate;
+
 use super::Steer;
 use crate::digest::LeavingEndpoint;
 use crate::endpoint::{Endpoint, EndpointKey, Notice};
-use crate::limit::{LimitChange, LimitNotice};
+use crate::limit::{LimitChange, LimitNotice, LimitReport, NamedLimit};
 use crate::placement::PlacementRequest;
 
 /// How long the word of another host that an endpoint leaves holds. The registry, or the endpoint's
@@ -110,17 +112,58 @@
     }
 
     /// Records what the process of an endpoint that was started at `started` says of its limit, in the
-    /// answer to a request that was sent at `sent`. Returns the change of the limit, if any.
+    /// answer to a request that was sent at `sent`. `wall` is the wall-clock time in milliseconds.
+    /// Returns the change of the limit, if any.
     pub fn record_limit(
         &mut self,
         key: EndpointKey,
         started: Option<u64>,
         notice: LimitNotice,
         sent: Instant,
+        wall: u64,
         now: Instant,
     ) -> Option<LimitChange> {
         let endpoint = self.process(key, started)?;
-        endpoint.limit.hear(notice, sent, now)
+        let change = endpoint.limit.hear(notice, sent, now);
+        endpoint.said.limit = endpoint.limit.named().map(|named| (wall, named));
+        self.senders_stale |= change.is_some();
+        change
+    }
+
+    /// Returns what endpoints have said of their limits, for the next digest.
+    pub fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
+        let report = |e: &Endpoint| {
+            let (rate, age) = e.limit.report(now)?;
+            Some(LimitReport {
+                endpoint: e.hash,
+                started: e.record.started,
+                micros: rate.map(Rate::micros),
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            })
+        };
+        self.endpoints.values().filter_map(report).collect()
+    }
+
+    /// Records what another host has heard from an endpoint about its limit. `wall` is the wall-clock
+    /// time in milliseconds. Returns the change of the limit, if any.
+    pub fn learn_limit(
+        &mut self,
+        report: &LimitReport,
+        wall: u64,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let key = *self.by_hash.get(&report.endpoint)?;
+        let endpoint = self.process(key, report.started)?;
+        let age = Duration::from_millis(report.age_ms.into());
+        let named = NamedLimit {
+            rate: report.micros.map(Rate::from_micros),
+            at: now.checked_sub(age)?,
+            first_hand: false,
+        };
+        let change = endpoint.limit.learn(named, now);
+        endpoint.said.limit = endpoint.limit.named().map(|named| (wall, named));
+        self.senders_stale |= change.is_some();
+        change
     }
 
     /// Returns whether a request that was placed at an endpoint may still be sent there.
@@ -157,8 +200,9 @@
     }
 
     /// Returns the time until the first endpoint that may run a request takes requests again, if all
-    /// of them pause or have just begun to return, and one does so before the deadline.
-    pub fn wait_for_pauses(
+    /// of them pause, have just begun to return or limit their requests, and one does so before the
+    /// deadline.
+    pub fn wait_for_endpoints(
         &self,
         request: &PlacementRequest<'_>,
         now: Instant,
@@ -172,7 +216,7 @@
                 None if endpoint.pause.is_limited() => {
                     request.route.target_latency.mul_f64(RETURN_WAIT)
                 }
-                None => return None,
+                None => endpoint.limit.wait(now)?,
             };
             shortest = Some(shortest.map_or(wait, |s| s.min(wait)));
         }
--- a/crates/steer/tests/steer/fleet.rs
+++ b/crates/steer/tests/steer/fleet.rs
@@ -21,6 +21,7 @@
         message: Message::Digest(digest),
         registry,
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/steer/tests/steer/named_limits.rs
+++ b/crates/steer/tests/steer/named_limits.rs
@@ -7,8 +7,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wagtail_steer::{
-    Choice, Completion, EndpointKey, LimitNotice, Outcome, Placement, PlacementRequest, Route,
-    Steer,
+    Choice, Completion, EndpointKey, LimitChange, LimitNotice, Outcome, Placement,
+    PlacementRequest, Route, Steer,
 };
 use wagtail_types::{Clock, EndpointId, ManualClock, Rate, ServiceId};
 
@@ -33,6 +33,9 @@
 /// The limit of most tests.
 const LIMIT: Rate = Rate::from_micros(1_700_000);
 
+/// The wall-clock time of answers, after the start of the endpoints.
+const HEARD: u64 = 2;
+
 /// A request at an endpoint.
 struct Job {
     host: usize,
@@ -132,6 +135,13 @@
         let (cut, connected): (Vec<_>, Vec<_>) = hosts.partition(|(i, _)| self.cut.contains(i));
         let (indexes, mut connected): (Vec<_>, Vec<_>) = connected.into_iter().unzip();
         exchange(&mut connected, &self.clock);
+        let now = self.clock.now();
+        let reports: Vec<_> = connected.iter().map(|h| h.limit_reports(now)).collect();
+        for host in &mut connected {
+            for report in reports.iter().flatten() {
+                host.learn_limit(report, HEARD, now);
+            }
+        }
         let mut all: Vec<_> = indexes.into_iter().zip(connected).chain(cut).collect();
         all.sort_by_key(|(i, _)| *i);
         self.hosts = all.into_iter().map(|(_, h)| h).collect();
@@ -226,7 +236,7 @@
             let limit = self.limits.get(&job.endpoint).copied();
             let notice = limit.map_or(LimitNotice::Unlimited, LimitNotice::Limited);
             let host = &mut self.hosts[job.host];
-            host.record_limit(job.choice.key, Some(1), notice, job.sent, now);
+            host.record_limit(job.choice.key, Some(1), notice, job.sent, HEARD, now);
             host.finish(
                 &Completion {
                     choice: &job.choice,
@@ -365,3 +375,112 @@
     let most = fleet.most(start + CONTACT);
     assert!(most <= allowed(LIMIT), "{most} of {}", allowed(LIMIT));
 }
+
+/// Guards against a limit of which only a part is used while callers are rejected, or whose end only the
+/// designated senders hear of.
+#[test]
+fn endpoints_receive_what_they_take_while_limited_and_everything_afterwards() {
+    for hosts in [1, 8, 30] {
+        let mut fleet = Fleet::new(hosts, 12);
+        fleet.limit(12, name("2/s"));
+        fleet.run(100.0, 4 * SECOND);
+        let before = fleet.served;
+        fleet.run(100.0, 10 * SECOND);
+        // 12 endpoints x 2 a second x 10 s.
+        let served = fleet.served - before;
+        assert!((150..=240).contains(&served), "{hosts} hosts: {served}");
+        fleet.limits.clear();
+        fleet.run(100.0, 5 * SECOND);
+        let (served, rejected) = (fleet.served, fleet.rejected);
+        fleet.run(100.0, 2 * SECOND);
+        assert_eq!(fleet.rejected, rejected, "{hosts} hosts");
+        assert!(fleet.served >= served + 199, "{hosts} hosts");
+    }
+}
+
+/// Guards against callers who wait out their deadline, or return too early, while all endpoints have had
+/// what they take.
+#[test]
+fn a_request_beyond_all_limits_is_rejected_with_the_time_until_an_endpoint_takes_another() {
+    let mut fleet = Fleet::new(1, 2);
+    fleet.limit(2, name("1/s"));
+    fleet.run(20.0, 4 * SECOND);
+    fleet.waits.clear();
+    fleet.run(20.0, 4 * SECOND);
+    let longest = fleet.waits.iter().max().expect("most are rejected");
+    // The host uses nine tenths of the limits.
+    assert!(*longest <= Duration::from_millis(1_112), "{longest:?}");
+    let shortest = fleet.waits.iter().min().expect("most are rejected");
+    assert!(*shortest > Duration::ZERO);
+}
+
+/// Guards against a host that has restarted and sends its callers' requests to a limited endpoint until
+/// the endpoint's first answer.
+#[test]
+fn a_host_that_has_restarted_hears_of_a_limit_from_the_others() {
+    let mut fleet = Fleet::new(8, 12);
+    fleet.limit(12, LIMIT);
+    fleet.run(70.0, 4 * SECOND);
+    fleet.restart(0);
+    let first = fleet.place(0, 1, &[]);
+    assert!(first.is_none(), "it has not earned a request yet");
+}
+
+/// Guards against an answer that a later one has overtaken and that seems to say that the limit has ended.
+#[test]
+fn an_answer_to_a_request_that_was_sent_before_the_limit_was_named_does_not_end_it() {
+    let mut fleet = Fleet::new(1, 1);
+    let (clock, host) = (&fleet.clock, &mut fleet.hosts[0]);
+    let key = fleet.route.clone();
+    let request = PlacementRequest {
+        route: &key,
+        service: &fleet.service,
+        object: None,
+        permitted_regions: &[],
+        tried: &[],
+        elapsed: Duration::ZERO,
+        remaining: SECOND,
+    };
+    let Placement::Send(choice) = host.place(&request, clock.now()) else {
+        panic!("an endpoint");
+    };
+    let mut hear =
+        |notice, sent| host.record_limit(choice.key, Some(1), notice, sent, HEARD, clock.now());
+    let early = clock.now();
+    clock.advance(SECOND);
+    let limited = LimitNotice::Limited(LIMIT);
+    assert_eq!(hear(limited, early), Some(LimitChange::Set(LIMIT)));
+    assert_eq!(hear(LimitNotice::Unlimited, early), None);
+    assert_eq!(hear(LimitNotice::Unknown, clock.now()), None);
+    let late = clock.now() + STEP;
+    clock.advance(SECOND);
+    assert_eq!(hear(LimitNotice::Unlimited, late), Some(LimitChange::Ended));
+    assert_eq!(hear(LimitNotice::Unlimited, late), None);
+}
+
+/// Guards against health checks of all hosts that an endpoint with a limit receives besides.
+#[test]
+fn health_checks_count_towards_the_limit() {
+    let mut fleet = Fleet::new(8, 12);
+    fleet.limit(1, LIMIT);
+    fleet.run(70.0, 4 * SECOND);
+    let id = fleet.endpoints[0].0.clone();
+    let now = fleet.clock.now();
+    // The end of an evacuation makes each host check the endpoints of the zone.
+    for host in &mut fleet.hosts {
+        host.evacuate(&name(ZONES[0]), true, now);
+        host.evacuate(&name(ZONES[0]), false, now);
+    }
+    let mut checks = 0;
+    for _ in 0..200 {
+        let now = fleet.clock.now();
+        for host in &mut fleet.hosts {
+            let due = host.due_checks(now);
+            let is_limited =
+                |key: &EndpointKey| host.endpoint(*key).is_some_and(|e| e.record.id == id);
+            checks += due.iter().filter(|key| is_limited(key)).count();
+        }
+        fleet.clock.advance(STEP);
+    }
+    assert!((1..=allowed(LIMIT)).contains(&checks), "{checks} in 4 s");
+}
