Tell of headers that endpoints set and the host does not know

A header of an endpoint's answer whose name begins like those of the platform's pages and that platform/ does not decode is logged once (sixteen names at most) and counted in `wagtail_endpoint_signals{kind="unknown"}`.

--- a/crates/gateway/src/codec.rs
+++ b/crates/gateway/src/codec.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::{HeaderMap, request, response};
+use http::{HeaderMap, HeaderName, request, response};
 use wagtail_steer::{ApiKey, LimitNotice, Load};
 use wagtail_types::{EndpointId, TeamId, ZoneId};
 
@@ -108,6 +108,10 @@
     /// Decodes the head of an endpoint's response.
     fn decode_response(&self, head: &response::Parts) -> ResponseHead;
 
+    /// Returns a header of an endpoint's response that endpoints set and that the codec does not know, if
+    /// there is one.
+    fn unknown_header(&self, head: &response::Parts) -> Option<HeaderName>;
+
     /// Decodes the head of the response to a health check.
     fn decode_health(&self, head: &response::Parts) -> Health;
 
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,11 +1,12 @@
 //! The state that the tasks of one host share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use bytes::Bytes;
+use http::HeaderName;
 use rand::Rng;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
@@ -38,6 +39,8 @@
     restores: watch::Sender<u64>,
     /// Counts the hints of other hosts at a newer state of the registry.
     hints: watch::Sender<u64>,
+    /// The headers of endpoints that this host does not know and has logged.
+    pub(crate) unknown_headers: RefCell<HashSet<HeaderName>>,
     clock: Rc<dyn DebugClock>,
     leaving: Cell<bool>,
 }
@@ -158,6 +161,7 @@
             generations: RefCell::default(),
             restores: watch::Sender::new(0),
             hints: watch::Sender::new(0),
+            unknown_headers: RefCell::default(),
             clock,
             leaving: Cell::new(false),
         }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -16,7 +16,7 @@
 use crate::connect::{CallError, open};
 use crate::host::RequestContext;
 use crate::pool::Sender;
-use crate::signals::{Process, heed};
+use crate::signals::{Process, heed, report_unknown};
 
 /// The timeout for opening a connection: a round trip between regions, and one lost packet on a
 /// fast network.
@@ -131,6 +131,9 @@
         info.signals.limit = LimitNotice::Unknown;
     }
     heed(&context.core, &context.pool, &process, info.signals, now);
+    if let Some(name) = context.codec.unknown_header(&head) {
+        report_unknown(&context.core, &process, &name);
+    }
     received.set(1);
     let body = read_response_body(incoming, received)
         .await
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use slog::info;
+use http::HeaderName;
+use slog::{info, warn};
 use wagtail_steer::{EndpointKey, LimitChange, LimitNotice};
 use wagtail_types::{EndpointId, millis};
 
@@ -14,6 +15,9 @@
 /// Pauses shorter than this are counted but not logged.
 const LOGGED_PAUSE_MIN: Duration = Duration::from_secs(1);
 
+/// The number of unknown headers that are logged.
+const UNKNOWN_HEADERS_MAX: usize = 16;
+
 /// The process of an endpoint that a request is sent to. Its answer says nothing of a later process
 /// under the same name.
 #[derive(Debug)]
@@ -89,3 +93,13 @@
         None => {}
     }
 }
+
+/// Counts a header of an endpoint's answer that this host does not know, and logs it once.
+pub(crate) fn report_unknown(core: &Core, process: &Process, name: &HeaderName) {
+    core.metrics.count("endpoint_signals", "unknown");
+    let mut reported = core.unknown_headers.borrow_mut();
+    if reported.len() < UNKNOWN_HEADERS_MAX && reported.insert(name.clone()) {
+        warn!(core.log, "endpoint says something that this host does not know; ignoring it";
+            "endpoint" => %process.id, "header" => %name);
+    }
+}
