--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -43,13 +43,14 @@
 
 /// Guards against a report that does not tell why no endpoint was used.
 #[test]
-fn endpoints_that_leave_pause_or_limit_their_requests_are_named() {
+fn what_endpoints_say_and_that_they_ended_is_named() {
     const LOG: &str = r#"
 {"msg":"endpoint says that it leaves; sending it no further requests","level":"INFO","ts":99.0,"endpoint":"e-4"}
 {"msg":"endpoint asks for a pause; sending it no requests meanwhile","level":"INFO","ts":100.0,"pause_ms":2500,"endpoint":"e-5"}
 {"msg":"endpoint names a limit on its requests","level":"INFO","ts":100.2,"limit":"1.5/s","endpoint":"e-6"}
 {"msg":"endpoint names no limit on its requests any more","level":"INFO","ts":100.5,"endpoint":"e-7"}
 {"msg":"endpoint says something that this host does not know; ignoring it","level":"WARN","ts":100.7,"header":"server-mood","endpoint":"e-8"}
+{"msg":"endpoint ended while requests ran there","level":"INFO","ts":100.9,"requests":2,"fingerprints":"00000000000000aa 00000000000000bb","endpoint":"e-9"}
 {"msg":"request","level":"INFO","ts":101.0,"skipped":0,"ms":0,"ran":false,"reason":"no endpoint","status":503,"miss":"NoEndpoint retry=1500","attempts":"","config":4,"object":"19","team":"blue","route":"r-1","request":"id-9"}
 "#;
     let mut logs = Logs::default();
@@ -63,6 +64,7 @@
       -0.800 s: endpoint names a limit on its requests endpoint="e-6" limit="1.5/s"
       -0.500 s: endpoint names no limit on its requests any more endpoint="e-7"
       -0.300 s: endpoint says something that this host does not know; ignoring it endpoint="e-8" header="server-mood"
+      -0.100 s: endpoint ended while requests ran there endpoint="e-9" fingerprints="00000000000000aa 00000000000000bb" requests=2
     "#);
 }
 
--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, Uri, header};
 use http_body_util::Full;
 use slog::info;
-use wagtail_steer::{EndpointKey, LeftOut, PlacementCounts};
+use wagtail_steer::{EndpointKey, LeftOut, PlacementCounts, SuspectCounts};
 use wagtail_types::millis;
 
 use crate::codec::HttpCodec;
@@ -48,6 +48,7 @@
             steer.due_checks(now)
         };
         report_left_out(&core);
+        report_suspects(&core);
         pool.prune(now);
         for key in due {
             let (core, pool, codec) = (core.clone(), pool.clone(), codec.clone());
@@ -87,6 +88,16 @@
     }
 }
 
+fn report_suspects(core: &Core) {
+    let SuspectCounts {
+        restricted,
+        rejected,
+    } = core.steer.borrow_mut().review_suspects(core.now());
+    for (state, count) in [("restricted", restricted), ("rejected", rejected)] {
+        core.metrics.set("suspects", state, count.into());
+    }
+}
+
 /// Returns the path of the health check of an endpoint.
 fn health_path(core: &Core, key: EndpointKey) -> Option<Rc<str>> {
     let steer = core.steer.borrow();
--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client connections to endpoints and to the registry.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout_at};
 
 /// The value of `TCP_USER_TIMEOUT`: a connection is closed if sent bytes stay unacknowledged for
@@ -44,6 +45,8 @@
     Connect {
         /// A description of the failure.
         reason: String,
+        /// Whether no process listens at the address.
+        refused: bool,
     },
     /// The connection failed, and the request may already have been sent.
     #[display("the connection failed: {reason}")]
@@ -75,6 +78,7 @@
 ) -> Result<SendRequest<Full<Bytes>>, CallError> {
     let failed = |e: &dyn std::fmt::Display| CallError::Connect {
         reason: e.to_string(),
+        refused: false,
     };
     let socket = TcpSocket::new_v4().map_err(|e| failed(&e))?;
     socket.set_nodelay(true).map_err(|e| failed(&e))?;
@@ -85,7 +89,12 @@
         .is_err();
     let stream = match tokio::time::timeout(timeout, socket.connect(addr)).await {
         Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(failed(&e)),
+        Ok(Err(e)) => {
+            return Err(CallError::Connect {
+                reason: e.to_string(),
+                refused: e.kind() == io::ErrorKind::ConnectionRefused,
+            });
+        }
         Err(_) => return Err(failed(&"timeout")),
     };
     let (sender, connection) = http1::Builder::new()
@@ -100,6 +109,26 @@
     Ok(sender)
 }
 
+/// Whether a process listens at an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reachability {
+    /// One does.
+    Open,
+    /// None does.
+    Refused,
+    /// The address could not be reached.
+    Unknown,
+}
+
+/// Finds out whether a process listens at `addr`, and sends it nothing.
+pub(crate) async fn probe(addr: SocketAddr, timeout: Duration) -> Reachability {
+    match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => Reachability::Open,
+        Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => Reachability::Refused,
+        Ok(Err(_)) | Err(_) => Reachability::Unknown,
+    }
+}
+
 /// An HTTP client for one address that keeps one idle connection for reuse.
 #[derive(Debug)]
 pub struct Client {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,6 +29,11 @@
 /// The wait for the quota owner's reply: several one-way delays within a region, and short compared
 /// with the timeout of any request.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
+/// The time for which news of suspect requests is collected before it is sent, as all requests at an
+/// endpoint break at the same time.
+const NEWS_DELAY: Duration = Duration::from_millis(10);
+/// How often such news is sent in one digest period at most.
+const NEWS_PER_PERIOD: usize = 4;
 /// The pause after a failed registration of this host or a failed read of the other hosts.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// The time that a starting host gives the others to reply to its first digest; a round trip between
@@ -139,6 +144,11 @@
                 }
             }
             Message::TokenReturn { team } => self.core.steer.borrow_mut().return_token(team),
+            Message::Suspects { host, reports } => self
+                .core
+                .steer
+                .borrow_mut()
+                .learn_suspects(&host, &reports, now),
         }
     }
 
@@ -272,6 +282,11 @@
             let state = self.core.state();
             let own = self.core.steer.borrow_mut().next_digest(state, now);
             self.try_send(Message::Digest(own), from);
+            self.send_suspects(&[from]);
+            let relayed = self.core.steer.borrow().relayed_suspects(now);
+            for (host, reports) in relayed {
+                self.try_send(Message::Suspects { host, reports }, from);
+            }
         }
         if self.known_live.borrow_mut().insert(id.clone()) {
             info!(self.core.log, "host is live: its digest arrived";
@@ -293,7 +308,48 @@
             self.update_membership(now);
             self.core.report_age();
             self.send_digest(far).await;
-            tokio::time::sleep(settings.near_period).await;
+            let pause = tokio::time::sleep(settings.near_period);
+            tokio::pin!(pause);
+            for _ in 0..NEWS_PER_PERIOD {
+                tokio::select! {
+                    () = &mut pause => break,
+                    () = self.core.suspect_news.notified() => self.send_news().await,
+                }
+            }
+            pause.await;
+        }
+    }
+
+    /// Tells all other hosts at once under which requests endpoints ended, or which ended well again.
+    async fn send_news(&self) {
+        tokio::time::sleep(NEWS_DELAY).await;
+        let now = self.core.now();
+        let reports = self.core.steer.borrow_mut().take_suspect_news(now);
+        if reports.is_empty() {
+            return;
+        }
+        let steer = self.core.steer.borrow();
+        let host = steer.local_host().record.id.clone();
+        let to: Vec<_> = steer.peers().all().map(|p| p.record.peer).collect();
+        drop(steer);
+        let message = Message::Suspects { host, reports };
+        for addr in to {
+            self.try_send(message.clone(), addr);
+        }
+    }
+
+    /// Repeats under which requests endpoints ended, for hosts that have not heard of it.
+    fn send_suspects(&self, to: &[SocketAddr]) {
+        let steer = self.core.steer.borrow();
+        let reports = steer.suspect_reports(self.core.now());
+        let host = steer.local_host().record.id.clone();
+        drop(steer);
+        if reports.is_empty() {
+            return;
+        }
+        let message = Message::Suspects { host, reports };
+        for addr in to {
+            self.try_send(message.clone(), *addr);
         }
     }
 
@@ -342,7 +398,9 @@
                 return;
             }
         };
-        for addr in self.targets(far) {
+        let targets = self.targets(far);
+        self.send_suspects(&targets);
+        for addr in targets {
             if let Err(e) = self.socket.send_to(&bytes, addr).await {
                 debug!(self.core.log, "digest to a peer could not be sent";
                     "to" => %addr, "error" => %e);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -11,7 +11,8 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 use wagtail_steer::{
-    Generation, GenerationTag, GenerationTracker, HostState, Observation, RegistryView, Steer,
+    EndpointKey, Generation, GenerationTag, GenerationTracker, HostState, Observation,
+    RegistryView, Steer,
 };
 use wagtail_types::{Clock, millis};
 
@@ -39,6 +40,10 @@
     restores: watch::Sender<u64>,
     /// Counts the hints of other hosts at a newer state of the registry.
     hints: watch::Sender<u64>,
+    /// The endpoints that are being probed because they closed connections.
+    pub(crate) probed: RefCell<HashSet<EndpointKey>>,
+    /// Notified when there is news of suspect requests for the other hosts.
+    pub(crate) suspect_news: Notify,
     /// The headers of endpoints that this host does not know and has logged.
     pub(crate) unknown_headers: RefCell<HashSet<HeaderName>>,
     clock: Rc<dyn DebugClock>,
@@ -161,6 +166,8 @@
             generations: RefCell::default(),
             restores: watch::Sender::new(0),
             hints: watch::Sender::new(0),
+            probed: RefCell::default(),
+            suspect_news: Notify::new(),
             unknown_headers: RefCell::default(),
             clock,
             leaving: Cell::new(false),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod signals;
 mod stop;
 mod supervisor;
+mod suspects;
 mod work;
 
 pub use codec::{
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,13 +7,15 @@
 use http::{Method, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use wagtail_steer::{Choice, EndpointKey, Outcome, Placement, PlacementRequest, RejectionReason};
+use wagtail_steer::{
+    Choice, EndpointKey, Fingerprint, Outcome, Placement, PlacementRequest, RejectionReason,
+};
 
 use super::admit::{Denial, Job, deny};
 use super::in_flight::InFlight;
 use super::reply::Reply;
 use super::request_log::RequestLog;
-use super::send::{AttemptError, ReceivedResponse, remove_hop_headers, send};
+use super::send::{AttemptError, Outgoing, ReceivedResponse, remove_hop_headers, send};
 use crate::codec::Execution;
 use crate::host::{Core, RequestContext};
 
@@ -35,6 +37,7 @@
 /// The state of a request after the attempts so far.
 #[derive(Debug, Default)]
 struct Progress {
+    fingerprint: Fingerprint,
     tried: Vec<EndpointKey>,
     /// The number of attempts in which the endpoint may have received the request.
     sent: u32,
@@ -74,22 +77,25 @@
         Ok(body) => body,
         Err(reply) => return reply,
     };
-    let mut progress = Progress::default();
+    let mut progress = Progress {
+        fingerprint: fingerprint(job, head, &body),
+        ..Progress::default()
+    };
     let mut replacement: Option<InFlight> = None;
     loop {
         if replacement.is_none()
             && !progress.tried.is_empty()
             && !may_try_again(context, job, &progress)
         {
-            if let Some(wait) = wait_for_endpoints(context, job) {
+            if let Some(wait) = wait_for_endpoints(context, job, &progress) {
                 progress.retry_after = Some(wait);
             }
             return final_reply(progress, None, head);
         }
-        let in_flight = match replacement
-            .take()
-            .map_or_else(|| place_request(context, job, &progress.tried), Ok)
-        {
+        let in_flight = match replacement.take().map_or_else(
+            || place_request(context, job, &progress, progress.sent > 0),
+            Ok,
+        ) {
             Ok(in_flight) => in_flight,
             Err((rejection, retry_after)) => {
                 request_log.record_rejection(rejection, retry_after);
@@ -136,26 +142,43 @@
     }
 }
 
-fn placement_request<'a>(
-    job: &'a Job,
-    tried: &'a [EndpointKey],
-    now: Instant,
-) -> PlacementRequest<'a> {
+/// Returns what identifies a request to endpoints, however often callers repeat it.
+fn fingerprint(job: &Job, head: &request::Parts, body: &Bytes) -> Fingerprint {
+    let team = job.team.as_ref().map_or("", |t| t.id.as_str());
+    let target = head.uri.path_and_query().map_or("", |p| p.as_str());
+    let object = job.object.unwrap_or_default().to_le_bytes();
+    Fingerprint::new(&[
+        team.as_bytes(),
+        job.route.host.as_bytes(),
+        head.method.as_str().as_bytes(),
+        target.as_bytes(),
+        &object,
+        body,
+    ])
+}
+
+fn placement_request<'a>(job: &'a Job, progress: &Progress, now: Instant) -> PlacementRequest<'a> {
     PlacementRequest {
         route: &job.route,
         service: &job.service,
         object: job.object,
         permitted_regions: &job.permitted_regions,
-        tried,
+        fingerprint: progress.fingerprint,
+        tried: &[],
+        repeated: false,
         elapsed: now.duration_since(job.arrived),
         remaining: job.deadline.saturating_duration_since(now),
     }
 }
 
 /// Returns the time until an endpoint takes requests again, if all of them pause.
-fn wait_for_endpoints(context: &RequestContext, job: &Job) -> Option<Duration> {
+fn wait_for_endpoints(
+    context: &RequestContext,
+    job: &Job,
+    progress: &Progress,
+) -> Option<Duration> {
     let now = context.core.now();
-    let request = placement_request(job, &[], now);
+    let request = placement_request(job, progress, now);
     context
         .core
         .steer
@@ -167,10 +190,15 @@
 fn place_request(
     context: &RequestContext,
     job: &Job,
-    tried: &[EndpointKey],
+    progress: &Progress,
+    repeated: bool,
 ) -> Result<InFlight, (RejectionReason, Duration)> {
     let now = context.core.now();
-    let request = placement_request(job, tried, now);
+    let request = PlacementRequest {
+        tried: &progress.tried,
+        repeated,
+        ..placement_request(job, progress, now)
+    };
     let placement = context.core.steer.borrow_mut().place(&request, now);
     match placement {
         Placement::Send(choice) => Ok(InFlight::new(
@@ -178,6 +206,7 @@
             choice,
             job.route.clone(),
             job.object,
+            progress.fingerprint,
         )),
         Placement::Reject {
             reason,
@@ -238,10 +267,13 @@
     progress: &Progress,
 ) -> AttemptEnd {
     let received = Cell::new(0);
-    let repeated = progress.tried.len() > 1;
-    let mut attempt = std::pin::pin!(send(
-        context, job, head, body, choice.key, repeated, &received
-    ));
+    let outgoing = Outgoing {
+        head,
+        body,
+        fingerprint: progress.fingerprint,
+        repeated: progress.tried.len() > 1,
+    };
+    let mut attempt = std::pin::pin!(send(context, job, outgoing, choice.key, &received));
     let remaining =
         |extra: Duration| (job.deadline + extra).saturating_duration_since(context.core.now());
     let overdue_after = choice
@@ -264,7 +296,7 @@
             }
             wait = OVERDUE_MIN;
         };
-        if is_overdue && let Some(next) = place_elsewhere(context, job, &progress.tried) {
+        if is_overdue && let Some(next) = place_elsewhere(context, job, progress) {
             return AttemptEnd::Overdue(Some(next));
         }
     }
@@ -276,7 +308,7 @@
 
 /// Selects another endpoint for an overdue request if one has a free slot; otherwise it is better
 /// to keep waiting.
-fn place_elsewhere(context: &RequestContext, job: &Job, tried: &[EndpointKey]) -> Option<InFlight> {
+fn place_elsewhere(context: &RequestContext, job: &Job, progress: &Progress) -> Option<InFlight> {
     // A stopping host must not add failures of its own to requests that are being executed.
     if context.core.is_leaving()
         || !context
@@ -287,7 +319,7 @@
     {
         return None;
     }
-    let next = place_request(context, job, tried)
+    let next = place_request(context, job, progress, true)
         .ok()
         .filter(|in_flight| in_flight.choice.slot_free)?;
     // The borrow ends before `next` is dropped, which borrows the state again.
@@ -408,6 +440,9 @@
         Some((RejectionReason::TooLate, retry_after)) => {
             Reply::refuse(status, "no answer in time", retry_after)
         }
+        Some((RejectionReason::Suspect, retry_after)) => {
+            Reply::refuse(status, "endpoints ended under equal requests", retry_after)
+        }
         None => Reply::refuse(status, "endpoints refused it", wait),
     }
 }
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use wagtail_steer::{Choice, Completion, Load, Outcome, Route};
+use wagtail_steer::{Choice, Completion, Fingerprint, Load, Outcome, Route};
 
 use crate::host::Core;
 
@@ -14,6 +14,7 @@
     pub(crate) choice: Choice,
     route: Rc<Route>,
     object: Option<u32>,
+    fingerprint: Fingerprint,
     completed: bool,
 }
 
@@ -31,12 +32,14 @@
         choice: Choice,
         route: Rc<Route>,
         object: Option<u32>,
+        fingerprint: Fingerprint,
     ) -> Self {
         Self {
             core,
             choice,
             route,
             object,
+            fingerprint,
             completed: false,
         }
     }
@@ -57,12 +60,17 @@
             choice: &self.choice,
             route: &self.route,
             object: self.object,
+            fingerprint: self.fingerprint,
             outcome,
             response_time,
             load,
         };
         let now = self.core.now();
-        self.core.steer.borrow_mut().finish(&completion, now);
+        let mut steer = self.core.steer.borrow_mut();
+        steer.finish(&completion, now);
+        if steer.has_suspect_news() {
+            self.core.suspect_news.notify_one();
+        }
     }
 }
 
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, HeaderName, Request, Uri, header, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use wagtail_steer::{EndpointKey, LimitNotice};
+use wagtail_steer::{EndpointKey, Fingerprint, LimitNotice};
 
 use super::admit::Job;
 use super::body::Body;
@@ -17,6 +17,7 @@
 use crate::host::RequestContext;
 use crate::pool::Sender;
 use crate::signals::{Process, heed, report_unknown};
+use crate::suspects::{look_into_break, record_refusal};
 
 /// The timeout for opening a connection: a round trip between regions, and one lost packet on a
 /// fast network.
@@ -50,7 +51,7 @@
 pub(crate) enum AttemptError {
     /// The connection could not be opened; nothing was sent.
     #[display("unreachable: {_0}")]
-    Unreachable(String),
+    Unreachable(CallError),
     /// The endpoint is no longer registered or wants no requests; nothing was sent.
     #[display("left")]
     Gone,
@@ -65,20 +66,56 @@
     BadAnswer(&'static str),
 }
 
-/// Sends the request to an endpoint once; `repeated` tells whether another attempt went before. Counts the response's bytes that have arrived in `received`;
+/// A request for endpoints.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Outgoing<'a> {
+    pub(crate) head: &'a request::Parts,
+    pub(crate) body: &'a Bytes,
+    pub(crate) fingerprint: Fingerprint,
+    /// Whether another attempt went before.
+    pub(crate) repeated: bool,
+}
+
+/// Sends the request to an endpoint once. Counts the response's bytes that have arrived in `received`;
 /// its head counts as one.
 pub(crate) async fn send(
     context: &RequestContext,
     job: &Job,
-    head: &request::Parts,
-    body: &Bytes,
+    outgoing: Outgoing<'_>,
     to: EndpointKey,
-    repeated: bool,
     received: &Cell<usize>,
 ) -> Result<ReceivedResponse, AttemptError> {
     let Some(process) = Process::registered(&context.core, to) else {
         return Err(AttemptError::Gone);
     };
+    let began = context.core.now();
+    let sent = send_to(context, job, outgoing, &process, received).await;
+    match &sent {
+        Err(AttemptError::Broken(_)) => {
+            look_into_break(context, &process, outgoing.fingerprint, began);
+        }
+        Err(AttemptError::Unreachable(CallError::Connect { refused: true, .. })) => {
+            record_refusal(&context.core, &context.pool, &process);
+        }
+        _ => {}
+    }
+    sent
+}
+
+async fn send_to(
+    context: &RequestContext,
+    job: &Job,
+    outgoing: Outgoing<'_>,
+    process: &Process,
+    received: &Cell<usize>,
+) -> Result<ReceivedResponse, AttemptError> {
+    let Outgoing {
+        head,
+        body,
+        repeated,
+        ..
+    } = outgoing;
+    let to = process.key;
     let now = context.core.now();
     // Requests that must not be executed twice, and further attempts, always get a new connection,
     // because a pooled one may have failed unnoticed.
@@ -94,7 +131,7 @@
         context.core.metrics.count("connections", "endpoint");
         let sender = open(process.addr, timeout)
             .await
-            .map_err(|e| AttemptError::Unreachable(e.to_string()))?;
+            .map_err(AttemptError::Unreachable)?;
         let elapsed = context.core.now().duration_since(now);
         context
             .core
@@ -130,9 +167,9 @@
         // A late answer to an earlier request does not tell that a limit has ended since.
         info.signals.limit = LimitNotice::Unknown;
     }
-    heed(&context.core, &context.pool, &process, info.signals, now);
+    heed(&context.core, &context.pool, process, info.signals, now);
     if let Some(name) = context.codec.unknown_header(&head) {
-        report_unknown(&context.core, &process, &name);
+        report_unknown(&context.core, process, &name);
     }
     received.set(1);
     let body = read_response_body(incoming, received)
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -20,12 +20,12 @@
 
 /// The process of an endpoint that a request is sent to. Its answer says nothing of a later process
 /// under the same name.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Process {
     pub(crate) key: EndpointKey,
     pub(crate) id: EndpointId,
     pub(crate) addr: SocketAddr,
-    started: Option<u64>,
+    pub(crate) started: Option<u64>,
 }
 
 impl Process {
--- a/crates/steer/examples/cost.rs
+++ b/crates/steer/examples/cost.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use wagtail_steer::{
-    Choice, Completion, Config, ConfigVersion, Digest, EndpointRecord, EndpointState, HostRecord,
-    HostState, Limits, LocalHost, Outcome, Placement, PlacementRequest, RetryPolicy, Route,
-    RouteId, Service, Settings, Steer, WeightedService,
+    Choice, Completion, Config, ConfigVersion, Digest, EndpointRecord, EndpointState, Fingerprint,
+    HostRecord, HostState, Limits, LocalHost, Outcome, Placement, PlacementRequest, RetryPolicy,
+    Route, RouteId, Service, Settings, Steer, WeightedService,
 };
 use wagtail_types::{Bytes, Clock, RegionId, SystemClock, ZoneId};
 
@@ -152,7 +152,9 @@
             service: &service,
             object: Some(object),
             permitted_regions: &[],
+            fingerprint: Fingerprint::default(),
             tried: &[],
+            repeated: false,
             elapsed: Duration::ZERO,
             remaining: route.timeout,
         };
@@ -166,6 +168,7 @@
                 choice: &in_flight.remove(0),
                 route: &route,
                 object: Some(object),
+                fingerprint: Fingerprint::default(),
                 outcome: Outcome::Answered,
                 response_time: Some(Duration::from_millis(500)),
                 load: None,
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -9,6 +9,7 @@
 use crate::config::ConfigVersion;
 use crate::generation::Generation;
 use crate::limit::LimitReport;
+use crate::suspect::SuspectReport;
 
 /// The version of the message format, sent as the first byte of every datagram.
 const FORMAT: u8 = 2;
@@ -94,6 +95,13 @@
         /// The hash of the team's name.
         team: u32,
     },
+    /// Requests under which endpoints ended. Builds that do not know it drop the datagram.
+    Suspects {
+        /// The sender's name.
+        host: HostId,
+        /// What the sender knows.
+        reports: Vec<SuspectReport>,
+    },
 }
 
 /// What a host has learned from the registry; tells other hosts that they lack something.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -30,6 +30,7 @@
 mod shift;
 mod split;
 mod steer;
+mod suspect;
 mod tokens;
 mod warm;
 
@@ -55,5 +56,7 @@
 pub use steer::fleet::Follower;
 pub use steer::requests::Completion;
 pub use steer::signals::LeftOut;
+pub use steer::suspects::SuspectCounts;
 pub use steer::{LocalHost, Steer};
+pub use suspect::{Fingerprint, ReportedEnd, SuspectReport};
 pub use tokens::TokenSource;
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::estimate::Expected;
 use crate::hash::rendezvous_score;
 use crate::round_trip::RoundTrips;
+use crate::suspect::Fingerprint;
 use crate::warm::WarmCapacity;
 
 /// The cost of traffic between zones of a region, as a fraction of a request's value.
@@ -55,8 +56,12 @@
     pub object: Option<u32>,
     /// The regions that may run the request; empty allows all.
     pub permitted_regions: &'a [RegionId],
+    /// Identifies what the request asks.
+    pub fingerprint: Fingerprint,
     /// Endpoints that have been tried before and are excluded.
     pub tried: &'a [EndpointKey],
+    /// Whether the request has been sent to one of them.
+    pub repeated: bool,
     /// The time since the request arrived.
     pub elapsed: Duration,
     /// The time remaining until the deadline.
@@ -73,6 +78,8 @@
     Full,
     /// No endpoint has a free slot before the deadline.
     TooLate,
+    /// Endpoints ended under equal requests.
+    Suspect,
 }
 
 /// The endpoint selected for a request.
@@ -91,6 +98,8 @@
     pub in_flight: f64,
     /// Whether a slot is expected to be free, so that the request does not queue.
     pub slot_free: bool,
+    /// Whether an endpoint ended, or may have, under an equal request lately.
+    pub suspect: bool,
 }
 
 /// The result of selecting an endpoint.
@@ -321,6 +330,7 @@
         reuse_distance,
         in_flight,
         slot_free,
+        suspect: false,
     };
     Candidate {
         choice,
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -5,6 +5,7 @@
 pub(crate) mod requests;
 mod restore;
 pub(crate) mod signals;
+pub(crate) mod suspects;
 
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
@@ -31,6 +32,7 @@
 use crate::shift::ShiftLimiter;
 use crate::split::WeightedSplit;
 use crate::steer::restore::Restore;
+use crate::suspect::{End, Suspects};
 use crate::warm::WarmCapacity;
 
 /// How long the limit on moving traffic between regions stays suspended after endpoints are lost.
@@ -100,6 +102,8 @@
     newly_warm: VecDeque<(Instant, u32, u32)>,
     /// Endpoints that recently said that they leave, to report in digests.
     newly_leaving: VecDeque<(Instant, LeavingEndpoint)>,
+    /// Requests under which endpoints ended.
+    suspects: Suspects,
 }
 
 impl Steer {
@@ -140,6 +144,7 @@
             restore: Restore::default(),
             newly_warm: VecDeque::new(),
             newly_leaving: VecDeque::new(),
+            suspects: Suspects::default(),
         }
     }
 
@@ -259,7 +264,18 @@
                 list.retain(|k| *k != key);
             }
             let service = record.service.clone();
+            let end = End {
+                endpoint: endpoint.hash,
+                started: endpoint.record.started,
+                began: now,
+                at: now,
+            };
+            let leaves = endpoint.is_leaving();
             endpoint.update(record, region, location, now);
+            let started = endpoint.record.started;
+            if let Some(born) = started.filter(|_| started != end.started && !leaves) {
+                self.suspects.record_restart(key, end, born, now);
+            }
             if moved {
                 self.by_service.entry(service).or_default().push(key);
             }
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -107,7 +107,7 @@
     }
 
     /// Returns the name hashes of the other hosts that are ready, in a region or in all.
-    fn ready_peers(&self, region: Option<&RegionId>, now: Instant) -> Vec<u64> {
+    pub(super) fn ready_peers(&self, region: Option<&RegionId>, now: Instant) -> Vec<u64> {
         let ready = |p: &&Peer| {
             p.state == Some(HostState::Ready) && region.is_none_or(|region| p.region == *region)
         };
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -14,6 +14,7 @@
     Choice, Placement, PlacementContext, PlacementCounts, PlacementRequest, RegionUsage,
     RejectionReason, place,
 };
+use crate::suspect::Fingerprint;
 
 /// The shortest run time that is learned. Run times are compared by their ratios, and an answer may
 /// arrive sooner than the learned round trip.
@@ -28,6 +29,8 @@
     pub route: &'a Route,
     /// The hash of the object that the request concerns, if any.
     pub object: Option<u32>,
+    /// Identifies what the request asks.
+    pub fingerprint: Fingerprint,
     /// How the request ended.
     pub outcome: Outcome,
     /// The time from sending the request to its answer; `None` if there is no answer whose time
@@ -97,7 +100,19 @@
         if self.senders_stale {
             self.choose_senders(now);
         }
-        let usable = self.usable(request, now);
+        let suspect = match self.check_suspect(request.fingerprint, request.repeated, now) {
+            Ok(suspect) => suspect,
+            Err(rejection) => {
+                return Placement::Reject {
+                    reason: RejectionReason::Suspect,
+                    retry_after: rejection.wait,
+                };
+            }
+        };
+        let mut usable = self.usable(request, now);
+        if suspect {
+            self.separate_suspects(&mut usable);
+        }
         let mut usage = vec![RegionUsage::default(); self.regions.len()];
         for endpoint in usable.iter().map(|&k| &self.endpoints[k]) {
             let slots = f64::from(endpoint.record.slots);
@@ -143,6 +158,11 @@
             placement = place(request, &context, endpoints(false));
         }
         match &mut placement {
+            Placement::Send(choice) if suspect => {
+                choice.suspect = true;
+                self.suspects.start(request.fingerprint, choice.key);
+                self.record_sent(choice, request, now);
+            }
             Placement::Send(choice) => self.record_sent(choice, request, now),
             Placement::Reject {
                 reason: RejectionReason::NoEndpoint,
@@ -277,9 +297,17 @@
             load,
             ..
         } = completion;
+        let answered = outcome == Outcome::Answered || response_time.is_some();
+        self.suspects.finish(completion.fingerprint, answered, now);
+        if choice.suspect {
+            self.suspects.stop(completion.fingerprint, choice.key);
+        }
         let Some(endpoint) = self.endpoints.get_mut(choice.key) else {
             return;
         };
+        if answered || matches!(outcome, Outcome::Shed | Outcome::Paused) {
+            endpoint.answered_at = Some(now);
+        }
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         let had_slot = load.map_or(choice.slot_free, |l| l.running < l.slots);
         endpoint.record_outcome(outcome, had_slot, now);
--- a/crates/steer/src/steer/signals.rs
+++ b/crates/steer/src/steer/signals.rs
@@ -60,7 +60,11 @@
     }
 
     /// Returns an endpoint if the process that was started at `started` is still the registered one.
-    fn process(&mut self, key: EndpointKey, started: Option<u64>) -> Option<&mut Endpoint> {
+    pub(super) fn process(
+        &mut self,
+        key: EndpointKey,
+        started: Option<u64>,
+    ) -> Option<&mut Endpoint> {
         let endpoint = self.endpoints.get_mut(key);
         endpoint.filter(|e| e.record.started == started)
     }
--- /dev/null
+++ b/crates/steer/src/steer/suspects.rs
@@ -0,0 +1,150 @@
+//! Requests that may crash the endpoints which run them, as all hosts together see them.
+
+use std::collections::HashMap;
+use std::time::Instant;
+
+use wagtail_types::HostId;
+
+use super::Steer;
+use crate::endpoint::{CHECK_INTERVAL, EndpointKey};
+use crate::hash::{name_hash, rendezvous_score};
+use crate::suspect::{End, Fingerprint, SuspectRejection, SuspectReport};
+
+/// How many requests are not run freely, because endpoints ended under them.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectCounts {
+    /// Requests that run at one endpoint at a time.
+    pub restricted: u32,
+    /// Requests that are rejected.
+    pub rejected: u32,
+}
+
+impl Steer {
+    /// Records that the process of an endpoint that was started at `started` closed the connection of a
+    /// request that was sent at `began` before it answered. Whether it has ended must then be found out.
+    /// `wall` is the wall-clock time in milliseconds.
+    pub fn record_break(
+        &mut self,
+        request: Fingerprint,
+        key: EndpointKey,
+        started: Option<u64>,
+        began: Instant,
+        wall: u64,
+        now: Instant,
+    ) {
+        self.suspects
+            .record_break(request, (key, started), began, wall, now);
+    }
+
+    /// Records that an endpoint accepts connections, so that the connections it closed lately do not mean
+    /// that it has ended.
+    pub fn record_open(&mut self, key: EndpointKey, started: Option<u64>) {
+        self.suspects.discard_breaks(key, started);
+    }
+
+    /// Records that an endpoint refuses connections. Returns the requests that broke there lately, under
+    /// which it has ended; none if it leaves.
+    pub fn record_refusal(
+        &mut self,
+        key: EndpointKey,
+        started: Option<u64>,
+        now: Instant,
+    ) -> Vec<Fingerprint> {
+        let Some(endpoint) = self.process(key, started) else {
+            return Vec::new();
+        };
+        if endpoint.is_leaving() {
+            self.suspects.discard_breaks(key, started);
+            return Vec::new();
+        }
+        endpoint.check_at.get_or_insert(now + CHECK_INTERVAL);
+        let end = End {
+            endpoint: endpoint.hash,
+            started,
+            began: now,
+            at: now,
+        };
+        self.suspects.record_end(key, end, now)
+    }
+
+    /// Returns whether a request may be sent to an endpoint, as far as it may crash it, and if so, whether
+    /// it is suspect; `repeated` tells whether an endpoint has had it before in this attempt of the caller.
+    pub(super) fn check_suspect(
+        &self,
+        request: Fingerprint,
+        repeated: bool,
+        now: Instant,
+    ) -> Result<bool, SuspectRejection> {
+        if !self.suspects.is_known(request) {
+            return Ok(false);
+        }
+        let local = name_hash(self.local.record.id.as_str());
+        let own = rendezvous_score(request.hash(), local);
+        let ahead = self.ready_peers(None, now);
+        let ahead = ahead
+            .iter()
+            .filter(|&&peer| rendezvous_score(request.hash(), peer) > own);
+        self.suspects.check(
+            request,
+            repeated,
+            ahead.count(),
+            |end| self.is_refuted(end),
+            now,
+        )
+    }
+
+    /// Leaves out endpoints at which another suspect request runs, if there are others, so that the one that
+    /// ends its endpoint is told from those beside it.
+    pub(super) fn separate_suspects(&self, usable: &mut Vec<EndpointKey>) {
+        let is_free = |key: &EndpointKey| !self.suspects.runs_at(*key);
+        if usable.iter().any(is_free) {
+            usable.retain(is_free);
+        }
+    }
+
+    /// Returns whether the process of an endpoint has answered after its reported end.
+    fn is_refuted(&self, end: &End) -> bool {
+        let endpoint = self.by_hash.get(&end.endpoint);
+        let endpoint = endpoint.map(|&key| &self.endpoints[key]);
+        endpoint.is_some_and(|e| {
+            e.record.started == end.started && e.answered_at.is_some_and(|at| end.is_refuted_by(at))
+        })
+    }
+
+    /// Returns whether something has changed about suspect requests that the other hosts should hear of.
+    pub fn has_suspect_news(&self) -> bool {
+        self.suspects.has_news()
+    }
+
+    /// Returns what has changed about suspect requests since the last call, for all other hosts.
+    pub fn take_suspect_news(&mut self, now: Instant) -> Vec<SuspectReport> {
+        self.suspects.take_news(now)
+    }
+
+    /// Returns what the local host knows of requests that are restricted or rejected.
+    pub fn suspect_reports(&self, now: Instant) -> Vec<SuspectReport> {
+        self.suspects.reports(|end| self.is_refuted(end), now)
+    }
+
+    /// Returns what the other hosts have told of such requests, by host, for a host that has just started.
+    pub fn relayed_suspects(&self, now: Instant) -> HashMap<HostId, Vec<SuspectReport>> {
+        self.suspects.relayed(|end| self.is_refuted(end), now)
+    }
+
+    /// Records what another host, or an earlier process of this one, knows of suspect requests.
+    pub fn learn_suspects(&mut self, host: &HostId, reports: &[SuspectReport], now: Instant) {
+        for report in reports {
+            self.suspects.learn(host, report, now);
+        }
+    }
+
+    /// Forgets requests under which no endpoint has ended for long, and counts the others.
+    pub fn review_suspects(&mut self, now: Instant) -> SuspectCounts {
+        self.suspects.prune(now);
+        let (restricted, rejected) = self.suspects.count(|end| self.is_refuted(end), now);
+        SuspectCounts {
+            restricted,
+            rejected,
+        }
+    }
+}
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use wagtail_steer::{
-    Choice, Completion, EndpointState, Outcome, Placement, PlacementCounts, PlacementRequest,
-    RejectionReason, Steer,
+    Choice, Completion, EndpointState, Fingerprint, Outcome, Placement, PlacementCounts,
+    PlacementRequest, RejectionReason, Steer,
 };
 use wagtail_types::{Clock, ManualClock};
 
@@ -19,7 +19,9 @@
         service: &service,
         object: None,
         permitted_regions: &[],
+        fingerprint: Fingerprint::default(),
         tried: &[],
+        repeated: false,
         elapsed: Duration::ZERO,
         remaining: route.timeout,
     };
@@ -39,6 +41,7 @@
         choice,
         route: &route,
         object: None,
+        fingerprint: Fingerprint::default(),
         outcome,
         response_time: None,
         load: None,
@@ -243,6 +246,7 @@
             choice: &choice,
             route: &route,
             object: None,
+            fingerprint: Fingerprint::default(),
             outcome: Outcome::Answered,
             response_time: Some(Duration::from_millis(5)),
             load: None,
--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -12,3 +12,4 @@
 mod signals;
 mod simulation;
 mod support;
+mod suspects;
--- a/crates/steer/tests/steer/named_limits.rs
+++ b/crates/steer/tests/steer/named_limits.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wagtail_steer::{
-    Choice, Completion, EndpointKey, LimitChange, LimitNotice, Outcome, Placement,
+    Choice, Completion, EndpointKey, Fingerprint, LimitChange, LimitNotice, Outcome, Placement,
     PlacementRequest, Route, Steer,
 };
 use wagtail_types::{Clock, EndpointId, ManualClock, Rate, ServiceId};
@@ -190,7 +190,9 @@
             service: &self.service,
             object: Some(object),
             permitted_regions: &[],
+            fingerprint: Fingerprint::default(),
             tried,
+            repeated: false,
             elapsed: Duration::ZERO,
             remaining: self.route.timeout,
         };
@@ -242,6 +244,7 @@
                     choice: &job.choice,
                     route: &self.route,
                     object: None,
+                    fingerprint: Fingerprint::default(),
                     outcome: Outcome::Answered,
                     response_time: Some(RUN_TIME),
                     load: None,
@@ -437,7 +440,9 @@
         service: &fleet.service,
         object: None,
         permitted_regions: &[],
+        fingerprint: Fingerprint::default(),
         tried: &[],
+        repeated: false,
         elapsed: Duration::ZERO,
         remaining: SECOND,
     };
--- a/crates/steer/tests/steer/restore.rs
+++ b/crates/steer/tests/steer/restore.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use wagtail_steer::{
-    ConfigVersion, Cursor, EndpointState, Extent, Generation, GenerationTag, GenerationTracker,
-    Observation, Placement, PlacementRequest, Steer,
+    ConfigVersion, Cursor, EndpointState, Extent, Fingerprint, Generation, GenerationTag,
+    GenerationTracker, Observation, Placement, PlacementRequest, Steer,
 };
 use wagtail_types::{Clock, ManualClock, ZoneId};
 
@@ -124,7 +124,9 @@
             service: &service,
             object: None,
             permitted_regions: &[],
+            fingerprint: Fingerprint::default(),
             tried: &tried,
+            repeated: false,
             elapsed: Duration::ZERO,
             remaining: route.timeout,
         };
--- a/crates/steer/tests/steer/simulation.rs
+++ b/crates/steer/tests/steer/simulation.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use wagtail_steer::{
-    Choice, Completion, EndpointKey, EndpointRecord, HostState, Load, Outcome, Placement,
-    PlacementRequest, Route, Steer,
+    Choice, Completion, EndpointKey, EndpointRecord, Fingerprint, HostState, Load, Outcome,
+    Placement, PlacementRequest, Route, Steer,
 };
 use wagtail_types::{Clock, EndpointId, ManualClock, RegionId};
 
@@ -237,7 +237,9 @@
                 service: &service,
                 object: Some(object),
                 permitted_regions: &self.permitted_regions[host],
+                fingerprint: Fingerprint::default(),
                 tried: &tried,
+                repeated: false,
                 elapsed: Duration::ZERO,
                 remaining: self.route.timeout,
             };
@@ -258,6 +260,7 @@
                     choice: &choice,
                     route: &route,
                     object: Some(object),
+                    fingerprint: Fingerprint::default(),
                     outcome: Outcome::Shed,
                     response_time: None,
                     load: Some(self.servers[at].load()),
@@ -309,6 +312,7 @@
                     choice: &job.choice,
                     route: &self.route,
                     object: Some(job.object),
+                    fingerprint: Fingerprint::default(),
                     outcome: Outcome::Answered,
                     response_time: Some(now.duration_since(job.sent)),
                     load: Some(server.load()),
--- /dev/null
+++ b/crates/steer/tests/steer/suspects.rs
@@ -0,0 +1,632 @@
+//! Requests that crash the endpoints which run them.
+
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use wagtail_steer::{
+    Choice, Completion, EndpointKey, Fingerprint, Outcome, Placement, PlacementRequest,
+    RejectionReason, Route, Steer, SuspectReport,
+};
+use wagtail_types::{Clock, EndpointId, HostId, ManualClock, ServiceId};
+
+use crate::support::{SERVICE, config, endpoint, exchange, name, steer};
+
+const SECOND: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(10);
+/// How long a sound request runs, and a deadly one until its endpoint ends.
+const RUN_TIME: Duration = Duration::from_millis(250);
+const CRASH_TIME: Duration = Duration::from_millis(100);
+/// The time until another endpoint takes the place of one that has ended.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(4);
+/// The time that news takes to the other hosts.
+const NEWS_TIME: Duration = Duration::from_millis(30);
+const DIGEST_STEPS: usize = 50;
+const ZONES: [&str; 6] = ["a1", "a2", "b1", "b2", "c1", "c2"];
+const ENDPOINTS: usize = 12;
+/// The number of sound requests that callers ask; the first ones are the most popular.
+const SOUND: u32 = 100;
+
+/// A request of a caller at an endpoint.
+#[derive(Debug)]
+struct Job {
+    host: usize,
+    request: u32,
+    choice: Choice,
+    endpoint: EndpointId,
+    began: Instant,
+    ends: Instant,
+    tried: Vec<EndpointKey>,
+}
+
+/// Hosts, and endpoints that end under some requests or for other reasons.
+struct Fleet {
+    hosts: Vec<Steer>,
+    clock: ManualClock,
+    route: Rc<Route>,
+    service: ServiceId,
+    /// Requests that end the endpoints which run them.
+    deadly: HashSet<u32>,
+    jobs: Vec<Job>,
+    /// Reports on their way: arrival, sender, reports.
+    news: Vec<(Instant, HostId, Vec<SuspectReport>)>,
+    /// When the places of ended endpoints are taken: time, zone.
+    replacements: Vec<(Instant, &'static str)>,
+    started: usize,
+    /// When endpoints ended under each deadly request.
+    ended: HashMap<u32, Vec<Instant>>,
+    /// The number of its sends once all hosts could have heard of three ends.
+    sent_after_three: HashMap<u32, usize>,
+    sound_sent: usize,
+    sound_rejected: usize,
+    rng: SmallRng,
+    steps: usize,
+}
+
+fn fingerprint(request: u32) -> Fingerprint {
+    Fingerprint::new(&[&request.to_le_bytes()])
+}
+
+fn completion<'a>(job: &'a Job, route: &'a Route, outcome: Outcome) -> Completion<'a> {
+    Completion {
+        choice: &job.choice,
+        route,
+        object: None,
+        fingerprint: fingerprint(job.request),
+        outcome,
+        response_time: (outcome == Outcome::Answered).then_some(RUN_TIME),
+        load: None,
+    }
+}
+
+impl Fleet {
+    fn new(hosts: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            hosts: Vec::new(),
+            clock: ManualClock::new(),
+            route: Rc::new(config(1).routes.remove(0)),
+            service: name(SERVICE),
+            deadly: HashSet::new(),
+            jobs: Vec::new(),
+            news: Vec::new(),
+            replacements: Vec::new(),
+            started: 0,
+            ended: HashMap::new(),
+            sent_after_three: HashMap::new(),
+            sound_sent: 0,
+            sound_rejected: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            steps: 0,
+        };
+        for i in 0..hosts {
+            let port = u16::try_from(1_000 + 2 * i).expect("few hosts");
+            let mut host = steer(&format!("h-{i}"), ZONES[i % ZONES.len()], port);
+            host.configure(config(1)).expect("a valid configuration");
+            host.mark_hosts_read();
+            fleet.hosts.push(host);
+        }
+        for i in 0..ENDPOINTS {
+            fleet.start_endpoint(ZONES[i % ZONES.len()]);
+        }
+        exchange(&mut fleet.hosts, &fleet.clock);
+        fleet
+    }
+
+    fn start_endpoint(&mut self, zone: &str) {
+        let id = format!("e-{}", self.started);
+        self.started += 1;
+        for host in &mut self.hosts {
+            host.register(endpoint(&id, zone, 3), self.clock.now());
+        }
+    }
+
+    /// Lets endpoints end at the same moment. Their requests break, and hosts find that they refuse
+    /// connections.
+    fn end_endpoints(&mut self, ids: &[EndpointId]) {
+        let now = self.clock.now();
+        let (broken, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.jobs)
+            .into_iter()
+            .partition(|j| ids.contains(&j.endpoint));
+        self.jobs = kept;
+        for job in &broken {
+            let host = &mut self.hosts[job.host];
+            host.finish(&completion(job, &self.route, Outcome::Failed), now);
+            let request = fingerprint(job.request);
+            host.record_break(request, job.choice.key, Some(1), job.began, 2, now);
+        }
+        for job in &broken {
+            self.hosts[job.host].record_refusal(job.choice.key, Some(1), now);
+        }
+        for id in ids {
+            let zone = ZONES[self.rng.random_range(0..ZONES.len())];
+            self.replacements.push((now + REPLACEMENT_TIME, zone));
+            for host in &mut self.hosts {
+                host.unregister(id, now);
+            }
+        }
+        for job in broken {
+            let repeats = job.tried.len() < 2;
+            if repeats {
+                self.place(job.host, job.request, job.tried);
+            }
+        }
+    }
+
+    /// Sends a request to an endpoint unless it is rejected.
+    fn place(&mut self, host: usize, request: u32, mut tried: Vec<EndpointKey>) {
+        let now = self.clock.now();
+        let is_deadly = self.deadly.contains(&request);
+        let placement = self.hosts[host].place(
+            &PlacementRequest {
+                route: &self.route,
+                service: &self.service,
+                object: None,
+                permitted_regions: &[],
+                fingerprint: fingerprint(request),
+                tried: &tried,
+                repeated: !tried.is_empty(),
+                elapsed: Duration::ZERO,
+                remaining: self.route.timeout,
+            },
+            now,
+        );
+        match placement {
+            Placement::Send(choice) => {
+                if is_deadly {
+                    let third = self.ended.get(&request).and_then(|ends| ends.get(2));
+                    if third.is_some_and(|&at| now > at + NEWS_TIME + STEP) {
+                        *self.sent_after_three.entry(request).or_default() += 1;
+                    }
+                } else {
+                    self.sound_sent += 1;
+                }
+                let endpoint = self.hosts[host].endpoint(choice.key).expect("registered");
+                let endpoint = endpoint.record.id.clone();
+                tried.push(choice.key);
+                let time = if is_deadly { CRASH_TIME } else { RUN_TIME };
+                self.jobs.push(Job {
+                    host,
+                    request,
+                    choice,
+                    endpoint,
+                    began: now,
+                    ends: now + time,
+                    tried,
+                });
+            }
+            Placement::Reject {
+                reason: RejectionReason::Suspect,
+                ..
+            } if !is_deadly && tried.is_empty() => self.sound_rejected += 1,
+            Placement::Reject { .. } => {}
+        }
+    }
+
+    /// Runs for a time with `rate` requests per second, of which the share `deadly` are deadly.
+    fn run(&mut self, rate: f64, deadly: f64, time: Duration) {
+        let end = self.clock.now() + time;
+        let mut owed = 0.0;
+        while self.clock.now() < end {
+            self.step();
+            owed += rate * STEP.as_secs_f64();
+            while owed >= 1.0 {
+                owed -= 1.0;
+                let host = self.rng.random_range(0..self.hosts.len());
+                let request = if !self.deadly.is_empty() && self.rng.random_bool(deadly) {
+                    let index = self.rng.random_range(0..self.deadly.len());
+                    let mut deadly: Vec<_> = self.deadly.iter().copied().collect();
+                    deadly.sort_unstable();
+                    deadly[index]
+                } else {
+                    // The first requests are asked most often.
+                    let (a, b) = (
+                        self.rng.random_range(0..SOUND),
+                        self.rng.random_range(0..SOUND),
+                    );
+                    a * b / SOUND
+                };
+                self.place(host, request, Vec::new());
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        let now = self.clock.now();
+        while let Some(at) = self.jobs.iter().position(|j| j.ends <= now) {
+            if self.deadly.contains(&self.jobs[at].request) {
+                let (id, request) = (self.jobs[at].endpoint.clone(), self.jobs[at].request);
+                self.ended.entry(request).or_default().push(now);
+                self.end_endpoints(&[id]);
+                continue;
+            }
+            let job = self.jobs.swap_remove(at);
+            let completion = completion(&job, &self.route, Outcome::Answered);
+            self.hosts[job.host].finish(&completion, now);
+        }
+        let (due, waiting) = std::mem::take(&mut self.replacements)
+            .into_iter()
+            .partition(|(at, _)| *at <= now);
+        self.replacements = waiting;
+        let due: Vec<(Instant, &str)> = due;
+        for (_, zone) in due {
+            self.start_endpoint(zone);
+        }
+        self.exchange_news();
+        if self.steps.is_multiple_of(DIGEST_STEPS) {
+            for host in &mut self.hosts {
+                host.update_weights(now);
+                host.review_suspects(now);
+            }
+            exchange(&mut self.hosts, &self.clock);
+        }
+        self.steps += 1;
+        self.clock.advance(STEP);
+    }
+
+    fn exchange_news(&mut self) {
+        let now = self.clock.now();
+        let (due, waiting) = std::mem::take(&mut self.news)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.news = waiting;
+        let due: Vec<(Instant, HostId, Vec<SuspectReport>)> = due;
+        for (_, sender, reports) in due {
+            for host in &mut self.hosts {
+                host.learn_suspects(&sender, &reports, now);
+            }
+        }
+        for host in &mut self.hosts {
+            let reports = host.take_suspect_news(now);
+            if !reports.is_empty() {
+                let sender = host.local_host().record.id.clone();
+                self.news.push((now + NEWS_TIME, sender, reports));
+            }
+        }
+    }
+
+    fn most_ended(&self) -> usize {
+        self.ended.values().map(Vec::len).max().unwrap_or(0)
+    }
+
+    fn most_sent_after_three(&self) -> usize {
+        self.sent_after_three.values().copied().max().unwrap_or(0)
+    }
+}
+
+/// Guards against a request that ends endpoint after endpoint, as callers repeat it under new ids at other
+/// hosts.
+#[test]
+fn a_request_under_which_three_endpoints_ended_is_sent_only_for_rare_trials() {
+    let (mut sound, mut rejected) = (0, 0);
+    for hosts in [8, 30] {
+        for share in [0.01, 0.03, 0.3] {
+            for seed in 0..10 {
+                let mut fleet = Fleet::new(hosts, seed);
+                fleet.run(70.0, 0.0, 3 * SECOND);
+                fleet.deadly.insert(1_000);
+                fleet.run(70.0, share, 20 * SECOND);
+                let after = fleet.most_sent_after_three();
+                let case = format!("{hosts} hosts, share {share}, seed {seed}");
+                assert!(after <= 3, "{case}: {after} sends after three ends");
+                sound += fleet.sound_sent + fleet.sound_rejected;
+                rejected += fleet.sound_rejected;
+            }
+        }
+    }
+    // Sound requests go on, also those that were at the endpoints which ended.
+    assert!(rejected * 1_000 <= sound, "{rejected} of {sound}");
+}
+
+/// Guards against sound requests that are rejected because they were at endpoints that crashed for other
+/// reasons.
+#[test]
+fn ordinary_crashes_condemn_no_sound_request() {
+    let (mut sent, mut rejected) = (0, 0);
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(8, seed);
+        for _ in 0..8 {
+            fleet.run(70.0, 0.0, 3 * SECOND);
+            let ids: Vec<_> = fleet.hosts[0]
+                .endpoints()
+                .map(|e| e.record.id.clone())
+                .collect();
+            // A quarter of the service at the same moment, as when a rack loses power.
+            fleet.end_endpoints(&ids[..ENDPOINTS / 4]);
+        }
+        sent += fleet.sound_sent;
+        rejected += fleet.sound_rejected;
+    }
+    assert!(rejected * 1_000 <= sent, "{rejected} of {sent}");
+}
+
+/// A host with endpoints and a clock, for single decisions.
+struct Lone {
+    host: Steer,
+    clock: ManualClock,
+    route: Rc<Route>,
+    service: ServiceId,
+}
+
+impl Lone {
+    fn new(endpoints: usize) -> Self {
+        let clock = ManualClock::new();
+        let mut host = steer("h-0", "a1", 1_000);
+        host.configure(config(1)).expect("a valid configuration");
+        host.mark_hosts_read();
+        for i in 0..endpoints {
+            host.register(endpoint(&format!("e-{i}"), "a1", 3), clock.now());
+        }
+        Self {
+            host,
+            clock,
+            route: Rc::new(config(1).routes.remove(0)),
+            service: name(SERVICE),
+        }
+    }
+
+    fn place(&mut self, request: u32, tried: &[EndpointKey]) -> Result<Choice, Duration> {
+        let placement = self.host.place(
+            &PlacementRequest {
+                route: &self.route,
+                service: &self.service,
+                object: None,
+                permitted_regions: &[],
+                fingerprint: fingerprint(request),
+                tried,
+                repeated: !tried.is_empty(),
+                elapsed: Duration::ZERO,
+                remaining: SECOND,
+            },
+            self.clock.now(),
+        );
+        match placement {
+            Placement::Send(choice) => Ok(choice),
+            Placement::Reject {
+                reason: RejectionReason::Suspect,
+                retry_after,
+            } => Err(retry_after),
+            Placement::Reject { reason, .. } => panic!("{reason:?}"),
+        }
+    }
+
+    fn finish(&mut self, request: u32, choice: &Choice, outcome: Outcome) {
+        let completion = Completion {
+            choice,
+            route: &self.route,
+            object: None,
+            fingerprint: fingerprint(request),
+            outcome,
+            response_time: None,
+            load: None,
+        };
+        self.host.finish(&completion, self.clock.now());
+    }
+
+    /// Lets the connection of a request break, and the endpoint refuse connections afterwards.
+    fn crash(&mut self, request: u32, choice: &Choice) -> Vec<Fingerprint> {
+        self.lose(request, choice);
+        let now = self.clock.now();
+        self.host.record_refusal(choice.key, Some(1), now)
+    }
+
+    fn lose(&mut self, request: u32, choice: &Choice) {
+        self.finish(request, choice, Outcome::Failed);
+        let now = self.clock.now();
+        let request = fingerprint(request);
+        self.host
+            .record_break(request, choice.key, Some(1), now, 2, now);
+    }
+
+    /// Lets a request end `count` endpoints, some seconds apart.
+    fn crash_repeatedly(&mut self, request: u32, count: usize) {
+        for _ in 0..count {
+            let choice = self.place(request, &[]).expect("not yet rejected");
+            assert_eq!(self.crash(request, &choice), [fingerprint(request)]);
+            self.clock.advance(2 * SECOND);
+        }
+    }
+}
+
+/// Guards against a second attempt that ends another endpoint after the first one has ended one of two, and
+/// against a first end that denies sound requests their second attempt.
+#[test]
+fn a_request_has_a_second_attempt_after_the_first_end_and_none_after_the_second() {
+    let mut lone = Lone::new(8);
+    let first = lone.place(1, &[]).expect("unknown");
+    lone.crash(1, &first);
+    let second = lone.place(1, &[first.key]).expect("one end");
+    // Whether the second endpoint has ended is not known yet.
+    lone.lose(1, &second);
+    assert!(lone.place(1, &[first.key, second.key]).is_err());
+    let now = lone.clock.now();
+    lone.host.record_refusal(second.key, Some(1), now);
+    assert!(lone.place(1, &[first.key, second.key]).is_err());
+}
+
+/// Guards against many runs at a time of a request under which two endpoints have ended.
+#[test]
+fn a_request_under_which_two_endpoints_ended_runs_once_at_a_time() {
+    let mut lone = Lone::new(8);
+    lone.crash_repeatedly(1, 2);
+    let choice = lone.place(1, &[]).expect("a single run");
+    assert!(lone.place(1, &[]).is_err());
+    assert!(lone.place(2, &[]).is_ok(), "another request");
+    lone.finish(1, &choice, Outcome::Left);
+    assert!(lone.place(1, &[]).is_ok());
+}
+
+/// Guards against callers who are told to return when the request is still rejected, and against a request
+/// that is rejected for good although what it runs into has been mended.
+#[test]
+fn a_rejected_request_is_tried_again_later_and_trusted_once_it_ends_well() {
+    let mut lone = Lone::new(8);
+    lone.crash_repeatedly(1, 3);
+    // The last end is 2 s ago.
+    let wait = lone.place(1, &[]).expect_err("three ends");
+    assert_eq!(wait, 8 * SECOND);
+    lone.clock.advance(wait);
+    let trial = lone.place(1, &[]).expect("the trial");
+    assert!(lone.place(1, &[]).is_err(), "one trial at a time");
+    lone.crash(1, &trial);
+    let wait = lone.place(1, &[]).expect_err("four ends");
+    assert_eq!(wait, 20 * SECOND);
+    lone.clock.advance(wait);
+    let trial = lone.place(1, &[]).expect("the trial");
+    lone.finish(1, &trial, Outcome::Answered);
+    for _ in 0..3 {
+        assert!(lone.place(1, &[]).is_ok());
+    }
+}
+
+/// Guards against connections that endpoints close, or that the network breaks, and that count as crashes
+/// although the endpoints live on.
+#[test]
+fn a_broken_connection_does_not_count_while_its_endpoint_lives() {
+    let mut lone = Lone::new(8);
+    for _ in 0..5 {
+        let choice = lone.place(1, &[]).expect("not suspect");
+        lone.lose(1, &choice);
+        lone.host.record_open(choice.key, Some(1));
+        assert!(lone.crash(2, &choice).contains(&fingerprint(2)));
+        lone.clock.advance(SECOND);
+    }
+    assert!(lone.place(1, &[]).is_ok());
+    // A connection that broke long before the endpoint went away.
+    let choice = lone.place(3, &[]).expect("not suspect");
+    lone.lose(3, &choice);
+    lone.clock.advance(6 * SECOND);
+    let now = lone.clock.now();
+    assert!(
+        lone.host
+            .record_refusal(choice.key, Some(1), now)
+            .is_empty()
+    );
+}
+
+/// Guards against an endpoint that closes its connections as it leaves, and seems to have crashed.
+#[test]
+fn an_endpoint_that_leaves_has_not_ended_under_a_request() {
+    let mut lone = Lone::new(2);
+    let choice = lone.place(1, &[]).expect("not suspect");
+    let now = lone.clock.now();
+    lone.host.record_leaving(choice.key, Some(1), 2, now);
+    assert!(lone.crash(1, &choice).is_empty());
+}
+
+/// Guards against an endpoint that restarts too fast to refuse a connection.
+#[test]
+fn a_new_process_of_an_endpoint_shows_that_the_one_before_has_ended() {
+    let mut lone = Lone::new(1);
+    for process in 1..=2 {
+        let choice = lone.place(1, &[]).expect("fewer than two ends");
+        lone.finish(1, &choice, Outcome::Failed);
+        let now = lone.clock.now();
+        let request = fingerprint(1);
+        lone.host
+            .record_break(request, choice.key, Some(process), now, process, now);
+        let mut record = endpoint("e-0", "a1", 3);
+        record.started = Some(process + 1);
+        lone.host.register(record, now);
+    }
+    assert_eq!(lone.host.review_suspects(lone.clock.now()).restricted, 1);
+}
+
+/// Guards against one host, cut off or confused, that has a team's requests rejected everywhere.
+#[test]
+fn the_word_of_one_host_rejects_no_request_at_others_and_answers_refute_it() {
+    let mut liar = Lone::new(8);
+    let mut other = Lone::new(8);
+    liar.crash_repeatedly(1, 3);
+    let now = liar.clock.now();
+    let reports = liar.host.take_suspect_news(now);
+    let reports: Vec<_> = reports
+        .into_iter()
+        .chain(liar.host.suspect_reports(now))
+        .collect();
+    other.clock.advance(10 * SECOND);
+    let now = other.clock.now();
+    other.host.learn_suspects(&name("h-1"), &reports, now);
+    let counts = other.host.review_suspects(now);
+    assert_eq!((counts.restricted, counts.rejected), (1, 0));
+    other.host.learn_suspects(&name("h-2"), &reports, now);
+    // The same endpoints count once.
+    assert_eq!(other.host.review_suspects(now), counts);
+    let choice = other.place(1, &[]).expect("a single run");
+    other.finish(1, &choice, Outcome::Left);
+    // All endpoints answer other requests.
+    for _ in 0..8 {
+        let choice = other.place(2, &[]).expect("not suspect");
+        other.finish(2, &choice, Outcome::Answered);
+        other.clock.advance(SECOND);
+    }
+    let counts = other.host.review_suspects(other.clock.now());
+    assert_eq!((counts.restricted, counts.rejected), (0, 0));
+}
+
+/// Guards against evidence that is kept for ever, or without bound.
+#[test]
+fn evidence_fades_and_is_bounded() {
+    let mut lone = Lone::new(8);
+    lone.crash_repeatedly(1, 2);
+    lone.clock.advance(60 * SECOND);
+    lone.host.review_suspects(lone.clock.now());
+    assert!(lone.place(1, &[]).is_ok());
+    assert!(lone.place(1, &[]).is_ok());
+    let now = lone.clock.now();
+    for request in 0..1_000 {
+        for peer in 0..3_u32 {
+            let report = SuspectReport {
+                request: fingerprint(request),
+                ends: vec![wagtail_steer::ReportedEnd {
+                    endpoint: peer,
+                    started: None,
+                    ran_ms: 0,
+                    age_ms: 1_000 * peer,
+                }],
+                survived_ms: None,
+            };
+            let host: HostId = name(&format!("p-{peer}"));
+            lone.host.learn_suspects(&host, &[report], now);
+        }
+    }
+    assert_eq!(lone.host.review_suspects(now).rejected, 256);
+}
+
+/// Guards against a host that has restarted and sends a request that the others reject.
+#[test]
+fn a_host_that_has_restarted_hears_which_requests_are_rejected() {
+    let mut fleet = Fleet::new(8, 1);
+    fleet.deadly.insert(1_000);
+    fleet.run(70.0, 0.1, 5 * SECOND);
+    assert!(fleet.most_ended() >= 3);
+    let mut started = steer("h-0", "a1", 1_000);
+    let now = fleet.clock.now();
+    for host in &fleet.hosts {
+        let id = host.local_host().record.id.clone();
+        if id == started.local_host().record.id {
+            continue;
+        }
+        started.learn_suspects(&id, &host.suspect_reports(now), now);
+        for (origin, reports) in host.relayed_suspects(now) {
+            started.learn_suspects(&origin, &reports, now);
+        }
+    }
+    assert_eq!(started.review_suspects(now).rejected, 1);
+}
+
+/// Guards against requests of different teams, routes, objects or bodies that are taken for equal.
+#[test]
+fn fingerprints_tell_requests_apart() {
+    let parts: [&[&[u8]]; 6] = [
+        &[b"a", b"b"],
+        &[b"ab", b""],
+        &[b"", b"ab"],
+        &[b"a", b"c"],
+        &[b"a"],
+        &[b"b", b"a"],
+    ];
+    let prints: HashSet<_> = parts.iter().map(|p| Fingerprint::new(p)).collect();
+    assert_eq!(prints.len(), parts.len());
+}
