Let only open connections refute that an endpoint has ended

An end that another host reports does not count once the same process has answered afterwards. An endpoint that starts again at once answers while its new registration has not arrived, on a connection opened after the end, and so seemed never to have ended. Only an answer on a connection that was opened before the end refutes it now.

Test: the_word_of_one_host_rejects_no_request_at_others_and_answers_refute_it has the case.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -22,9 +22,17 @@
 /// The sending half of a client connection.
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
+/// A connection to an endpoint.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: Sender,
+    /// When it was opened.
+    pub(crate) opened: Instant,
+}
+
 #[derive(Debug)]
 struct Idle {
-    sender: Sender,
+    connection: Connection,
     expires: Instant,
 }
 
@@ -36,11 +44,11 @@
 
 impl Pool {
     /// Takes the most recently used connection, if one is still usable.
-    pub(crate) fn take(&self, endpoint: EndpointKey, now: Instant) -> Option<Sender> {
+    pub(crate) fn take(&self, endpoint: EndpointKey, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
-        list.retain(|i| i.expires > now && i.sender.is_ready());
-        list.pop().map(|i| i.sender)
+        list.retain(|i| i.expires > now && i.connection.sender.is_ready());
+        list.pop().map(|i| i.connection)
     }
 
     /// Returns a connection to the pool; its last response must have been read completely.
@@ -48,7 +56,7 @@
     pub(crate) fn put(
         &self,
         endpoint: EndpointKey,
-        sender: Sender,
+        connection: Connection,
         keep_alive: Option<Duration>,
         now: Instant,
     ) {
@@ -59,7 +67,7 @@
         let list = idle.entry(endpoint).or_default();
         if list.len() < PER_ENDPOINT_MAX && !lifetime.is_zero() {
             list.push(Idle {
-                sender,
+                connection,
                 expires: now + lifetime,
             });
         }
@@ -68,7 +76,7 @@
     /// Closes connections that have expired or that the endpoint has closed.
     pub(crate) fn prune(&self, now: Instant) {
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|i| i.expires > now && !i.sender.is_closed());
+            list.retain(|i| i.expires > now && !i.connection.sender.is_closed());
             !list.is_empty()
         });
     }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -15,7 +15,7 @@
 use crate::codec::{Dispatch, Execution, ResponseHead};
 use crate::connect::{CallError, open};
 use crate::host::RequestContext;
-use crate::pool::Sender;
+use crate::pool::Connection;
 use crate::signals::{Process, heed, report_unknown};
 use crate::suspects::{look_into_break, record_refusal};
 
@@ -124,8 +124,8 @@
     } else {
         None
     };
-    let mut sender = if let Some(sender) = pooled {
-        sender
+    let mut connection = if let Some(connection) = pooled {
+        connection
     } else {
         let timeout = CONNECT_TIMEOUT.min(job.deadline.saturating_duration_since(now));
         context.core.metrics.count("connections", "endpoint");
@@ -138,7 +138,10 @@
             .steer
             .borrow_mut()
             .record_connection(to, elapsed);
-        sender
+        Connection {
+            sender,
+            opened: context.core.now(),
+        }
     };
     let now = context.core.now();
     // The endpoint may have asked for no further requests while the connection was being opened.
@@ -157,7 +160,8 @@
             remaining,
         },
     );
-    let response = sender
+    let response = connection
+        .sender
         .send_request(request)
         .await
         .map_err(|e| broken_connection(&e))?;
@@ -167,6 +171,12 @@
         // A late answer to an earlier request does not tell that a limit has ended since.
         info.signals.limit = LimitNotice::Unknown;
     }
+    context.core.steer.borrow_mut().record_answer(
+        to,
+        process.started,
+        connection.opened,
+        context.core.now(),
+    );
     heed(&context.core, &context.pool, process, info.signals, now);
     if let Some(name) = context.codec.unknown_header(&head) {
         report_unknown(&context.core, process, &name);
@@ -185,7 +195,7 @@
     )
     .inspect(|received| {
         if body.1 && job.is_safe() {
-            return_to_pool(context, to, sender, received);
+            return_to_pool(context, to, connection, received);
         }
     })
 }
@@ -203,13 +213,13 @@
 fn return_to_pool(
     context: &RequestContext,
     to: EndpointKey,
-    sender: Sender,
+    connection: Connection,
     received: &ReceivedResponse,
 ) {
     if !received.info.close && !received.info.signals.leaving {
         context
             .pool
-            .put(to, sender, received.info.keep_alive, context.core.now());
+            .put(to, connection, received.info.keep_alive, context.core.now());
     }
 }
 
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -192,8 +192,8 @@
     pub(crate) in_flight: u32,
     /// Whether the local host has sent a request to the endpoint.
     pub(crate) contacted: bool,
-    /// When it last answered a request of the local host.
-    pub(crate) answered_at: Option<Instant>,
+    /// When the connection of its last answer to the local host was opened, and when that answer came.
+    pub(crate) answered: Option<(Instant, Instant)>,
     /// Whether the local host is a designated sender that should probe the endpoint with a first
     /// request.
     pub(crate) should_probe: bool,
@@ -240,7 +240,7 @@
             warm: WarmSet::default(),
             in_flight: 0,
             contacted: false,
-            answered_at: None,
+            answered: None,
             should_probe: false,
             notice: Notice::None,
             pause: Pause::default(),
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -305,9 +305,6 @@
         let Some(endpoint) = self.endpoints.get_mut(choice.key) else {
             return;
         };
-        if answered || matches!(outcome, Outcome::Shed | Outcome::Paused) {
-            endpoint.answered_at = Some(now);
-        }
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         let had_slot = load.map_or(choice.slot_free, |l| l.running < l.slots);
         endpoint.record_outcome(outcome, had_slot, now);
--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -102,13 +102,28 @@
         }
     }
 
+    /// Records that the process of an endpoint that was started at `started` answers on a connection that
+    /// was opened at `opened`.
+    pub fn record_answer(
+        &mut self,
+        key: EndpointKey,
+        started: Option<u64>,
+        opened: Instant,
+        now: Instant,
+    ) {
+        if let Some(endpoint) = self.process(key, started) {
+            endpoint.answered = Some((opened, now));
+        }
+    }
+
     /// Returns whether the process of an endpoint has answered after its reported end.
     fn is_refuted(&self, end: &End) -> bool {
         let endpoint = self.by_hash.get(&end.endpoint);
         let endpoint = endpoint.map(|&key| &self.endpoints[key]);
-        endpoint.is_some_and(|e| {
-            e.record.started == end.started && e.answered_at.is_some_and(|at| end.is_refuted_by(at))
-        })
+        let answered = endpoint
+            .filter(|e| e.record.started == end.started)
+            .and_then(|e| e.answered);
+        answered.is_some_and(|(opened, at)| end.is_refuted_by(opened, at))
     }
 
     /// Returns whether something has changed about suspect requests that the other hosts should hear of.
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -112,9 +112,11 @@
         last.duration_since(first) < JOINT_TIME
     }
 
-    /// Returns whether an answer that the same process gave at `answered` shows that it did not end.
-    pub(crate) fn is_refuted_by(&self, answered: Instant) -> bool {
-        answered > self.at + REFUTATION_TIME
+    /// Returns whether an answer at `answered`, on a connection that was opened at `opened`, shows that the
+    /// process did not end. A later connection may be one to its successor, whose registration is not
+    /// known yet.
+    pub(crate) fn is_refuted_by(&self, opened: Instant, answered: Instant) -> bool {
+        opened < self.at && answered > self.at + REFUTATION_TIME
     }
 }
 
--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -366,6 +366,28 @@
         }
     }
 
+    /// Returns the keys of all endpoints.
+    fn keys(&mut self) -> Vec<EndpointKey> {
+        let mut keys: Vec<EndpointKey> = Vec::new();
+        while let Placement::Send(choice) = self.host.place(
+            &PlacementRequest {
+                route: &self.route,
+                service: &self.service,
+                object: None,
+                permitted_regions: &[],
+                fingerprint: fingerprint(9),
+                tried: &keys,
+                repeated: false,
+                elapsed: Duration::ZERO,
+                remaining: SECOND,
+            },
+            self.clock.now(),
+        ) {
+            keys.push(choice.key);
+        }
+        keys
+    }
+
     fn place(&mut self, request: u32, tried: &[EndpointKey]) -> Result<Choice, Duration> {
         let placement = self.host.place(
             &PlacementRequest {
@@ -538,6 +560,7 @@
 fn the_word_of_one_host_rejects_no_request_at_others_and_answers_refute_it() {
     let mut liar = Lone::new(8);
     let mut other = Lone::new(8);
+    let before = other.clock.now();
     liar.crash_repeatedly(1, 3);
     let now = liar.clock.now();
     let reports = liar.host.take_suspect_news(now);
@@ -555,11 +578,15 @@
     assert_eq!(other.host.review_suspects(now), counts);
     let choice = other.place(1, &[]).expect("a single run");
     other.finish(1, &choice, Outcome::Left);
-    // All endpoints answer other requests.
-    for _ in 0..8 {
-        let choice = other.place(2, &[]).expect("not suspect");
-        other.finish(2, &choice, Outcome::Answered);
-        other.clock.advance(SECOND);
+    // The endpoints answer on connections that were opened after the ends, which may be to successors.
+    let keys = other.keys();
+    for key in &keys {
+        other.host.record_answer(*key, Some(1), now, now);
+    }
+    assert_eq!(other.host.review_suspects(now), counts);
+    // Those that were open before show that the processes live.
+    for key in &keys {
+        other.host.record_answer(*key, Some(1), before, now);
     }
     let counts = other.host.review_suspects(other.clock.now());
     assert_eq!((counts.restricted, counts.rejected), (0, 0));
