--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -7,8 +7,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wagtail_steer::{
-    Choice, Completion, EndpointKey, Fingerprint, Outcome, Placement, PlacementRequest,
-    RejectionReason, Route, Steer, SuspectReport,
+    Choice, Completion, Datagram, EndpointKey, Fingerprint, Message, Outcome, Placement,
+    PlacementRequest, RejectionReason, ReportedEnd, Route, Steer, SuspectReport,
 };
 use wagtail_types::{Clock, EndpointId, HostId, ManualClock, ServiceId};
 
@@ -610,6 +610,38 @@
     assert_eq!(other.host.review_suspects(now).restricted, 1);
 }
 
+/// Guards against reports that do not fit a datagram, or that cost each host more than its share of control.
+#[test]
+fn reports_are_small() {
+    let end = ReportedEnd {
+        endpoint: u32::MAX,
+        started: Some(u64::MAX),
+        ran_ms: u32::MAX,
+        age_ms: u32::MAX,
+    };
+    let size = |requests: u32, ends: usize| {
+        let report = |request| SuspectReport {
+            request: fingerprint(request),
+            ends: vec![end; ends],
+            survived_ms: Some(u32::MAX),
+        };
+        let datagram = Datagram {
+            message: Message::Suspects {
+                host: name("front-mandeville-b-13"),
+                reports: (0..requests).map(report).collect(),
+            },
+            registry: None,
+            leaving: Vec::new(),
+            limits: Vec::new(),
+        };
+        datagram.encode().expect("it can be encoded").len()
+    };
+    // The largest report.
+    assert!(size(16, 8) < 8_192);
+    // One end, told to 74 other hosts, against what 3 KB a second allow in a minute.
+    assert!(size(1, 1) * 74 < 3_000 * 60 / 10);
+}
+
 /// Guards against evidence that is kept for ever, or without bound.
 #[test]
 fn evidence_fades_and_is_bounded() {
@@ -624,7 +656,7 @@
         for peer in 0..3_u32 {
             let report = SuspectReport {
                 request: fingerprint(request),
-                ends: vec![wagtail_steer::ReportedEnd {
+                ends: vec![ReportedEnd {
                     endpoint: peer,
                     started: None,
                     ran_ms: 0,
