Let more hosts divide a higher limit

Hypothesis, from reading the change: an endpoint that names a limit far above what it receives is used by three hosts only, and the callers of all others lose it; endpoints that always name their capacity would leave most hosts without an endpoint. Each host may have saved one request, and the users' bound leaves slack that grows with the limit, so there is now one designated host more for each request a second, of other regions too once those of the endpoint's are used up.

--- a/crates/steer/src/limit.rs
+++ b/crates/steer/src/limit.rs
@@ -1,7 +1,8 @@
 //! The limit that an endpoint names on the requests of all hosts together.
 //!
-//! A few hosts of the endpoint's region, its designated senders, divide the limit between them; other
-//! hosts send it nothing meanwhile. Senders hear from the endpoint that the limit has changed or ended,
+//! A few hosts, its designated senders, divide the limit between them; other hosts send it nothing
+//! meanwhile. The higher the limit, the more they are, so that one that does not bind keeps no host from
+//! the endpoint. Senders hear from the endpoint that the limit has changed or ended,
 //! and tell the other hosts.
 
 use std::time::{Duration, Instant};
@@ -11,9 +12,10 @@
 
 use crate::bucket::Bucket;
 
-/// The number of designated senders of a limited endpoint. Each may have saved one request, which must
-/// fit the slack that a window leaves.
-pub(crate) const LIMIT_SENDERS: usize = 3;
+/// The number of designated senders of an endpoint with the lowest limit. There is one more for each
+/// request per second of the limit. Each may have saved one request, and a window of some seconds leaves
+/// slack for these.
+const SENDERS_MIN: usize = 3;
 /// The fraction of a limit that hosts use, so that it holds while one of them has not heard of it yet.
 const USED_FRACTION: f64 = 0.9;
 /// The rate for an endpoint that takes no requests, one in ten seconds, from which hosts hear that it
@@ -107,6 +109,13 @@
             .map(|rate| (rate.micros() as f64 / MICROS).max(MIN_RATE))
     }
 
+    /// Returns the number of hosts that divide the limit in force.
+    pub(crate) fn senders(&self) -> Option<usize> {
+        const MICROS: u64 = 1_000_000;
+        let per_second = usize::try_from(self.rate()?.micros() / MICROS).unwrap_or(usize::MAX);
+        Some(SENDERS_MIN.saturating_add(per_second))
+    }
+
     /// Returns whether the endpoint has ever named a limit.
     pub(crate) fn is_named(&self) -> bool {
         self.named.is_some()
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -11,7 +11,6 @@
 use crate::digest::{Digest, HostState};
 use crate::endpoint::{Distance, Endpoint};
 use crate::hash::{name_hash, tenths};
-use crate::limit::LIMIT_SENDERS;
 use crate::peers::{HostRecord, Peer};
 use crate::rate::arrival_hash;
 use crate::senders::is_sender;
@@ -115,27 +114,40 @@
         peers.map(|p| name_hash(p.record.id.as_str())).collect()
     }
 
-    /// Returns the local host's part of the limit of an endpoint. The designated senders are hosts of the
-    /// endpoint's region, or of all if it has none that is ready. They leave the parts of hosts that are
-    /// not heard, as these may send too if they are only cut off.
+    /// Returns the local host's part of the limit of an endpoint.
+    ///
+    /// The designated senders are hosts of the endpoint's region, and of others if it has fewer that are
+    /// ready. They leave the parts of hosts that are not heard, as these may send too if they are only cut
+    /// off.
     fn limit_share(&self, endpoint: &Endpoint, now: Instant) -> f64 {
-        let is_near = endpoint.region == self.local.region;
-        let near = self.ready_peers(Some(&endpoint.region), now);
-        let (peers, known) = if is_near {
-            (near, self.peers.most_known_in(&endpoint.region) + 1)
-        } else if near.is_empty() {
-            (self.ready_peers(None, now), self.sharing_hosts())
-        } else {
+        let Some(senders) = endpoint.limit.senders() else {
             return 0.0;
         };
-        let id = name_hash(endpoint.record.id.as_str());
-        let local = name_hash(self.local.record.id.as_str());
-        if self.state == HostState::Leaving || !is_sender(id, local, &peers, LIMIT_SENDERS) {
+        if self.state == HostState::Leaving {
             return 0.0;
         }
-        let present = peers.len() + 1;
+        let id = name_hash(endpoint.record.id.as_str());
+        let local = name_hash(self.local.record.id.as_str());
+        let is_near = endpoint.region == self.local.region;
+        let near = self.ready_peers(Some(&endpoint.region), now);
+        let near_present = near.len() + usize::from(is_near);
+        let near_known = self.peers.most_known_in(&endpoint.region) + usize::from(is_near);
+        let (present, known) = if near_present > 0 && senders <= near_known {
+            if !is_near || !is_sender(id, local, &near, senders) {
+                return 0.0;
+            }
+            (near_present, near_known)
+        } else {
+            let mut far = self.ready_peers(None, now);
+            let present = far.len() + 1;
+            far.retain(|peer| !near.contains(peer));
+            if !is_near && !is_sender(id, local, &far, senders.saturating_sub(near_present)) {
+                return 0.0;
+            }
+            (present, self.sharing_hosts())
+        };
         let heard = present as f64 / known.max(present) as f64;
-        heard / present.min(LIMIT_SENDERS) as f64
+        heard / present.min(senders) as f64
     }
 
     /// Builds the next digest of the local host.
