Name the fingerprint of a request that broke or was rejected as suspect

An operator could not go from a request's id to the ends of endpoints for which it is rejected: the line of an end names fingerprints, that of a request did not. It does now where a connection broke or the request was rejected, and wagtail-ctl explain names the ends under equal requests, however long ago. Tests: the_ends_under_equal_requests_are_named_whenever_they_were (failing before), a_request_that_crashes_endpoints_is_rejected_and_others_are_served.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -164,14 +164,20 @@
             request.integer("ms"),
             request.text("reason"),
         ));
+        let fingerprint = request.text("fingerprint");
         push_line(format!(
-            "  route {}, team {}, object {}, configuration {}",
+            "  route {}, team {}, object {}, configuration {}{}",
             request.text("route"),
             request.text("team"),
             Some(request.text("object"))
                 .filter(|o| !o.is_empty())
                 .unwrap_or("none"),
             request.integer("config"),
+            if fingerprint.is_empty() {
+                String::new()
+            } else {
+                format!(", fingerprint {fingerprint}")
+            },
         ));
         for (index, attempt) in attempts.iter().enumerate() {
             push_line(format!("  attempt {}: {attempt}", index + 1));
@@ -189,8 +195,11 @@
             let in_window = (-CONTEXT_BEFORE_S..=CONTEXT_AFTER_S).contains(&offset);
             let in_force = line.msg == "configuration in force"
                 && line.fields.get("config") == request.fields.get("config");
+            let is_equal =
+                !fingerprint.is_empty() && line.text("fingerprints").contains(fingerprint);
             !line.is_request()
                 && (in_force
+                    || is_equal
                     || in_window && (same_endpoint || GENERAL_MESSAGES.contains(&&*line.msg)))
         });
         for line in related {
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -68,6 +68,24 @@
     "#);
 }
 
+/// Guards against a report that does not tell under which endpoints' ends a request is rejected.
+#[test]
+fn the_ends_under_equal_requests_are_named_whenever_they_were() {
+    const LOG: &str = r#"
+{"msg":"endpoint ended while requests ran there","level":"INFO","ts":50.0,"requests":2,"fingerprints":"00000000000000aa 00000000000000bb","endpoint":"e-1"}
+{"msg":"endpoint ended while requests ran there","level":"INFO","ts":51.0,"requests":1,"fingerprints":"00000000000000cc","endpoint":"e-2"}
+{"msg":"request","level":"INFO","ts":101.0,"skipped":0,"ms":0,"fingerprint":"00000000000000bb","ran":false,"reason":"endpoints ended under equal requests","status":503,"miss":"Suspect retry=9000","attempts":"","config":4,"object":"19","team":"blue","route":"r-1","request":"id-9"}
+"#;
+    let mut logs = Logs::default();
+    logs.read("host-1.log", LOG.as_bytes()).expect("readable");
+    insta::assert_snapshot!(logs.explain("id-9").expect("a line"), @r#"
+    request id-9 in host-1.log: 503 after 0 ms (endpoints ended under equal requests), ran: no
+      route r-1, team blue, object 19, configuration 4, fingerprint 00000000000000bb
+      no further endpoint: Suspect retry=9000
+      -51.000 s: endpoint ended while requests ran there endpoint="e-1" fingerprints="00000000000000aa 00000000000000bb" requests=2
+    "#);
+}
+
 #[test]
 fn missing_request_reports_how_many_were_not_logged() {
     let error = logs().explain("id-3").expect_err("no line");
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -98,7 +98,7 @@
         ) {
             Ok(in_flight) => in_flight,
             Err((rejection, retry_after)) => {
-                request_log.record_rejection(rejection, retry_after);
+                request_log.record_rejection(rejection, retry_after, progress.fingerprint);
                 return final_reply(progress, Some((rejection, retry_after)), head);
             }
         };
@@ -107,7 +107,13 @@
         let mut attempt_end =
             await_attempt(context, job, head, &body, &in_flight.choice, &progress).await;
         let elapsed = context.core.now().duration_since(started);
-        request_log.record_attempt(context, &in_flight.choice, &attempt_end, elapsed);
+        request_log.record_attempt(
+            context,
+            &in_flight.choice,
+            &attempt_end,
+            elapsed,
+            progress.fingerprint,
+        );
         if let AttemptEnd::Overdue(next) = &mut attempt_end {
             replacement = next.take();
         }
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use slog::info;
-use wagtail_steer::{Choice, RejectionReason, RouteId};
+use wagtail_steer::{Choice, Fingerprint, RejectionReason, RouteId};
 use wagtail_types::{TeamId, millis};
 
 use super::attempt::AttemptEnd;
@@ -74,6 +74,9 @@
     pub(crate) object: Option<String>,
     /// Whether an endpoint may have executed the request.
     pub(crate) may_have_run: bool,
+    /// Identifies what the request asks, if a connection broke under it or endpoints ended under equal
+    /// ones.
+    fingerprint: Option<Fingerprint>,
     attempts: Vec<String>,
     rejection: Option<(RejectionReason, Duration)>,
     written: bool,
@@ -90,6 +93,7 @@
             team: None,
             object: None,
             may_have_run: false,
+            fingerprint: None,
             attempts: Vec::new(),
             rejection: None,
             written: false,
@@ -103,7 +107,11 @@
         choice: &Choice,
         attempt_end: &AttemptEnd,
         elapsed: Duration,
+        fingerprint: Fingerprint,
     ) {
+        if let AttemptEnd::Finished(Err(AttemptError::Broken(_))) = attempt_end {
+            self.fingerprint = Some(fingerprint);
+        }
         let end = match attempt_end {
             AttemptEnd::Overdue(_) => "overdue".to_owned(),
             AttemptEnd::Finished(Ok(received)) => received.head.status.as_u16().to_string(),
@@ -133,8 +141,16 @@
     }
 
     /// Records why no endpoint was found, and the wait after which to retry.
-    pub(crate) fn record_rejection(&mut self, rejection: RejectionReason, retry_after: Duration) {
+    pub(crate) fn record_rejection(
+        &mut self,
+        rejection: RejectionReason,
+        retry_after: Duration,
+        fingerprint: Fingerprint,
+    ) {
         self.rejection = Some((rejection, retry_after));
+        if rejection == RejectionReason::Suspect {
+            self.fingerprint = Some(fingerprint);
+        }
     }
 
     /// Writes the record and counts the request in the metrics.
@@ -171,6 +187,7 @@
             "status" => status,
             "reason" => reason,
             "ran" => self.may_have_run,
+            "fingerprint" => self.fingerprint.map(|f| f.to_string()),
             "ms" => millis(elapsed),
             "skipped" => skipped,
         );
