--- a/crates/steer/tests/steer/named_limits.rs
+++ b/crates/steer/tests/steer/named_limits.rs
@@ -7,8 +7,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wagtail_steer::{
-    Choice, Completion, EndpointKey, Fingerprint, LimitChange, LimitNotice, Outcome, Placement,
-    PlacementRequest, RejectionReason, Route, Steer,
+    Choice, Completion, Datagram, EndpointKey, Fingerprint, LimitChange, LimitNotice, LimitReport,
+    Message, Outcome, Placement, PlacementRequest, RegistryView, RejectionReason, Route, Steer,
 };
 use wagtail_types::{Clock, EndpointId, ManualClock, Rate, ServiceId};
 
@@ -514,3 +514,28 @@
     }
     assert!((1..=allowed(LIMIT)).contains(&checks), "{checks} in 4 s");
 }
+
+/// Guards against digests that grow beyond their share of the control traffic.
+#[test]
+fn a_limit_takes_few_bytes_of_a_digest() {
+    let report = LimitReport {
+        endpoint: u32::MAX,
+        started: Some(1_790_000_000_000),
+        micros: Some(4_750_000),
+        age_ms: 60_000,
+    };
+    let size = |count: usize| {
+        let datagram = Datagram {
+            message: Message::TokenReturn { team: 1 },
+            registry: Some(RegistryView {
+                generation: None,
+                lost_config: None,
+            }),
+            leaving: Vec::new(),
+            limits: vec![report; count],
+        };
+        datagram.encode().expect("it can be encoded").len()
+    };
+    let each = size(11) - size(10);
+    assert!(each <= 24, "{each} bytes");
+}
