Measure what hosts tell each other of suspect requests

Test: what_hosts_tell_of_suspect_requests_fits_the_control_traffic (bound: a third of 3 KB a second).

--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -24,6 +24,8 @@
 /// The time that news takes to the other hosts.
 const NEWS_TIME: Duration = Duration::from_millis(30);
 const DIGEST_STEPS: usize = 50;
+/// The number of hosts that receive one digest, in the region and elsewhere.
+const DIGEST_TARGETS: usize = 16;
 const ZONES: [&str; 6] = ["a1", "a2", "b1", "b2", "c1", "c2"];
 const ENDPOINTS: usize = 12;
 /// The number of sound requests that callers ask; the first ones are the most popular.
@@ -61,6 +63,8 @@
     sent_after_three: HashMap<u32, usize>,
     sound_sent: usize,
     sound_rejected: usize,
+    /// The bytes of all datagrams with reports.
+    bytes: usize,
     rng: SmallRng,
     steps: usize,
 }
@@ -69,6 +73,20 @@
     Fingerprint::new(&[&request.to_le_bytes()])
 }
 
+/// Returns the size of a datagram with reports, in bytes.
+fn size(host: &HostId, reports: &[SuspectReport]) -> usize {
+    let datagram = Datagram {
+        message: Message::Suspects {
+            host: host.clone(),
+            reports: reports.to_vec(),
+        },
+        registry: None,
+        leaving: Vec::new(),
+        limits: Vec::new(),
+    };
+    datagram.encode().expect("it can be encoded").len()
+}
+
 fn completion<'a>(job: &'a Job, route: &'a Route, outcome: Outcome) -> Completion<'a> {
     Completion {
         choice: &job.choice,
@@ -97,6 +115,7 @@
             sent_after_three: HashMap::new(),
             sound_sent: 0,
             sound_rejected: 0,
+            bytes: 0,
             rng: SmallRng::seed_from_u64(seed),
             steps: 0,
         };
@@ -277,10 +296,18 @@
                 host.learn_suspects(&sender, &reports, now);
             }
         }
+        let peers = self.hosts.len() - 1;
         for host in &mut self.hosts {
+            let sender = host.local_host().record.id.clone();
+            if self.steps.is_multiple_of(DIGEST_STEPS) {
+                let reports = host.suspect_reports(now);
+                if !reports.is_empty() {
+                    self.bytes += size(&sender, &reports) * DIGEST_TARGETS;
+                }
+            }
             let reports = host.take_suspect_news(now);
             if !reports.is_empty() {
-                let sender = host.local_host().record.id.clone();
+                self.bytes += size(&sender, &reports) * peers;
                 self.news.push((now + NEWS_TIME, sender, reports));
             }
         }
@@ -619,22 +646,15 @@
         ran_ms: u32::MAX,
         age_ms: u32::MAX,
     };
+    let host = name("front-mandeville-b-13");
     let size = |requests: u32, ends: usize| {
         let report = |request| SuspectReport {
             request: fingerprint(request),
             ends: vec![end; ends],
             survived_ms: Some(u32::MAX),
         };
-        let datagram = Datagram {
-            message: Message::Suspects {
-                host: name("front-mandeville-b-13"),
-                reports: (0..requests).map(report).collect(),
-            },
-            registry: None,
-            leaving: Vec::new(),
-            limits: Vec::new(),
-        };
-        datagram.encode().expect("it can be encoded").len()
+        let reports: Vec<_> = (0..requests).map(report).collect();
+        size(&host, &reports)
     };
     // The largest report.
     assert!(size(16, 8) < 8_192);
@@ -642,6 +662,26 @@
     assert!(size(1, 1) * 74 < 3_000 * 60 / 10);
 }
 
+/// Guards against hosts that spend their control traffic on suspect requests, while one crashes endpoints and
+/// others crash for other reasons.
+#[test]
+fn what_hosts_tell_of_suspect_requests_fits_the_control_traffic() {
+    /// The bytes a second that a host may send for control.
+    const BUDGET: f64 = 3_000.0;
+    for hosts in [11, 75] {
+        let mut fleet = Fleet::new(hosts, 1);
+        fleet.deadly.insert(1_000);
+        for _ in 0..5 {
+            fleet.run(200.0, 0.03, 4 * SECOND);
+            let endpoints = fleet.hosts[0].endpoints();
+            let ids: Vec<_> = endpoints.map(|e| e.record.id.clone()).collect();
+            fleet.end_endpoints(&ids[..2.min(ids.len())]);
+        }
+        let each = fleet.bytes as f64 / hosts as f64 / 20.0;
+        assert!(each < BUDGET / 3.0, "{hosts} hosts: {each} bytes a second");
+    }
+}
+
 /// Guards against evidence that is kept for ever, or without bound.
 #[test]
 fn evidence_fades_and_is_bounded() {
