Log each send of a request under which endpoints ended, and when they no longer count

The lines of the ends alone did not tell whether a request was sent again because its ends were forgotten, because trials go on without a total, or because it seemed to have ended well.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Method, StatusCode, header, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use slog::info;
 use wagtail_steer::{
     Choice, EndpointKey, Fingerprint, Outcome, Placement, PlacementRequest, RejectionReason,
 };
@@ -31,6 +32,8 @@
 const PROGRESS_MIN_BYTES: usize = 1_024;
 /// The time after the deadline for which the endpoint's own deadline response is awaited.
 const DEADLINE_GRACE: Duration = Duration::from_millis(40);
+/// The number of ended endpoints from which on each send of a request is logged.
+const LOGGED_ENDS_MIN: usize = 2;
 /// The `Retry-After` wait after a failure that does not tell when capacity is expected.
 const DEFAULT_RETRY_WAIT: Duration = Duration::from_millis(300);
 
@@ -103,6 +106,7 @@
             }
         };
         progress.tried.push(in_flight.choice.key);
+        log_suspect(&context.core, &in_flight.choice, progress.fingerprint);
         let started = context.core.now();
         let mut attempt_end =
             await_attempt(context, job, head, &body, &in_flight.choice, &progress).await;
@@ -221,6 +225,15 @@
     }
 }
 
+/// Logs that a request is sent although several endpoints ended under equal ones.
+fn log_suspect(core: &Core, choice: &Choice, fingerprint: Fingerprint) {
+    if let Some(ended @ LOGGED_ENDS_MIN..) = choice.ended {
+        info!(core.log, "sending a request under which endpoints ended";
+            "fingerprint" => %fingerprint, "ended" => ended);
+        core.metrics.count("suspect_requests", "sent");
+    }
+}
+
 /// Returns whether another endpoint may be tried. Takes a retry from the service's budget if an
 /// endpoint may already have received the request.
 fn may_try_again(context: &RequestContext, job: &Job, progress: &Progress) -> bool {
--- a/crates/gateway/src/request/in_flight.rs
+++ b/crates/gateway/src/request/in_flight.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use slog::info;
 use wagtail_steer::{Choice, Completion, Fingerprint, Load, Outcome, Route};
 
 use crate::host::Core;
@@ -67,10 +68,14 @@
         };
         let now = self.core.now();
         let mut steer = self.core.steer.borrow_mut();
-        steer.finish(&completion, now);
+        let cleared = steer.finish(&completion, now);
         if steer.has_suspect_news() {
             self.core.suspect_news.notify_one();
         }
+        if cleared {
+            info!(self.core.log, "request ended well; endpoints that ended under equal ones no longer count";
+                "fingerprint" => %self.fingerprint);
+        }
     }
 }
 
--- a/crates/steer/src/placement.rs
+++ b/crates/steer/src/placement.rs
@@ -98,8 +98,8 @@
     pub in_flight: f64,
     /// Whether a slot is expected to be free, so that the request does not queue.
     pub slot_free: bool,
-    /// Whether an endpoint ended, or may have, under an equal request lately.
-    pub suspect: bool,
+    /// The number of endpoints that ended under equal requests; `None` if none has, nor may have.
+    pub ended: Option<usize>,
 }
 
 /// The result of selecting an endpoint.
@@ -330,7 +330,7 @@
         reuse_distance,
         in_flight,
         slot_free,
-        suspect: false,
+        ended: None,
     };
     Candidate {
         choice,
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -100,8 +100,8 @@
         if self.senders_stale {
             self.choose_senders(now);
         }
-        let suspect = match self.check_suspect(request.fingerprint, request.repeated, now) {
-            Ok(suspect) => suspect,
+        let ended = match self.check_suspect(request.fingerprint, request.repeated, now) {
+            Ok(ended) => ended,
             Err(rejection) => {
                 return Placement::Reject {
                     reason: RejectionReason::Suspect,
@@ -110,7 +110,7 @@
             }
         };
         let mut usable = self.usable(request, now);
-        if suspect {
+        if ended.is_some() {
             self.separate_suspects(&mut usable);
         }
         let mut usage = vec![RegionUsage::default(); self.regions.len()];
@@ -158,8 +158,8 @@
             placement = place(request, &context, endpoints(false));
         }
         match &mut placement {
-            Placement::Send(choice) if suspect => {
-                choice.suspect = true;
+            Placement::Send(choice) if ended.is_some() => {
+                choice.ended = ended;
                 self.suspects.start(request.fingerprint, choice.key);
                 self.record_sent(choice, request, now);
             }
@@ -287,8 +287,21 @@
         }
     }
 
-    /// Records the end of a request at an endpoint.
-    pub fn finish(&mut self, completion: &Completion<'_>, now: Instant) {
+    /// Records the end of a request at an endpoint. Returns whether endpoints had ended under equal
+    /// requests and no longer count, as this one ended well.
+    pub fn finish(&mut self, completion: &Completion<'_>, now: Instant) -> bool {
+        let answered =
+            completion.outcome == Outcome::Answered || completion.response_time.is_some();
+        let cleared = self.suspects.finish(completion.fingerprint, answered, now);
+        if completion.choice.ended.is_some() {
+            self.suspects
+                .stop(completion.fingerprint, completion.choice.key);
+        }
+        self.record_completion(completion, now);
+        cleared
+    }
+
+    fn record_completion(&mut self, completion: &Completion<'_>, now: Instant) {
         let &Completion {
             choice,
             object,
@@ -297,11 +310,6 @@
             load,
             ..
         } = completion;
-        let answered = outcome == Outcome::Answered || response_time.is_some();
-        self.suspects.finish(completion.fingerprint, answered, now);
-        if choice.suspect {
-            self.suspects.stop(completion.fingerprint, choice.key);
-        }
         let Some(endpoint) = self.endpoints.get_mut(choice.key) else {
             return;
         };
--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -67,16 +67,16 @@
         self.suspects.record_end(key, end, now)
     }
 
-    /// Returns whether a request may be sent to an endpoint, as far as it may crash it, and if so, whether
-    /// it is suspect; `repeated` tells whether an endpoint has had it before in this attempt of the caller.
+    /// Returns whether a request may be sent to an endpoint, as far as it may crash it, and if so, the number
+    /// of endpoints that ended under it, `None` if it is not suspect; `repeated` tells whether an endpoint has had it before in this attempt of the caller.
     pub(super) fn check_suspect(
         &self,
         request: Fingerprint,
         repeated: bool,
         now: Instant,
-    ) -> Result<bool, SuspectRejection> {
+    ) -> Result<Option<usize>, SuspectRejection> {
         if !self.suspects.is_known(request) {
-            return Ok(false);
+            return Ok(None);
         }
         let local = name_hash(self.local.record.id.as_str());
         let own = rendezvous_score(request.hash(), local);
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -367,8 +367,8 @@
         self.requests.contains_key(&request) || self.breaks.iter().any(|b| b.request == request)
     }
 
-    /// Returns whether a request may be sent to an endpoint, and if so, whether an endpoint ended, or may
-    /// have, under an equal one. `repeated` tells whether an endpoint has had it before in this attempt of
+    /// Returns whether a request may be sent to an endpoint, and if so, the number of endpoints that ended
+    /// under equal ones, `None` if none has, nor may have. `repeated` tells whether an endpoint has had it before in this attempt of
     /// the caller, `rank` how many other hosts come before the local one for trials.
     ///
     /// # Errors
@@ -381,13 +381,13 @@
         rank: usize,
         is_refuted: impl Fn(&End) -> bool,
         now: Instant,
-    ) -> Result<bool, SuspectRejection> {
+    ) -> Result<Option<usize>, SuspectRejection> {
         let ends = self.ends(request, is_refuted, now);
         let recent = |b: &&Break| b.request == request && now.duration_since(b.at) < BREAK_MEMORY;
         let breaks = self.breaks.iter().filter(recent).count();
         let counted = ends.len() + if repeated { breaks } else { 0 };
         if counted < RESTRICTED_ENDS {
-            return Ok(ends.len() + breaks > 0);
+            return Ok((ends.len() + breaks > 0).then_some(ends.len()));
         }
         let step = trial_step(&ends);
         let Some(last) = ends.last().filter(|_| !repeated) else {
@@ -397,7 +397,7 @@
         let open = last.at + trial_gap(&ends);
         let runs = self.running.iter().any(|(r, _)| *r == request);
         if now >= open + turn && !runs {
-            return Ok(true);
+            return Ok(Some(ends.len()));
         }
         let wait = open.saturating_duration_since(now).max(step);
         Err(SuspectRejection { wait })
