--- /dev/null
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -0,0 +1,125 @@
+//! What hosts remember of such requests over hours, restarts and many other requests.
+
+use std::time::Duration;
+
+use wagtail_steer::{ReportedEnd, SuspectReport};
+use wagtail_types::{Clock, HostId};
+
+use super::Lone;
+use super::fleet::{Fleet, SECOND, fingerprint};
+use crate::support::name;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+/// The number of times that a request may be sent after three endpoints have ended under it.
+const SENDS_MAX: usize = 3;
+/// The request that ends endpoints.
+const DEADLY: u32 = 1_000;
+
+/// Guards against a request that is sent again and again, as the ends of its first endpoints are forgotten
+/// or as there is no total of its trials.
+#[test]
+fn a_request_that_goes_on_crashing_endpoints_is_sent_three_times_more_in_a_day() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.deadly.insert(DEADLY);
+        fleet.run(70.0, 0.03, 110 * SECOND);
+        let after = fleet.most_sent_after_three();
+        assert!(after <= SENDS_MAX, "seed {seed}: {after} sends in 110 s");
+        for _ in 0..24 {
+            fleet.wait(HOUR);
+            fleet.run(70.0, 0.3, 2 * SECOND);
+        }
+        let after = fleet.most_sent_after_three();
+        assert!(after <= SENDS_MAX, "seed {seed}: {after} sends in a day");
+        for _ in 0..96 {
+            fleet.wait(HOUR);
+            fleet.run(70.0, 0.3, SECOND);
+        }
+        // One endpoint a day from then on.
+        let after = fleet.most_sent_after_three();
+        assert!(after <= SENDS_MAX + 4, "seed {seed}: {after} in five days");
+    }
+}
+
+/// Guards against a request that is taken for a new one because callers repeat it less often than its ends
+/// are remembered.
+#[test]
+fn a_request_that_is_asked_rarely_is_sent_three_times_more_in_a_day() {
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.deadly.insert(DEADLY);
+        for _ in 0..90 {
+            fleet.wait(15 * 60 * SECOND);
+            fleet.run(2.0, 1.0, SECOND);
+        }
+        let after = fleet.most_sent_after_three();
+        assert!(after <= SENDS_MAX, "seed {seed}: {after} sends");
+    }
+}
+
+/// Guards against hosts that forget with their processes which requests crash endpoints.
+#[test]
+fn hosts_that_restart_do_not_send_a_rejected_request_anew() {
+    for seed in 0..4 {
+        for hosts_at_once in [1, 8] {
+            let mut fleet = Fleet::new(8, seed);
+            fleet.deadly.insert(DEADLY);
+            for _ in 0..10 {
+                fleet.run(70.0, 0.03, 8 * SECOND);
+                for first in (0..8).step_by(hosts_at_once) {
+                    fleet.restart(first..first + hosts_at_once);
+                    fleet.run(70.0, 0.03, SECOND / 2);
+                }
+            }
+            let after = fleet.most_sent_after_three();
+            let case = format!("seed {seed}, {hosts_at_once} at once");
+            assert!(after <= SENDS_MAX, "{case}: {after} sends");
+        }
+    }
+}
+
+/// Guards against a caller who has the ends of a request forgotten by many others.
+#[test]
+fn other_requests_do_not_displace_what_is_known_of_one() {
+    for ends in [2, 3] {
+        let mut lone = Lone::new(8);
+        lone.crash_repeatedly(1, ends);
+        lone.clock.advance(SECOND);
+        let now = lone.clock.now();
+        let known = lone.host.review_suspects(now);
+        for request in 0..10_000 {
+            let report = SuspectReport {
+                request: fingerprint(10_000 + request),
+                ends: vec![ReportedEnd {
+                    endpoint: request,
+                    started: None,
+                    ran_ms: 0,
+                    age_ms: 0,
+                }],
+                survived_ms: None,
+            };
+            let host: HostId = name("h-1");
+            lone.host.learn_suspects(&host, &[report], now);
+        }
+        assert_eq!(lone.host.review_suspects(now), known);
+    }
+}
+
+/// Guards against requests that are rejected for good although they are sound, as endpoints crashed for
+/// other reasons while they ran there.
+#[test]
+fn crashes_over_days_condemn_no_sound_request() {
+    let (mut sent, mut rejected) = (0, 0);
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(8, seed);
+        for _ in 0..72 {
+            fleet.wait(HOUR);
+            fleet.run(70.0, 0.0, SECOND);
+            fleet.crash_endpoints(3);
+            fleet.run(70.0, 0.0, SECOND);
+        }
+        sent += fleet.sound_sent;
+        rejected += fleet.sound_rejected;
+    }
+    assert!(rejected * 1_000 <= sent, "{rejected} of {sent}");
+}
