--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -93,6 +93,9 @@
         restricted,
         rejected,
     } = core.steer.borrow_mut().review_suspects(core.now());
+    if core.steer.borrow().has_suspect_calls() {
+        core.suspect_calls.notify_one();
+    }
     for (state, count) in [("restricted", restricted), ("rejected", rejected)] {
         core.metrics.set("suspects", state, count.into());
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use wagtail_types::HostId;
 
 use crate::host::{Core, RelayedPage};
+use crate::records::read_records;
 use crate::registry::{Entry, Fetched, Registry, Topic};
 use crate::work::{Work, contain_sync};
 
@@ -450,7 +451,8 @@
         }
         info!(core.log, "host registered"; "host" => %record.id);
         loop {
-            let read = read_hosts(&core, &*registry).await;
+            let read = read_hosts(&core, &*registry).await
+                && (introduced || read_records(&core, &*registry).await);
             if read && !std::mem::replace(&mut introduced, true) {
                 introduce(&core, &exchange).await;
             }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -366,7 +366,7 @@
                     steer.set_evacuated(&zones, now);
                 }
             }
-            Topic::Hosts => {}
+            Topic::Hosts | Topic::Suspects => {}
         }
     }
 
@@ -409,6 +409,7 @@
                 info!(log, "endpoint unregistered"; "endpoint" => %id, "at" => version);
             }
             Entry::Host(record) => steer.register_host(record, now),
+            Entry::Suspect(..) => {}
             Entry::Unusable { key, reason } => {
                 warn!(log, "registry entry is unusable; ignoring it";
                     "key" => key, "reason" => reason, "at" => version);
@@ -453,6 +454,6 @@
         Entry::Evacuate(_, on) => *on,
         Entry::Endpoint(record) => record.state == EndpointState::Draining,
         Entry::EndpointGone(_) => true,
-        Entry::Config(_) | Entry::Host(_) | Entry::Unusable { .. } => false,
+        Entry::Config(_) | Entry::Host(_) | Entry::Suspect(..) | Entry::Unusable { .. } => false,
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -44,6 +44,8 @@
     pub(crate) probed: RefCell<HashSet<EndpointKey>>,
     /// Notified when there is news of suspect requests for the other hosts.
     pub(crate) suspect_news: Notify,
+    /// Notified when a record of a suspect request is to be changed in the registry.
+    pub(crate) suspect_calls: Notify,
     /// The headers of endpoints that this host does not know and has logged.
     pub(crate) unknown_headers: RefCell<HashSet<HeaderName>>,
     clock: Rc<dyn DebugClock>,
@@ -168,6 +170,7 @@
             hints: watch::Sender::new(0),
             probed: RefCell::default(),
             suspect_news: Notify::new(),
+            suspect_calls: Notify::new(),
             unknown_headers: RefCell::default(),
             clock,
             leaving: Cell::new(false),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod logs;
 mod metrics;
 mod pool;
+mod records;
 mod registry;
 mod request;
 mod run;
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use wagtail_steer::{Config, EndpointRecord, GenerationTag, HostRecord};
+use wagtail_steer::{
+    Config, EndpointRecord, GenerationTag, HostRecord, SuspectCall, SuspectRecord,
+};
 use wagtail_types::{EndpointId, ZoneId};
 
 /// A set of registry entries that is followed as a unit.
@@ -20,6 +22,9 @@
     /// The registrations of entry hosts.
     #[display("hosts")]
     Hosts,
+    /// The requests under which endpoints ended.
+    #[display("suspects")]
+    Suspects,
 }
 
 impl Topic {
@@ -29,6 +34,7 @@
             Self::Operator => 0,
             Self::Endpoints => 1,
             Self::Hosts => 2,
+            Self::Suspects => 3,
         }
     }
 }
@@ -46,6 +52,8 @@
     EndpointGone(EndpointId),
     /// A host's registration.
     Host(HostRecord),
+    /// The record of a request under which endpoints ended, and its version.
+    Suspect(SuspectRecord, u64),
     /// An entry that cannot be decoded or used.
     Unusable {
         /// The key of the entry.
@@ -97,6 +105,9 @@
     /// The registry was restored from an older copy during a read of several pages.
     #[display("the registry was restored during the read")]
     Restored,
+    /// The entry has another version than the call expects.
+    #[display("the entry has another version")]
+    Conflict,
     /// The registry refused the call with an HTTP error.
     #[display("the registry answered {status}")]
     Refused {
@@ -152,6 +163,11 @@
     /// Returns [`RegistryError::BadAnswer`] if the page cannot be decoded.
     fn decode(&self, topic: Topic, page: Bytes) -> Result<Fetched, RegistryError>;
 
+    /// Changes the record of a request under which endpoints ended. Returns the version of a written
+    /// record. Ends with [`RegistryError::Conflict`] if the registry has another version than expected.
+    /// Without a confirmation the change may still take effect.
+    fn change_suspect(&self, call: &SuspectCall) -> impl Future<Output = Answer<u64>>;
+
     /// Registers this host. Without a confirmation the write may still have taken effect.
     fn announce(&self, host: &HostRecord) -> impl Future<Output = Answer<()>>;
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::follow::follow;
 use crate::host::{Core, RequestContext};
 use crate::pool::Pool;
+use crate::records::keep_records;
 use crate::registry::{Registry, Topic};
 use crate::request::{Body, LogBudget};
 use crate::server::{accept, bind, serve_admin};
@@ -132,6 +133,10 @@
             )
         });
     }
+    let (shared, rows) = (core.clone(), registry.clone());
+    duties.start(Duty::SuspectRecords, move || {
+        keep_records(shared.clone(), rows.clone())
+    });
     let shared = core.clone();
     duties.start(Duty::EndpointChecks, move || {
         maintain_endpoints(shared.clone(), pool.clone(), codec.clone())
--- a/crates/gateway/src/supervisor.rs
+++ b/crates/gateway/src/supervisor.rs
@@ -42,6 +42,9 @@
     /// Follows the registrations of endpoints.
     #[display("endpoint-changes")]
     EndpointChanges,
+    /// Keeps the registry's records of requests under which endpoints ended.
+    #[display("suspect-records")]
+    SuspectRecords,
     /// Maintains the endpoint table and starts health checks.
     #[display("endpoint-checks")]
     EndpointChecks,
@@ -49,7 +52,7 @@
 
 impl Duty {
     /// All duties.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Callers,
         Self::Readiness,
         Self::Directory,
@@ -59,6 +62,7 @@
         Self::Registration,
         Self::OperatorChanges,
         Self::EndpointChanges,
+        Self::SuspectRecords,
         Self::EndpointChecks,
     ];
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -58,5 +58,7 @@
 pub use steer::signals::LeftOut;
 pub use steer::suspects::SuspectCounts;
 pub use steer::{LocalHost, Steer};
-pub use suspect::{Fingerprint, ReportedEnd, SuspectReport};
+pub use suspect::{
+    Fingerprint, RecordedEnd, ReportedEnd, SuspectCall, SuspectRecord, SuspectReport,
+};
 pub use tokens::TokenSource;
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -14,7 +14,7 @@
     Choice, Placement, PlacementContext, PlacementCounts, PlacementRequest, RegionUsage,
     RejectionReason, place,
 };
-use crate::suspect::Fingerprint;
+use crate::suspect::{Fingerprint, SuspectRun};
 
 /// The shortest run time that is learned. Run times are compared by their ratios, and an answer may
 /// arrive sooner than the learned round trip.
@@ -173,6 +173,10 @@
             }
             Placement::Reject { .. } => {}
         }
+        if ended.is_some() && matches!(placement, Placement::Reject { .. }) {
+            self.suspects
+                .finish(request.fingerprint, ended, SuspectRun::Unsent, now);
+        }
         if request.tried.is_empty() {
             self.count_placement(&placement);
         }
@@ -290,12 +294,17 @@
     /// Records the end of a request at an endpoint. Returns whether endpoints had ended under equal
     /// requests and no longer count, as this one ended well.
     pub fn finish(&mut self, completion: &Completion<'_>, now: Instant) -> bool {
-        let answered =
-            completion.outcome == Outcome::Answered || completion.response_time.is_some();
-        let cleared = self.suspects.finish(completion.fingerprint, answered, now);
-        if completion.choice.ended.is_some() {
-            self.suspects
-                .stop(completion.fingerprint, completion.choice.key);
+        let run = match completion.outcome {
+            Outcome::Answered => SuspectRun::Survived,
+            Outcome::Unreachable => SuspectRun::Unsent,
+            _ => SuspectRun::Unclear,
+        };
+        let Choice { ended, key, .. } = *completion.choice;
+        let cleared = self
+            .suspects
+            .finish(completion.fingerprint, ended, run, now);
+        if ended.is_some() {
+            self.suspects.stop(completion.fingerprint, key);
         }
         self.record_completion(completion, now);
         cleared
--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -3,12 +3,15 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use slotmap::SlotMap;
 use wagtail_types::HostId;
 
 use super::Steer;
-use crate::endpoint::{CHECK_INTERVAL, EndpointKey};
+use crate::endpoint::{CHECK_INTERVAL, Endpoint, EndpointKey};
 use crate::hash::{name_hash, rendezvous_score};
-use crate::suspect::{End, Fingerprint, SuspectRejection, SuspectReport};
+use crate::suspect::{
+    End, Fingerprint, SuspectCall, SuspectRecord, SuspectRejection, SuspectReport, SuspectSend,
+};
 
 /// How many requests are not run freely, because endpoints ended under them.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -19,7 +22,33 @@
     pub rejected: u32,
 }
 
+/// The endpoints by the hash that reports name them by.
+#[derive(Debug, Clone, Copy)]
+struct Processes<'a> {
+    by_hash: &'a HashMap<u32, EndpointKey>,
+    endpoints: &'a SlotMap<EndpointKey, Endpoint>,
+}
+
+impl Processes<'_> {
+    /// Returns whether the process of an endpoint has answered after its reported end.
+    fn refute(self, end: &End) -> bool {
+        let endpoint = self.by_hash.get(&end.endpoint);
+        let endpoint = endpoint.map(|&key| &self.endpoints[key]);
+        let answered = endpoint
+            .filter(|e| e.record.started == end.started)
+            .and_then(|e| e.answered);
+        answered.is_some_and(|(opened, at)| end.is_refuted_by(opened, at))
+    }
+}
+
 impl Steer {
+    fn processes(&self) -> Processes<'_> {
+        Processes {
+            by_hash: &self.by_hash,
+            endpoints: &self.endpoints,
+        }
+    }
+
     /// Records that the process of an endpoint that was started at `started` closed the connection of a
     /// request that was sent at `began` before it answered. Whether it has ended must then be found out.
     /// `wall` is the wall-clock time in milliseconds.
@@ -70,7 +99,7 @@
     /// Returns whether a request may be sent to an endpoint, as far as it may crash it, and if so, the number
     /// of endpoints that ended under it, `None` if it is not suspect; `repeated` tells whether an endpoint has had it before in this attempt of the caller.
     pub(super) fn check_suspect(
-        &self,
+        &mut self,
         request: Fingerprint,
         repeated: bool,
         now: Instant,
@@ -84,13 +113,16 @@
         let ahead = ahead
             .iter()
             .filter(|&&peer| rendezvous_score(request.hash(), peer) > own);
-        self.suspects.check(
-            request,
+        let send = SuspectSend {
             repeated,
-            ahead.count(),
-            |end| self.is_refuted(end),
-            now,
-        )
+            rank: ahead.count(),
+        };
+        let processes = Processes {
+            by_hash: &self.by_hash,
+            endpoints: &self.endpoints,
+        };
+        self.suspects
+            .check(request, send, |end| processes.refute(end), now)
     }
 
     /// Leaves out endpoints at which another suspect request runs, if there are others, so that the one that
@@ -116,16 +148,6 @@
         }
     }
 
-    /// Returns whether the process of an endpoint has answered after its reported end.
-    fn is_refuted(&self, end: &End) -> bool {
-        let endpoint = self.by_hash.get(&end.endpoint);
-        let endpoint = endpoint.map(|&key| &self.endpoints[key]);
-        let answered = endpoint
-            .filter(|e| e.record.started == end.started)
-            .and_then(|e| e.answered);
-        answered.is_some_and(|(opened, at)| end.is_refuted_by(opened, at))
-    }
-
     /// Returns whether something has changed about suspect requests that the other hosts should hear of.
     pub fn has_suspect_news(&self) -> bool {
         self.suspects.has_news()
@@ -138,12 +160,14 @@
 
     /// Returns what the local host knows of requests that are restricted or rejected.
     pub fn suspect_reports(&self, now: Instant) -> Vec<SuspectReport> {
-        self.suspects.reports(|end| self.is_refuted(end), now)
+        self.suspects
+            .reports(|end| self.processes().refute(end), now)
     }
 
     /// Returns what the other hosts have told of such requests, by host, for a host that has just started.
     pub fn relayed_suspects(&self, now: Instant) -> HashMap<HostId, Vec<SuspectReport>> {
-        self.suspects.relayed(|end| self.is_refuted(end), now)
+        self.suspects
+            .relayed(|end| self.processes().refute(end), now)
     }
 
     /// Records what another host, or an earlier process of this one, knows of suspect requests.
@@ -153,13 +177,60 @@
         }
     }
 
-    /// Forgets requests under which no endpoint has ended for long, and counts the others.
+    /// Forgets requests that ended well, or that were not asked for long, and counts the others.
     pub fn review_suspects(&mut self, now: Instant) -> SuspectCounts {
-        self.suspects.prune(now);
-        let (restricted, rejected) = self.suspects.count(|end| self.is_refuted(end), now);
+        let processes = Processes {
+            by_hash: &self.by_hash,
+            endpoints: &self.endpoints,
+        };
+        let (restricted, rejected) = self.suspects.review(|end| processes.refute(end), now);
         SuspectCounts {
             restricted,
             rejected,
         }
     }
+
+    /// Returns whether this host knows requests that the registry should have records of.
+    pub fn has_suspect_records(&self) -> bool {
+        self.suspects.has_records()
+    }
+
+    /// Returns whether a record of the registry is to be changed.
+    pub fn has_suspect_calls(&self) -> bool {
+        self.suspects.has_calls()
+    }
+
+    /// Returns the next change of a record, whose end is then to be told by
+    /// [`complete_suspect_call`](Self::complete_suspect_call) or
+    /// [`fail_suspect_call`](Self::fail_suspect_call). `wall` is the wall-clock time in milliseconds.
+    pub fn next_suspect_call(&mut self, wall: u64, now: Instant) -> Option<SuspectCall> {
+        self.suspects.next_call(&self.local.record.id, wall, now)
+    }
+
+    /// Records that the registry has made a change; `version` is that of a written record. A trial that
+    /// was claimed is sent when a caller next asks for it.
+    pub fn complete_suspect_call(&mut self, call: &SuspectCall, version: u64, now: Instant) {
+        self.suspects.complete_call(call, version, now);
+    }
+
+    /// Records that a change was not made, or perhaps not.
+    pub fn fail_suspect_call(&mut self, call: &SuspectCall) {
+        self.suspects.fail_call(call);
+    }
+
+    /// Takes over all records of the registry, each with its version. Returns the number of requests that
+    /// were not known.
+    pub fn learn_suspect_records(
+        &mut self,
+        records: Vec<(SuspectRecord, u64)>,
+        wall: u64,
+        now: Instant,
+    ) -> usize {
+        self.suspects.learn_records(records, wall, now)
+    }
+
+    /// Has the records written again, as the registry was restored from an older copy.
+    pub fn reset_suspect_records(&mut self) {
+        self.suspects.reset_records();
+    }
 }
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -2,6 +2,12 @@
 //!
 //! A request is identified by what it asks, as callers repeat it under other ids. Each host records under
 //! which requests endpoints ended, and tells the other hosts. A request that ends well is trusted again.
+//! Until then what is known of it is kept in the registry, and hosts claim there the few trials that a
+//! rejected request has.
+
+mod case;
+mod end;
+mod record;
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -11,25 +17,24 @@
 use wagtail_types::HostId;
 use xxhash_rust::xxh3::Xxh3;
 
+use self::case::Case;
+pub(crate) use self::end::End;
+use self::end::EndLog;
+pub use self::record::{RecordedEnd, SuspectCall, SuspectRecord};
 use crate::endpoint::EndpointKey;
 
 /// The number of ended endpoints from which on a request runs at one endpoint at a time.
 const RESTRICTED_ENDS: usize = 2;
 /// The number of ended endpoints from which on a request is rejected, except for trials.
 const REJECTED_ENDS: usize = 3;
-/// The number of ends that count of what another host reports, so that no single host can have a request
-/// rejected by all.
-const ENDS_PER_PEER: usize = 2;
-/// The number of ends that are kept of one host; more add nothing.
-const ENDS_MAX: usize = 8;
-/// How long an end counts.
-const MEMORY: Duration = Duration::from_secs(60);
-/// The time after the last end until the first trial of a rejected request. Doubles with each end.
-const TRIAL_GAP: Duration = Duration::from_secs(10);
-/// The longest such time.
-const TRIAL_GAP_MAX: Duration = Duration::from_secs(40);
-/// The time within which hosts see that several endpoints have ended for the same reason.
-const JOINT_TIME: Duration = Duration::from_millis(80);
+/// How long a request is remembered after it has last ended an endpoint, was tried or was asked.
+const MEMORY: Duration = Duration::from_secs(24 * 60 * 60);
+/// The age of a record in the registry from which on no host needs it: no host was asked for the request
+/// for [`MEMORY`], else one had claimed a trial.
+const RECORD_MEMORY: Duration = Duration::from_secs(48 * 60 * 60);
+/// How long a request that has ended well is remembered; longer than late reports of the ends before are on
+/// their way.
+const CLEARED_MEMORY: Duration = Duration::from_secs(60);
 /// The time after which the next host may try a restricted or rejected request, in the order of their
 /// rendezvous scores, so that one host at a time does. It is this multiple of the time that such a
 /// request has taken to end an endpoint.
@@ -38,11 +43,11 @@
 const TRIAL_STEP_MAX: Duration = Duration::from_secs(2);
 /// How long a broken connection is kept as a possible sign that the endpoint has ended.
 const BREAK_MEMORY: Duration = Duration::from_secs(5);
-/// The time after a reported end from which on an answer of the same process refutes it; longer than an
-/// answer is on its way.
-const REFUTATION_TIME: Duration = Duration::from_millis(500);
-/// The number of requests that are kept; the one whose last end is the oldest makes room.
-const REQUESTS_MAX: usize = 256;
+/// The number of requests under which one endpoint ended that are kept; the first one makes room. There
+/// are as many as ran at an endpoint that crashed.
+const SINGLE_MAX: usize = 256;
+/// The number of requests that are kept; one that no caller asks for makes room.
+const REQUESTS_MAX: usize = 16_384;
 /// The number of requests that one message reports.
 pub(crate) const REPORTS_MAX: usize = 16;
 
@@ -91,35 +96,6 @@
     pub survived_ms: Option<u32>,
 }
 
-/// The end of an endpoint's process.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct End {
-    pub(crate) endpoint: u32,
-    pub(crate) started: Option<u64>,
-    /// When the request was sent there.
-    pub(crate) began: Instant,
-    pub(crate) at: Instant,
-}
-
-impl End {
-    fn is_same(&self, other: &Self) -> bool {
-        (self.endpoint, self.started) == (other.endpoint, other.started)
-    }
-
-    /// Returns whether this end and another one may have the same reason, as they came together.
-    fn is_joint_with(&self, other: &Self) -> bool {
-        let (first, last) = (self.at.min(other.at), self.at.max(other.at));
-        last.duration_since(first) < JOINT_TIME
-    }
-
-    /// Returns whether an answer at `answered`, on a connection that was opened at `opened`, shows that the
-    /// process did not end. A later connection may be one to its successor, whose registration is not
-    /// known yet.
-    pub(crate) fn is_refuted_by(&self, opened: Instant, answered: Instant) -> bool {
-        opened < self.at && answered > self.at + REFUTATION_TIME
-    }
-}
-
 /// A connection that an endpoint closed before it answered.
 #[derive(Debug)]
 struct Break {
@@ -132,90 +108,10 @@
     wall: u64,
 }
 
-/// A request under which endpoints ended.
-#[derive(Debug, Default)]
-struct Suspect {
-    own: Vec<End>,
-    reported: HashMap<HostId, Vec<End>>,
-    /// When the request last ended well, at any host.
-    survived: Option<Instant>,
-    /// Whether it ended well at the local host.
-    survived_here: bool,
-}
-
-impl Suspect {
-    /// Returns the ends that count, the oldest first: each endpoint's process once, and only the first of
-    /// those that came together with the end of an endpoint which did not run the request. `all` are the
-    /// ends under any request.
-    fn ends(&self, all: &[End], is_refuted: impl Fn(&End) -> bool, now: Instant) -> Vec<End> {
-        let counts = |end: &&End| {
-            now.duration_since(end.at) < MEMORY
-                && self.survived.is_none_or(|at| end.at > at)
-                && !is_refuted(end)
-        };
-        let mut ends: Vec<End> = self.all_ends().filter(counts).copied().collect();
-        ends.sort_by_key(|e| e.at);
-        let ran = |end: &End| ends.iter().any(|e| e.is_same(end));
-        let elsewhere: Vec<_> = all.iter().filter(|e| !ran(e)).collect();
-        let separate = |ends: &[End]| {
-            let mut kept: Vec<End> = Vec::new();
-            for end in ends {
-                let is_known = kept.iter().any(|e| e.is_same(end));
-                let is_joint = kept.last().is_some_and(|e| e.is_joint_with(end))
-                    && elsewhere.iter().any(|e| e.is_joint_with(end));
-                if !is_known && !is_joint {
-                    kept.push(*end);
-                }
-            }
-            kept
-        };
-        let mut trusted: Vec<End> = self.own.iter().filter(counts).copied().collect();
-        for reported in self.reported.values() {
-            let reported: Vec<End> = reported.iter().filter(counts).copied().collect();
-            let reported = separate(&reported);
-            let newest = reported.len().saturating_sub(ENDS_PER_PEER);
-            trusted.extend_from_slice(&reported[newest..]);
-        }
-        trusted.sort_by_key(|e| e.at);
-        separate(&trusted)
-    }
-
-    fn all_ends(&self) -> impl Iterator<Item = &End> {
-        self.own.iter().chain(self.reported.values().flatten())
-    }
-
-    fn last_end(&self) -> Option<Instant> {
-        self.all_ends().map(|e| e.at).max()
-    }
-}
-
-/// Returns the ends that count for others.
-fn report_ends(ends: &[End], now: Instant) -> Vec<ReportedEnd> {
-    let recent = ends.iter().filter(|e| now.duration_since(e.at) < MEMORY);
-    let reports = recent.map(|e| ReportedEnd {
-        endpoint: e.endpoint,
-        started: e.started,
-        ran_ms: millis_u32(e.at.duration_since(e.began)),
-        age_ms: millis_u32(now.duration_since(e.at)),
-    });
-    reports.collect()
-}
-
 fn millis_u32(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-/// Returns the time after the last of `ends` until a request may be tried again.
-fn trial_gap(ends: &[End]) -> Duration {
-    if ends.len() < REJECTED_ENDS {
-        return Duration::ZERO;
-    }
-    let further = u32::try_from(ends.len() - REJECTED_ENDS).unwrap_or(u32::MAX);
-    TRIAL_GAP
-        .saturating_mul(2_u32.saturating_pow(further))
-        .min(TRIAL_GAP_MAX)
-}
-
 /// Returns the time after which the next host may try a request.
 fn trial_step(ends: &[End]) -> Duration {
     let longest = ends.iter().map(|e| e.at.duration_since(e.began)).max();
@@ -232,15 +128,42 @@
     pub(crate) wait: Duration,
 }
 
+/// The way in which a suspect request is about to be sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SuspectSend {
+    /// Whether an endpoint has had it before in this attempt of the caller.
+    pub(crate) repeated: bool,
+    /// The number of other hosts that come before the local one for trials.
+    pub(crate) rank: usize,
+}
+
+/// How a run of a request ended, as far as it tells whether the request is sound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SuspectRun {
+    /// It ended well.
+    Survived,
+    /// It was not sent.
+    Unsent,
+    /// It tells nothing.
+    Unclear,
+}
+
 /// All requests under which endpoints ended, and the connections that broke lately.
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
-    requests: HashMap<Fingerprint, Suspect>,
+    requests: HashMap<Fingerprint, Case>,
+    /// The requests in the order in which they were first known, as long as one endpoint has ended.
+    singles: VecDeque<Fingerprint>,
+    log: EndLog,
     breaks: VecDeque<Break>,
     /// The suspect requests of the local host that run at endpoints.
     running: Vec<(Fingerprint, EndpointKey)>,
     /// Requests to report to the other hosts at once.
     news: HashSet<Fingerprint>,
+    /// The requests whose records are to be changed in the registry.
+    calls: VecDeque<Fingerprint>,
+    /// Removals of records that no host needs any more.
+    stale: Vec<SuspectCall>,
 }
 
 impl Suspects {
@@ -285,7 +208,7 @@
         let is_broken = |b: &Break| {
             (b.key, b.started) == (key, end.started) && now.duration_since(b.at) < BREAK_MEMORY
         };
-        self.confirm(end, is_broken)
+        self.confirm(end, is_broken, now)
     }
 
     /// Records that an endpoint registered a process which was started at `born`, so that the one before
@@ -302,10 +225,15 @@
                 && now.duration_since(b.at) < BREAK_MEMORY
                 && b.wall <= born
         };
-        self.confirm(end, is_broken)
+        self.confirm(end, is_broken, now)
     }
 
-    fn confirm(&mut self, end: End, is_broken: impl Fn(&Break) -> bool) -> Vec<Fingerprint> {
+    fn confirm(
+        &mut self,
+        end: End,
+        is_broken: impl Fn(&Break) -> bool,
+        now: Instant,
+    ) -> Vec<Fingerprint> {
         let (broken, kept) = std::mem::take(&mut self.breaks)
             .into_iter()
             .partition(is_broken);
@@ -316,90 +244,106 @@
             request, began, at, ..
         } in broken
         {
-            self.make_room(request);
-            let suspect = self.requests.entry(request).or_default();
             let end = End { began, at, ..end };
-            if !suspect.own.iter().any(|e| e.is_same(&end)) {
-                suspect.own.push(end);
-                let excess = suspect.own.len().saturating_sub(ENDS_MAX);
-                suspect.own.drain(..excess);
-                suspect.survived_here = false;
-            }
+            self.log.record(end, now);
+            self.case(request, now).add_own(end);
             self.news.insert(request);
             requests.push(request);
         }
         requests
     }
 
-    /// Removes the request whose last end is the oldest, if there are as many as are kept.
-    fn make_room(&mut self, request: Fingerprint) {
-        if self.requests.len() < REQUESTS_MAX || self.requests.contains_key(&request) {
-            return;
-        }
-        let oldest = self.requests.iter().min_by_key(|(_, s)| s.last_end());
-        if let Some(oldest) = oldest.map(|(request, _)| *request) {
-            self.requests.remove(&oldest);
-            self.news.remove(&oldest);
+    /// Returns what is known of a request, after making room for it.
+    fn case(&mut self, request: Fingerprint, now: Instant) -> &mut Case {
+        if !self.requests.contains_key(&request) {
+            self.make_room();
+            self.singles.push_back(request);
         }
+        let case = self.requests.entry(request);
+        case.or_insert_with(|| Case::new(now))
     }
 
-    /// Returns the ends that count of a request.
-    fn ends(
-        &self,
-        request: Fingerprint,
-        is_refuted: impl Fn(&End) -> bool,
-        now: Instant,
-    ) -> Vec<End> {
-        let suspect = self.requests.get(&request);
-        suspect.map_or_else(Vec::new, |s| s.ends(&self.all_ends(now), is_refuted, now))
+    fn make_room(&mut self) {
+        let single = |c: &Case| c.process_count() < RESTRICTED_ENDS;
+        while self.singles.len() >= SINGLE_MAX
+            && let Some(first) = self.singles.pop_front()
+        {
+            if self.requests.get(&first).is_some_and(single) {
+                self.forget(first);
+            }
+        }
+        if self.requests.len() >= REQUESTS_MAX {
+            let unasked = |(_, c): &(&Fingerprint, &Case)| (c.asked, c.last_activity());
+            let idle = self.requests.iter().min_by_key(unasked);
+            if let Some(idle) = idle.map(|(request, _)| *request) {
+                self.forget(idle);
+            }
+        }
     }
 
-    /// Returns the ends that are not old under any request.
-    fn all_ends(&self, now: Instant) -> Vec<End> {
-        let ends = self.requests.values().flat_map(Suspect::all_ends);
-        ends.filter(|e| now.duration_since(e.at) < MEMORY)
-            .copied()
-            .collect()
+    fn forget(&mut self, request: Fingerprint) {
+        self.requests.remove(&request);
+        self.news.remove(&request);
     }
 
-    /// Returns whether endpoints ended under a request lately, or may have.
+    /// Returns whether endpoints ended under a request, or may have lately.
     pub(crate) fn is_known(&self, request: Fingerprint) -> bool {
         self.requests.contains_key(&request) || self.breaks.iter().any(|b| b.request == request)
     }
 
     /// Returns whether a request may be sent to an endpoint, and if so, the number of endpoints that ended
-    /// under equal ones, `None` if none has, nor may have. `repeated` tells whether an endpoint has had it before in this attempt of
-    /// the caller, `rank` how many other hosts come before the local one for trials.
+    /// under equal ones, `None` if none has, nor may have.
     ///
     /// # Errors
     ///
     /// [`SuspectRejection`] if too many endpoints ended under it.
     pub(crate) fn check(
-        &self,
+        &mut self,
         request: Fingerprint,
-        repeated: bool,
-        rank: usize,
+        send: SuspectSend,
         is_refuted: impl Fn(&End) -> bool,
         now: Instant,
     ) -> Result<Option<usize>, SuspectRejection> {
-        let ends = self.ends(request, is_refuted, now);
         let recent = |b: &&Break| b.request == request && now.duration_since(b.at) < BREAK_MEMORY;
         let breaks = self.breaks.iter().filter(recent).count();
-        let counted = ends.len() + if repeated { breaks } else { 0 };
+        let Some(case) = self.requests.get_mut(&request) else {
+            return if send.repeated && breaks >= RESTRICTED_ENDS {
+                Err(SuspectRejection {
+                    wait: TRIAL_STEP_MIN,
+                })
+            } else {
+                Ok((breaks > 0).then_some(0))
+            };
+        };
+        case.active = now;
+        case.asked = true;
+        let ends = case.ends(&self.log, is_refuted);
+        let counted = ends.len() + if send.repeated { breaks } else { 0 };
         if counted < RESTRICTED_ENDS {
             return Ok((ends.len() + breaks > 0).then_some(ends.len()));
         }
         let step = trial_step(&ends);
-        let Some(last) = ends.last().filter(|_| !repeated) else {
+        let Some(last) = ends.last().filter(|_| !send.repeated) else {
             return Err(SuspectRejection { wait: step });
         };
-        let turn = step.saturating_mul(u32::try_from(rank).unwrap_or(u32::MAX));
-        let open = last.at + trial_gap(&ends);
+        let turn = step.saturating_mul(u32::try_from(send.rank).unwrap_or(u32::MAX));
         let runs = self.running.iter().any(|(r, _)| *r == request);
-        if now >= open + turn && !runs {
+        let Some(due) = case.next_trial(&ends) else {
+            return if now >= last.at + turn && !runs {
+                Ok(Some(ends.len()))
+            } else {
+                Err(SuspectRejection { wait: step })
+            };
+        };
+        if case.is_granted() && !runs {
+            case.take_grant();
             return Ok(Some(ends.len()));
         }
-        let wait = open.saturating_duration_since(now).max(step);
+        if now >= due + turn && !runs && !case.record.trial_wanted {
+            case.record.trial_wanted = true;
+            self.calls.push_back(request);
+        }
+        let wait = due.saturating_duration_since(now).max(step);
         Err(SuspectRejection { wait })
     }
 
@@ -421,30 +365,45 @@
         self.running.iter().any(|(_, at)| *at == key)
     }
 
-    /// Records whether a request ended well. Returns whether it is trusted again for that.
-    pub(crate) fn finish(&mut self, request: Fingerprint, survived: bool, now: Instant) -> bool {
-        let Some(suspect) = self.requests.get_mut(&request) else {
+    /// Records how a run of a request ended; `ended` is the number of endpoints that had ended under equal
+    /// ones when it was sent. Returns whether the request is trusted again.
+    pub(crate) fn finish(
+        &mut self,
+        request: Fingerprint,
+        ended: Option<usize>,
+        run: SuspectRun,
+        now: Instant,
+    ) -> bool {
+        let Some(case) = self.requests.get_mut(&request) else {
             return false;
         };
-        if !survived {
-            return false;
-        }
-        let had_ends = suspect
-            .last_end()
-            .is_some_and(|last| suspect.survived.is_none_or(|at| last > at));
-        suspect.survived = Some(now);
-        if had_ends {
-            suspect.survived_here = true;
-            self.news.insert(request);
+        match run {
+            SuspectRun::Survived => {
+                let cleared = case.survive(now);
+                if cleared {
+                    case.survived_here = true;
+                    self.news.insert(request);
+                    if case.record.obsolete {
+                        self.calls.push_back(request);
+                    }
+                }
+                cleared
+            }
+            SuspectRun::Unsent => {
+                if ended >= Some(REJECTED_ENDS) {
+                    case.return_grant();
+                }
+                false
+            }
+            SuspectRun::Unclear => false,
         }
-        had_ends
     }
 
     /// Records what another host knows.
     pub(crate) fn learn(&mut self, host: &HostId, report: &SuspectReport, now: Instant) {
         let before = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
         let survived = report.survived_ms.and_then(before);
-        let ends = report.ends.iter().take(ENDS_MAX).filter_map(|end| {
+        let ends = report.ends.iter().filter_map(|end| {
             let at = before(end.age_ms)?;
             Some(End {
                 endpoint: end.endpoint,
@@ -457,19 +416,18 @@
         if ends.is_empty() && !self.requests.contains_key(&report.request) {
             return;
         }
-        self.make_room(report.request);
-        let suspect = self.requests.entry(report.request).or_default();
-        suspect.survived = suspect.survived.max(survived);
-        // Reports may arrive out of order.
-        let known = suspect.reported.entry(host.clone()).or_default();
-        for end in ends {
-            if !known.iter().any(|e| e.is_same(&end)) {
-                known.push(end);
-            }
+        for end in &ends {
+            self.log.record(*end, now);
+        }
+        let case = self.case(report.request, now);
+        case.active = now;
+        case.add_reported(host, ends);
+        if let Some(at) = survived
+            && case.survive(at)
+            && case.record.obsolete
+        {
+            self.calls.push_back(report.request);
         }
-        known.sort_by_key(|e| e.at);
-        let excess = known.len().saturating_sub(ENDS_MAX);
-        known.drain(..excess);
     }
 
     /// Returns whether there is something to report to the other hosts at once.
@@ -490,16 +448,19 @@
         reports
     }
 
-    /// Returns the requests that are restricted or rejected.
+    /// Returns the requests that are restricted or rejected, those first that were active last, as many as
+    /// one message reports.
     fn restricted(
         &self,
         is_refuted: impl Fn(&End) -> bool,
-        now: Instant,
-    ) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
-        let all = self.all_ends(now);
-        self.requests
-            .iter()
-            .filter(move |(_, s)| s.ends(&all, &is_refuted, now).len() >= RESTRICTED_ENDS)
+    ) -> impl Iterator<Item = (&Fingerprint, &Case)> {
+        let several = |c: &Case| c.process_count() >= RESTRICTED_ENDS;
+        let mut known: Vec<_> = self.requests.iter().filter(|(_, c)| several(c)).collect();
+        known.sort_by_key(|(_, c)| std::cmp::Reverse(c.last_activity()));
+        known
+            .into_iter()
+            .filter(move |(_, c)| c.ends(&self.log, &is_refuted).len() >= RESTRICTED_ENDS)
+            .take(REPORTS_MAX)
     }
 
     /// Returns what the local host knows itself of requests that are restricted or rejected, for hosts that
@@ -509,10 +470,9 @@
         is_refuted: impl Fn(&End) -> bool,
         now: Instant,
     ) -> Vec<SuspectReport> {
-        let restricted = self.restricted(is_refuted, now);
-        let own = restricted.filter(|(_, s)| !s.own.is_empty());
-        let reports = own.filter_map(|(r, _)| self.report(*r, now));
-        reports.take(REPORTS_MAX).collect()
+        let restricted = self.restricted(is_refuted);
+        let own = restricted.filter(|(_, c)| !c.own.is_empty());
+        own.filter_map(|(r, _)| self.report(*r, now)).collect()
     }
 
     /// Returns what each other host has reported of such requests, for a host that has just started and may
@@ -523,11 +483,11 @@
         now: Instant,
     ) -> HashMap<HostId, Vec<SuspectReport>> {
         let mut relayed: HashMap<HostId, Vec<SuspectReport>> = HashMap::new();
-        for (request, suspect) in self.restricted(is_refuted, now).take(REPORTS_MAX) {
-            for (host, ends) in &suspect.reported {
+        for (request, case) in self.restricted(is_refuted) {
+            for (host, ends) in case.peer_reports(now) {
                 let report = SuspectReport {
                     request: *request,
-                    ends: report_ends(ends, now),
+                    ends,
                     survived_ms: None,
                 };
                 relayed.entry(host.clone()).or_default().push(report);
@@ -537,34 +497,197 @@
     }
 
     fn report(&self, request: Fingerprint, now: Instant) -> Option<SuspectReport> {
-        let suspect = self.requests.get(&request)?;
-        let survived = suspect.survived.filter(|_| suspect.survived_here);
+        let case = self.requests.get(&request)?;
+        let survived = case.survived.filter(|_| case.survived_here);
         Some(SuspectReport {
             request,
-            ends: report_ends(&suspect.own, now),
-            survived_ms: survived.map(|at| millis_u32(now.duration_since(at))),
+            ends: case.own_reports(now),
+            survived_ms: survived.map(|at| millis_u32(now.saturating_duration_since(at))),
         })
     }
 
-    /// Forgets requests whose ends no longer count.
-    pub(crate) fn prune(&mut self, now: Instant) {
-        let is_recent = |at| now.duration_since(at) < MEMORY;
-        self.requests
-            .retain(|_, s| s.last_end().is_some_and(is_recent));
+    /// Forgets requests that ended well, or that were not asked for long, finds those whose records are to
+    /// be written, and returns the number of requests that are restricted and rejected.
+    pub(crate) fn review(&mut self, is_refuted: impl Fn(&End) -> bool, now: Instant) -> (u32, u32) {
+        let is_kept = |case: &Case| {
+            let idle = now.saturating_duration_since(case.last_activity());
+            let is_cleared = case.is_cleared() && !case.record.obsolete;
+            idle < if is_cleared { CLEARED_MEMORY } else { MEMORY }
+        };
+        self.requests.retain(|_, c| is_kept(c));
         self.news.retain(|r| self.requests.contains_key(r));
-    }
-
-    /// Returns the number of requests that are restricted or rejected.
-    pub(crate) fn count(&self, is_refuted: impl Fn(&End) -> bool, now: Instant) -> (u32, u32) {
+        self.singles.retain(|r| self.requests.contains_key(r));
         let (mut restricted, mut rejected) = (0, 0);
-        let all = self.all_ends(now);
-        for suspect in self.requests.values() {
-            match suspect.ends(&all, &is_refuted, now).len() {
+        for (request, case) in &mut self.requests {
+            let count = case.review(&self.log, &is_refuted, now);
+            match count {
                 0..RESTRICTED_ENDS => {}
                 RESTRICTED_ENDS..REJECTED_ENDS => restricted += 1,
                 REJECTED_ENDS.. => rejected += 1,
             }
+            if case.needs_record(count) && !self.calls.contains(request) {
+                self.calls.push_back(*request);
+            }
         }
         (restricted, rejected)
     }
 }
+
+/// What the registry keeps.
+impl Suspects {
+    /// Returns whether the local host knows requests that the registry should have records of.
+    pub(crate) fn has_records(&self) -> bool {
+        let mut cases = self.requests.values();
+        cases.any(|c| c.record.version.is_some() || c.process_count() >= RESTRICTED_ENDS)
+    }
+
+    /// Returns whether a record is to be changed.
+    pub(crate) fn has_calls(&self) -> bool {
+        !self.calls.is_empty() || !self.stale.is_empty()
+    }
+
+    /// Returns the next change of a record; `wall` is the wall-clock time in milliseconds.
+    pub(crate) fn next_call(
+        &mut self,
+        local: &HostId,
+        wall: u64,
+        now: Instant,
+    ) -> Option<SuspectCall> {
+        if let Some(call) = self.stale.pop() {
+            return Some(call);
+        }
+        loop {
+            let request = self.calls.pop_front()?;
+            let Some(case) = self.requests.get_mut(&request) else {
+                continue;
+            };
+            let version = case.record.version;
+            if let Some(version) = version.filter(|_| case.record.obsolete) {
+                return Some(SuspectCall::Remove { request, version });
+            }
+            let trial = case.record.trial_wanted;
+            if !trial && !case.record.unsaved {
+                continue;
+            }
+            let mut record = case.to_record(request, local, wall, now);
+            if trial {
+                record.trials.push(wall);
+            }
+            return Some(SuspectCall::Write {
+                record,
+                version: version.unwrap_or(0),
+                trial,
+            });
+        }
+    }
+
+    /// Records that the registry has made a change; `version` is that of a written record.
+    pub(crate) fn complete_call(&mut self, call: &SuspectCall, version: u64, now: Instant) {
+        let Some(case) = self.requests.get_mut(&call.request()) else {
+            return;
+        };
+        match call {
+            SuspectCall::Write { trial, .. } => {
+                case.record.version = Some(version);
+                case.record.unsaved = false;
+                if *trial {
+                    case.record.trial_wanted = false;
+                    case.grant(now);
+                }
+            }
+            SuspectCall::Remove { .. } => {
+                case.record.version = None;
+                case.record.obsolete = false;
+            }
+        }
+    }
+
+    /// Records that a change was not made, or perhaps not. A trial is claimed again when a caller asks for
+    /// it; other changes are repeated.
+    pub(crate) fn fail_call(&mut self, call: &SuspectCall) {
+        let request = call.request();
+        let Some(case) = self.requests.get_mut(&request) else {
+            return;
+        };
+        case.record.trial_wanted = false;
+        if case.record.unsaved || case.record.obsolete {
+            self.calls.push_back(request);
+        }
+    }
+
+    /// Takes over all records of the registry, each with its version. Those that no host needs any more are
+    /// to be removed. Returns the number of requests that were not known.
+    pub(crate) fn learn_records(
+        &mut self,
+        records: Vec<(SuspectRecord, u64)>,
+        wall: u64,
+        now: Instant,
+    ) -> usize {
+        let mut unknown = 0;
+        let mut listed = HashSet::new();
+        for (record, version) in records {
+            listed.insert(record.request);
+            let times = record
+                .ends
+                .iter()
+                .map(|e| e.at)
+                .chain(record.trials.clone());
+            let newest = times.max().unwrap_or(0);
+            let age = Duration::from_millis(wall.saturating_sub(newest));
+            if age >= RECORD_MEMORY {
+                self.stale.push(SuspectCall::Remove {
+                    request: record.request,
+                    version,
+                });
+            } else {
+                unknown += usize::from(!self.requests.contains_key(&record.request));
+                self.learn_record(&record, version, wall, now);
+            }
+        }
+        for (request, case) in &mut self.requests {
+            let is_gone = case.record.version.is_some() && !listed.contains(request);
+            if is_gone && !case.record.unsaved {
+                // A host has seen it end well, or the operator has removed it.
+                case.record.version = None;
+                case.record.obsolete = false;
+                case.survive(now);
+            }
+        }
+        unknown
+    }
+
+    fn learn_record(&mut self, record: &SuspectRecord, version: u64, wall: u64, now: Instant) {
+        let before = |at: u64| now.checked_sub(Duration::from_millis(wall.saturating_sub(at)));
+        let mut by_host: HashMap<&HostId, Vec<End>> = HashMap::new();
+        for end in &record.ends {
+            let ran = Duration::from_millis(end.ran_ms.into());
+            let Some(at) = before(end.at) else {
+                continue;
+            };
+            by_host.entry(&end.host).or_default().push(End {
+                endpoint: end.endpoint,
+                started: end.started,
+                began: at.checked_sub(ran).unwrap_or(at),
+                at,
+            });
+        }
+        let trials = record.trials.iter().filter_map(|at| before(*at));
+        let case = self.case(record.request, now);
+        for (host, ends) in by_host {
+            case.add_reported(host, ends);
+        }
+        case.learn_trials(trials);
+        case.record.version = Some(version);
+    }
+
+    /// Forgets what the registry has, as it was restored from an older copy: what is known is written again.
+    pub(crate) fn reset_records(&mut self) {
+        for (request, case) in &mut self.requests {
+            if case.record.version.take().is_some() {
+                case.record.unsaved = !case.is_cleared();
+                case.record.obsolete = false;
+                self.calls.push_back(*request);
+            }
+        }
+    }
+}
--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -13,7 +13,7 @@
 };
 use wagtail_types::{Clock, HostId, ManualClock, ServiceId};
 
-use self::fleet::{ENDPOINTS, Fleet, SECOND, fingerprint, size};
+use self::fleet::{ENDPOINTS, Fleet, Records, SECOND, fingerprint, size};
 use crate::support::{SERVICE, config, endpoint, name, steer};
 
 /// Guards against a request that ends endpoint after endpoint, as callers repeat it under new ids at other
@@ -68,6 +68,7 @@
     clock: ManualClock,
     route: Rc<Route>,
     service: ServiceId,
+    records: Records,
 }
 
 impl Lone {
@@ -84,6 +85,7 @@
             clock,
             route: Rc::new(config(1).routes.remove(0)),
             service: name(SERVICE),
+            records: Records::default(),
         }
     }
 
@@ -109,6 +111,12 @@
         keys
     }
 
+    /// Makes the changes of the records that the host asks for.
+    fn serve_records(&mut self) {
+        self.host.review_suspects(self.clock.now());
+        self.records.serve(&mut self.host, &self.clock);
+    }
+
     fn place(&mut self, request: u32, tried: &[EndpointKey]) -> Result<Choice, Duration> {
         let placement = self.host.place(
             &PlacementRequest {
@@ -210,12 +218,17 @@
     let wait = lone.place(1, &[]).expect_err("three ends");
     assert_eq!(wait, 8 * SECOND);
     lone.clock.advance(wait);
+    assert!(lone.place(1, &[]).is_err(), "not claimed yet");
+    lone.serve_records();
     let trial = lone.place(1, &[]).expect("the trial");
     assert!(lone.place(1, &[]).is_err(), "one trial at a time");
     lone.crash(1, &trial);
+    lone.serve_records();
     let wait = lone.place(1, &[]).expect_err("four ends");
-    assert_eq!(wait, 20 * SECOND);
+    assert_eq!(wait, 600 * SECOND);
     lone.clock.advance(wait);
+    assert!(lone.place(1, &[]).is_err(), "not claimed yet");
+    lone.serve_records();
     let trial = lone.place(1, &[]).expect("the trial");
     lone.finish(1, &trial, Outcome::Answered);
     for _ in 0..3 {
@@ -379,14 +392,19 @@
 /// Guards against evidence that is kept for ever, or without bound.
 #[test]
 fn evidence_fades_and_is_bounded() {
+    const KEPT_MAX: u32 = 16_384;
     let mut lone = Lone::new(8);
     lone.crash_repeatedly(1, 2);
-    lone.clock.advance(60 * SECOND);
+    lone.clock.advance(23 * 3_600 * SECOND);
+    lone.host.review_suspects(lone.clock.now());
+    assert!(lone.place(1, &[]).is_ok());
+    assert!(lone.place(1, &[]).is_err(), "one at a time");
+    lone.clock.advance(24 * 3_600 * SECOND);
     lone.host.review_suspects(lone.clock.now());
     assert!(lone.place(1, &[]).is_ok());
     assert!(lone.place(1, &[]).is_ok());
     let now = lone.clock.now();
-    for request in 0..1_000 {
+    for request in 0..KEPT_MAX + 100 {
         for peer in 0..3_u32 {
             let report = SuspectReport {
                 request: fingerprint(request),
@@ -402,7 +420,7 @@
             lone.host.learn_suspects(&host, &[report], now);
         }
     }
-    assert_eq!(lone.host.review_suspects(now).rejected, 256);
+    assert_eq!(lone.host.review_suspects(now).rejected, KEPT_MAX);
 }
 
 /// Guards against a host that has restarted and sends a request that the others reject.
--- a/crates/steer/tests/steer/suspects/fleet.rs
+++ b/crates/steer/tests/steer/suspects/fleet.rs
@@ -3,15 +3,15 @@
 use std::collections::{HashMap, HashSet};
 use std::ops::Range;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use wagtail_steer::{
     Choice, Completion, Datagram, EndpointKey, Fingerprint, Message, Outcome, Placement,
-    PlacementRequest, RejectionReason, Route, Steer, SuspectReport,
+    PlacementRequest, RejectionReason, Route, Steer, SuspectCall, SuspectRecord, SuspectReport,
 };
-use wagtail_types::{Clock, EndpointId, HostId, ManualClock, ServiceId};
+use wagtail_types::{Clock, EndpointId, HostId, ManualClock, ServiceId, millis};
 
 use crate::support::{SERVICE, config, endpoint, exchange, name, steer};
 
@@ -32,6 +32,60 @@
 /// The number of sound requests that callers ask; the first ones are the most popular.
 pub(super) const SOUND: u32 = 100;
 
+/// The steps after which hosts read the records of the registry again.
+const READ_STEPS: usize = 2_000;
+
+/// The records of the registry, each with its version.
+#[derive(Debug, Default)]
+pub(super) struct Records {
+    rows: HashMap<Fingerprint, (SuspectRecord, u64)>,
+    last_version: u64,
+}
+
+impl Records {
+    /// Makes a change if the version is the expected one. Returns the version of a written record.
+    pub(super) fn apply(&mut self, call: &SuspectCall) -> Option<u64> {
+        let current = self.rows.get(&call.request()).map_or(0, |(_, v)| *v);
+        match call {
+            SuspectCall::Write {
+                record, version, ..
+            } if *version == current => {
+                self.last_version += 1;
+                let row = (record.clone(), self.last_version);
+                self.rows.insert(record.request, row);
+                Some(self.last_version)
+            }
+            SuspectCall::Remove { request, version } if *version == current => {
+                self.rows.remove(request);
+                Some(0)
+            }
+            _ => None,
+        }
+    }
+
+    pub(super) fn list(&self) -> Vec<(SuspectRecord, u64)> {
+        self.rows.values().cloned().collect()
+    }
+
+    /// Makes the changes of a host until it has none.
+    pub(super) fn serve(&mut self, host: &mut Steer, clock: &ManualClock) {
+        let now = clock.now();
+        while let Some(call) = host.next_suspect_call(wall(clock), now) {
+            if let Some(version) = self.apply(&call) {
+                host.complete_suspect_call(&call, version, now);
+            } else {
+                host.fail_suspect_call(&call);
+                host.learn_suspect_records(self.list(), wall(clock), now);
+            }
+        }
+    }
+}
+
+pub(super) fn wall(clock: &ManualClock) -> u64 {
+    let wall = clock.wall().duration_since(UNIX_EPOCH);
+    millis(wall.expect("after 1970"))
+}
+
 /// A request of a caller at an endpoint.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -53,6 +107,7 @@
     /// Requests that end the endpoints which run them.
     pub(super) deadly: HashSet<u32>,
     pub(super) jobs: Vec<Job>,
+    pub(super) records: Records,
     /// Reports on their way: arrival, sender, reports.
     pub(super) news: Vec<(Instant, HostId, Vec<SuspectReport>)>,
     /// When the places of ended endpoints are taken: time, zone.
@@ -117,6 +172,7 @@
             service: name(SERVICE),
             deadly: HashSet::new(),
             jobs: Vec::new(),
+            records: Records::default(),
             news: Vec::new(),
             replacements: Vec::new(),
             started: 0,
@@ -282,6 +338,10 @@
             for host in &mut self.hosts {
                 host.update_weights(now);
                 host.review_suspects(now);
+                self.records.serve(host, &self.clock);
+                if self.steps.is_multiple_of(READ_STEPS) && host.has_suspect_records() {
+                    host.learn_suspect_records(self.records.list(), wall(&self.clock), now);
+                }
             }
             exchange(&mut self.hosts, &self.clock);
         }
@@ -332,6 +392,7 @@
         let now = self.clock.now();
         for host in &mut self.hosts {
             host.review_suspects(now);
+            self.records.serve(host, &self.clock);
         }
         exchange(&mut self.hosts, &self.clock);
     }
@@ -356,6 +417,7 @@
             for record in &records {
                 started.register(record.clone(), now);
             }
+            started.learn_suspect_records(self.records.list(), wall(&self.clock), now);
             self.hosts[i] = started;
         }
         for i in 0..self.hosts.len() {
--- a/crates/steer/tests/steer/suspects/over_time.rs
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use wagtail_steer::{ReportedEnd, SuspectReport};
+use wagtail_steer::{Outcome, ReportedEnd, SuspectCall, SuspectReport};
 use wagtail_types::{Clock, HostId};
 
 use super::Lone;
-use super::fleet::{Fleet, SECOND, fingerprint};
+use super::fleet::{Fleet, Records, SECOND, fingerprint, wall};
 use crate::support::name;
 
 const HOUR: Duration = Duration::from_secs(3_600);
@@ -123,3 +123,95 @@
     }
     assert!(rejected * 1_000 <= sent, "{rejected} of {sent}");
 }
+
+/// Lets a request end three endpoints, and its first trial become due.
+fn rejected() -> Lone {
+    let mut lone = Lone::new(8);
+    lone.crash_repeatedly(1, 3);
+    lone.serve_records();
+    lone.clock.advance(10 * SECOND);
+    lone.place(1, &[]).expect_err("no trial is claimed yet");
+    lone
+}
+
+/// Guards against a trial that two hosts send, as the registry did not confirm the claim of one.
+#[test]
+fn a_trial_whose_claim_is_not_confirmed_is_not_sent() {
+    let mut lone = rejected();
+    let (time, now) = (wall(&lone.clock), lone.clock.now());
+    let claim = lone.host.next_suspect_call(time, now).expect("a claim");
+    assert!(matches!(claim, SuspectCall::Write { trial: true, .. }));
+    lone.host.fail_suspect_call(&claim);
+    lone.place(1, &[]).expect_err("not claimed");
+    // The registry has it after all.
+    assert!(lone.records.apply(&claim).is_some());
+    lone.host
+        .learn_suspect_records(lone.records.list(), time, now);
+    lone.clock.advance(60 * SECOND);
+    lone.place(1, &[]).expect_err("the next one is due later");
+    let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    assert_eq!(lone.host.next_suspect_call(wall, now), None);
+}
+
+/// Guards against a trial that is lost because no endpoint could be reached.
+#[test]
+fn a_trial_that_could_not_be_sent_is_sent_later() {
+    let mut lone = rejected();
+    lone.serve_records();
+    let trial = lone.place(1, &[]).expect("the trial");
+    lone.finish(1, &trial, Outcome::Unreachable);
+    let trial = lone.place(1, &[]).expect("the trial again");
+    lone.finish(1, &trial, Outcome::Left);
+    lone.place(1, &[]).expect_err("it was sent");
+}
+
+/// Guards against a request that seems sound because an endpoint failed it, or reached its deadline, before
+/// it could crash.
+#[test]
+fn an_error_that_an_endpoint_answers_clears_no_request() {
+    let mut lone = rejected();
+    lone.serve_records();
+    let trial = lone.place(1, &[]).expect("the trial");
+    lone.finish(1, &trial, Outcome::Failed);
+    lone.place(1, &[]).expect_err("it has not ended well");
+}
+
+/// Guards against a request that stays rejected although the operator has removed its record.
+#[test]
+fn a_request_whose_record_is_removed_is_trusted_again() {
+    let mut lone = rejected();
+    lone.serve_records();
+    let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    lone.host.learn_suspect_records(Vec::new(), wall, now);
+    assert!(lone.place(1, &[]).is_ok());
+    assert!(lone.place(1, &[]).is_ok());
+}
+
+/// Guards against records that are lost when the registry is restored from an older copy.
+#[test]
+fn records_that_a_restored_registry_lacks_are_written_again() {
+    let mut lone = rejected();
+    lone.serve_records();
+    let before = lone.records.list();
+    lone.records = Records::default();
+    lone.host.reset_suspect_records();
+    let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    lone.host.learn_suspect_records(Vec::new(), wall, now);
+    lone.serve_records();
+    let after = lone.records.list();
+    assert_eq!(after[0].0, before[0].0);
+}
+
+/// Guards against records that stay in the registry for ever.
+#[test]
+fn records_of_requests_that_are_not_asked_are_removed() {
+    let mut lone = rejected();
+    lone.serve_records();
+    lone.clock.advance(49 * HOUR);
+    lone.host.review_suspects(lone.clock.now());
+    let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    lone.host
+        .learn_suspect_records(lone.records.list(), wall, now);
+    lone.serve_records();
+    assert!(lone.records.list().is_empty());
+}
