Keep hosts that are cut off for long among those that share the limits of teams

After 20 s of silence (forget_after) a host drops the others. One that hears nobody then took itself for the only one and granted the whole limit; the others divided all of it between the regions that were left.

Hosts that the registry lists are no longer dropped. Hosts that hear each other grant the part of a limit that is their part of all listed hosts; a host alone grants its own. A new owner starts without tokens while others are silent, as the one before may still have its own. So that machines which are gone for good do not keep a part for ever, hosts renew their registration each ten minutes, and one that is two hours old no longer lists its host; rows of earlier builds do not tell, and list theirs as before.

Two hours and the renewal have no test over the wire but that of the row.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -40,6 +40,11 @@
 /// The time that a starting host gives the others to reply to its first digest; a round trip between
 /// regions.
 const INTRODUCTION_TIME: Duration = Duration::from_millis(50);
+/// The period of renewing the registration of this host.
+const RENEWAL_PERIOD: Duration = Duration::from_secs(10 * 60);
+/// How long a host shares the limits without renewing its registration. It may be cut off from the registry
+/// for so long.
+const REGISTRATION_TIME: Duration = Duration::from_secs(2 * 60 * 60);
 /// The period of reading the hosts' registrations, which finds hosts whose digests do not arrive.
 const HOSTS_READ_PERIOD: Duration = Duration::from_secs(20);
 
@@ -442,7 +447,8 @@
     let mut introduced = false;
     let record = core.steer.borrow().local_host().record.clone();
     while core.state() != HostState::Leaving {
-        let announced = registry.announce(&record).await;
+        let announced = registry.announce(&record, core.wall_millis()).await;
+        let renew_at = core.now() + RENEWAL_PERIOD;
         core.observe(&announced.generation);
         if let Err(e) = announced.result {
             warn!(core.log, "host registration failed; retrying"; "error" => %e);
@@ -460,6 +466,9 @@
             if core.state() == HostState::Leaving {
                 return;
             }
+            if core.now() >= renew_at {
+                break;
+            }
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 _ = restores.changed() => break,
@@ -479,6 +488,12 @@
     core.steer.borrow_mut().mark_hosts_read();
 }
 
+/// Returns whether a registration is that of a host which may still run. Earlier builds do not tell when they
+/// renewed it.
+fn is_current(renewed: Option<u64>, wall: u64) -> bool {
+    renewed.is_none_or(|at| Duration::from_millis(wall.saturating_sub(at)) < REGISTRATION_TIME)
+}
+
 /// Reads the registrations of the other hosts. Returns whether that succeeded.
 async fn read_hosts<R: Registry>(core: &Core, registry: &R) -> bool {
     let answer = registry.read(Topic::Hosts).await;
@@ -491,10 +506,14 @@
             return false;
         }
     };
-    let now = core.now();
+    let (wall, now) = (core.wall_millis(), core.now());
+    let mut listed = HashSet::new();
     for entry in fetched.entries {
         match entry {
-            Entry::Host(record) => core.steer.borrow_mut().register_host(record, now),
+            Entry::Host(record, renewed) if is_current(renewed, wall) => {
+                listed.insert(record.id.clone());
+                core.steer.borrow_mut().register_host(record, now);
+            }
             Entry::Unusable { key, reason } => {
                 warn!(core.log, "host registration is unusable; ignoring it";
                     "key" => key, "reason" => reason);
@@ -502,5 +521,6 @@
             _ => {}
         }
     }
+    core.steer.borrow_mut().list_hosts(listed);
     true
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -408,7 +408,7 @@
                 steer.unregister(&id, now);
                 info!(log, "endpoint unregistered"; "endpoint" => %id, "at" => version);
             }
-            Entry::Host(record) => steer.register_host(record, now),
+            Entry::Host(record, _) => steer.register_host(record, now),
             Entry::Suspect(..) => {}
             Entry::Unusable { key, reason } => {
                 warn!(log, "registry entry is unusable; ignoring it";
@@ -454,6 +454,6 @@
         Entry::Evacuate(_, on) => *on,
         Entry::Endpoint(record) => record.state == EndpointState::Draining,
         Entry::EndpointGone(_) => true,
-        Entry::Config(_) | Entry::Host(_) | Entry::Suspect(..) | Entry::Unusable { .. } => false,
+        Entry::Config(_) | Entry::Host(..) | Entry::Suspect(..) | Entry::Unusable { .. } => false,
     }
 }
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -50,8 +50,8 @@
     Endpoint(EndpointRecord),
     /// The removal of an endpoint's registration.
     EndpointGone(EndpointId),
-    /// A host's registration.
-    Host(HostRecord),
+    /// A host's registration, and when it was last renewed in milliseconds of wall-clock time, if it tells.
+    Host(HostRecord, Option<u64>),
     /// The record of a request under which endpoints ended, and its version.
     Suspect(SuspectRecord, u64),
     /// An entry that cannot be decoded or used.
@@ -168,8 +168,9 @@
     /// Without a confirmation the change may still take effect.
     fn change_suspect(&self, call: &SuspectCall) -> impl Future<Output = Answer<u64>>;
 
-    /// Registers this host. Without a confirmation the write may still have taken effect.
-    fn announce(&self, host: &HostRecord) -> impl Future<Output = Answer<()>>;
+    /// Registers this host, or renews its registration at `wall`, in milliseconds of wall-clock time. Without
+    /// a confirmation the write may still have taken effect.
+    fn announce(&self, host: &HostRecord, wall: u64) -> impl Future<Output = Answer<()>>;
 
     /// Removes the registration of this host. Without a confirmation the write may still have taken
     /// effect.
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -1,7 +1,7 @@
 //! Membership: the other entry hosts, their last digests, and which of them are alive.
 
-use std::collections::HashMap;
 use std::collections::hash_map::Entry;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -60,6 +60,8 @@
     loads: HashMap<u32, u32>,
     /// Endpoints whose sum in `loads` changed since the last [`take_changed`](Self::take_changed).
     changed: Vec<u32>,
+    /// The hosts that the registry listed when it was last read.
+    listed: HashSet<HostId>,
 }
 
 /// How long registered hosts count as alive before their first digest is due; three digest periods.
@@ -82,6 +84,7 @@
             joined_at: None,
             loads: HashMap::new(),
             changed: Vec::new(),
+            listed: HashSet::new(),
         }
     }
 
@@ -255,6 +258,29 @@
         self.by_id.values()
     }
 
+    /// Returns the fraction of the hosts, the local one included, that are heard or said that they leave. The
+    /// others may be cut off, and grant their part of each limit to callers who still reach them. As silence
+    /// in the region is noticed first, it stands for that of all hosts until theirs would be noticed.
+    pub(crate) fn heard_fraction(&self, now: Instant) -> f64 {
+        let (mut known, mut silent) = ([1_u32; 2], [0_u32; 2]);
+        let mut is_early = false;
+        for peer in self.by_id.values() {
+            let is_far = usize::from(peer.region != self.local_region);
+            let age = now.duration_since(peer.last_digest.unwrap_or(peer.known_since));
+            let is_silent = age >= self.timeouts[is_far] && peer.state != Some(HostState::Leaving);
+            known[is_far] += 1;
+            silent[is_far] += u32::from(is_silent);
+            is_early |= is_silent && age < self.timeouts[1];
+        }
+        let heard = |known: u32, silent: u32| f64::from(known - silent) / f64::from(known);
+        let all = heard(known[0] + known[1] - 1, silent[0] + silent[1]);
+        if is_early {
+            all.min(heard(known[0], silent[0]))
+        } else {
+            all
+        }
+    }
+
     /// Returns the number of other hosts that may share the limits of the deployment: the most that
     /// were known at the same time, as hosts that are no longer heard may only be cut off.
     pub fn sharing(&self) -> usize {
@@ -280,10 +306,18 @@
         self.by_id.values().filter(move |p| self.is_alive(p, now))
     }
 
-    /// Removes hosts that have been silent for [`Settings::forget_after`], and returns their ids.
+    /// Sets the hosts that the registry lists. They are not removed however long they are silent, as they
+    /// may only be cut off, and share the limits then.
+    pub(crate) fn set_listed(&mut self, listed: HashSet<HostId>) {
+        self.listed = listed;
+    }
+
+    /// Removes hosts that have been silent for [`Settings::forget_after`] and that the registry does not
+    /// list, and returns their ids.
     pub fn prune(&mut self, settings: &Settings, now: Instant) -> Vec<HostId> {
         let limit = settings.forget_after;
-        let gone = |p: &Peer| now.duration_since(p.last_digest.unwrap_or(p.known_since)) >= limit;
+        let silent = |p: &Peer| now.duration_since(p.last_digest.unwrap_or(p.known_since)) >= limit;
+        let gone = |p: &Peer| silent(p) && !self.listed.contains(&p.record.id);
         let ids: Vec<_> = self
             .by_id
             .iter()
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -42,6 +42,8 @@
     pub(crate) burst: f64,
     /// Requests beyond the burst in one window that the deployment still tolerates.
     pub(crate) slack: f64,
+    /// Whether this is not only a part of the limit.
+    is_whole: bool,
 }
 
 impl QuotaLimits {
@@ -53,6 +55,17 @@
             rate,
             burst,
             slack: overage + settings.quota_slack,
+            is_whole: true,
+        }
+    }
+
+    /// Returns a part of the limit.
+    pub(crate) fn part(self, fraction: f64) -> Self {
+        Self {
+            rate: self.rate * fraction,
+            burst: self.burst * fraction,
+            slack: self.slack * fraction,
+            is_whole: self.is_whole && fraction >= 1.0,
         }
     }
 
@@ -145,8 +158,14 @@
         now: Instant,
     ) -> TokenOutcome {
         let regions = remote.regions.max(1) as f64;
+        // The owner before, if it is only cut off, still has its tokens.
+        let initial = if limits.is_whole {
+            INITIAL_FRACTION
+        } else {
+            0.0
+        };
         let bucket = self.owned.entry(team.clone()).or_insert_with(|| Bucket {
-            level: limits.pool() / regions * INITIAL_FRACTION,
+            level: limits.pool() / regions * initial,
             filled_at: now,
             requested: 0.0,
             decayed_at: now,
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -219,7 +219,13 @@
         self.peers.sharing() + 1
     }
 
-    /// Removes hosts that have been silent for `Settings::forget_after` and returns their ids.
+    /// Sets the hosts that the registry lists; they share the limits, also while they are silent.
+    pub fn list_hosts(&mut self, listed: HashSet<HostId>) {
+        self.peers.set_listed(listed);
+    }
+
+    /// Removes hosts that have been silent for `Settings::forget_after` and are not listed, and returns
+    /// their ids.
     pub fn prune_peers(&mut self, now: Instant) -> Vec<HostId> {
         self.peers.prune(&self.settings, now)
     }
--- a/crates/steer/src/tokens.rs
+++ b/crates/steer/src/tokens.rs
@@ -57,11 +57,17 @@
             .map(|(_, p)| p)
     }
 
-    /// Returns the other regions that have known hosts, alive or not.
-    fn remote_regions(&self) -> Vec<RegionId> {
+    /// Returns the part of a team's limit that the hosts which hear each other grant.
+    fn heard_limits(&self, team: &Team, now: Instant) -> Option<QuotaLimits> {
+        let limits = self.quota_limits(team)?;
+        Some(limits.part(self.peers.heard_fraction(now)))
+    }
+
+    /// Returns the other regions that have live hosts.
+    fn remote_regions(&self, now: Instant) -> Vec<RegionId> {
         let mut regions: Vec<RegionId> = self
             .peers
-            .all()
+            .alive(now)
             .map(|p| &p.region)
             .filter(|r| **r != self.local.region)
             .cloned()
@@ -73,11 +79,12 @@
 
     /// Takes a token of a team's limit, or returns the owner to request it from.
     pub fn take_token(&mut self, team: &Team, now: Instant) -> TokenSource {
-        let Some(limits) = self.quota_limits(team) else {
+        let Some(limits) = self.heard_limits(team, now) else {
             return TokenSource::Local(TokenOutcome::Granted);
         };
         let hash = short_hash(team.id.as_str());
-        if self.peers.is_cut_off(&self.settings, now) {
+        let is_alone = self.peers.alive(now).next().is_none();
+        if self.peers.is_cut_off(&self.settings, now) && !is_alone {
             return TokenSource::Local(self.take_isolated_token(team, now));
         }
         if let Some(owner) = self.owner(hash, &self.local.region, now) {
@@ -86,7 +93,9 @@
                 team: hash,
             };
         }
-        let remote = self.quota.remote_demand(hash, &self.remote_regions(), now);
+        let remote = self
+            .quota
+            .remote_demand(hash, &self.remote_regions(now), now);
         TokenSource::Local(self.quota.take(&team.id, limits, remote, now))
     }
 
@@ -102,10 +111,12 @@
     /// Takes a token on behalf of another host; `None` if the team is unknown.
     pub fn take_token_for_peer(&mut self, team: u32, now: Instant) -> Option<TokenOutcome> {
         let known = self.catalog.as_ref()?.team(team)?.clone();
-        let Some(limits) = self.quota_limits(&known) else {
+        let Some(limits) = self.heard_limits(&known, now) else {
             return Some(TokenOutcome::Granted);
         };
-        let remote = self.quota.remote_demand(team, &self.remote_regions(), now);
+        let remote = self
+            .quota
+            .remote_demand(team, &self.remote_regions(now), now);
         Some(self.quota.take(&known.id, limits, remote, now))
     }
 
@@ -130,7 +141,7 @@
         let Some(catalog) = self.catalog.clone() else {
             return HashMap::new();
         };
-        let regions = self.remote_regions();
+        let regions = self.remote_regions(now);
         let mut messages: HashMap<SocketAddr, Vec<(u32, u16)>> = HashMap::new();
         for team in catalog.teams().filter(|t| t.rate.is_some()) {
             let hash = short_hash(team.id.as_str());
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -17,6 +17,8 @@
     /// When tokens were granted.
     granted: Vec<Instant>,
     denied: u32,
+    /// Whether the hosts that are cut off reach each other.
+    is_island: bool,
 }
 
 impl Fleet {
@@ -35,11 +37,22 @@
             host.configure(config.clone())
                 .expect("a valid configuration");
         }
+        let records: Vec<_> = hosts
+            .iter()
+            .map(|h| h.local_host().record.clone())
+            .collect();
+        for host in &mut hosts {
+            for record in &records {
+                host.register_host(record.clone(), clock.now());
+            }
+            host.list_hosts(records.iter().map(|r| r.id.clone()).collect());
+        }
         let mut fleet = Self {
             hosts,
             clock,
             granted: Vec::new(),
             denied: 0,
+            is_island: false,
         };
         fleet.exchange_reports(0);
         fleet
@@ -70,21 +83,29 @@
         self.exchange_reports(0);
     }
 
-    /// Exchanges digests and demand reports between all hosts except the first `cut`.
+    /// Exchanges digests and demand reports between the hosts of each side of a cut, which the first `cut`
+    /// hosts are on, or between all but these if they reach not even each other. Hosts forget those that have
+    /// been silent for long.
     fn exchange_reports(&mut self, cut: usize) {
         let now = self.clock.now();
-        exchange(&mut self.hosts[cut..], &self.clock);
-        for from in cut..self.hosts.len() {
-            let zone = self.hosts[from].local_host().record.zone.clone();
-            for (to, teams) in self.hosts[from].demand_reports(now) {
-                if let Some(owner) = self.hosts[cut..]
-                    .iter_mut()
-                    .find(|h| h.local_host().record.peer == to)
-                {
-                    owner.record_demand(&zone, &teams, now);
+        let island = if self.is_island { 0..cut } else { 0..0 };
+        for side in [cut..self.hosts.len(), island] {
+            exchange(&mut self.hosts[side.clone()], &self.clock);
+            for from in side.clone() {
+                let zone = self.hosts[from].local_host().record.zone.clone();
+                for (to, teams) in self.hosts[from].demand_reports(now) {
+                    if let Some(owner) = self.hosts[side.clone()]
+                        .iter_mut()
+                        .find(|h| h.local_host().record.peer == to)
+                    {
+                        owner.record_demand(&zone, &teams, now);
+                    }
                 }
             }
         }
+        for host in &mut self.hosts {
+            host.prune_peers(now);
+        }
     }
 
     /// Requests a token on one host, from the team's owner if both are on the connected side of the
@@ -100,7 +121,7 @@
             .iter()
             .position(|h| h.local_host().record.peer == owner)
             .expect("a host");
-        if (owner < cut) == (host < cut) && host >= cut {
+        if (owner < cut) == (host < cut) && (host >= cut || self.is_island) {
             return self.hosts[owner]
                 .take_token_for_peer(hash, now)
                 .expect("a known team");
@@ -249,6 +270,32 @@
     }
 }
 
+/// Hosts that have been cut off for so long that they have forgotten the others must not take the whole limit
+/// for their own, neither alone nor with others of their zone.
+#[test]
+fn hosts_that_are_cut_off_for_long_stay_within_the_limit_together() {
+    for (hosts, cut, is_island) in [
+        (8, 1, false),
+        (8, 2, false),
+        (84, 21, false),
+        (8, 2, true),
+        (12, 4, true),
+        (84, 14, true),
+    ] {
+        let limit = team("blue", "key", Some(40), 40);
+        let mut fleet = Fleet::new(&limit, hosts);
+        fleet.is_island = is_island;
+        fleet.run(&limit, 25.0, Duration::from_secs(8), 0);
+        fleet.run(&limit, 320.0, Duration::from_secs(90), cut);
+        let max_in_window = fleet.max_in_window(WINDOW);
+        let case = format!("{cut} of {hosts} hosts, island {is_island}");
+        assert!(
+            (max_in_window as f64) <= allowed(40.0, 40.0),
+            "{case}: {max_in_window} granted in a window"
+        );
+    }
+}
+
 /// All hosts restart, and again, half a second after a team below its limit has begun to send many
 /// times as much. The new processes must not grant the burst that the ones before have granted.
 #[test]
