--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -97,7 +97,8 @@
     }
 
     /// Returns whether a request may be sent to an endpoint, as far as it may crash it, and if so, the number
-    /// of endpoints that ended under it, `None` if it is not suspect; `repeated` tells whether an endpoint has had it before in this attempt of the caller.
+    /// of endpoints that ended under it, `None` if it is not suspect; `repeated` tells whether an endpoint
+    /// has had it before in this attempt of the caller.
     pub(super) fn check_suspect(
         &mut self,
         request: Fingerprint,
