--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -14,7 +14,7 @@
 /// Seconds after a request's arrival in which its host may have detected the cause of the outcome.
 const CONTEXT_AFTER_S: f64 = 5.0;
 /// Messages about the state of the whole host, which may concern every request.
-const GENERAL_MESSAGES: [&str; 18] = [
+const GENERAL_MESSAGES: [&str; 20] = [
     "configuration in force",
     "configuration refused",
     "evacuation",
@@ -24,6 +24,8 @@
     "endpoint names no limit on its requests any more",
     "endpoint says something that this host does not know; ignoring it",
     "endpoint ended while requests ran there",
+    "claimed a trial of a rejected request",
+    "request ended well; endpoints that ended under equal ones no longer count",
     "registry does not answer",
     "registry answers again",
     "registry history gone",
--- a/crates/steer/src/steer/restore.rs
+++ b/crates/steer/src/steer/restore.rs
@@ -18,8 +18,11 @@
 /// endpoints have for registering again, because sending requests to an evacuated zone is worse than
 /// sending none for a few more seconds.
 const EVACUATION_HOLD: Duration = Duration::from_secs(5);
-/// How long the departure of an endpoint is remembered; longer than a copy is old.
-const DEPARTURE_MEMORY: Duration = Duration::from_secs(60);
+/// How long the departure of an endpoint is remembered, and what it has said; longer than a copy is old, and
+/// than the registry is away.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(24 * 60 * 60);
+/// The number of departures that are remembered.
+const DEPARTURES_MAX: usize = 4_096;
 /// How long a host that has just started waits for a configuration that another host has in force.
 const CONFIG_WAIT: Duration = Duration::from_secs(3);
 
@@ -56,6 +59,12 @@
             said: endpoint.said,
             at: now,
         };
+        if self.departures.len() >= DEPARTURES_MAX {
+            let oldest = self.departures.iter().min_by_key(|(_, d)| d.at);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.departures.remove(&oldest);
+            }
+        }
         self.departures.insert(record.id.clone(), departure);
     }
 
--- a/crates/steer/tests/steer/named_limits.rs
+++ b/crates/steer/tests/steer/named_limits.rs
@@ -130,6 +130,15 @@
         self.exchange();
     }
 
+    /// Lets all hosts read from the registry which there are.
+    fn list_hosts(&mut self) {
+        let ids = self.hosts.iter().map(|h| h.local_host().record.id.clone());
+        let ids: HashSet<_> = ids.collect();
+        for host in &mut self.hosts {
+            host.list_hosts(ids.clone());
+        }
+    }
+
     /// Delivers the digests, and what hosts have heard of limits, between hosts that are not cut off.
     fn exchange(&mut self) {
         let hosts = std::mem::take(&mut self.hosts).into_iter().enumerate();
@@ -361,6 +370,29 @@
     }
 }
 
+/// Guards against hosts that forget a limit because they have not heard of it for long.
+#[test]
+fn hosts_that_are_cut_off_for_long_keep_to_the_limit_together() {
+    for cut in [vec![0], vec![0, 1], vec![0, 6, 12], vec![0, 1, 2, 6, 7, 8]] {
+        let mut fleet = Fleet::new(18, 12);
+        fleet.list_hosts();
+        fleet.run(100.0, 2 * SECOND);
+        fleet.limit(3, LIMIT);
+        let start = fleet.clock.now();
+        fleet.run(100.0, 4 * SECOND);
+        fleet.cut = cut.iter().copied().collect();
+        fleet.run(100.0, 150 * SECOND);
+        fleet.cut.clear();
+        fleet.run(100.0, 8 * SECOND);
+        let most = fleet.most(start + CONTACT);
+        assert!(
+            most <= allowed(LIMIT),
+            "{cut:?}: {most} of {}",
+            allowed(LIMIT)
+        );
+    }
+}
+
 /// Guards against a registration, written anew or restored, that makes a host forget the limit.
 #[test]
 fn a_limit_outlasts_the_registration() {
--- a/crates/steer/tests/steer/signals.rs
+++ b/crates/steer/tests/steer/signals.rs
@@ -100,6 +100,28 @@
     }
 }
 
+/// Guards against a notice, or a pause of many minutes, that is forgotten while the registration is away, as
+/// after a long outage of the registry.
+#[test]
+fn what_a_process_has_said_holds_when_it_is_registered_again_much_later() {
+    for leaves in [false, true] {
+        let (mut host, clock) = one_endpoint();
+        let choice = chosen(place(&mut host, &clock)).expect("an endpoint");
+        if leaves {
+            host.record_leaving(choice.key, STARTED, HEARD, clock.now());
+        } else {
+            host.record_pause(choice.key, STARTED, 900 * SECOND, HEARD, clock.now());
+        }
+        host.unregister(&name("e"), clock.now());
+        clock.advance(600 * SECOND);
+        host.end_holds(clock.now());
+        host.register(endpoint("e", "a1", 2), clock.now());
+        assert!(chosen(place(&mut host, &clock)).is_none());
+        clock.advance(300 * SECOND);
+        assert_eq!(chosen(place(&mut host, &clock)).is_none(), leaves);
+    }
+}
+
 /// Guards against a departed process without a start time that retires the one after it at another
 /// address.
 #[test]
