Do not take a stale read of the registry for a removed record

A record now counts as removed only if the read covers its version. Test, failing before: a_read_from_before_a_record_was_written_clears_no_request.

A request that ended well stayed known for as long as callers asked for it, as each run moved the time from which it is forgotten; each of its placements compared all hosts. Test, failing before: a_request_that_ended_well_is_forgotten_although_it_is_asked.

--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -121,11 +121,11 @@
             _ => {}
         }
     }
-    let (wall, now) = (core.wall_millis(), core.now());
+    let (version, wall, now) = (fetched.version, core.wall_millis(), core.now());
     let unknown = core
         .steer
         .borrow_mut()
-        .learn_suspect_records(records, wall, now);
+        .learn_suspect_records(records, version, wall, now);
     if unknown > 0 {
         info!(core.log, "the registry has records of suspect requests that this host did not know";
             "count" => unknown);
--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -196,6 +196,11 @@
         self.suspects.has_records()
     }
 
+    /// Returns whether endpoints ended under a request, or may have lately.
+    pub fn knows_suspect(&self, request: Fingerprint) -> bool {
+        self.suspects.is_known(request)
+    }
+
     /// Returns whether a record of the registry is to be changed.
     pub fn has_suspect_calls(&self) -> bool {
         self.suspects.has_calls()
@@ -219,15 +224,16 @@
         self.suspects.fail_call(call);
     }
 
-    /// Takes over all records of the registry, each with its version. Returns the number of requests that
-    /// were not known.
+    /// Takes over all records that the registry had at `version`, each with its own. Returns the number of
+    /// requests that were not known.
     pub fn learn_suspect_records(
         &mut self,
         records: Vec<(SuspectRecord, u64)>,
+        version: u64,
         wall: u64,
         now: Instant,
     ) -> usize {
-        self.suspects.learn_records(records, wall, now)
+        self.suspects.learn_records(records, version, wall, now)
     }
 
     /// Has the records written again, as the registry was restored from an older copy.
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -510,9 +510,11 @@
     /// be written, and returns the number of requests that are restricted and rejected.
     pub(crate) fn review(&mut self, is_refuted: impl Fn(&End) -> bool, now: Instant) -> (u32, u32) {
         let is_kept = |case: &Case| {
-            let idle = now.saturating_duration_since(case.last_activity());
-            let is_cleared = case.is_cleared() && !case.record.obsolete;
-            idle < if is_cleared { CLEARED_MEMORY } else { MEMORY }
+            if case.is_cleared() && !case.record.obsolete {
+                let age = |at| now.saturating_duration_since(at);
+                return case.last_end().map(age) < Some(CLEARED_MEMORY);
+            }
+            now.saturating_duration_since(case.last_activity()) < MEMORY
         };
         self.requests.retain(|_, c| is_kept(c));
         self.news.retain(|r| self.requests.contains_key(r));
@@ -538,7 +540,8 @@
     /// Returns whether the local host knows requests that the registry should have records of.
     pub(crate) fn has_records(&self) -> bool {
         let mut cases = self.requests.values();
-        cases.any(|c| c.record.version.is_some() || c.process_count() >= RESTRICTED_ENDS)
+        let several = |c: &Case| c.process_count() >= RESTRICTED_ENDS && !c.is_cleared();
+        cases.any(|c| c.record.version.is_some() || several(c))
     }
 
     /// Returns whether a record is to be changed.
@@ -615,17 +618,18 @@
         }
     }
 
-    /// Takes over all records of the registry, each with its version. Those that no host needs any more are
-    /// to be removed. Returns the number of requests that were not known.
+    /// Takes over all records that the registry had at `version`, each with its own. Those that no host needs
+    /// any more are to be removed. Returns the number of requests that were not known.
     pub(crate) fn learn_records(
         &mut self,
         records: Vec<(SuspectRecord, u64)>,
+        version: u64,
         wall: u64,
         now: Instant,
     ) -> usize {
         let mut unknown = 0;
         let mut listed = HashSet::new();
-        for (record, version) in records {
+        for (record, record_version) in records {
             listed.insert(record.request);
             let times = record
                 .ends
@@ -637,15 +641,17 @@
             if age >= RECORD_MEMORY {
                 self.stale.push(SuspectCall::Remove {
                     request: record.request,
-                    version,
+                    version: record_version,
                 });
             } else {
                 unknown += usize::from(!self.requests.contains_key(&record.request));
-                self.learn_record(&record, version, wall, now);
+                self.learn_record(&record, record_version, wall, now);
             }
         }
         for (request, case) in &mut self.requests {
-            let is_gone = case.record.version.is_some() && !listed.contains(request);
+            // A replica that lags behind may not have the record yet.
+            let is_covered = case.record.version.is_some_and(|own| own <= version);
+            let is_gone = is_covered && !listed.contains(request);
             if is_gone && !case.record.unsaved {
                 // A host has seen it end well, or the operator has removed it.
                 case.record.version = None;
--- a/crates/steer/tests/steer/suspects/fleet.rs
+++ b/crates/steer/tests/steer/suspects/fleet.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the version of the last change.
+    pub(super) fn version(&self) -> u64 {
+        self.last_version
+    }
+
     pub(super) fn list(&self) -> Vec<(SuspectRecord, u64)> {
         self.rows.values().cloned().collect()
     }
@@ -75,7 +80,7 @@
                 host.complete_suspect_call(&call, version, now);
             } else {
                 host.fail_suspect_call(&call);
-                host.learn_suspect_records(self.list(), wall(clock), now);
+                host.learn_suspect_records(self.list(), self.last_version, wall(clock), now);
             }
         }
     }
@@ -340,7 +345,13 @@
                 host.review_suspects(now);
                 self.records.serve(host, &self.clock);
                 if self.steps.is_multiple_of(READ_STEPS) && host.has_suspect_records() {
-                    host.learn_suspect_records(self.records.list(), wall(&self.clock), now);
+                    let version = self.records.version();
+                    host.learn_suspect_records(
+                        self.records.list(),
+                        version,
+                        wall(&self.clock),
+                        now,
+                    );
                 }
             }
             exchange(&mut self.hosts, &self.clock);
@@ -417,7 +428,8 @@
             for record in &records {
                 started.register(record.clone(), now);
             }
-            started.learn_suspect_records(self.records.list(), wall(&self.clock), now);
+            let version = self.records.version();
+            started.learn_suspect_records(self.records.list(), version, wall(&self.clock), now);
             self.hosts[i] = started;
         }
         for i in 0..self.hosts.len() {
--- a/crates/steer/tests/steer/suspects/over_time.rs
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -146,7 +146,7 @@
     // The registry has it after all.
     assert!(lone.records.apply(&claim).is_some());
     lone.host
-        .learn_suspect_records(lone.records.list(), time, now);
+        .learn_suspect_records(lone.records.list(), lone.records.version(), time, now);
     lone.clock.advance(60 * SECOND);
     lone.place(1, &[]).expect_err("the next one is due later");
     let (wall, now) = (wall(&lone.clock), lone.clock.now());
@@ -182,11 +182,43 @@
     let mut lone = rejected();
     lone.serve_records();
     let (wall, now) = (wall(&lone.clock), lone.clock.now());
-    lone.host.learn_suspect_records(Vec::new(), wall, now);
+    let version = lone.records.version();
+    lone.host
+        .learn_suspect_records(Vec::new(), version, wall, now);
     assert!(lone.place(1, &[]).is_ok());
     assert!(lone.place(1, &[]).is_ok());
 }
 
+/// Guards against a read that is answered by a replica which lags behind, and seems to say that the record of
+/// a request was removed.
+#[test]
+fn a_read_from_before_a_record_was_written_clears_no_request() {
+    let mut lone = rejected();
+    let before = lone.records.version();
+    lone.serve_records();
+    let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    lone.host
+        .learn_suspect_records(Vec::new(), before, wall, now);
+    assert!(lone.host.review_suspects(now).rejected == 1);
+}
+
+/// Guards against a popular request whose every placement costs more for ever, as it was at an endpoint that
+/// crashed.
+#[test]
+fn a_request_that_ended_well_is_forgotten_although_it_is_asked() {
+    let mut lone = Lone::new(8);
+    lone.crash_repeatedly(1, 2);
+    for _ in 0..30 {
+        let choice = lone.place(1, &[]).expect("a run");
+        lone.finish(1, &choice, Outcome::Answered);
+        lone.clock.advance(5 * SECOND);
+        lone.host.review_suspects(lone.clock.now());
+    }
+    let choice = lone.place(1, &[]).expect("a run");
+    assert_eq!(choice.ended, None);
+    assert!(!lone.host.knows_suspect(fingerprint(1)));
+}
+
 /// Guards against records that are lost when the registry is restored from an older copy.
 #[test]
 fn records_that_a_restored_registry_lacks_are_written_again() {
@@ -196,7 +228,9 @@
     lone.records = Records::default();
     lone.host.reset_suspect_records();
     let (wall, now) = (wall(&lone.clock), lone.clock.now());
-    lone.host.learn_suspect_records(Vec::new(), wall, now);
+    let version = lone.records.version();
+    lone.host
+        .learn_suspect_records(Vec::new(), version, wall, now);
     lone.serve_records();
     let after = lone.records.list();
     assert_eq!(after[0].0, before[0].0);
@@ -211,7 +245,7 @@
     lone.host.review_suspects(lone.clock.now());
     let (wall, now) = (wall(&lone.clock), lone.clock.now());
     lone.host
-        .learn_suspect_records(lone.records.list(), wall, now);
+        .learn_suspect_records(lone.records.list(), lone.records.version(), wall, now);
     lone.serve_records();
     assert!(lone.records.list().is_empty());
 }
