--- a/crates/steer/tests/steer/named_limits.rs
+++ b/crates/steer/tests/steer/named_limits.rs
@@ -348,48 +348,41 @@
     assert!(most <= allowed(LIMIT), "{most} of {}", allowed(LIMIT));
 }
 
+/// Checks that hosts on both sides of a cut of `time` keep to the limit of an endpoint together.
+fn check_cut(mut fleet: Fleet, cut: &[usize], time: Duration) {
+    fleet.run(100.0, 2 * SECOND);
+    fleet.limit(3, LIMIT);
+    let start = fleet.clock.now();
+    fleet.run(100.0, 4 * SECOND);
+    fleet.cut = cut.iter().copied().collect();
+    fleet.run(100.0, time);
+    fleet.cut.clear();
+    fleet.run(100.0, 8 * SECOND);
+    let most = fleet.most(start + CONTACT);
+    assert!(
+        most <= allowed(LIMIT),
+        "{cut:?}: {most} of {}",
+        allowed(LIMIT)
+    );
+}
+
+const CUTS: [&[usize]; 4] = [&[0], &[0, 1], &[0, 6, 12], &[0, 1, 2, 6, 7, 8]];
+
 /// Guards against hosts on both sides of a cut that each take the whole limit.
 #[test]
 fn hosts_that_are_cut_off_from_each_other_keep_to_the_limit_together() {
-    for cut in [vec![0], vec![0, 1], vec![0, 6, 12], vec![0, 1, 2, 6, 7, 8]] {
-        let mut fleet = Fleet::new(18, 12);
-        fleet.run(100.0, 2 * SECOND);
-        fleet.limit(3, LIMIT);
-        let start = fleet.clock.now();
-        fleet.run(100.0, 4 * SECOND);
-        fleet.cut = cut.iter().copied().collect();
-        fleet.run(100.0, 12 * SECOND);
-        fleet.cut.clear();
-        fleet.run(100.0, 8 * SECOND);
-        let most = fleet.most(start + CONTACT);
-        assert!(
-            most <= allowed(LIMIT),
-            "{cut:?}: {most} of {}",
-            allowed(LIMIT)
-        );
+    for cut in CUTS {
+        check_cut(Fleet::new(18, 12), cut, 12 * SECOND);
     }
 }
 
 /// Guards against hosts that forget a limit because they have not heard of it for long.
 #[test]
 fn hosts_that_are_cut_off_for_long_keep_to_the_limit_together() {
-    for cut in [vec![0], vec![0, 1], vec![0, 6, 12], vec![0, 1, 2, 6, 7, 8]] {
+    for cut in CUTS {
         let mut fleet = Fleet::new(18, 12);
         fleet.list_hosts();
-        fleet.run(100.0, 2 * SECOND);
-        fleet.limit(3, LIMIT);
-        let start = fleet.clock.now();
-        fleet.run(100.0, 4 * SECOND);
-        fleet.cut = cut.iter().copied().collect();
-        fleet.run(100.0, 150 * SECOND);
-        fleet.cut.clear();
-        fleet.run(100.0, 8 * SECOND);
-        let most = fleet.most(start + CONTACT);
-        assert!(
-            most <= allowed(LIMIT),
-            "{cut:?}: {most} of {}",
-            allowed(LIMIT)
-        );
+        check_cut(fleet, cut, 150 * SECOND);
     }
 }
 
