Read the records of suspect requests when an endpoint has ended under one that was not known

Found by going through who tells whom once more: a host that was cut off while others saw three ends hears nothing afterwards if all of these have restarted since, as hosts repeat in their digests only what they saw themselves. It sent the request twice before it wrote, and so read, the record. Test, failing before: a_host_that_has_heard_nothing_reads_the_records_after_its_first_end.

--- a/crates/gateway/src/check.rs
+++ b/crates/gateway/src/check.rs
@@ -93,7 +93,8 @@
         restricted,
         rejected,
     } = core.steer.borrow_mut().review_suspects(core.now());
-    if core.steer.borrow().has_suspect_calls() {
+    let steer = core.steer.borrow();
+    if steer.has_suspect_calls() || steer.lacks_suspect_records() {
         core.suspect_calls.notify_one();
     }
     for (state, count) in [("restricted", restricted), ("rejected", rejected)] {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -21,6 +21,7 @@
 pub(crate) async fn keep_records<R: Registry>(core: Rc<Core>, registry: Rc<R>) {
     let mut restores = core.restores();
     let mut next_read = core.now() + READ_PERIOD;
+    let mut retry_at = core.now();
     loop {
         tokio::select! {
             () = core.suspect_calls.notified() => {}
@@ -31,27 +32,39 @@
                 next_read = core.now();
             }
         }
-        let is_due = core.now() >= next_read && core.steer.borrow().has_suspect_records();
-        if is_due && read_records(&core, &*registry).await {
-            next_read = core.now() + READ_PERIOD;
-        }
-        loop {
-            let call = {
-                let mut steer = core.steer.borrow_mut();
-                steer.next_suspect_call(core.wall_millis(), core.now())
-            };
-            let Some(call) = call else {
-                break;
-            };
-            let pause = if change(&core, &*registry, &call).await {
-                CALL_PAUSE
+        let is_due = {
+            let steer = core.steer.borrow();
+            steer.lacks_suspect_records() || core.now() >= next_read && steer.has_suspect_records()
+        };
+        if is_due && core.now() >= retry_at {
+            if read_records(&core, &*registry).await {
+                next_read = core.now() + READ_PERIOD;
             } else {
-                // What the registry has now is not known.
-                read_records(&core, &*registry).await;
-                RETRY_PAUSE
-            };
-            tokio::time::sleep(pause).await;
+                retry_at = core.now() + RETRY_PAUSE;
+            }
         }
+        make_changes(&core, &*registry).await;
+    }
+}
+
+/// Makes all changes that are due, with pauses between them.
+async fn make_changes<R: Registry>(core: &Core, registry: &R) {
+    loop {
+        let call = {
+            let mut steer = core.steer.borrow_mut();
+            steer.next_suspect_call(core.wall_millis(), core.now())
+        };
+        let Some(call) = call else {
+            return;
+        };
+        let pause = if change(core, registry, &call).await {
+            CALL_PAUSE
+        } else {
+            // What the registry has now is not known.
+            read_records(core, registry).await;
+            RETRY_PAUSE
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -201,6 +201,12 @@
         self.suspects.is_known(request)
     }
 
+    /// Returns whether the records should be read at once, as an endpoint has ended under a request of which
+    /// the registry may know more.
+    pub fn lacks_suspect_records(&self) -> bool {
+        self.suspects.lacks_records()
+    }
+
     /// Returns whether a record of the registry is to be changed.
     pub fn has_suspect_calls(&self) -> bool {
         self.suspects.has_calls()
--- a/crates/steer/src/suspect.rs
+++ b/crates/steer/src/suspect.rs
@@ -162,6 +162,8 @@
     calls: VecDeque<Fingerprint>,
     /// Removals of records that no host needs any more.
     stale: Vec<SuspectCall>,
+    /// Whether an endpoint ended under a request that was not known, since the records were read.
+    unread: bool,
 }
 
 impl Suspects {
@@ -244,6 +246,7 @@
         {
             let end = End { began, at, ..end };
             self.log.record(end, now);
+            self.unread |= !self.requests.contains_key(&request);
             self.case(request, now).add_own(end);
             self.news.insert(request);
             requests.push(request);
--- a/crates/steer/src/suspect/registry.rs
+++ b/crates/steer/src/suspect/registry.rs
@@ -20,6 +20,11 @@
         cases.any(|c| c.record.version.is_some() || several(c))
     }
 
+    /// Returns whether the registry may know more of a request under which an endpoint has just ended.
+    pub(crate) fn lacks_records(&self) -> bool {
+        self.unread
+    }
+
     /// Returns whether a record is to be changed.
     pub(crate) fn has_calls(&self) -> bool {
         !self.calls.is_empty() || !self.stale.is_empty()
@@ -103,6 +108,7 @@
         wall: u64,
         now: Instant,
     ) -> usize {
+        self.unread = false;
         let mut unknown = 0;
         let mut listed = HashSet::new();
         for (record, record_version) in records {
--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -73,12 +73,17 @@
 
 impl Lone {
     fn new(endpoints: usize) -> Self {
+        Self::with_names("h-0", "e", endpoints)
+    }
+
+    /// Creates the host `id` with endpoints whose names begin with `prefix`.
+    fn with_names(id: &str, prefix: &str, endpoints: usize) -> Self {
         let clock = ManualClock::new();
-        let mut host = steer("h-0", "a1", 1_000);
+        let mut host = steer(id, "a1", 1_000);
         host.configure(config(1)).expect("a valid configuration");
         host.mark_hosts_read();
         for i in 0..endpoints {
-            host.register(endpoint(&format!("e-{i}"), "a1", 3), clock.now());
+            host.register(endpoint(&format!("{prefix}-{i}"), "a1", 3), clock.now());
         }
         Self {
             host,
--- a/crates/steer/tests/steer/suspects/fleet.rs
+++ b/crates/steer/tests/steer/suspects/fleet.rs
@@ -75,6 +75,9 @@
     /// Makes the changes of a host until it has none.
     pub(super) fn serve(&mut self, host: &mut Steer, clock: &ManualClock) {
         let now = clock.now();
+        if host.lacks_suspect_records() {
+            host.learn_suspect_records(self.list(), self.last_version, wall(clock), now);
+        }
         while let Some(call) = host.next_suspect_call(wall(clock), now) {
             if let Some(version) = self.apply(&call) {
                 host.complete_suspect_call(&call, version, now);
--- a/crates/steer/tests/steer/suspects/over_time.rs
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -236,6 +236,27 @@
     assert_eq!(after[0].0, before[0].0);
 }
 
+/// Guards against a host that was cut off while others saw three endpoints end, and that nobody tells as all of
+/// these have restarted since.
+#[test]
+fn a_host_that_has_heard_nothing_reads_the_records_after_its_first_end() {
+    let mut records = Records::default();
+    for (id, prefix) in [("h-1", "f"), ("h-2", "g")] {
+        let mut lone = Lone::with_names(id, prefix, 8);
+        lone.records = records;
+        lone.crash_repeatedly(1, 2);
+        lone.serve_records();
+        records = lone.records;
+    }
+    let mut lone = Lone::new(8);
+    lone.records = records;
+    lone.clock.advance(60 * SECOND);
+    lone.crash_repeatedly(1, 1);
+    lone.serve_records();
+    lone.place(1, &[])
+        .expect_err("others have seen it end endpoints");
+}
+
 /// Guards against records that stay in the registry for ever.
 #[test]
 fn records_of_requests_that_are_not_asked_are_removed() {
