--- a/crates/steer/src/suspect/registry.rs
+++ b/crates/steer/src/suspect/registry.rs
@@ -46,6 +46,7 @@
                 continue;
             };
             let version = case.record.version;
+            case.record.obsolete &= case.is_cleared();
             if let Some(version) = version.filter(|_| case.record.obsolete) {
                 return Some(SuspectCall::Remove { request, version });
             }
--- a/crates/steer/tests/steer/suspects/over_time.rs
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -257,6 +257,26 @@
         .expect_err("others have seen it end endpoints");
 }
 
+/// Guards against a record that is removed although another host has seen an end since the request ended well.
+#[test]
+fn a_record_with_ends_since_the_request_ended_well_is_not_removed() {
+    let mut lone = rejected();
+    lone.serve_records();
+    let trial = lone.place(1, &[]).expect("the trial");
+    lone.finish(1, &trial, Outcome::Answered);
+    let mut other = Lone::with_names("h-1", "f", 8);
+    other.clock.advance(60 * SECOND);
+    other.records = std::mem::take(&mut lone.records);
+    other.crash_repeatedly(1, 1);
+    // Reads the record first, and then writes it.
+    other.serve_records();
+    other.serve_records();
+    lone.records = other.records;
+    lone.clock.advance(60 * SECOND);
+    lone.serve_records();
+    assert_eq!(lone.records.list().len(), 1);
+}
+
 /// Guards against records that stay in the registry for ever.
 #[test]
 fn records_of_requests_that_are_not_asked_are_removed() {
