Write records of suspect requests again as soon as a restore is observed

A read between the two had no record, at a version that the copy had given out again, so that the host took the request for sound. The versions are now forgotten where the restore is observed. Test, failing before: a_read_after_a_restore_clears_no_request.

--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -27,7 +27,6 @@
             () = core.suspect_calls.notified() => {}
             () = tokio::time::sleep(READ_PERIOD) => {}
             _ = restores.changed() => {
-                core.steer.borrow_mut().reset_suspect_records();
                 tokio::time::sleep(core.restore_delay()).await;
                 next_read = core.now();
             }
--- a/crates/steer/src/steer/restore.rs
+++ b/crates/steer/src/steer/restore.rs
@@ -105,9 +105,11 @@
 
 impl Steer {
     /// Records that the registry has been restored from an older copy. Endpoints that the copy lacks
-    /// have the same time to register again as after an outage.
+    /// have the same time to register again as after an outage, and records of suspect requests are
+    /// written again.
     pub fn registry_restored(&mut self, now: Instant) {
         self.registry_recovered(now);
+        self.suspects.reset_records();
     }
 
     /// Registers an endpoint that the first full read after a restore lists.
--- a/crates/steer/src/steer/suspects.rs
+++ b/crates/steer/src/steer/suspects.rs
@@ -241,9 +241,4 @@
     ) -> usize {
         self.suspects.learn_records(records, version, wall, now)
     }
-
-    /// Has the records written again, as the registry was restored from an older copy.
-    pub fn reset_suspect_records(&mut self) {
-        self.suspects.reset_records();
-    }
 }
--- a/crates/steer/tests/steer/suspects/over_time.rs
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -226,8 +226,8 @@
     lone.serve_records();
     let before = lone.records.list();
     lone.records = Records::default();
-    lone.host.reset_suspect_records();
     let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    lone.host.registry_restored(now);
     let version = lone.records.version();
     lone.host
         .learn_suspect_records(Vec::new(), version, wall, now);
@@ -277,6 +277,21 @@
     assert_eq!(lone.records.list().len(), 1);
 }
 
+/// Guards against a record that seems removed, as the registry was restored from a copy without it and has
+/// given out its version again since.
+#[test]
+fn a_read_after_a_restore_clears_no_request() {
+    let mut lone = rejected();
+    lone.serve_records();
+    let (wall, now) = (wall(&lone.clock), lone.clock.now());
+    lone.host.registry_restored(now);
+    let version = lone.records.version() + 1;
+    lone.host
+        .learn_suspect_records(Vec::new(), version, wall, now);
+    assert_eq!(lone.host.review_suspects(now).rejected, 1);
+    assert!(lone.host.has_suspect_calls());
+}
+
 /// Guards against records that stay in the registry for ever.
 #[test]
 fn records_of_requests_that_are_not_asked_are_removed() {
