Give an endpoint's error an answer time in the test of what clears a request

Cause: an_error_that_an_endpoint_answers_clears_no_request ended its run without an answer time. The earlier code cleared a request only by runs that had one, so that the test could not tell it from the fix. Change: the error is answered after a second; nothing else moves. Figure: with errors taken for good ends again, as before the fix, the test now fails (1 of 1); with the code as it is it passes, beside the 30 others of the module.

--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -148,13 +148,24 @@
     }
 
     fn finish(&mut self, request: u32, choice: &Choice, outcome: Outcome) {
+        self.finish_after(request, choice, outcome, None);
+    }
+
+    /// Ends a run whose answer, if any, came after `time`.
+    fn finish_after(
+        &mut self,
+        request: u32,
+        choice: &Choice,
+        outcome: Outcome,
+        time: Option<Duration>,
+    ) {
         let completion = Completion {
             choice,
             route: &self.route,
             object: None,
             fingerprint: fingerprint(request),
             outcome,
-            response_time: None,
+            response_time: time,
             load: None,
         };
         self.host.finish(&completion, self.clock.now());
--- a/crates/steer/tests/steer/suspects/over_time.rs
+++ b/crates/steer/tests/steer/suspects/over_time.rs
@@ -172,7 +172,7 @@
     let mut lone = rejected();
     lone.serve_records();
     let trial = lone.place(1, &[]).expect("the trial");
-    lone.finish(1, &trial, Outcome::Failed);
+    lone.finish_after(1, &trial, Outcome::Failed, Some(SECOND));
     lone.place(1, &[]).expect_err("it has not ended well");
 }
 
