Take the names that the platform gives as they are

Hypotheses: the new configuration is not heard; it is heard and refused for what it says of the teams as a whole; it is refused for the name. Cause: HostId, ZoneId, TeamId and the others were parsed in the form of the product's own records (docs/RECORDS.md: 48 characters of a-z, 0-9, '-' and '.') wherever the platform gives a name, which knows no such form. The product's own records keep their form.

The names are held only to what a header can carry, as they are sent in one, and to 1,024 bytes.

--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -29,6 +29,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender's name; a host ignores digests that carry its own.
+    #[serde(deserialize_with = "HostId::deserialize_external")]
     pub host: HostId,
     /// The start of the sender's process in milliseconds of wall-clock time; identifies its
     /// incarnation.
@@ -36,6 +37,7 @@
     /// The sequence number of this digest within the incarnation.
     pub sequence: u32,
     /// The sender's zone; hosts ignore digests from zones that they do not know.
+    #[serde(deserialize_with = "ZoneId::deserialize_external")]
     pub zone: ZoneId,
     /// The sender's address for callers.
     pub front: SocketAddr,
@@ -61,6 +63,7 @@
     /// another region.
     Demand {
         /// The sender's zone, from which the receiver derives the region of the demand.
+        #[serde(deserialize_with = "ZoneId::deserialize_external")]
         zone: ZoneId,
         /// Hash of the team's name, tenths of a request per second.
         teams: Vec<(u32, u16)>,
@@ -98,6 +101,7 @@
     /// Requests under which endpoints ended. Builds that do not know it drop the datagram.
     Suspects {
         /// The sender's name.
+        #[serde(deserialize_with = "HostId::deserialize_external")]
         host: HostId,
         /// What the sender knows.
         reports: Vec<SuspectReport>,
--- a/crates/steer/src/suspect/record.rs
+++ b/crates/steer/src/suspect/record.rs
@@ -9,6 +9,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordedEnd {
     /// The host.
+    #[serde(deserialize_with = "HostId::deserialize_external")]
     pub host: HostId,
     /// The hash of the endpoint's name.
     pub endpoint: u32,
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -1,4 +1,5 @@
-//! Identifiers: names, which are short lower-case labels, and opaque counters.
+//! Identifiers: names, which are short lower-case labels or were given by another system, and opaque
+//! counters.
 
 use std::fmt;
 use std::str::FromStr;
@@ -6,11 +7,33 @@
 
 use derive_more::Display;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::ParseError;
 
 const NAME_MAX_CHARS: usize = 48;
+/// The size in bytes of the longest name that another system may give.
+const EXTERNAL_NAME_MAX_BYTES: usize = 1_024;
+
+/// Checks a name that another system gave. It must be a valid value of an HTTP header, which some names
+/// are sent in.
+fn check_external_name(what: &'static str, text: &str) -> Result<(), ParseError> {
+    let fail = |reason| Err(ParseError::new(what, text, reason));
+    if text.is_empty() {
+        return fail("it is empty");
+    }
+    if text.len() > EXTERNAL_NAME_MAX_BYTES {
+        return fail("it is longer than 1024 bytes");
+    }
+    if text.contains(char::is_control) {
+        return fail("it has control characters");
+    }
+    if text.trim() != text {
+        return fail("it begins or ends with white space");
+    }
+    Ok(())
+}
 
 fn check_name(what: &'static str, text: &str) -> Result<(), ParseError> {
     let fail = |reason| Err(ParseError::new(what, text, reason));
@@ -42,6 +65,30 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Creates the id from a name that another system gave: any text of at most 1,024 bytes
+            /// without control characters and without white space at its ends.
+            ///
+            /// # Errors
+            ///
+            /// [`ParseError`] if the text is not such a name.
+            pub fn from_external(text: &str) -> Result<Self, ParseError> {
+                check_external_name($what, text)?;
+                Ok(Self(text.into()))
+            }
+
+            /// Deserializes a name that another system gave, like
+            /// [`from_external`](Self::from_external).
+            ///
+            /// # Errors
+            ///
+            /// The error of the deserializer, also if the text is not such a name.
+            pub fn deserialize_external<'de, D: Deserializer<'de>>(
+                deserializer: D,
+            ) -> Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                Self::from_external(&text).map_err(D::Error::custom)
+            }
         }
 
         impl FromStr for $name {
--- a/crates/types/tests/parse.rs
+++ b/crates/types/tests/parse.rs
@@ -54,6 +54,23 @@
     );
 }
 
+/// Names of another system were held to the form of the product's own.
+#[test]
+fn names_of_another_system_have_any_form() {
+    let long = "x".repeat(1_024);
+    for name in ["Upper", "a b", "-a", "ä", "a_b:c/d", &long] {
+        let team = TeamId::from_external(name).unwrap();
+        assert_eq!(team.as_str(), name);
+    }
+    for bad in ["", " a", "a\t", "a\r\nb", "\u{0}", &"x".repeat(1_025)] {
+        assert!(TeamId::from_external(bad).is_err(), "{bad:?}");
+    }
+    insta::assert_snapshot!(
+        TeamId::from_external("a ").unwrap_err(),
+        @r#""a " is not a team name: it begins or ends with white space"#
+    );
+}
+
 #[test]
 fn debug_of_key_digest_shows_only_a_prefix() {
     let digest = KeyDigest([0xab; 32]);
