Put a configuration in force without the parts that cannot be used

Callers were handled by the version before: a key that was taken away from any other team went on working, and new routes and keys got 404 and 401.

Requests on a disabled route, or with the key of a team that cannot be used, get 503 with a time to return, as the key or route is there and the request has not run; a route without a usable service no longer answers 404. Each error is logged (eight a configuration at most), wagtail_config_parts and wagtail_registry_entries count them.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -14,9 +14,10 @@
 /// Seconds after a request's arrival in which its host may have detected the cause of the outcome.
 const CONTEXT_AFTER_S: f64 = 5.0;
 /// Messages about the state of the whole host, which may concern every request.
-const GENERAL_MESSAGES: [&str; 20] = [
+const GENERAL_MESSAGES: [&str; 21] = [
     "configuration in force",
     "configuration refused",
+    "part of the configuration cannot be used; rejecting its requests",
     "evacuation",
     "endpoint says that it leaves; sending it no further requests",
     "endpoint asks for a pause; sending it no requests meanwhile",
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use slog::{error, info, warn};
 use tokio::sync::watch;
-use wagtail_steer::{Cursor, EndpointState, Extent, Follower, Generation, Observation};
+use wagtail_steer::{
+    ConfigError, ConfigVersion, Cursor, EndpointState, Extent, Follower, Generation, Observation,
+};
 use wagtail_types::millis;
 
 use crate::connect::RESPONSE_MAX_BYTES;
@@ -30,6 +32,8 @@
 /// The size of changes, in percent of that of all entries, above which all entries are read instead, so
 /// that a host which is far behind reads no more than one that starts.
 const CHANGES_MAX_PERCENT: usize = 300;
+/// The number of errors of one configuration that are logged.
+const LOGGED_ERRORS_MAX: usize = 8;
 /// The size in bytes up to which changes are read in any case.
 const CHANGES_MIN_BYTES: usize = 256 << 10;
 
@@ -374,13 +378,13 @@
         let log = &self.core.log;
         let mut steer = self.core.steer.borrow_mut();
         match entry {
-            Entry::Config(config) => match steer.configure(*config) {
-                Ok(Some(config)) => {
-                    info!(log, "configuration in force"; "config" => config.0, "at" => version);
+            Entry::Config(config) => {
+                let config_version = config.version;
+                if let Some(errors) = steer.configure(*config) {
+                    info!(log, "configuration in force"; "config" => config_version.0, "at" => version);
+                    self.report_errors(config_version, &errors);
                 }
-                Ok(None) => {}
-                Err(e) => error!(log, "configuration refused"; "error" => %e, "at" => version),
-            },
+            }
             Entry::Evacuate(zone, on) => {
                 if steer.evacuate(&zone, on, now) {
                     info!(log, "evacuation"; "zone" => %zone, "on" => on, "at" => version);
@@ -411,12 +415,23 @@
             Entry::Host(record, _) => steer.register_host(record, now),
             Entry::Suspect(..) => {}
             Entry::Unusable { key, reason } => {
+                self.core.metrics.count("registry_entries", "unusable");
                 warn!(log, "registry entry is unusable; ignoring it";
                     "key" => key, "reason" => reason, "at" => version);
             }
         }
     }
 
+    /// Reports the parts of a configuration that cannot be used.
+    fn report_errors(&self, version: ConfigVersion, errors: &[ConfigError]) {
+        let count = u64::try_from(errors.len()).unwrap_or(u64::MAX);
+        self.core.metrics.set("config_parts", "unusable", count);
+        for e in errors.iter().take(LOGGED_ERRORS_MAX) {
+            error!(self.core.log, "part of the configuration cannot be used; rejecting its requests";
+                "error" => %e, "config" => version.0, "errors" => count);
+        }
+    }
+
     /// Records a failed call and returns the pause before the next one.
     fn record_failure(&mut self, e: &RegistryError) -> Duration {
         self.core.metrics.count("registry_failures", "follow");
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -23,11 +23,13 @@
 /// The `Retry-After` wait if the host may lack a newer configuration; a few transfers of one.
 const OUTDATED_WAIT: Duration = Duration::from_millis(300);
 
+/// The `Retry-After` wait for what a configuration does not let the host use; another one may.
+const DISABLED_WAIT: Duration = Duration::from_secs(1);
+
 /// Why the configuration in force does not allow a request.
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Denial {
     NoRoute,
-    NoService,
     UnknownKey,
     BodyTooLarge,
 }
@@ -41,11 +43,6 @@
                 "no such route",
                 "no such route, but the configuration may be outdated",
             ),
-            Self::NoService => (
-                StatusCode::NOT_FOUND,
-                "the route has no service",
-                "the route has no service, but the configuration may be outdated",
-            ),
             Self::UnknownKey => (
                 StatusCode::UNAUTHORIZED,
                 "unknown key",
@@ -149,6 +146,17 @@
         .as_ref()
         .and_then(|k| catalog.team_by_key(k))
         .cloned();
+    let disabled = |reason| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Err(Reply::refuse(status, reason, DISABLED_WAIT).into())
+    };
+    if request_head
+        .key
+        .as_ref()
+        .is_some_and(|k| catalog.is_disabled(k))
+    {
+        return disabled("the configuration of the team cannot be used");
+    }
     if team.is_none() && !route.public {
         return Err(deny(&context.core, Denial::UnknownKey).into());
     }
@@ -170,7 +178,7 @@
         return Err(Reply::refuse(status, "no region may serve it", NOT_READY_WAIT).into());
     };
     let Some(service) = steer.pick_service(route) else {
-        return Err(deny(&context.core, Denial::NoService).into());
+        return disabled("the configuration of the route cannot be used");
     };
     steer.count_request(&service, &permitted_regions, arrived);
     let timeout = request_head
--- a/crates/steer/examples/cost.rs
+++ b/crates/steer/examples/cost.rs
@@ -64,6 +64,7 @@
             public: true,
             sticky: true,
             permitted_regions: Vec::new(),
+            disabled: false,
         }],
         services: vec![Service {
             id: name("service"),
@@ -73,6 +74,8 @@
             cold_rate: 4.0,
         }],
         teams: Vec::new(),
+        disabled_keys: Vec::new(),
+        errors: Vec::new(),
         limits: Limits {
             header: Bytes(16_384),
             body: Bytes(1 << 20),
@@ -99,7 +102,7 @@
         started: 1,
     };
     let mut steer = Steer::new(local, Settings::default());
-    steer.configure(config()).expect("a valid configuration");
+    steer.configure(config());
     steer.mark_hosts_read();
     let mut hashes = Vec::new();
     for i in 0..endpoints {
--- a/crates/steer/src/catalog.rs
+++ b/crates/steer/src/catalog.rs
@@ -1,6 +1,6 @@
 //! The configuration in force, indexed for requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,14 +19,15 @@
     services: HashMap<ServiceId, Service>,
     teams: HashMap<TeamId, Rc<Team>>,
     keys: HashMap<ApiKey, Rc<Team>>,
+    disabled_keys: HashSet<ApiKey>,
     by_hash: HashMap<u32, Rc<Team>>,
 }
 
-impl TryFrom<Config> for Catalog {
-    type Error = ConfigError;
-
-    fn try_from(config: Config) -> Result<Self, ConfigError> {
-        config.check()?;
+impl Catalog {
+    /// Creates the catalog of a configuration without the parts that cannot be used. Returns their errors
+    /// with it.
+    pub fn new(mut config: Config) -> (Self, Vec<ConfigError>) {
+        let errors = config.isolate_errors();
         let mut routes: HashMap<Rc<str>, Vec<Rc<Route>>> = HashMap::new();
         for route in config.routes {
             routes
@@ -42,7 +43,7 @@
             .iter()
             .flat_map(|t| t.keys.iter().map(|k| (k.clone(), t.clone())))
             .collect();
-        Ok(Self {
+        let catalog = Self {
             version: config.version,
             limits: config.limits,
             routes,
@@ -57,11 +58,11 @@
                 .collect(),
             teams: teams.into_iter().map(|t| (t.id.clone(), t)).collect(),
             keys,
-        })
+            disabled_keys: config.disabled_keys.into_iter().collect(),
+        };
+        (catalog, errors)
     }
-}
 
-impl Catalog {
     /// Returns the version of the configuration.
     pub fn version(&self) -> ConfigVersion {
         self.version
@@ -83,6 +84,11 @@
         self.keys.get(key)
     }
 
+    /// Returns whether an API key belongs to a team that cannot be used.
+    pub fn is_disabled(&self, key: &ApiKey) -> bool {
+        self.disabled_keys.contains(key)
+    }
+
     /// Returns a service by its name.
     pub fn service(&self, id: &ServiceId) -> Option<&Service> {
         self.services.get(id)
--- a/crates/steer/src/config.rs
+++ b/crates/steer/src/config.rs
@@ -1,4 +1,5 @@
-//! The operator's configuration and its consistency checks.
+//! The operator's configuration and its consistency checks. An error in one part of it keeps no other part
+//! out of force.
 
 use std::collections::{HashMap, HashSet};
 use std::fmt;
@@ -100,6 +101,8 @@
     pub sticky: bool,
     /// The regions that may run the requests; empty allows all.
     pub permitted_regions: Vec<RegionId>,
+    /// Whether the route cannot be used. Its requests are rejected as not run.
+    pub disabled: bool,
 }
 
 impl Route {
@@ -169,17 +172,29 @@
     pub services: Vec<Service>,
     /// The teams whose keys are accepted.
     pub teams: Vec<Team>,
+    /// Keys whose team cannot be used. Requests with one are rejected as not run.
+    pub disabled_keys: Vec<ApiKey>,
     /// The limits on requests and connections, the same for all callers.
     pub limits: Limits,
+    /// What could not be decoded; it is left out or disabled.
+    pub errors: Vec<ConfigError>,
 }
 
-/// Why a configuration is inconsistent.
+/// Why a part of a configuration cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum ConfigError {
+    /// A part has the wrong form.
+    #[display("{part} cannot be decoded: {reason}")]
+    Undecodable {
+        /// The kind of the part, and its name as far as it could be read.
+        part: String,
+        /// A description of the problem.
+        reason: String,
+    },
     /// A route has no service with a positive weight.
     #[display("route {route} has no service with a positive weight")]
     NoService {
-        /// The first such route in the configuration; its list of services may be empty.
+        /// The route; its list of services may be empty.
         route: RouteId,
     },
     /// A route refers to a service that is not configured.
@@ -201,7 +216,7 @@
     /// A route prefix does not begin and end with a slash.
     #[display("the prefix of route {route} does not begin and end with a slash")]
     InvalidPrefix {
-        /// The first such route in the configuration.
+        /// The route.
         route: RouteId,
     },
     /// Two teams have the same API key.
@@ -215,54 +230,80 @@
 }
 
 impl Config {
-    /// Checks that the configuration is consistent.
-    ///
-    /// # Errors
-    ///
-    /// The first [`ConfigError`] found, with routes checked before teams and both in their order.
-    pub fn check(&self) -> Result<(), ConfigError> {
+    /// Disables what is inconsistent and returns the errors, after those of decoding. The rest can be put
+    /// in force. A disabled route keeps its host and prefix, so that its requests match no other route.
+    pub fn isolate_errors(&mut self) -> Vec<ConfigError> {
+        let mut errors = std::mem::take(&mut self.errors);
+        self.check_routes(&mut errors);
+        self.check_keys(&mut errors);
+        errors
+    }
+
+    fn check_routes(&mut self, errors: &mut Vec<ConfigError>) {
         let services: HashSet<_> = self.services.iter().map(|s| &s.id).collect();
         let mut seen = HashMap::new();
-        for route in &self.routes {
+        let mut duplicates = Vec::new();
+        for (at, route) in self.routes.iter_mut().enumerate() {
             let id = || route.id.clone();
-            if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
-                return Err(ConfigError::InvalidPrefix { route: id() });
-            }
-            if route.services.iter().all(|w| w.weight == 0) {
-                return Err(ConfigError::NoService { route: id() });
-            }
-            if let Some(weighted) = route
-                .services
-                .iter()
-                .find(|w| !services.contains(&w.service))
+            if let Some(first) = seen.insert((route.host.clone(), route.prefix.clone()), (at, id()))
             {
-                let service = weighted.service.clone();
-                return Err(ConfigError::UnknownService {
-                    route: id(),
-                    service,
+                let (first, second) = (first, id());
+                duplicates.push((first.0, at));
+                errors.push(ConfigError::DuplicateRoute {
+                    first: first.1,
+                    second,
                 });
             }
-            if let Some(first) = seen.insert((&route.host, &route.prefix), &route.id) {
-                let first = first.clone();
-                return Err(ConfigError::DuplicateRoute {
-                    first,
-                    second: id(),
-                });
+            if route.disabled {
+                continue;
+            }
+            if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+                errors.push(ConfigError::InvalidPrefix { route: id() });
+                route.disabled = true;
+            } else if route.services.iter().all(|w| w.weight == 0) {
+                errors.push(ConfigError::NoService { route: id() });
+                route.disabled = true;
+            }
+            // Its other services keep their shares of the requests.
+            for weighted in &route.services {
+                if !services.contains(&weighted.service) {
+                    let service = weighted.service.clone();
+                    errors.push(ConfigError::UnknownService {
+                        route: route.id.clone(),
+                        service,
+                    });
+                }
             }
         }
-        let mut holders: HashMap<_, &TeamId> = HashMap::new();
+        for (first, second) in duplicates {
+            self.routes[first].disabled = true;
+            self.routes[second].disabled = true;
+        }
+    }
+
+    fn check_keys(&mut self, errors: &mut Vec<ConfigError>) {
+        let mut holders: HashMap<ApiKey, TeamId> = HashMap::new();
+        let mut shared = HashSet::new();
         for team in &self.teams {
             for key in &team.keys {
-                match holders.insert(key, &team.id) {
+                match holders.get(key) {
                     Some(first) if *first != team.id => {
-                        let first = first.clone();
-                        let second = team.id.clone();
-                        return Err(ConfigError::DuplicateKey { first, second });
+                        shared.insert(key.clone());
+                        errors.push(ConfigError::DuplicateKey {
+                            first: first.clone(),
+                            second: team.id.clone(),
+                        });
+                    }
+                    Some(_) => {}
+                    None => {
+                        holders.insert(key.clone(), team.id.clone());
                     }
-                    _ => {}
                 }
             }
         }
-        Ok(())
+        for team in &mut self.teams {
+            team.keys.retain(|k| !shared.contains(k));
+        }
+        self.disabled_keys.extend(shared);
     }
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -16,7 +16,7 @@
 
 use crate::budget::RetryBudget;
 use crate::catalog::Catalog;
-use crate::config::{Config, ConfigError, ConfigVersion, RouteId};
+use crate::config::{Config, ConfigError, RouteId};
 use crate::digest::{HostState, LeavingEndpoint};
 use crate::endpoint::{CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location};
 use crate::estimate::Estimates;
@@ -189,12 +189,8 @@
     }
 
     /// Puts a configuration in force if its version is higher than the current one, and returns the
-    /// version; `None` if the current configuration stays.
-    ///
-    /// # Errors
-    ///
-    /// [`ConfigError`] if the configuration is inconsistent; the current one stays in force.
-    pub fn configure(&mut self, config: Config) -> Result<Option<ConfigVersion>, ConfigError> {
+    /// errors of the parts that cannot be used; `None` if the current configuration stays.
+    pub fn configure(&mut self, config: Config) -> Option<Vec<ConfigError>> {
         let version = config.version;
         self.restore.stored_config = Some(version);
         if self
@@ -202,10 +198,11 @@
             .as_ref()
             .is_some_and(|c| c.version() >= version)
         {
-            return Ok(None);
+            return None;
         }
-        self.catalog = Some(Rc::new(Catalog::try_from(config)?));
-        Ok(Some(version))
+        let (catalog, errors) = Catalog::new(config);
+        self.catalog = Some(Rc::new(catalog));
+        Some(errors)
     }
 
     /// Starts or ends the evacuation of a zone. Returns `false` if the zone was in that state
--- a/crates/steer/src/steer/requests.rs
+++ b/crates/steer/src/steer/requests.rs
@@ -42,15 +42,19 @@
 
 impl Steer {
     /// Picks the service for the next request of a route, in proportion to the weights. Returns
-    /// `None` if no service has a positive weight.
+    /// `None` if the route or the service cannot be used.
     pub fn pick_service(&mut self, route: &Route) -> Option<ServiceId> {
-        if let [WeightedService { service, .. }] = &*route.services {
-            return Some(service.clone());
+        if route.disabled {
+            return None;
         }
-        self.splits
-            .entry(route.id.clone())
-            .or_default()
-            .next(&route.services)
+        let service = if let [WeightedService { service, .. }] = &*route.services {
+            Some(service.clone())
+        } else {
+            let split = self.splits.entry(route.id.clone()).or_default();
+            split.next(&route.services)
+        };
+        let catalog = self.catalog.as_ref()?;
+        service.filter(|s| catalog.service(s).is_some())
     }
 
     /// Counts a request for a service towards its retry budget and towards the demand on the
--- a/crates/steer/tests/steer/endpoints.rs
+++ b/crates/steer/tests/steer/endpoints.rs
@@ -52,7 +52,7 @@
 pub(crate) fn one_endpoint() -> (Steer, ManualClock) {
     let clock = ManualClock::new();
     let mut host = steer("host", "a1", 100);
-    host.configure(config(1)).expect("a valid configuration");
+    assert_eq!(host.configure(config(1)), Some(Vec::new()));
     host.register(endpoint("e", "a1", 2), clock.now());
     (host, clock)
 }
@@ -88,7 +88,7 @@
     let clock = ManualClock::new();
     let mut hosts = [steer("one", "a1", 100), steer("two", "b1", 200)];
     for host in &mut hosts {
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
         for i in 0..LOCAL_ENDPOINTS {
             host.register(endpoint(&format!("near-{i}"), "a1", 3), clock.now());
         }
@@ -217,7 +217,7 @@
 fn requests_go_to_the_nearer_of_two_remote_regions() {
     let clock = ManualClock::new();
     let mut host = steer("host", "a1", 100);
-    host.configure(config(1)).expect("a valid configuration");
+    assert_eq!(host.configure(config(1)), Some(Vec::new()));
     let mut key = |id, zone| host.register(endpoint(id, zone, 9), clock.now());
     let near = key("near", "c1").expect("a known zone");
     let far = key("far", "b1").expect("a known zone");
@@ -275,7 +275,7 @@
     let mut record = endpoint("e", "a1", 50);
     record.cold = Duration::from_secs(3);
     for host in &mut hosts {
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
         host.register(record.clone(), clock.now());
     }
     exchange(&mut hosts, &clock);
@@ -312,7 +312,7 @@
     let clock = ManualClock::new();
     let mut hosts = [steer("one", "a1", 100), steer("two", "a1", 200)];
     for host in &mut hosts {
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
         host.register(endpoint("e", "a1", 9), clock.now());
     }
     exchange(&mut hosts, &clock);
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -34,8 +34,7 @@
         let mut config = config(1);
         config.teams = vec![limit.clone()];
         for host in &mut hosts {
-            host.configure(config.clone())
-                .expect("a valid configuration");
+            assert_eq!(host.configure(config.clone()), Some(Vec::new()));
         }
         let records: Vec<_> = hosts
             .iter()
@@ -73,8 +72,7 @@
                 record.zone.as_str(),
                 record.front.port(),
             );
-            host.configure(config.clone())
-                .expect("a valid configuration");
+            assert_eq!(host.configure(config.clone()), Some(Vec::new()));
             for other in &records {
                 host.register_host(other.clone(), self.clock.now());
             }
@@ -227,13 +225,13 @@
         .map(|i| steer(&format!("host-{i}"), "a1", 100 + 10 * i))
         .collect();
     for host in &mut hosts {
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
     }
     exchange(&mut hosts, &clock);
     clock.advance(Duration::from_secs(2));
     exchange(&mut hosts, &clock);
     let mut new = steer("host-0", "a1", 100);
-    new.configure(config(1)).expect("a valid configuration");
+    assert_eq!(new.configure(config(1)), Some(Vec::new()));
     for host in &hosts[1..] {
         new.register_host(host.local_host().record.clone(), clock.now());
     }
--- a/crates/steer/tests/steer/named_limits.rs
+++ b/crates/steer/tests/steer/named_limits.rs
@@ -107,7 +107,7 @@
     fn new_host(&self, index: usize) -> Steer {
         let port = u16::try_from(1_000 + 2 * index).expect("few hosts");
         let mut host = steer(&format!("h-{index}"), ZONES[index % ZONES.len()], port);
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
         for (id, zone) in &self.endpoints {
             host.register(endpoint(id.as_str(), zone, 3), self.clock.now());
         }
--- a/crates/steer/tests/steer/registry_model.rs
+++ b/crates/steer/tests/steer/registry_model.rs
@@ -197,9 +197,8 @@
         for (key, value) in entries {
             match (key, value) {
                 (Key::Config, Some(Value::Config(version))) => {
-                    self.steer
-                        .configure(config(version))
-                        .expect("a valid configuration");
+                    let errors = self.steer.configure(config(version));
+                    assert_eq!(errors.unwrap_or_default(), []);
                 }
                 (Key::Evacuation(_), value) => {
                     let zone = zone(key).expect("it is a zone's row");
--- a/crates/steer/tests/steer/restore.rs
+++ b/crates/steer/tests/steer/restore.rs
@@ -105,7 +105,7 @@
 fn host() -> (Steer, ManualClock) {
     let clock = ManualClock::new();
     let mut host = steer("host", "a1", 100);
-    host.configure(config(3)).expect("a valid configuration");
+    assert_eq!(host.configure(config(3)), Some(Vec::new()));
     host.register(endpoint("e", "a1", 2), clock.now());
     host.register(endpoint("f", "a2", 2), clock.now());
     host.mark_hosts_read();
@@ -147,16 +147,13 @@
 fn an_older_configuration_of_the_copy_is_ignored() {
     let (mut host, clock) = host();
     host.registry_restored(clock.now());
-    assert_eq!(
-        host.configure(config(2)).expect("a valid configuration"),
-        None
-    );
+    assert_eq!(host.configure(config(2)), None);
     assert_eq!(
         host.catalog().expect("in force").version(),
         ConfigVersion(3)
     );
     assert_eq!(host.lost_config(), Some(ConfigVersion(3)));
-    host.configure(config(3)).expect("a valid configuration");
+    assert_eq!(host.configure(config(3)), None);
     assert_eq!(host.lost_config(), None);
 }
 
@@ -271,12 +268,12 @@
         "known already"
     );
     assert!(!host.is_initialized(clock.now()));
-    host.configure(config(4)).expect("a valid configuration");
+    assert_eq!(host.configure(config(4)), Some(Vec::new()));
     assert!(!host.is_initialized(clock.now()));
     let mut other = host;
     clock.advance(Duration::from_millis(2_900));
     assert!(!other.is_initialized(clock.now()));
-    other.configure(config(5)).expect("a valid configuration");
+    assert_eq!(other.configure(config(5)), Some(Vec::new()));
     assert!(other.is_initialized(clock.now()));
     assert!(other.hint_config(ConfigVersion(6), clock.now()));
     clock.advance(Duration::from_millis(200));
--- a/crates/steer/tests/steer/signals.rs
+++ b/crates/steer/tests/steer/signals.rs
@@ -148,7 +148,7 @@
     let clock = ManualClock::new();
     let mut hosts = [steer("one", "a1", 100), steer("two", "a1", 200)];
     for host in &mut hosts {
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
         host.register(endpoint("e", "a1", 2), clock.now());
     }
     exchange(&mut hosts, &clock);
@@ -245,7 +245,7 @@
 fn load_returns_gradually_after_a_pause() {
     let clock = ManualClock::new();
     let mut host = steer("host", "a1", 100);
-    host.configure(config(1)).expect("a valid configuration");
+    assert_eq!(host.configure(config(1)), Some(Vec::new()));
     host.register(endpoint("e", "a1", 8), clock.now());
     pause(&mut host, SECOND, &clock);
     clock.advance(SECOND);
--- a/crates/steer/tests/steer/simulation.rs
+++ b/crates/steer/tests/steer/simulation.rs
@@ -163,7 +163,7 @@
             for server in &self.servers {
                 host.register(server.record.clone(), now);
             }
-            host.configure(config(1)).expect("a valid configuration");
+            assert_eq!(host.configure(config(1)), Some(Vec::new()));
             self.hosts.push(host);
         }
         exchange(&mut self.hosts, &self.clock);
--- a/crates/steer/tests/steer/support.rs
+++ b/crates/steer/tests/steer/support.rs
@@ -82,6 +82,7 @@
         public: false,
         sticky: true,
         permitted_regions: Vec::new(),
+        disabled: false,
     }
 }
 
@@ -112,6 +113,8 @@
         routes: vec![route("r-1", "example", "/a/")],
         services: vec![service(SERVICE)],
         teams: vec![team("blue", "blue-key", None, 0)],
+        disabled_keys: Vec::new(),
+        errors: Vec::new(),
         limits: Limits {
             header: Bytes(16_384),
             body: Bytes(1 << 20),
--- a/crates/steer/tests/steer/suspects.rs
+++ b/crates/steer/tests/steer/suspects.rs
@@ -80,7 +80,7 @@
     fn with_names(id: &str, prefix: &str, endpoints: usize) -> Self {
         let clock = ManualClock::new();
         let mut host = steer(id, "a1", 1_000);
-        host.configure(config(1)).expect("a valid configuration");
+        assert_eq!(host.configure(config(1)), Some(Vec::new()));
         host.mark_hosts_read();
         for i in 0..endpoints {
             host.register(endpoint(&format!("{prefix}-{i}"), "a1", 3), clock.now());
--- a/crates/steer/tests/steer/suspects/fleet.rs
+++ b/crates/steer/tests/steer/suspects/fleet.rs
@@ -140,7 +140,7 @@
 fn new_host(index: usize) -> Steer {
     let port = u16::try_from(1_000 + 2 * index).expect("few hosts");
     let mut host = steer(&format!("h-{index}"), ZONES[index % ZONES.len()], port);
-    host.configure(config(1)).expect("a valid configuration");
+    assert_eq!(host.configure(config(1)), Some(Vec::new()));
     host.mark_hosts_read();
     host
 }
