Let no entry of the registry end a host

A report of other operators, shown here: another writer leaves one odd entry among those of the endpoints, and the machines that read the list end again and again. Deeply nested values, ports out of range and most numbers were refused as they should be. A cold start of 2^63 s or more was not: it is a time that can be held, and its end is beyond the end of time.

Hypotheses: the decoder panics; the entry is decoded and the state machine panics; the duty stops at a decoding error. Evidence: each field of a row in turn with 39 odd values; only `cold_remaining_s` of 2^63 s and more failed (3 values), with "overflow when adding duration to instant" at the registration. The duty that follows the endpoints ended with the panic, read all entries again, and ended again. Cause: now + cold was not bounded, at the registration, at its renewal and at a health check. The class: panics were contained where a row is decoded and not where an entry is applied, so that any other fault there had the same end; the application of an entry is contained now as well. Configurations, rows of hosts and records of suspect requests with the same odd values had no such fault.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,7 @@
 use crate::host::{Core, Feed, RelayedPage};
 use crate::registry::{Entry, Fetched, Registry, RegistryError, Topic};
 use crate::settings::Settings;
+use crate::work::{Work, contain_sync};
 
 /// The pause after the first failed call; doubled with each further one up to [`RETRY_PAUSE_MAX`].
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(150);
@@ -374,7 +375,15 @@
         }
     }
 
+    /// Applies an entry. One that makes the program panic costs no other entry; it would otherwise end all
+    /// hosts, and again each time they are started.
     fn apply_entry(&self, entry: Entry, version: u64, extent: Extent, now: Instant) {
+        contain_sync(&self.core, Work::RegistryEntry, || {
+            self.apply_decoded(entry, version, extent, now);
+        });
+    }
+
+    fn apply_decoded(&self, entry: Entry, version: u64, extent: Extent, now: Instant) {
         let log = &self.core.log;
         let mut steer = self.core.steer.borrow_mut();
         match entry {
--- a/crates/gateway/src/work.rs
+++ b/crates/gateway/src/work.rs
@@ -21,6 +21,9 @@
     /// The handling of a message of another host.
     #[display("peer-message")]
     PeerMessage,
+    /// The application of an entry of the registry.
+    #[display("registry-entry")]
+    RegistryEntry,
     /// The health check of an endpoint.
     #[display("health-check")]
     HealthCheck,
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -36,6 +36,14 @@
 /// The time between two health checks of an unreachable endpoint.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(700);
 
+/// The longest time for which an endpoint is taken to be cold without saying so again.
+const COLD_MAX: Duration = Duration::from_secs(24 * 3_600);
+
+/// Returns when a cold start ends that lasts for `cold` from now on; `None` if there is none.
+pub(crate) fn cold_end(cold: Duration, now: Instant) -> Option<Instant> {
+    (!cold.is_zero()).then(|| now + cold.min(COLD_MAX))
+}
+
 /// The state that an endpoint registers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointState {
@@ -235,7 +243,7 @@
         };
         Self {
             hash: short_hash(record.id.as_str()),
-            cold_until: (!record.cold.is_zero()).then(|| now + record.cold),
+            cold_until: cold_end(record.cold, now),
             cold_limit: ColdLimit::new(now),
             warm: WarmSet::default(),
             in_flight: 0,
@@ -393,9 +401,7 @@
         }
         (self.region, self.location) = (region, location);
         self.lapses_at = None;
-        if !record.cold.is_zero() {
-            self.cold_until = Some(now + record.cold);
-        }
+        self.cold_until = cold_end(record.cold, now).or(self.cold_until);
         self.record = record;
     }
 }
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -18,7 +18,9 @@
 use crate::catalog::Catalog;
 use crate::config::{Config, ConfigError, RouteId};
 use crate::digest::{HostState, LeavingEndpoint};
-use crate::endpoint::{CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location};
+use crate::endpoint::{
+    CHECK_INTERVAL, Distance, Endpoint, EndpointKey, EndpointRecord, Location, cold_end,
+};
 use crate::estimate::Estimates;
 use crate::hash::short_hash;
 use crate::overload::OverloadMeter;
@@ -384,9 +386,7 @@
         };
         if let Some(cold) = cold {
             endpoint.check_at = None;
-            if !cold.is_zero() {
-                endpoint.cold_until = Some(now + cold);
-            }
+            endpoint.cold_until = cold_end(cold, now).or(endpoint.cold_until);
         }
     }
 
