Add up the load that an endpoint reports without overflow

The sum is of two 32-bit numbers: the build of the tests panics, which costs the request its answer (502 although the endpoint had answered); the release build wraps, so that the endpoint passes for idle and gets requests that it has no room for. Cause: running + waiting was added before the conversion. Change: converted first.

--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -357,7 +357,8 @@
 
     /// Records the request counts that the endpoint itself reported.
     pub(crate) fn record_load(&mut self, load: Load, now: Instant) {
-        let peers = (f64::from(load.running + load.waiting) - f64::from(self.in_flight)).max(0.0);
+        let all = f64::from(load.running) + f64::from(load.waiting);
+        let peers = (all - f64::from(self.in_flight)).max(0.0);
         self.self_reported = Some((peers, now));
     }
 
