Take a refusal for a request's only if it names it or is the first on its connection

A report of other operators, shown here: a faulty endpoint writes an earlier refusal once more on a kept connection, and the caller of the next request is told "not run, try again" while the endpoint runs it.

What held: a refusal with the id of an earlier request was a bad answer already; requests that may run once get a connection of their own, and a connection is not kept after a refusal, so that none of them ran twice. What did not: a refusal without an id was taken for the answer to whatever request waited. Evidence, with an endpoint that writes `Not-Executed` without an id before each answer on kept connections: the second safe request got 503 with a time to return, and had run (1 of 1). With two endpoints the request was sent on as if it had not run, and the last endpoint's refusal was the answer.

Cause: only a foreign id told an answer from that of another request; a missing one did not. Change: where a connection had requests before, an answer that names none is a bad answer, after which the request may have run: a safe one is sent on within the retry budget, or its caller gets 502. The first answer on a connection can be no earlier one, and needs no name. What is not the request's own answer no longer sets a pause of the endpoint either; it had set no limit before.

--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -124,6 +124,7 @@
     } else {
         None
     };
+    let kept = pooled.is_some();
     let mut connection = if let Some(connection) = pooled {
         connection
     } else {
@@ -167,9 +168,11 @@
         .map_err(|e| broken_connection(&e))?;
     let (head, incoming) = response.into_parts();
     let mut info = context.codec.decode_response(&head);
-    if info.id.as_ref().is_some_and(|id| *id != job.id) {
-        // A late answer to an earlier request does not tell that a limit has ended since.
+    let origin = Origin::of(&info, job, kept);
+    if origin != Origin::Request {
+        // A late answer to an earlier request tells nothing of a limit or a pause since.
         info.signals.limit = LimitNotice::Unknown;
+        info.signals.pause = None;
     }
     context.core.steer.borrow_mut().record_answer(
         to,
@@ -186,7 +189,7 @@
         .await
         .map_err(|e| broken_connection(&e))?;
     classify(
-        job,
+        origin,
         ReceivedResponse {
             head,
             body: body.0,
@@ -223,11 +226,36 @@
     }
 }
 
+/// The request that a response belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// The request that was sent: the response names it, or is the first one on its connection and names
+    /// none.
+    Request,
+    /// Perhaps an earlier request: the response names none, and its connection has had others.
+    Unclear,
+    /// Another request, which the response names.
+    Other,
+}
+
+impl Origin {
+    fn of(info: &ResponseHead, job: &Job, kept: bool) -> Self {
+        match &info.id {
+            Some(id) if *id == job.id => Self::Request,
+            Some(_) => Self::Other,
+            None if kept => Self::Unclear,
+            None => Self::Request,
+        }
+    }
+}
+
 /// Checks that the response belongs to the request and that the endpoint has executed it.
-fn classify(job: &Job, received: ReceivedResponse) -> Result<ReceivedResponse, AttemptError> {
+fn classify(origin: Origin, received: ReceivedResponse) -> Result<ReceivedResponse, AttemptError> {
     let info = &received.info;
-    if info.id.as_ref().is_some_and(|id| *id != job.id) {
-        return Err(AttemptError::BadAnswer("it answers another request"));
+    match origin {
+        Origin::Request => {}
+        Origin::Unclear => return Err(AttemptError::BadAnswer("it names no request")),
+        Origin::Other => return Err(AttemptError::BadAnswer("it answers another request")),
     }
     match info.execution {
         Execution::Ran if info.id.is_some() => Ok(received),
