Let one host of a region own a team's tokens, and hand them over when that changes

Hypotheses: a leaving host goes on granting beside its successor (the claim); an owner that returns grants what its bucket gathered while another host owned the team; the first tokens of new processes add up. Evidence: a model of owners that leave, return and end in drawn orders, without network.

Cause: who owns a team was asked at each request, and nothing happened when the answer changed. Change: the ownership of a bucket is a state. A host that leaves is the owner only if all hosts of the region leave, the last to say so first; who no longer owns a team grants nothing from its bucket, forwards requests that reach it once, and hands its tokens over with the next message; the next owner begins with these instead of a quarter of the pool, or with two tokens if there are fewer, so that small teams do not wait. An owner that is one again within 5 s has no more than it had left.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,6 +30,8 @@
 /// The wait for the quota owner's reply: several one-way delays within a region, and short compared
 /// with the timeout of any request.
 const TOKEN_TIMEOUT: Duration = Duration::from_millis(40);
+/// Marks the number of a token request that a host has forwarded.
+const FORWARDED: u32 = 1 << 31;
 /// The time for which news of suspect requests is collected before it is sent, as all requests at an
 /// endpoint break at the same time.
 const NEWS_DELAY: Duration = Duration::from_millis(10);
@@ -99,7 +101,7 @@
         }
     }
 
-    fn handle(&self, datagram: Datagram, from: SocketAddr) {
+    fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr) {
         let now = self.core.now();
         if let Some(view) = datagram.registry {
             self.core.learn(view);
@@ -121,16 +123,21 @@
                     .record_demand(&zone, &teams, now);
             }
             Message::TokenRequest { number, team } => {
-                let taken = self.core.steer.borrow_mut().take_token_for_peer(team, now);
-                let wait_ms = match taken {
-                    Some(TokenOutcome::Granted) => None,
-                    Some(TokenOutcome::Denied(wait)) => {
-                        Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX))
+                let forwarded = number & FORWARDED != 0;
+                let mut steer = self.core.steer.borrow_mut();
+                let source = steer.take_token_for_peer(team, forwarded, now);
+                drop(steer);
+                match source {
+                    Some(TokenSource::Local(taken)) => self.reply_token(number, taken, from),
+                    Some(TokenSource::Remote { owner, team }) => {
+                        let exchange = self.clone();
+                        tokio::task::spawn_local(async move {
+                            exchange.forward_request(number, team, owner, from).await;
+                        });
                     }
                     // Without a reply the other host falls back to its isolated limit.
-                    None => return,
-                };
-                self.try_send(Message::TokenReply { number, wait_ms }, from);
+                    None => {}
+                }
             }
             Message::TokenReply { number, wait_ms } => {
                 let waiting = self.token_requests.borrow_mut().remove(&number);
@@ -150,6 +157,10 @@
                 }
             }
             Message::TokenReturn { team } => self.core.steer.borrow_mut().return_token(team),
+            Message::TokenHandover { teams } => {
+                let mut steer = self.core.steer.borrow_mut();
+                steer.accept_tokens(&teams, now);
+            }
             Message::Suspects { host, reports } => self
                 .core
                 .steer
@@ -248,15 +259,9 @@
             TokenSource::Local(taken) => return taken,
             TokenSource::Remote { owner, team } => (owner, team),
         };
-        let number = self.last_number.get().wrapping_add(1);
-        self.last_number.set(number);
-        let (sender, reply) = oneshot::channel();
-        self.token_requests.borrow_mut().insert(number, sender);
-        self.try_send(Message::TokenRequest { number, team: hash }, owner);
-        if let Ok(Ok(taken)) = tokio::time::timeout(TOKEN_TIMEOUT, reply).await {
+        if let Some(taken) = self.request_token(hash, owner, 0).await {
             return taken;
         }
-        self.token_requests.borrow_mut().remove(&number);
         self.core.metrics.count("tokens", "unanswered");
         self.core
             .steer
@@ -264,6 +269,45 @@
             .take_isolated_token(team, self.core.now())
     }
 
+    /// Requests a token from a quota owner; the number of the request has the bits of `mark`. Returns `None`
+    /// if the owner does not reply in time.
+    async fn request_token(&self, team: u32, owner: SocketAddr, mark: u32) -> Option<TokenOutcome> {
+        let last = self.last_number.get().wrapping_add(1) & !FORWARDED;
+        self.last_number.set(last);
+        let number = last | mark;
+        let (sender, reply) = oneshot::channel();
+        self.token_requests.borrow_mut().insert(number, sender);
+        self.try_send(Message::TokenRequest { number, team }, owner);
+        let reply = tokio::time::timeout(TOKEN_TIMEOUT, reply).await;
+        self.token_requests.borrow_mut().remove(&number);
+        reply.ok()?.ok()
+    }
+
+    /// Requests a token from the quota owner for a host that does not know yet that it is the owner.
+    async fn forward_request(&self, number: u32, team: u32, owner: SocketAddr, from: SocketAddr) {
+        self.core.metrics.count("tokens", "forwarded");
+        if let Some(taken) = self.request_token(team, owner, FORWARDED).await {
+            self.reply_token(number, taken, from);
+        }
+    }
+
+    fn reply_token(&self, number: u32, taken: TokenOutcome, to: SocketAddr) {
+        let wait_ms = match taken {
+            TokenOutcome::Granted => None,
+            TokenOutcome::Denied(wait) => Some(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)),
+        };
+        self.try_send(Message::TokenReply { number, wait_ms }, to);
+    }
+
+    /// Hands the tokens of teams that the local host no longer owns over to their owners.
+    pub(crate) fn hand_over_tokens(&self) {
+        let now = self.core.now();
+        let handed = self.core.steer.borrow_mut().hand_over_tokens(now);
+        for (owner, teams) in handed {
+            self.try_send(Message::TokenHandover { teams }, owner);
+        }
+    }
+
     /// Returns the token of a request that no endpoint has run.
     pub(crate) fn return_token(&self, team: &Team) {
         let now = self.core.now();
@@ -314,6 +358,7 @@
             self.update_membership(now);
             self.core.report_age();
             self.send_digest(far).await;
+            self.hand_over_tokens();
             let pause = tokio::time::sleep(settings.near_period);
             tokio::pin!(pause);
             for _ in 0..NEWS_PER_PERIOD {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -45,6 +45,7 @@
     info!(core.log, "stopping"; "grace_ms" => millis(grace));
     stage.send_replace(ShutdownStage::Leaving);
     contain(&core, Work::LeaveNotice, exchange.send_digest(true)).await;
+    exchange.hand_over_tokens();
     tokio::task::spawn_local(withdraw(core.clone(), registry));
     tokio::time::sleep(ACCEPT_TIME.min(grace / 2)).await;
     stage.send_replace(ShutdownStage::Closed);
--- a/crates/steer/src/digest.rs
+++ b/crates/steer/src/digest.rs
@@ -106,6 +106,12 @@
         /// What the sender knows.
         reports: Vec<SuspectReport>,
     },
+    /// The tokens that a quota owner has left, sent to the owner that follows it. Builds that do not know it
+    /// drop the datagram.
+    TokenHandover {
+        /// Hash of the team's name, tenths of a token.
+        teams: Vec<(u32, u16)>,
+    },
 }
 
 /// What a host has learned from the registry; tells other hosts that they lack something.
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -33,6 +33,8 @@
     pub region: RegionId,
     /// The state in its last digest; `None` before the first one.
     pub state: Option<HostState>,
+    /// When it was first heard that it leaves.
+    pub(crate) leaving_since: Option<Instant>,
     pub(crate) last_digest: Option<Instant>,
     known_since: Instant,
     started: u64,
@@ -149,6 +151,7 @@
                         record,
                         region,
                         state: None,
+                        leaving_since: None,
                         last_digest: None,
                         known_since: now,
                         started: 0,
@@ -190,6 +193,10 @@
         }
         peer.record = record;
         peer.state = Some(digest.state);
+        peer.leaving_since = match digest.state {
+            HostState::Leaving => peer.leaving_since.or(Some(now)),
+            HostState::Starting | HostState::Ready => None,
+        };
         peer.last_digest = Some(now);
         self.last_digest = Some(now);
         peer.started = digest.started;
--- a/crates/steer/src/quota.rs
+++ b/crates/steer/src/quota.rs
@@ -3,8 +3,9 @@
 //! For each team, one host per region, the quota owner, holds the region's token bucket, and the
 //! other hosts of the region request tokens from it. The owners of a team report their demand to
 //! each other: each region receives the part of the rate that its callers demand, plus an equal
-//! part of what is left over. A host that cannot reach any owner continues at a reduced rate, which
-//! keeps the limit even if all hosts do so.
+//! part of what is left over. A host that no longer owns a team, because it leaves or another host has
+//! joined, grants nothing from its bucket and hands its tokens over to the owner that follows. A host
+//! that cannot reach any owner continues at a reduced rate, which keeps the limit even if all hosts do so.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -26,6 +27,14 @@
 /// The fraction of the tokens that a new bucket starts with, since previous incarnations of the
 /// owner, up to three within a window, may have spent the rest just before.
 const INITIAL_FRACTION: f64 = 0.25;
+/// How long before or after a host has become the owner it accepts the tokens of the one before.
+const HANDOVER_TIME: Duration = Duration::from_secs(1);
+/// The tokens that an owner begins with though the one before had none left, so that teams with small limits
+/// do not wait for their first token.
+const INITIAL_MIN: f64 = 2.0;
+/// How long an owner that was replaced, and is the owner again, begins with no more tokens than it had left;
+/// afterwards it begins like a new one.
+const RELEASE_TIME: Duration = Duration::from_secs(5);
 /// The fraction of the allowed tokens that is handed out, so that the limit holds although the
 /// owners' views differ.
 const POOL_FRACTION: f64 = 0.85;
@@ -84,9 +93,23 @@
     Denied(Duration),
 }
 
-/// The part of a team's limit that the local host owns.
+/// Whether the local host owns a bucket's part of the limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Ownership {
+    /// It never did.
+    New,
+    /// It does, and began with this number of tokens.
+    Held { since: Instant, initial: f64 },
+    /// Another host does since then; the tokens that are left have not been handed over.
+    Released { at: Instant },
+    /// Another host does since then, and has the tokens.
+    HandedOver { at: Instant },
+}
+
+/// The part of a team's limit that the local host owns, or owned before.
 #[derive(Debug)]
 struct Bucket {
+    ownership: Ownership,
     /// The tokens available at `filled_at`.
     level: f64,
     filled_at: Instant,
@@ -98,6 +121,39 @@
 }
 
 impl Bucket {
+    /// Creates a bucket that the local host does not own yet.
+    fn new(now: Instant) -> Self {
+        Self {
+            ownership: Ownership::New,
+            level: 0.0,
+            filled_at: now,
+            requested: 0.0,
+            decayed_at: now,
+            reported: VecDeque::new(),
+        }
+    }
+
+    /// Makes the local host the owner, unless it is. It begins with the tokens that the owner before has
+    /// handed over, otherwise with `initial` tokens, but no more than it had left shortly before.
+    fn acquire(&mut self, initial: f64, handed: Option<f64>, now: Instant) {
+        let kept = match self.ownership {
+            Ownership::Held { .. } => return,
+            Ownership::Released { at } | Ownership::HandedOver { at }
+                if now.duration_since(at) < RELEASE_TIME =>
+            {
+                self.level
+            }
+            Ownership::New | Ownership::Released { .. } | Ownership::HandedOver { .. } => initial,
+        };
+        let initial = initial.min(kept);
+        self.level = handed.map_or(initial, |tokens| tokens.max(initial.min(INITIAL_MIN)));
+        self.filled_at = now;
+        self.ownership = Ownership::Held {
+            since: now,
+            initial: self.level,
+        };
+    }
+
     fn decay(&mut self, now: Instant) {
         let elapsed = now.duration_since(self.decayed_at).as_secs_f64();
         self.requested *= (-elapsed / DEMAND_TIME.as_secs_f64()).exp();
@@ -142,6 +198,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Quota {
     owned: HashMap<TeamId, Bucket>,
+    /// Tokens that earlier owners have handed over, and when.
+    handed: HashMap<TeamId, (f64, Instant)>,
     /// Tokens and the time of the last refill, for teams whose owner was unreachable.
     isolated: HashMap<TeamId, (f64, Instant)>,
     /// Demand and the time of the report, by the hash of the team's name and by region.
@@ -164,13 +222,12 @@
         } else {
             0.0
         };
-        let bucket = self.owned.entry(team.clone()).or_insert_with(|| Bucket {
-            level: limits.pool() / regions * initial,
-            filled_at: now,
-            requested: 0.0,
-            decayed_at: now,
-            reported: VecDeque::new(),
-        });
+        let handed = self.handed.remove(team);
+        let handed = handed.filter(|(_, at)| now.duration_since(*at) < HANDOVER_TIME);
+        let bucket = self.owned.entry(team.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        let initial = limits.pool() / regions * initial;
+        bucket.acquire(initial, handed.map(|(level, _)| level), now);
         bucket.requested += 1.0;
         let local = bucket.known_demand(now);
         let equal_rate = limits.rate / regions;
@@ -213,11 +270,62 @@
 
     /// Returns a token that was taken for a request which no endpoint ran.
     pub(crate) fn return_token(&mut self, team: &TeamId) {
-        if let Some(bucket) = self.owned.get_mut(team) {
+        let bucket = self.owned.get_mut(team);
+        if let Some(bucket) = bucket.filter(|b| matches!(b.ownership, Ownership::Held { .. })) {
             bucket.level += 1.0;
         }
     }
 
+    /// Ends the ownership of a team, which another host has now.
+    pub(crate) fn release(&mut self, team: &TeamId, now: Instant) {
+        if let Some(bucket) = self.owned.get_mut(team)
+            && let Ownership::Held { .. } = bucket.ownership
+        {
+            bucket.ownership = Ownership::Released { at: now };
+        }
+    }
+
+    /// Returns whether the local host owns a team, or has not handed its tokens over since.
+    pub(crate) fn has_tokens(&self, team: &TeamId) -> bool {
+        let bucket = self.owned.get(team);
+        bucket.is_some_and(|b| {
+            let state = b.ownership;
+            matches!(state, Ownership::Held { .. } | Ownership::Released { .. })
+        })
+    }
+
+    /// Ends the ownership of a team and returns the tokens that are left; `None` if there are none to hand
+    /// over.
+    pub(crate) fn hand_over(&mut self, team: &TeamId, now: Instant) -> Option<f64> {
+        let bucket = self.owned.get_mut(team)?;
+        let at = match bucket.ownership {
+            Ownership::Held { .. } => now,
+            Ownership::Released { at } => at,
+            Ownership::New | Ownership::HandedOver { .. } => return None,
+        };
+        bucket.ownership = Ownership::HandedOver { at };
+        Some(std::mem::take(&mut bucket.level).max(0.0))
+    }
+
+    /// Accepts the tokens that the owner before hands over. They take the place of those that the local host
+    /// began with.
+    pub(crate) fn accept(&mut self, team: &TeamId, tokens: f64, now: Instant) {
+        if let Some(bucket) = self.owned.get_mut(team)
+            && let Ownership::Held { since, initial } = bucket.ownership
+        {
+            if now.duration_since(since) < HANDOVER_TIME {
+                let tokens = tokens.max(initial.min(INITIAL_MIN));
+                bucket.level += tokens - initial;
+                bucket.ownership = Ownership::Held {
+                    since,
+                    initial: tokens,
+                };
+            }
+            return;
+        }
+        self.handed.insert(team.clone(), (tokens, now));
+    }
+
     /// Returns the demand for a team that the local host owns, in requests per second, and
     /// remembers it as reported to the other owners.
     pub(crate) fn report_demand(&mut self, team: &TeamId, now: Instant) -> f64 {
--- a/crates/steer/src/steer.rs
+++ b/crates/steer/src/steer.rs
@@ -93,6 +93,8 @@
     sequence: u32,
     /// The local host's state in the last digest.
     state: HostState,
+    /// When the local host first said that it leaves.
+    pub(crate) leaving_since: Option<Instant>,
     /// Whether the registrations of all hosts have been read.
     hosts_known: bool,
     /// When the registry last recovered from an outage.
@@ -141,6 +143,7 @@
             unkeyed_count: 0,
             sequence: 0,
             state: HostState::Starting,
+            leaving_since: None,
             hosts_known: false,
             recovered_at: None,
             restore: Restore::default(),
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -155,6 +155,7 @@
         self.sequence += 1;
         if self.state != state {
             self.state = state;
+            self.leaving_since = (state == HostState::Leaving).then_some(now);
             self.senders_stale = true;
         }
         while self
--- a/crates/steer/src/tokens.rs
+++ b/crates/steer/src/tokens.rs
@@ -1,5 +1,6 @@
 //! Where a token of a team's limit comes from, and the messages between quota owners.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -7,9 +8,8 @@
 use wagtail_types::{RegionId, ZoneId};
 
 use crate::config::Team;
-use crate::digest::HostState;
 use crate::hash::{from_tenths, name_hash, rendezvous_score, short_hash, tenths};
-use crate::peers::Peer;
+use crate::peers::{HostRecord, Peer};
 use crate::quota::{QuotaLimits, TokenOutcome};
 use crate::steer::Steer;
 
@@ -27,6 +27,16 @@
     },
 }
 
+/// How well a host is suited to own a team. Fields are compared in their order.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct OwnerRank {
+    stays: bool,
+    /// When it said that it leaves; the same for all hosts that stay.
+    left_at: Instant,
+    /// The rendezvous score.
+    score: f64,
+}
+
 impl Steer {
     fn quota_limits(&self, team: &Team) -> Option<QuotaLimits> {
         const MICROS: f64 = 1e6;
@@ -39,21 +49,23 @@
     }
 
     /// Returns the quota owner of a team in a region: the live host with the highest rendezvous
-    /// score. `None` if that is the local host, or if no host of the region is alive.
+    /// score. If all of them leave, the one that was the last to say so, which stays longest. `None` if that
+    /// is the local host, or if no host of the region is alive.
     fn owner(&self, team: u32, region: &RegionId, now: Instant) -> Option<&Peer> {
         let item = u64::from(team);
-        let is_local = *region == self.local.region;
-        let local_score = if is_local {
-            rendezvous_score(item, name_hash(self.local.record.id.as_str()))
-        } else {
-            -1.0
+        let rank = |record: &HostRecord, leaving_since: Option<Instant>| OwnerRank {
+            stays: leaving_since.is_none(),
+            left_at: leaving_since.unwrap_or(now),
+            score: rendezvous_score(item, name_hash(record.id.as_str())),
         };
+        let is_local = *region == self.local.region;
+        let local = is_local.then(|| rank(&self.local.record, self.leaving_since));
         self.peers
             .alive(now)
-            .filter(|p| p.region == *region && p.state != Some(HostState::Leaving))
-            .map(|p| (rendezvous_score(item, name_hash(p.record.id.as_str())), p))
-            .filter(|(s, _)| *s > local_score)
-            .max_by(|a, b| a.0.total_cmp(&b.0))
+            .filter(|p| p.region == *region)
+            .map(|p| (rank(&p.record, p.leaving_since), p))
+            .filter(|(rank, _)| local.is_none_or(|local| *rank > local))
+            .max_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal))
             .map(|(_, p)| p)
     }
 
@@ -87,16 +99,20 @@
         if self.peers.is_cut_off(&self.settings, now) && !is_alone {
             return TokenSource::Local(self.take_isolated_token(team, now));
         }
-        if let Some(owner) = self.owner(hash, &self.local.region, now) {
-            return TokenSource::Remote {
-                owner: owner.record.peer,
-                team: hash,
-            };
+        if let Some(owner) = self.token_owner(team, now) {
+            self.quota.release(&team.id, now);
+            return TokenSource::Remote { owner, team: hash };
         }
+        TokenSource::Local(self.take_owned(team, limits, now))
+    }
+
+    /// Takes a token of a team that the local host owns in its region.
+    fn take_owned(&mut self, team: &Team, limits: QuotaLimits, now: Instant) -> TokenOutcome {
+        let hash = short_hash(team.id.as_str());
         let remote = self
             .quota
             .remote_demand(hash, &self.remote_regions(now), now);
-        TokenSource::Local(self.quota.take(&team.id, limits, remote, now))
+        self.quota.take(&team.id, limits, remote, now)
     }
 
     /// Takes a token without the team's owner, at the reduced rate that is safe if all hosts do so.
@@ -108,16 +124,66 @@
         self.quota.take_isolated(&team.id, limits, hosts, now)
     }
 
-    /// Takes a token on behalf of another host; `None` if the team is unknown.
-    pub fn take_token_for_peer(&mut self, team: u32, now: Instant) -> Option<TokenOutcome> {
+    /// Takes a token on behalf of another host. Returns the owner to request it from if the other host does
+    /// not know that it has changed, unless the request was `forwarded` already; `None` if the team is
+    /// unknown.
+    pub fn take_token_for_peer(
+        &mut self,
+        team: u32,
+        forwarded: bool,
+        now: Instant,
+    ) -> Option<TokenSource> {
         let known = self.catalog.as_ref()?.team(team)?.clone();
         let Some(limits) = self.heard_limits(&known, now) else {
-            return Some(TokenOutcome::Granted);
+            return Some(TokenSource::Local(TokenOutcome::Granted));
         };
-        let remote = self
-            .quota
-            .remote_demand(team, &self.remote_regions(now), now);
-        Some(self.quota.take(&known.id, limits, remote, now))
+        let Some(owner) = self.token_owner(&known, now) else {
+            return Some(TokenSource::Local(self.take_owned(&known, limits, now)));
+        };
+        self.quota.release(&known.id, now);
+        Some(if forwarded {
+            TokenSource::Local(self.take_isolated_token(&known, now))
+        } else {
+            TokenSource::Remote { owner, team }
+        })
+    }
+
+    /// Hands the tokens of teams that the local host no longer owns over, because it leaves or another host
+    /// has joined. Returns them by the peer address of the owner that follows: hash of the team's name,
+    /// tenths of a token.
+    pub fn hand_over_tokens(&mut self, now: Instant) -> HashMap<SocketAddr, Vec<(u32, u16)>> {
+        let Some(catalog) = self.catalog.clone() else {
+            return HashMap::new();
+        };
+        let mut messages: HashMap<SocketAddr, Vec<(u32, u16)>> = HashMap::new();
+        for team in catalog.teams() {
+            if !self.quota.has_tokens(&team.id) {
+                continue;
+            }
+            let Some(owner) = self.token_owner(team, now) else {
+                continue;
+            };
+            if let Some(tokens) = self.quota.hand_over(&team.id, now) {
+                let hash = short_hash(team.id.as_str());
+                messages
+                    .entry(owner)
+                    .or_default()
+                    .push((hash, tenths(tokens)));
+            }
+        }
+        messages
+    }
+
+    /// Accepts the tokens that the owner before hands over.
+    pub fn accept_tokens(&mut self, teams: &[(u32, u16)], now: Instant) {
+        let Some(catalog) = self.catalog.clone() else {
+            return;
+        };
+        for &(hash, tokens) in teams {
+            if let Some(team) = catalog.team(hash) {
+                self.quota.accept(&team.id, from_tenths(tokens), now);
+            }
+        }
     }
 
     /// Returns a token to a bucket of the local host, for a request that no endpoint ran.
--- a/crates/steer/tests/steer/limits.rs
+++ b/crates/steer/tests/steer/limits.rs
@@ -1,5 +1,6 @@
 //! Rate limits of teams across all hosts, retry budgets, split routes and the limit on shifts.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use wagtail_steer::{
@@ -114,19 +115,31 @@
             TokenSource::Local(taken) => return taken,
             TokenSource::Remote { owner, team } => (owner, team),
         };
-        let owner = self
-            .hosts
-            .iter()
-            .position(|h| h.local_host().record.peer == owner)
-            .expect("a host");
+        let owner = self.position(owner);
         if (owner < cut) == (host < cut) && (host >= cut || self.is_island) {
-            return self.hosts[owner]
-                .take_token_for_peer(hash, now)
-                .expect("a known team");
+            let source = self.hosts[owner].take_token_for_peer(hash, false, now);
+            match source.expect("a known team") {
+                TokenSource::Local(taken) => return taken,
+                TokenSource::Remote { owner, team } => {
+                    let owner = self.position(owner);
+                    let source = self.hosts[owner].take_token_for_peer(team, true, now);
+                    if let Some(TokenSource::Local(taken)) = source {
+                        return taken;
+                    }
+                }
+            }
         }
         self.hosts[host].take_isolated_token(team, now)
     }
 
+    fn position(&self, peer: SocketAddr) -> usize {
+        let found = self
+            .hosts
+            .iter()
+            .position(|h| h.local_host().record.peer == peer);
+        found.expect("a host")
+    }
+
     /// Requests `rate` tokens per second, on the hosts in turn; the first `cut` hosts reach no
     /// other host.
     fn run(&mut self, team: &Team, rate: f64, time: Duration, cut: usize) {
@@ -164,10 +177,10 @@
     }
 }
 
-const WINDOW: Duration = Duration::from_secs(5);
+pub(crate) const WINDOW: Duration = Duration::from_secs(5);
 
 /// Returns the number of requests that the limit allows in one window.
-fn allowed(rate: f64, burst: f64) -> f64 {
+pub(crate) fn allowed(rate: f64, burst: f64) -> f64 {
     (rate * WINDOW.as_secs_f64() + burst) * 1.1 + 20.0
 }
 
--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod limits;
 mod named_limits;
+mod owners;
 mod patterns;
 mod registry_model;
 mod restore;
