Remove a host's registration only while it is the process's own

Change: writing a registration returns its version, and the removal is made under the condition of that version; where the last write was not confirmed, the stopping host writes once more to know it. A host that the list of hosts, read each 20 s, does not name registers again at once, whatever removed it; it did so after ten minutes. Records of suspect requests had conditions before; no other row of ours is removed.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -495,6 +495,8 @@
         let announced = registry.announce(&record, core.wall_millis()).await;
         let renew_at = core.now() + RENEWAL_PERIOD;
         core.observe(&announced.generation);
+        core.registration
+            .set(announced.result.as_ref().ok().copied());
         if let Err(e) = announced.result {
             warn!(core.log, "host registration failed; retrying"; "error" => %e);
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -502,8 +504,14 @@
         }
         info!(core.log, "host registered"; "host" => %record.id);
         loop {
-            let read = read_hosts(&core, &*registry).await
-                && (introduced || read_records(&core, &*registry).await);
+            let listed = read_hosts(&core, &*registry).await;
+            if listed.as_ref().is_some_and(|l| !l.contains(&record.id)) {
+                // A write of an earlier process may be performed late.
+                warn!(core.log, "registry does not list this host; registering it again"; "host" => %record.id);
+                tokio::time::sleep(RETRY_PAUSE).await;
+                break;
+            }
+            let read = listed.is_some() && (introduced || read_records(&core, &*registry).await);
             if read && !std::mem::replace(&mut introduced, true) {
                 introduce(&core, &exchange).await;
             }
@@ -539,16 +547,17 @@
     renewed.is_none_or(|at| Duration::from_millis(wall.saturating_sub(at)) < REGISTRATION_TIME)
 }
 
-/// Reads the registrations of the other hosts. Returns whether that succeeded.
-async fn read_hosts<R: Registry>(core: &Core, registry: &R) -> bool {
+/// Reads the registrations of the other hosts. Returns the hosts that the registry lists, or `None` if that
+/// failed.
+async fn read_hosts<R: Registry>(core: &Core, registry: &R) -> Option<HashSet<HostId>> {
     let answer = registry.read(Topic::Hosts).await;
     let outdated = core.observe(&answer.generation) == Observation::Outdated;
     let fetched = match answer.result {
         Ok(fetched) if !outdated => fetched,
-        Ok(_) => return false,
+        Ok(_) => return None,
         Err(e) => {
             warn!(core.log, "reading the host registrations failed; retrying"; "error" => %e);
-            return false;
+            return None;
         }
     };
     let (wall, now) = (core.wall_millis(), core.now());
@@ -566,6 +575,6 @@
             _ => {}
         }
     }
-    core.steer.borrow_mut().list_hosts(listed);
-    true
+    core.steer.borrow_mut().list_hosts(listed.clone());
+    Some(listed)
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -50,6 +50,8 @@
     pub(crate) unknown_headers: RefCell<HashSet<HeaderName>>,
     clock: Rc<dyn DebugClock>,
     leaving: Cell<bool>,
+    /// The version of the host's registration; `None` if its last write was not confirmed.
+    pub(crate) registration: Cell<Option<u64>>,
 }
 
 /// The topics that hosts follow and relay.
@@ -174,6 +176,7 @@
             unknown_headers: RefCell::default(),
             clock,
             leaving: Cell::new(false),
+            registration: Cell::new(None),
         }
     }
 
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -168,11 +168,12 @@
     /// Without a confirmation the change may still take effect.
     fn change_suspect(&self, call: &SuspectCall) -> impl Future<Output = Answer<u64>>;
 
-    /// Registers this host, or renews its registration at `wall`, in milliseconds of wall-clock time. Without
-    /// a confirmation the write may still have taken effect.
-    fn announce(&self, host: &HostRecord, wall: u64) -> impl Future<Output = Answer<()>>;
+    /// Registers this host, or renews its registration at `wall`, in milliseconds of wall-clock time. Returns
+    /// the version of the registration. Without a confirmation the write may still take effect.
+    fn announce(&self, host: &HostRecord, wall: u64) -> impl Future<Output = Answer<u64>>;
 
-    /// Removes the registration of this host. Without a confirmation the write may still have taken
-    /// effect.
-    fn withdraw(&self, host: &HostRecord) -> impl Future<Output = Answer<()>>;
+    /// Removes the registration of this host if it has the given version. Ends with
+    /// [`RegistryError::Conflict`] if it has another one, such as that of the host's next process. Without a
+    /// confirmation the removal may still take effect.
+    fn withdraw(&self, host: &HostRecord, version: u64) -> impl Future<Output = Answer<()>>;
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -56,11 +56,24 @@
     info!(core.log, "stopped"; "connections" => stage.receiver_count());
 }
 
-/// Removes the registration of this host.
+/// Removes the registration of this host, and not that of its next process, however late the registry does
+/// it.
 async fn withdraw<R: Registry>(core: Rc<Core>, registry: Rc<R>) {
     let record = core.steer.borrow().local_host().record.clone();
-    let answer = contain(&core, Work::LeaveNotice, registry.withdraw(&record)).await;
-    if let Some(Err(e)) = answer.map(|a| a.result) {
+    let removal = async {
+        let version = match core.registration.get() {
+            Some(version) => version,
+            // The last write was not confirmed, so that the version is not known.
+            None => {
+                registry
+                    .announce(&record, core.wall_millis())
+                    .await
+                    .result?
+            }
+        };
+        registry.withdraw(&record, version).await.result
+    };
+    if let Some(Err(e)) = contain(&core, Work::LeaveNotice, removal).await {
         warn!(core.log, "host registration could not be removed"; "error" => %e);
     }
 }
