Name the routes of a duplicate in the check of configurations

Reading only: the index and the name of the earlier route stood in one tuple that was shadowed. No change of what is checked; the tests of the catalog pass.

--- a/crates/steer/src/config.rs
+++ b/crates/steer/src/config.rs
@@ -245,13 +245,12 @@
         let mut duplicates = Vec::new();
         for (at, route) in self.routes.iter_mut().enumerate() {
             let id = || route.id.clone();
-            if let Some(first) = seen.insert((route.host.clone(), route.prefix.clone()), (at, id()))
-            {
-                let (first, second) = (first, id());
-                duplicates.push((first.0, at));
+            let place = (route.host.clone(), route.prefix.clone());
+            if let Some((earlier, first)) = seen.insert(place, (at, id())) {
+                duplicates.extend([earlier, at]);
                 errors.push(ConfigError::DuplicateRoute {
-                    first: first.1,
-                    second,
+                    first,
+                    second: id(),
                 });
             }
             if route.disabled {
@@ -275,9 +274,8 @@
                 }
             }
         }
-        for (first, second) in duplicates {
-            self.routes[first].disabled = true;
-            self.routes[second].disabled = true;
+        for at in duplicates {
+            self.routes[at].disabled = true;
         }
     }
 
