Log which requests a stopping process leaves without a whole response

Each request that was read is tracked until its response is sent. At the end of the process, what is left is logged with id, stage, age and the time since the signal (64 lines at most) and counted by stage; the last line has how many responses were delivered and how many requests were left.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -22,6 +22,7 @@
 use crate::pool::Pool;
 use crate::registry::Topic;
 use crate::request::LogBudget;
+use crate::tracker::Tracker;
 
 /// The state that background tasks and requests share.
 #[derive(Debug)]
@@ -29,6 +30,7 @@
     pub(crate) steer: RefCell<Steer>,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
+    pub(crate) tracker: Rc<Tracker>,
     /// Changes relayed by other hosts, indexed by topic number; the topic of hosts is not relayed.
     pub(crate) feeds: [Feed; 2],
     /// What the host knows of each topic that has a feed, indexed by topic number.
@@ -164,6 +166,7 @@
             steer: RefCell::new(steer),
             log,
             metrics: Metrics::new(),
+            tracker: Rc::default(),
             feeds: Default::default(),
             knowledge: Default::default(),
             age_limit,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod stop;
 mod supervisor;
 mod suspects;
+mod tracker;
 mod work;
 
 pub use codec::{
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 
 use crate::host::RequestContext;
+use crate::tracker::{RequestStage, Tracked};
 use crate::work::{Work, contain};
 
 pub(crate) use body::Body;
@@ -30,10 +31,11 @@
     context: Rc<RequestContext>,
     request: Request<Incoming>,
     framing_error: Option<&'static str>,
+    tracked: Rc<Tracked>,
 ) -> Response<Body> {
     let arrived = context.core.now();
     let (head, body) = request.into_parts();
-    let mut request_log = request_log::RequestLog::new(context.clone(), arrived);
+    let mut request_log = request_log::RequestLog::new(context.clone(), tracked, arrived);
     let admission = admit::admit(&context, &head, framing_error, arrived, &mut request_log);
     let reply = match contain(&context.core, Work::Request, admission).await {
         Some(Ok(job)) => {
@@ -52,5 +54,6 @@
         ),
     };
     request_log.finish(&reply);
+    request_log.enter(RequestStage::Response);
     reply.into_response()
 }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -124,7 +124,7 @@
         Ok(request_head) => request_head,
         Err(invalid) => return Err(Reply::fail(StatusCode::BAD_REQUEST, invalid.reason).into()),
     };
-    request_log.id.clone_from(&request_head.id);
+    request_log.name(&request_head.id);
     request_log.object.clone_from(&request_head.object);
     if let Some(framing_error) = framing_error {
         return Err(Reply::fail(StatusCode::BAD_REQUEST, framing_error).into());
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -19,6 +19,7 @@
 use super::send::{AttemptError, Outgoing, ReceivedResponse, remove_hop_headers, send};
 use crate::codec::Execution;
 use crate::host::{Core, RequestContext};
+use crate::tracker::RequestStage;
 
 /// The maximum number of endpoints tried after the first one. Mainly bounds failed connections,
 /// because the route limits the number of sends.
@@ -76,6 +77,7 @@
     body: Incoming,
     request_log: &mut RequestLog,
 ) -> Reply {
+    request_log.enter(RequestStage::Body);
     let body = match read_request_body(&context.core, job, body).await {
         Ok(body) => body,
         Err(reply) => return reply,
@@ -86,6 +88,7 @@
     };
     let mut replacement: Option<InFlight> = None;
     loop {
+        request_log.enter(RequestStage::Placement);
         if replacement.is_none()
             && !progress.tried.is_empty()
             && !may_try_again(context, job, &progress)
@@ -107,6 +110,7 @@
         };
         progress.tried.push(in_flight.choice.key);
         log_suspect(&context.core, &in_flight.choice, progress.fingerprint);
+        request_log.enter(RequestStage::Sent);
         let started = context.core.now();
         let mut attempt_end =
             await_attempt(context, job, head, &body, &in_flight.choice, &progress).await;
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -11,6 +11,7 @@
 use super::reply::Reply;
 use super::send::AttemptError;
 use crate::host::RequestContext;
+use crate::tracker::{RequestStage, Tracked};
 
 /// The maximum number of log records per second for requests that failed or had several attempts.
 const FAILED_LINES_PER_SECOND: f64 = 30.0;
@@ -65,8 +66,9 @@
 /// left before.
 pub(crate) struct RequestLog {
     context: Rc<RequestContext>,
+    tracked: Rc<Tracked>,
     arrived: Instant,
-    pub(crate) id: String,
+    id: String,
     /// The version of the configuration that the request was routed by.
     pub(crate) version: u64,
     pub(crate) route: Option<RouteId>,
@@ -83,9 +85,10 @@
 }
 
 impl RequestLog {
-    pub(crate) fn new(context: Rc<RequestContext>, arrived: Instant) -> Self {
+    pub(crate) fn new(context: Rc<RequestContext>, tracked: Rc<Tracked>, arrived: Instant) -> Self {
         Self {
             context,
+            tracked,
             arrived,
             id: String::new(),
             version: 0,
@@ -100,6 +103,17 @@
         }
     }
 
+    /// Sets the id of the request.
+    pub(crate) fn name(&mut self, id: &str) {
+        id.clone_into(&mut self.id);
+        self.tracked.name(id);
+    }
+
+    /// Records how far the request has come.
+    pub(crate) fn enter(&self, stage: RequestStage) {
+        self.tracked.enter(stage);
+    }
+
     /// Records an attempt and its end.
     pub(crate) fn record_attempt(
         &mut self,
--- a/crates/gateway/src/server/pipeline.rs
+++ b/crates/gateway/src/server/pipeline.rs
@@ -24,6 +24,7 @@
 use crate::host::RequestContext;
 use crate::request::serve;
 use crate::stop::ShutdownStage;
+use crate::tracker::Tracked;
 use crate::work::{Work, contain};
 
 /// The capacity of the queue of requests on a connection that run or wait until their response is
@@ -89,6 +90,8 @@
 #[derive(Debug)]
 pub(crate) struct PendingResponse {
     answer: ReadHalf<DuplexStream>,
+    /// Ends with the response, or with the connection.
+    _tracked: Rc<Tracked>,
     /// Ends with `None` if it panicked.
     task: JoinHandle<Option<hyper::Result<()>>>,
 }
@@ -156,8 +159,14 @@
             }
             let (local, remote) = duplex(DUPLEX_BYTES);
             let (answer, request) = split(local);
-            let task = spawn_local(self.serve_one(remote, frame.error));
-            permit.send(PendingResponse { answer, task });
+            let core = &self.context.core;
+            let tracked = Rc::new(core.tracker.track(core.now()));
+            let task = spawn_local(self.serve_one(remote, frame.error, tracked.clone()));
+            permit.send(PendingResponse {
+                answer,
+                _tracked: tracked,
+                task,
+            });
             self.forward(frame, request).await?;
             if connection.closing.get() {
                 break;
@@ -280,12 +289,13 @@
         &self,
         remote: DuplexStream,
         framing_error: Option<&'static str>,
+        tracked: Rc<Tracked>,
     ) -> impl Future<Output = Option<hyper::Result<()>>> + 'static {
         let (context, connection) = (self.context.clone(), self.connection.clone());
         let core = context.core.clone();
         let number = connection.accepted.get();
         let service = service_fn(move |request: http::Request<Incoming>| {
-            let answer = serve(context.clone(), request, framing_error);
+            let answer = serve(context.clone(), request, framing_error, tracked.clone());
             let connection = connection.clone();
             Box::pin(async move {
                 let mut answer = answer.await;
@@ -334,6 +344,10 @@
             Ok(Some(Err(_)) | None) | Err(_) => return false,
         }
         connection.answered.set(connection.answered.get() + 1);
+        if context.core.is_leaving() {
+            let delivered = &context.core.tracker.delivered;
+            delivered.set(delivered.get() + 1);
+        }
         connection.idle_since.set(context.core.now());
         connection.response_sent.notify_one();
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -40,7 +40,8 @@
     stage: &watch::Sender<ShutdownStage>,
     grace: Duration,
 ) {
-    let deadline = core.now() + grace.saturating_sub(EXIT_MARGIN);
+    let began = core.now();
+    let deadline = began + grace.saturating_sub(EXIT_MARGIN);
     core.start_leaving();
     info!(core.log, "stopping"; "grace_ms" => millis(grace));
     stage.send_replace(ShutdownStage::Leaving);
@@ -53,7 +54,12 @@
     while stage.receiver_count() > 0 && core.now() < deadline {
         tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
-    info!(core.log, "stopped"; "connections" => stage.receiver_count());
+    let now = core.now();
+    let age = now.duration_since(began);
+    let unanswered = core.tracker.report(&core.log, &core.metrics, age, now);
+    info!(core.log, "stopped"; "connections" => stage.receiver_count(),
+        "delivered" => core.tracker.delivered.get(), "unanswered" => unanswered,
+        "stop_ms" => millis(age));
 }
 
 /// Removes the registration of this host, and not that of its next process, however late the registry does
