Pass on only what ends before a leaving host does, and answer the rest in time

Cause: the stop had a time to end but no budget. Several flags in several files said what a connection takes.

Now one value has the times of the departure (crates/steer/src/departure.rs). A request is passed on only if it ends before the cut; at the cut each request without a response gets one (502 if it may have been passed on, 503 if not), and all responses are delivered in order before the process ends. The host's stages are types, of which each has one way on; what a connection takes is one value (Intake), and a response that announces the close ends it: a request behind it is not read, as its caller sends it elsewhere. Before, such a request ran (found on the way).

Not shown: bytes that the kernel holds when the process ends. On loopback they arrive. TCP_NOTSENT_LOWAT would keep them in the process, and a caller that still reads at the end would get less; not taken.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -22,6 +22,7 @@
 use crate::pool::Pool;
 use crate::registry::Topic;
 use crate::request::LogBudget;
+use crate::stop::StopState;
 use crate::tracker::Tracker;
 
 /// The state that background tasks and requests share.
@@ -51,7 +52,7 @@
     /// The headers of endpoints that this host does not know and has logged.
     pub(crate) unknown_headers: RefCell<HashSet<HeaderName>>,
     clock: Rc<dyn DebugClock>,
-    leaving: Cell<bool>,
+    pub(crate) stop: StopState,
     /// The version of the host's registration; `None` if its last write was not confirmed.
     pub(crate) registration: Cell<Option<u64>>,
 }
@@ -178,7 +179,7 @@
             suspect_calls: Notify::new(),
             unknown_headers: RefCell::default(),
             clock,
-            leaving: Cell::new(false),
+            stop: StopState::new(),
             registration: Cell::new(None),
         }
     }
@@ -193,13 +194,9 @@
         millis(wall.unwrap_or_default())
     }
 
-    /// Marks the host as leaving; it never becomes ready again.
-    pub(crate) fn start_leaving(&self) {
-        self.leaving.set(true);
-    }
-
+    /// Returns whether the host leaves; it never becomes ready again.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.get()
+        self.stop.departure().is_some()
     }
 
     pub(crate) fn state(&self) -> HostState {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -11,8 +11,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use wagtail_steer::HostStage;
 
 use crate::host::RequestContext;
 use crate::tracker::{RequestStage, Tracked};
@@ -36,10 +38,38 @@
     let arrived = context.core.now();
     let (head, body) = request.into_parts();
     let mut request_log = request_log::RequestLog::new(context.clone(), tracked, arrived);
-    let admission = admit::admit(&context, &head, framing_error, arrived, &mut request_log);
-    let reply = match contain(&context.core, Work::Request, admission).await {
+    let answered = answer(&context, &head, body, framing_error, &mut request_log);
+    let reply = tokio::select! {
+        biased;
+        reply = answered => Some(reply),
+        () = context.core.stop.entered(HostStage::Ending) => None,
+    };
+    let reply = reply.unwrap_or_else(|| {
+        request_log.may_have_run |= request_log.stage() == Some(RequestStage::Sent);
+        if request_log.may_have_run {
+            reply::cut(&context.core)
+        } else {
+            reply::refuse_stopping(&context.core)
+        }
+    });
+    request_log.finish(&reply);
+    request_log.enter(RequestStage::Response);
+    reply.into_response()
+}
+
+/// Admits a request and sends it to endpoints. The request is given up if the result is dropped.
+async fn answer(
+    context: &Rc<RequestContext>,
+    head: &Parts,
+    body: Incoming,
+    framing_error: Option<&'static str>,
+    request_log: &mut request_log::RequestLog,
+) -> Reply {
+    let arrived = request_log.arrived;
+    let admission = admit::admit(context, head, framing_error, arrived, request_log);
+    match contain(&context.core, Work::Request, admission).await {
         Some(Ok(job)) => {
-            let attempts = attempt::run(&context, &job, &head, body, &mut request_log);
+            let attempts = attempt::run(context, &job, head, body, request_log);
             let reply = contain(&context.core, Work::Request, attempts).await;
             reply.unwrap_or_else(|| {
                 request_log.may_have_run = true;
@@ -52,8 +82,5 @@
             "the host failed",
             PANIC_WAIT,
         ),
-    };
-    request_log.finish(&reply);
-    request_log.enter(RequestStage::Response);
-    reply.into_response()
+    }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::admit::{Denial, Job, deny};
 use super::in_flight::InFlight;
-use super::reply::Reply;
+use super::reply::{Reply, refuse_stopping};
 use super::request_log::RequestLog;
 use super::send::{AttemptError, Outgoing, ReceivedResponse, remove_hop_headers, send};
 use crate::codec::Execution;
@@ -108,6 +108,9 @@
                 return final_reply(progress, Some((rejection, retry_after)), head);
             }
         };
+        if !ends_in_time(&context.core, in_flight.choice.expected_time) {
+            return refuse_late(&context.core, progress, head);
+        }
         progress.tried.push(in_flight.choice.key);
         log_suspect(&context.core, &in_flight.choice, progress.fingerprint);
         request_log.enter(RequestStage::Sent);
@@ -143,7 +146,13 @@
 
 async fn read_request_body(core: &Core, job: &Job, body: Incoming) -> Result<Bytes, Reply> {
     let remaining = job.deadline.saturating_duration_since(core.now());
-    match tokio::time::timeout(remaining, Limited::new(body, job.body_max).collect()).await {
+    let read = tokio::time::timeout(remaining, Limited::new(body, job.body_max).collect());
+    let read = tokio::select! {
+        biased;
+        read = read => read,
+        () = core.stop.last_start() => return Err(refuse_stopping(core)),
+    };
+    match read {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
             Err(deny(core, Denial::BodyTooLarge))
@@ -200,6 +209,24 @@
         .wait_for_endpoints(&request, now)
 }
 
+/// Returns whether a request that is expected to take `expected` ends before the host does.
+fn ends_in_time(core: &Core, expected: Duration) -> bool {
+    let now = core.now();
+    core.stop.departure().is_none_or(|departure| {
+        let elsewhere = core.steer.borrow().has_ready_peer(now);
+        departure.permits(expected, elsewhere, now)
+    })
+}
+
+/// Returns the reply to a request that is not passed on because the host would end before it.
+fn refuse_late(core: &Core, progress: Progress, head: &request::Parts) -> Reply {
+    if progress.may_have_run {
+        final_reply(progress, None, head)
+    } else {
+        refuse_stopping(core)
+    }
+}
+
 /// Selects an endpoint and counts the request as in flight there.
 fn place_request(
     context: &RequestContext,
--- a/crates/gateway/src/request/reply.rs
+++ b/crates/gateway/src/request/reply.rs
@@ -7,11 +7,15 @@
 use rand::Rng;
 
 use super::body::Body;
+use crate::host::Core;
 
 /// The largest random extension of a `Retry-After` wait, as a fraction of it, so that callers who
 /// were refused together do not come back together.
 const JITTER: f64 = 0.5;
 
+/// The `Retry-After` wait if the host is stopping, as others may serve the request at once.
+const STOPPING_WAIT: Duration = Duration::from_millis(20);
+
 /// A reply to a caller, with the reason that goes into the request log and the metrics.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -59,6 +63,25 @@
     }
 }
 
+/// Creates the refusal of a request that would not end before the host does.
+pub(crate) fn refuse_stopping(core: &Core) -> Reply {
+    let refused = &core.tracker.refused;
+    refused.set(refused.get() + 1);
+    core.metrics.count("stop_refused", "not-run");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Reply::refuse(status, "the host is stopping", STOPPING_WAIT)
+}
+
+/// Creates the reply to a request that has not ended before the host does.
+pub(crate) fn cut(core: &Core) -> Reply {
+    core.tracker.cut.set(core.tracker.cut.get() + 1);
+    core.metrics.count("stop_refused", "may-have-run");
+    Reply::fail(
+        StatusCode::BAD_GATEWAY,
+        "the host is stopping; it may have run",
+    )
+}
+
 /// Returns a wait as the value of `Retry-After`, in seconds with decimals and extended by random
 /// jitter.
 pub(crate) fn retry_after(wait: Duration) -> HeaderValue {
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -67,7 +67,7 @@
 pub(crate) struct RequestLog {
     context: Rc<RequestContext>,
     tracked: Rc<Tracked>,
-    arrived: Instant,
+    pub(crate) arrived: Instant,
     id: String,
     /// The version of the configuration that the request was routed by.
     pub(crate) version: u64,
@@ -109,6 +109,10 @@
         self.tracked.name(id);
     }
 
+    pub(crate) fn stage(&self) -> Option<RequestStage> {
+        self.tracked.stage()
+    }
+
     /// Records how far the request has come.
     pub(crate) fn enter(&self, stage: RequestStage) {
         self.tracked.enter(stage);
@@ -203,6 +207,7 @@
             "ran" => self.may_have_run,
             "fingerprint" => self.fingerprint.map(|f| f.to_string()),
             "ms" => millis(elapsed),
+            "stop_ms" => self.context.core.stop.departure().map(|d| millis(d.age(now))),
             "skipped" => skipped,
         );
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,7 +10,6 @@
 use http::request::Parts;
 use slog::{Logger, info};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
 use wagtail_steer::Steer;
 use wagtail_types::SystemClock;
 
@@ -26,7 +25,7 @@
 use crate::request::{Body, LogBudget};
 use crate::server::{accept, bind, serve_admin};
 use crate::settings::Settings;
-use crate::stop::{ShutdownStage, shut_down};
+use crate::stop::{Shutdown, shut_down};
 use crate::supervisor::{Duties, Duty, DutyEnded};
 
 /// The reason why a host could not start or had to stop.
@@ -77,17 +76,15 @@
         codec: codec.clone(),
         log_budget,
     });
-    let stage = Rc::new(watch::Sender::new(ShutdownStage::Open));
     info!(core.log, "starting"; "host" => %core.steer.borrow().local_host().record.id,
         "front" => %listen.front, "peer" => %listen.peer);
 
-    let mut duties = Duties::new(core.clone(), stage.clone());
+    let mut duties = Duties::new(core.clone());
     let callers = bind(listen.front)
         .await
         .map_err(listen_error(listen.front))?;
-    let updates = stage.clone();
     duties.start(Duty::Callers, move || {
-        accept(context.clone(), callers.clone(), updates.subscribe())
+        accept(context.clone(), callers.clone())
     });
     if let Some(addr) = listen.ready {
         let listener = bind(addr).await.map_err(listen_error(addr))?;
@@ -145,13 +142,13 @@
     let mut ended = None;
     tokio::select! {
         () = stop => {}
-        end = duties.next_end() => {
-            core.start_leaving();
-            duties.restart(end.duty);
-            ended = Some(end);
-        }
+        end = duties.next_end() => ended = Some(end),
     }
-    let stopping = shut_down(core, exchange, registry, &stage, settings.grace);
+    let shutdown = Shutdown::begin(core, settings.grace);
+    if let Some(end) = &ended {
+        duties.restart(end.duty);
+    }
+    let stopping = shut_down(shutdown, exchange, registry);
     duties.run_until(stopping, &mut ended).await;
     ended.map_or(Ok(()), |end| Err(RunError::DutyEnded(end)))
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -5,6 +5,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,14 +19,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
+use wagtail_steer::HostStage;
 
 use crate::host::{Core, RequestContext};
 use crate::request::Body;
 use crate::server::pipeline::{
     Bounds, CallerLeft, ConnectionState, PIPELINE_MAX, RequestReader, write_responses,
 };
-use crate::stop::ShutdownStage;
+use crate::stop::OpenConnection;
 use crate::work::{Work, contain};
 
 /// The pause after a failure to accept a connection, such as a lack of file descriptors.
@@ -45,28 +47,24 @@
     idle: DEFAULT_IDLE,
 };
 
-/// Accepts connections until the shutdown reaches [`ShutdownStage::Closed`], and serves each in its
-/// own task.
-pub(crate) async fn accept(
-    context: Rc<RequestContext>,
-    listener: Rc<TcpListener>,
-    mut stage: watch::Receiver<ShutdownStage>,
-) {
+/// Accepts connections until the shutdown reaches [`HostStage::Closed`], and serves each in its own
+/// task.
+pub(crate) async fn accept(context: Rc<RequestContext>, listener: Rc<TcpListener>) {
+    let mut closed = pin!(context.core.stop.entered(HostStage::Closed));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            changed = stage.wait_for(|s| *s == ShutdownStage::Closed) => {
-                drop(changed);
-                return;
-            }
+            () = &mut closed => return,
         };
         match accepted {
             Ok((stream, _)) => {
-                let (context, stage) = (context.clone(), stage.clone());
+                let context = context.clone();
+                let open = OpenConnection::new(context.core.clone());
                 tokio::task::spawn_local(async move {
                     let core = context.core.clone();
-                    let connection = handle_connection(context, stream, stage);
+                    let connection = handle_connection(context, stream);
                     contain(&core, Work::Connection, connection).await;
+                    drop(open);
                 });
             }
             Err(e) => {
@@ -78,11 +76,7 @@
     }
 }
 
-async fn handle_connection(
-    context: Rc<RequestContext>,
-    stream: TcpStream,
-    stage: watch::Receiver<ShutdownStage>,
-) {
+async fn handle_connection(context: Rc<RequestContext>, stream: TcpStream) {
     // A failure only makes responses slower.
     let _ = stream.set_nodelay(true);
     let limits = context.core.steer.borrow().catalog().map(|c| c.limits());
@@ -91,8 +85,8 @@
         head_time: l.header_time,
         idle: l.idle,
     });
-    let leaving = *stage.borrow() != ShutdownStage::Open;
-    let connection = ConnectionState::new(leaving, context.core.now());
+    let stages = context.core.stop.stages();
+    let connection = ConnectionState::new(*stages.borrow(), context.core.now());
     let (pending, responses) = mpsc::channel(PIPELINE_MAX);
     let (read, mut write) = stream.into_split();
     let mut reader = RequestReader {
@@ -103,7 +97,7 @@
         buffer: BytesMut::new(),
     };
     let all_sent = tokio::select! {
-        CallerLeft = reader.run(pending, stage.clone()) => false,
+        CallerLeft = reader.run(pending, stages) => false,
         all_sent = write_responses(&context, &connection, responses, &mut write) => all_sent,
     };
     if all_sent {
--- a/crates/gateway/src/server/pipeline.rs
+++ b/crates/gateway/src/server/pipeline.rs
@@ -19,11 +19,11 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{JoinHandle, spawn_local};
+use wagtail_steer::{HostStage, Intake};
 
 use super::framing::{BodyState, RequestFrame};
 use crate::host::RequestContext;
 use crate::request::serve;
-use crate::stop::ShutdownStage;
 use crate::tracker::Tracked;
 use crate::work::{Work, contain};
 
@@ -56,20 +56,19 @@
     answered: Cell<u64>,
     /// Whether the request in progress must not run concurrently with others.
     exclusive: Cell<bool>,
-    /// Whether no further request is accepted.
-    closing: Cell<bool>,
+    intake: Cell<Intake>,
     idle_since: Cell<Instant>,
     /// Notified after each response that was sent completely.
     response_sent: Notify,
 }
 
 impl ConnectionState {
-    pub(crate) fn new(closing: bool, now: Instant) -> Rc<Self> {
+    pub(crate) fn new(stage: HostStage, now: Instant) -> Rc<Self> {
         Rc::new(Self {
             accepted: Cell::new(0),
             answered: Cell::new(0),
             exclusive: Cell::new(false),
-            closing: Cell::new(closing),
+            intake: Cell::new(Intake::new(stage)),
             idle_since: Cell::new(now),
             response_sent: Notify::new(),
         })
@@ -79,10 +78,24 @@
         self.accepted.get() == self.answered.get()
     }
 
+    /// Reads no further request from the connection.
+    fn close(&self) {
+        self.intake.set(Intake::Done);
+    }
+
+    fn is_closing(&self) -> bool {
+        self.intake.get() == Intake::Done
+    }
+
     /// Returns whether the response to request `number` must announce that the connection closes
-    /// after it.
-    fn is_final(&self, number: u64) -> bool {
-        self.closing.get() && self.accepted.get() == number
+    /// after it. No further request is read then, because the caller sends them elsewhere.
+    fn announces_close(&self, number: u64, leaving: bool) -> bool {
+        let last = self.accepted.get() == number;
+        let closes = last && (leaving || self.intake.get() != Intake::Open);
+        if closes {
+            self.close();
+        }
+        closes
     }
 }
 
@@ -122,9 +135,9 @@
     pub(crate) async fn run(
         &mut self,
         pending: mpsc::Sender<PendingResponse>,
-        mut stage: watch::Receiver<ShutdownStage>,
+        mut stages: watch::Receiver<HostStage>,
     ) -> CallerLeft {
-        let end = self.read_requests(&pending, &mut stage).await;
+        let end = self.read_requests(&pending, &mut stages).await;
         drop(pending);
         if let Err(left) = end {
             return left;
@@ -141,9 +154,9 @@
     async fn read_requests(
         &mut self,
         pending: &mpsc::Sender<PendingResponse>,
-        stage: &mut watch::Receiver<ShutdownStage>,
+        stages: &mut watch::Receiver<HostStage>,
     ) -> Result<(), CallerLeft> {
-        while let Some(frame) = self.next_frame(stage).await? {
+        while let Some(frame) = self.next_frame(stages).await? {
             let connection = self.connection.clone();
             while !connection.is_idle() && (connection.exclusive.get() || !frame.safe) {
                 self.while_connected(connection.response_sent.notified())
@@ -152,11 +165,14 @@
             let Ok(permit) = self.while_connected(pending.reserve()).await? else {
                 return Ok(());
             };
+            if connection.is_closing() {
+                return Ok(());
+            }
             connection.exclusive.set(!frame.safe);
             connection.accepted.set(connection.accepted.get() + 1);
-            if frame.last {
-                connection.closing.set(true);
-            }
+            connection
+                .intake
+                .set(connection.intake.get().take(frame.last));
             let (local, remote) = duplex(DUPLEX_BYTES);
             let (answer, request) = split(local);
             let core = &self.context.core;
@@ -168,7 +184,7 @@
                 task,
             });
             self.forward(frame, request).await?;
-            if connection.closing.get() {
+            if connection.is_closing() {
                 break;
             }
         }
@@ -178,10 +194,10 @@
     /// Reads the head of the next request. Returns `None` if no further request will be read.
     async fn next_frame(
         &mut self,
-        stage: &mut watch::Receiver<ShutdownStage>,
+        stages: &mut watch::Receiver<HostStage>,
     ) -> Result<Option<RequestFrame>, CallerLeft> {
         let mut head_started = None;
-        loop {
+        while !self.connection.is_closing() {
             match RequestFrame::parse(&self.buffer) {
                 Ok(Some(frame)) => return Ok(Some(frame)),
                 Ok(None) if self.buffer.len() <= self.bounds.head => {}
@@ -199,23 +215,19 @@
             };
             let connection = self.connection.clone();
             let busy = self.buffer.is_empty() && !connection.is_idle();
-            let open = !connection.closing.get();
             tokio::select! {
                 more = self.read_more() => more?,
                 () = connection.response_sent.notified(), if busy => {}
-                () = tokio::time::sleep(wait), if !busy => {
-                    connection.closing.set(true);
-                    return Ok(None);
-                }
-                changed = stage.wait_for(|s| *s != ShutdownStage::Open), if open => {
-                    drop(changed);
-                    connection.closing.set(true);
-                    if self.buffer.is_empty() {
-                        return Ok(None);
-                    }
+                () = tokio::time::sleep(wait), if !busy => connection.close(),
+                // The sender lives as long as the host.
+                _ = stages.changed() => {
+                    let begun = !self.buffer.is_empty();
+                    let intake = connection.intake.get();
+                    connection.intake.set(intake.enter(*stages.borrow(), begun));
                 }
             }
         }
+        Ok(None)
     }
 
     /// Reads more bytes into the buffer.
@@ -255,7 +267,7 @@
             let Ok(size) = body.take(&self.buffer) else {
                 // The HTTP library finds the same error and reports it to the caller.
                 open = open && to.write_all(&self.buffer).await.is_ok();
-                self.connection.closing.set(true);
+                self.connection.close();
                 break;
             };
             open = open && to.write_all(&self.buffer[..size]).await.is_ok();
@@ -264,18 +276,25 @@
             if !open && (frame.expects_continue || !skippable) {
                 // The request is already answered, and whether the next bytes from the caller are
                 // its body is unknown.
-                self.connection.closing.set(true);
+                self.connection.close();
                 return Ok(());
             }
             if size > 0 {
                 continue;
             }
-            let idle = self.bounds.idle;
-            let Ok(more) = tokio::time::timeout(idle, self.read_more()).await else {
-                self.connection.closing.set(true);
-                break;
-            };
-            more?;
+            let (core, idle) = (self.context.core.clone(), self.bounds.idle);
+            tokio::select! {
+                more = self.read_more() => more?,
+                () = tokio::time::sleep(idle) => {
+                    self.connection.close();
+                    break;
+                }
+                // The request is answered now, so that the rest of its body is not needed.
+                () = core.stop.entered(HostStage::Ending) => {
+                    self.connection.close();
+                    return Ok(());
+                }
+            }
         }
         if open {
             // The request may already have ended.
@@ -296,10 +315,10 @@
         let number = connection.accepted.get();
         let service = service_fn(move |request: http::Request<Incoming>| {
             let answer = serve(context.clone(), request, framing_error, tracked.clone());
-            let connection = connection.clone();
+            let (core, connection) = (context.core.clone(), connection.clone());
             Box::pin(async move {
                 let mut answer = answer.await;
-                if connection.is_final(number) {
+                if connection.announces_close(number, core.is_leaving()) {
                     let close = HeaderValue::from_static("close");
                     answer.headers_mut().insert(header::CONNECTION, close);
                 }
--- a/crates/gateway/src/supervisor.rs
+++ b/crates/gateway/src/supervisor.rs
@@ -6,11 +6,10 @@
 
 use derive_more::{Display, Error};
 use slog::error;
-use tokio::sync::watch;
+use wagtail_steer::HostStage;
 use wagtail_task::{End, Supervisor};
 
 use crate::host::Core;
-use crate::stop::ShutdownStage;
 
 /// A task that runs for the life of a host. The host stops when one ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
@@ -82,18 +81,16 @@
 /// Runs the duties of a host.
 pub(crate) struct Duties {
     core: Rc<Core>,
-    stage: Rc<watch::Sender<ShutdownStage>>,
     supervisor: Supervisor<Duty>,
     starts: HashMap<Duty, Start>,
     restarted: HashSet<Duty>,
 }
 
 impl Duties {
-    pub(crate) fn new(core: Rc<Core>, stage: Rc<watch::Sender<ShutdownStage>>) -> Self {
+    pub(crate) fn new(core: Rc<Core>) -> Self {
         let supervisor = Supervisor::new(&core.steer.borrow().local_host().record.peer);
         Self {
             core,
-            stage,
             supervisor,
             starts: HashMap::new(),
             restarted: HashSet::new(),
@@ -127,7 +124,7 @@
     /// Returns whether the stop of the host is far enough for the duty to return.
     fn may_return(&self, duty: Duty) -> bool {
         match duty {
-            Duty::Callers => *self.stage.borrow() == ShutdownStage::Closed,
+            Duty::Callers => self.core.stop.stage() >= HostStage::Closed,
             Duty::Registration => self.core.is_leaving(),
             _ => false,
         }
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -51,6 +51,10 @@
     entries: RefCell<SlotMap<RequestKey, Entry>>,
     /// Requests whose responses were sent while the host was leaving.
     pub(crate) delivered: Cell<u32>,
+    /// Requests that were refused because they would not have ended in time.
+    pub(crate) refused: Cell<u32>,
+    /// Requests that got a response of the host because the time was over.
+    pub(crate) cut: Cell<u32>,
 }
 
 impl Tracker {
@@ -109,6 +113,11 @@
             entry.stage = stage;
         }
     }
+
+    pub(crate) fn stage(&self) -> Option<RequestStage> {
+        let entries = self.tracker.entries.borrow();
+        entries.get(self.key).map(|e| e.stage)
+    }
 }
 
 impl Drop for Tracked {
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,6 +10,7 @@
 mod cold;
 mod config;
 mod cursor;
+mod departure;
 mod digest;
 mod endpoint;
 mod estimate;
@@ -41,6 +42,7 @@
     WeightedService,
 };
 pub use cursor::{Cursor, Extent};
+pub use departure::{Departure, HostStage, Intake};
 pub use digest::{
     Datagram, Digest, HostState, LeavingEndpoint, Message, MessageError, RegistryView,
 };
--- a/crates/steer/src/steer/fleet.rs
+++ b/crates/steer/src/steer/fleet.rs
@@ -269,6 +269,12 @@
         }
     }
 
+    /// Returns whether another host takes requests of callers.
+    pub fn has_ready_peer(&self, now: Instant) -> bool {
+        let mut alive = self.peers.alive(now);
+        alive.any(|p| p.state == Some(HostState::Ready))
+    }
+
     /// Returns the number of live hosts, the local host included.
     pub fn host_count(&self, now: Instant) -> usize {
         self.peers.alive(now).count() + 1
