--- a/crates/steer/tests/steer/main.rs
+++ b/crates/steer/tests/steer/main.rs
@@ -1,6 +1,7 @@
 //! Steering decisions over simulated time, with manual clocks and no network.
 
 mod catalog;
+mod departure;
 mod endpoints;
 mod fleet;
 mod limits;
