Reset connections to endpoints whose requests were given up

Cause: the connection was closed in order, so that the kernel delivered the held-up bytes when the path was back. Connections that end with a request under way are now reset, and their bytes are lost; connections whose response was read whole are closed in order.

--- a/crates/gateway/src/connect.rs
+++ b/crates/gateway/src/connect.rs
@@ -1,8 +1,11 @@
 //! HTTP/1.1 client connections to endpoints and to the registry.
 
 use std::cell::{Cell, RefCell};
-use std::io;
+use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -13,6 +16,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout_at};
 
@@ -71,11 +75,104 @@
     },
 }
 
+/// A connection on which requests are sent one after the other.
+///
+/// If it is dropped before the response was read whole, it is reset, so that bytes of the request that a broken
+/// path holds up are lost and cannot arrive later.
+#[derive(Debug)]
+pub(crate) struct Link {
+    sender: SendRequest<Full<Bytes>>,
+    under_way: Rc<Cell<bool>>,
+}
+
+impl Link {
+    /// Sends a request and waits until its response begins.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.under_way.set(true);
+        self.sender.send_request(request).await
+    }
+
+    /// Records that the response was read whole, so that the connection may be kept or closed in order.
+    pub(crate) fn finish(&self) {
+        self.under_way.set(false);
+    }
+
+    /// Returns whether a request can be sent.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the remote end has closed the connection.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+/// The stream of a [`Link`].
+#[derive(Debug)]
+struct LinkStream {
+    stream: TcpStream,
+    under_way: Rc<Cell<bool>>,
+}
+
+impl Drop for LinkStream {
+    fn drop(&mut self) {
+        if self.under_way.get() {
+            // Without the option the connection closes in order.
+            let _unsupported = self.stream.set_zero_linger().is_err();
+        }
+    }
+}
+
+impl AsyncRead for LinkStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for LinkStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.under_way.get() {
+            // The drop that follows resets the connection.
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+    }
+}
+
 /// Opens a connection to `addr` and starts the task that drives it.
-pub(crate) async fn open(
-    addr: SocketAddr,
-    timeout: Duration,
-) -> Result<SendRequest<Full<Bytes>>, CallError> {
+pub(crate) async fn open(addr: SocketAddr, timeout: Duration) -> Result<Link, CallError> {
     let failed = |e: &dyn std::fmt::Display| CallError::Connect {
         reason: e.to_string(),
         refused: false,
@@ -97,16 +194,20 @@
         }
         Err(_) => return Err(failed(&"timeout")),
     };
+    let under_way = Rc::new(Cell::new(false));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(HEAD_MAX_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(LinkStream {
+            stream,
+            under_way: under_way.clone(),
+        }))
         .await
         .map_err(|e| failed(&e))?;
     tokio::task::spawn_local(async move {
         // The request in flight on the connection fails with the same error.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Link { sender, under_way })
 }
 
 /// Whether a process listens at an address.
@@ -133,7 +234,7 @@
 #[derive(Debug)]
 pub struct Client {
     addr: SocketAddr,
-    idle: RefCell<Option<SendRequest<Full<Bytes>>>>,
+    idle: RefCell<Option<Link>>,
     /// The number of transfers that were given up since one ended. Each doubles the limits on the next,
     /// so that a body arrives at last however slow the path is.
     given_up: Cell<u32>,
@@ -176,7 +277,7 @@
         timeout: Duration,
         limit: usize,
     ) -> Result<Response<Bytes>, CallError> {
-        let (sender, answer) = tokio::time::timeout(timeout, self.send(request))
+        let (link, answer) = tokio::time::timeout(timeout, self.send(request))
             .await
             .unwrap_or(Err(CallError::Timeout))?;
         let (head, body) = answer.into_parts();
@@ -191,7 +292,8 @@
             }
         };
         self.given_up.set(0);
-        *self.idle.borrow_mut() = Some(sender);
+        link.finish();
+        *self.idle.borrow_mut() = Some(link);
         Ok(Response::from_parts(head, body))
     }
 
@@ -199,14 +301,14 @@
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), CallError> {
+    ) -> Result<(Link, Response<Incoming>), CallError> {
         let idle = self.idle.borrow_mut().take();
-        let mut sender = match idle.filter(SendRequest::is_ready) {
-            Some(sender) => sender,
+        let mut link = match idle.filter(Link::is_ready) {
+            Some(link) => link,
             None => open(self.addr, Self::CONNECT_TIMEOUT).await?,
         };
-        match sender.send_request(request).await {
-            Ok(answer) => Ok((sender, answer)),
+        match link.send(request).await {
+            Ok(answer) => Ok((link, answer)),
             Err(e) => Err(broken(&e)),
         }
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -4,11 +4,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::SendRequest;
 use wagtail_steer::EndpointKey;
 
+use crate::connect::Link;
+
 /// The longest idle time after which a connection is still reused; endpoints close idle connections
 /// after some seconds.
 const IDLE_MAX: Duration = Duration::from_secs(5);
@@ -19,13 +18,10 @@
 /// once.
 const PER_ENDPOINT_MAX: usize = 6;
 
-/// The sending half of a client connection.
-pub(crate) type Sender = SendRequest<Full<Bytes>>;
-
 /// A connection to an endpoint.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: Sender,
+    pub(crate) link: Link,
     /// When it was opened.
     pub(crate) opened: Instant,
 }
@@ -47,7 +43,7 @@
     pub(crate) fn take(&self, endpoint: EndpointKey, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&endpoint)?;
-        list.retain(|i| i.expires > now && i.connection.sender.is_ready());
+        list.retain(|i| i.expires > now && i.connection.link.is_ready());
         list.pop().map(|i| i.connection)
     }
 
@@ -76,7 +72,7 @@
     /// Closes connections that have expired or that the endpoint has closed.
     pub(crate) fn prune(&self, now: Instant) {
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|i| i.expires > now && !i.connection.sender.is_closed());
+            list.retain(|i| i.expires > now && !i.connection.link.is_closed());
             !list.is_empty()
         });
     }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -130,7 +130,7 @@
     } else {
         let timeout = CONNECT_TIMEOUT.min(job.deadline.saturating_duration_since(now));
         context.core.metrics.count("connections", "endpoint");
-        let sender = open(process.addr, timeout)
+        let link = open(process.addr, timeout)
             .await
             .map_err(AttemptError::Unreachable)?;
         let elapsed = context.core.now().duration_since(now);
@@ -140,7 +140,7 @@
             .borrow_mut()
             .record_connection(to, elapsed);
         Connection {
-            sender,
+            link,
             opened: context.core.now(),
         }
     };
@@ -162,8 +162,8 @@
         },
     );
     let response = connection
-        .sender
-        .send_request(request)
+        .link
+        .send(request)
         .await
         .map_err(|e| broken_connection(&e))?;
     let (head, incoming) = response.into_parts();
@@ -188,6 +188,9 @@
     let body = read_response_body(incoming, received)
         .await
         .map_err(|e| broken_connection(&e))?;
+    if body.1 {
+        connection.link.finish();
+    }
     classify(
         origin,
         ReceivedResponse {
