Bound the memory of all bodies and responses that a host holds

Cause: only the size of one body was bounded. One budget, derived from the memory in the settings, now bounds what is held for all requests; it is claimed before a body is read, a team may hold half of it, and small requests have a reserve. Also: a response that comes before the end of a long body now announces that its connection closes, and the rest of the body is discarded until the caller has sent it.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -70,5 +70,7 @@
         return text_response(StatusCode::NOT_FOUND, "");
     }
     core.record_age();
+    let bytes = core.memory.held() as u64;
+    core.metrics.set("memory_bytes", "held", bytes);
     text_response(StatusCode::OK, core.metrics.render())
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -14,10 +14,11 @@
     EndpointKey, Generation, GenerationTag, GenerationTracker, HostState, Observation,
     RegistryView, Steer,
 };
-use wagtail_types::{Clock, millis};
+use wagtail_types::{self as types, Clock, millis};
 
 use crate::codec::HttpCodec;
 use crate::exchange::Exchange;
+use crate::memory::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::registry::Topic;
@@ -32,6 +33,7 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
     pub(crate) tracker: Rc<Tracker>,
+    pub(crate) memory: Rc<MemoryBudget>,
     /// Changes relayed by other hosts, indexed by topic number; the topic of hosts is not relayed.
     pub(crate) feeds: [Feed; 2],
     /// What the host knows of each topic that has a feed, indexed by topic number.
@@ -162,12 +164,14 @@
         log: Logger,
         clock: Rc<dyn DebugClock>,
         age_limit: Duration,
+        memory: types::Bytes,
     ) -> Self {
         Self {
             steer: RefCell::new(steer),
             log,
             metrics: Metrics::new(),
             tracker: Rc::default(),
+            memory: MemoryBudget::new(memory),
             feeds: Default::default(),
             knowledge: Default::default(),
             age_limit,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod host;
 mod logs;
+mod memory;
 mod metrics;
 mod pool;
 mod records;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -3,10 +3,10 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, StatusCode, header, request};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use slog::info;
 use wagtail_steer::{
     Choice, EndpointKey, Fingerprint, Outcome, Placement, PlacementRequest, RejectionReason,
@@ -14,11 +14,12 @@
 
 use super::admit::{Denial, Job, deny};
 use super::in_flight::InFlight;
-use super::reply::{Reply, refuse_stopping};
+use super::reply::{Reply, refuse_for_memory, refuse_stopping};
 use super::request_log::RequestLog;
 use super::send::{AttemptError, Outgoing, ReceivedResponse, remove_hop_headers, send};
 use crate::codec::Execution;
 use crate::host::{Core, RequestContext};
+use crate::memory::{Claim, NoRoom};
 use crate::tracker::RequestStage;
 
 /// The maximum number of endpoints tried after the first one. Mainly bounds failed connections,
@@ -62,6 +63,9 @@
     request_log: &mut RequestLog,
 ) -> Reply {
     let reply = run_attempts(context, job, head, body, request_log).await;
+    let mut claim = context.core.memory.claim(job.team.as_ref().map(|t| &t.id));
+    claim.add(reply.buffered());
+    request_log.hold(claim);
     if !request_log.may_have_run
         && let Some(team) = &job.team
     {
@@ -78,7 +82,10 @@
     request_log: &mut RequestLog,
 ) -> Reply {
     request_log.enter(RequestStage::Body);
-    let body = match read_request_body(&context.core, job, body).await {
+    let team = job.team.as_ref().map(|t| &t.id);
+    // Held until the request has ended, as a further attempt sends the body again.
+    let mut claim = context.core.memory.claim(team);
+    let body = match read_request_body(&context.core, job, body, &mut claim).await {
         Ok(body) => body,
         Err(reply) => return reply,
     };
@@ -144,20 +151,26 @@
     }
 }
 
-async fn read_request_body(core: &Core, job: &Job, body: Incoming) -> Result<Bytes, Reply> {
+async fn read_request_body(
+    core: &Core,
+    job: &Job,
+    body: Incoming,
+    claim: &mut Claim,
+) -> Result<Bytes, Reply> {
     let remaining = job.deadline.saturating_duration_since(core.now());
-    let read = tokio::time::timeout(remaining, Limited::new(body, job.body_max).collect());
+    let read = tokio::time::timeout(remaining, collect(body, job.body_max, claim));
     let read = tokio::select! {
         biased;
         read = read => read,
         () = core.stop.last_start() => return Err(refuse_stopping(core)),
     };
     match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(deny(core, Denial::BodyTooLarge))
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(deny(core, Denial::BodyTooLarge)),
+        Ok(Err(BodyError::NoRoom)) => Err(refuse_for_memory(core)),
+        Ok(Err(BodyError::Broken)) => {
+            Err(Reply::fail(StatusCode::BAD_REQUEST, "the body is broken"))
         }
-        Ok(Err(_)) => Err(Reply::fail(StatusCode::BAD_REQUEST, "the body is broken")),
         Err(_) => Err(Reply::fail(
             StatusCode::REQUEST_TIMEOUT,
             "the body came too slowly",
@@ -165,6 +178,42 @@
     }
 }
 
+/// Why a body was not read to its end.
+#[derive(Debug, Clone, Copy)]
+enum BodyError {
+    TooLarge,
+    /// The memory for it is not there.
+    NoRoom,
+    Broken,
+}
+
+/// Reads a body of at most `max` bytes, within what the memory budget allows. The memory of a body whose length is known
+/// is claimed before any of it is read.
+async fn collect(mut body: Incoming, max: usize, claim: &mut Claim) -> Result<Bytes, BodyError> {
+    let exact = body.size_hint().exact();
+    let known = exact.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    if known.is_some_and(|length| length > max) {
+        return Err(BodyError::TooLarge);
+    }
+    let known = known.unwrap_or_default();
+    claim.grow(known).map_err(|NoRoom| BodyError::NoRoom)?;
+    let mut bytes = BytesMut::with_capacity(known);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        let size = bytes.len() + data.len();
+        if size > max {
+            return Err(BodyError::TooLarge);
+        }
+        if exact.is_none() {
+            claim.grow(data.len()).map_err(|NoRoom| BodyError::NoRoom)?;
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 /// Returns what identifies a request to endpoints, however often callers repeat it.
 fn fingerprint(job: &Job, head: &request::Parts, body: &Bytes) -> Fingerprint {
     let team = job.team.as_ref().map_or("", |t| t.id.as_str());
--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the number of bytes that are held in memory.
+    pub(crate) fn buffered(&self) -> usize {
+        self.buffered.as_ref().map_or(0, Bytes::len)
+    }
+
     /// Returns whether a part of the body is still being received.
     pub(crate) fn is_streaming(&self) -> bool {
         self.rest.is_some()
--- a/crates/gateway/src/request/reply.rs
+++ b/crates/gateway/src/request/reply.rs
@@ -16,6 +16,9 @@
 /// The `Retry-After` wait if the host is stopping, as others may serve the request at once.
 const STOPPING_WAIT: Duration = Duration::from_millis(20);
 
+/// The `Retry-After` wait if there is no memory for a request: about the time that a large body takes to arrive.
+const MEMORY_WAIT: Duration = Duration::from_secs(1);
+
 /// A reply to a caller, with the reason that goes into the request log and the metrics.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -55,6 +58,11 @@
         reply
     }
 
+    /// Returns the bytes of the body that are held in memory.
+    pub(crate) fn buffered(&self) -> usize {
+        self.body.buffered()
+    }
+
     pub(crate) fn into_response(self) -> Response<Body> {
         let mut response = Response::new(self.body);
         *response.status_mut() = self.status;
@@ -63,6 +71,13 @@
     }
 }
 
+/// Creates the refusal of a request whose body there is no memory for.
+pub(crate) fn refuse_for_memory(core: &Core) -> Reply {
+    core.metrics.count("memory", "refused");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Reply::refuse(status, "no memory for the request", MEMORY_WAIT)
+}
+
 /// Creates the refusal of a request that would not end before the host does.
 pub(crate) fn refuse_stopping(core: &Core) -> Reply {
     let refused = &core.tracker.refused;
--- a/crates/gateway/src/request/request_log.rs
+++ b/crates/gateway/src/request/request_log.rs
@@ -11,6 +11,7 @@
 use super::reply::Reply;
 use super::send::AttemptError;
 use crate::host::RequestContext;
+use crate::memory::Claim;
 use crate::tracker::{RequestStage, Tracked};
 
 /// The maximum number of log records per second for requests that failed or had several attempts.
@@ -113,6 +114,11 @@
         self.tracked.stage()
     }
 
+    /// Holds memory until the response is sent.
+    pub(crate) fn hold(&self, claim: Claim) {
+        self.tracked.hold(claim);
+    }
+
     /// Records how far the request has come.
     pub(crate) fn enter(&self, stage: RequestStage) {
         self.tracked.enter(stage);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -60,7 +60,13 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), RunError> {
     let age_limit = settings.age_limit();
-    let core = Rc::new(Core::new(steer, log, Rc::new(SystemClock), age_limit));
+    let core = Rc::new(Core::new(
+        steer,
+        log,
+        Rc::new(SystemClock),
+        age_limit,
+        settings.memory,
+    ));
     let pool = Rc::new(Pool::default());
     let log_budget = RefCell::new(LogBudget::new(core.now()));
     let listen = settings.listen.clone();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -32,9 +32,14 @@
 
 /// The pause after a failure to accept a connection, such as a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// The longest time for which a half-closed connection is read until the caller closes its side
-/// too; longer than a round trip and one lost packet.
-const LINGER_MAX: Duration = Duration::from_millis(800);
+/// The longest time without a byte for which a half-closed connection is read until the caller closes its
+/// side too; longer than a round trip and one lost packet.
+const LINGER_IDLE: Duration = Duration::from_millis(800);
+/// The same for one on which bytes arrive, such as the rest of a body that was refused: a caller may read its
+/// response only when it has sent all.
+const LINGER_MAX: Duration = Duration::from_secs(15);
+/// The size of the buffer for bytes that are discarded.
+const DISCARD_BYTES: usize = 16 << 10;
 /// The longest idle time of callers' connections before a configuration sets one, and always the
 /// time limit for request heads on admin connections.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
@@ -115,9 +120,12 @@
     if write.shutdown().await.is_err() {
         return;
     }
-    let mut discarded = [0; 1_024];
-    let drain = async { while read.read(&mut discarded).await.is_ok_and(|size| size > 0) {} };
-    // A caller that keeps its side open until the timeout has had enough time to read the response.
+    let mut discarded = vec![0; DISCARD_BYTES];
+    let drain = async {
+        // A caller that keeps its side open until the timeout has had enough time to read the response.
+        while let Ok(Ok(1..)) = tokio::time::timeout(LINGER_IDLE, read.read(&mut discarded)).await {
+        }
+    };
     let _ = tokio::time::timeout(LINGER_MAX, drain).await;
 }
 
--- a/crates/gateway/src/server/pipeline.rs
+++ b/crates/gateway/src/server/pipeline.rs
@@ -58,6 +58,8 @@
     /// Whether the request in progress must not run concurrently with others.
     exclusive: Cell<bool>,
     intake: Cell<Intake>,
+    /// Whether more of the last request's body is to come than would be skipped.
+    long_body: Cell<bool>,
     idle_since: Cell<Instant>,
     /// Notified after each response that was sent completely.
     response_sent: Notify,
@@ -70,6 +72,7 @@
             answered: Cell::new(0),
             exclusive: Cell::new(false),
             intake: Cell::new(Intake::new(stage)),
+            long_body: Cell::new(false),
             idle_since: Cell::new(now),
             response_sent: Notify::new(),
         })
@@ -92,7 +95,7 @@
     /// after it. No further request is read then, because the caller sends them elsewhere.
     fn announces_close(&self, number: u64, leaving: bool) -> bool {
         let last = self.accepted.get() == number;
-        let closes = last && (leaving || self.intake.get() != Intake::Open);
+        let closes = last && (leaving || self.intake.get() != Intake::Open || self.long_body.get());
         if closes {
             self.close();
         }
@@ -263,9 +266,15 @@
         frame: RequestFrame,
         mut to: WriteHalf<DuplexStream>,
     ) -> Result<(), CallerLeft> {
+        let mut body = frame.body;
+        let is_long = |body| match body {
+            BodyState::Done => false,
+            BodyState::Length(..=SKIP_MAX_BYTES) => frame.expects_continue,
+            _ => true,
+        };
+        self.connection.long_body.set(is_long(body));
         let mut open = to.write_all(&self.buffer[..frame.head]).await.is_ok();
         self.buffer.advance(frame.head);
-        let mut body = frame.body;
         while body != BodyState::Done {
             let Ok(size) = body.take(&self.buffer) else {
                 // The HTTP library finds the same error and reports it to the caller.
@@ -275,8 +284,8 @@
             };
             open = open && to.write_all(&self.buffer[..size]).await.is_ok();
             self.buffer.advance(size);
-            let skippable = matches!(body, BodyState::Done | BodyState::Length(..=SKIP_MAX_BYTES));
-            if !open && (frame.expects_continue || !skippable) {
+            self.connection.long_body.set(is_long(body));
+            if !open && is_long(body) {
                 // The request is already answered, and whether the next bytes from the caller are
                 // its body is unknown.
                 self.connection.close();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use wagtail_types::Bytes;
+
 /// The time that a call to the registry may take beyond the wait that it requests.
 const CALL_MARGIN: Duration = Duration::from_secs(1);
 
@@ -27,6 +29,8 @@
 pub struct Settings {
     /// The addresses that the host listens on.
     pub listen: Listen,
+    /// The memory that the process may use.
+    pub memory: Bytes,
     /// The time from the request to stop to the end of the process; set by the deployment.
     pub grace: Duration,
     /// How long a caller may use a directory response; no longer than the deployment's maximum.
--- a/crates/gateway/src/tracker.rs
+++ b/crates/gateway/src/tracker.rs
@@ -9,6 +9,7 @@
 use slotmap::{SlotMap, new_key_type};
 use wagtail_types::millis;
 
+use crate::memory::Claim;
 use crate::metrics::Metrics;
 
 /// The maximum number of lines on requests that a process leaves without a whole response.
@@ -43,6 +44,8 @@
     id: String,
     arrived: Instant,
     stage: RequestStage,
+    /// The memory of its response.
+    claim: Option<Claim>,
 }
 
 /// The requests whose responses have not been sent, and how many ended while the host was leaving.
@@ -64,6 +67,7 @@
             id: String::new(),
             arrived,
             stage: RequestStage::Admission,
+            claim: None,
         };
         Tracked {
             key: self.entries.borrow_mut().insert(entry),
@@ -114,6 +118,13 @@
         }
     }
 
+    /// Holds memory until the response is sent.
+    pub(crate) fn hold(&self, claim: Claim) {
+        if let Some(entry) = self.tracker.entries.borrow_mut().get_mut(self.key) {
+            entry.claim = Some(claim);
+        }
+    }
+
     pub(crate) fn stage(&self) -> Option<RequestStage> {
         let entries = self.tracker.entries.borrow();
         entries.get(self.key).map(|e| e.stage)
--- a/crates/types/src/size.rs
+++ b/crates/types/src/size.rs
@@ -18,6 +18,17 @@
 pub struct Bytes(pub u64);
 
 impl Bytes {
+    /// Returns a part of the size; `part` is between 0 and 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a size is a size"
+    )]
+    pub fn part(self, part: f64) -> Self {
+        Self((self.0 as f64 * part.clamp(0.0, 1.0)) as u64)
+    }
+
     /// Returns the size as a `usize`, or `usize::MAX` if it does not fit.
     pub fn as_usize(self) -> usize {
         usize::try_from(self.0).unwrap_or(usize::MAX)
